--- /dev/null
+++ b/chivespoke/__init__.py
@@ -0,0 +1,1 @@
+"""A scheduler for colocated latency-critical and batch work."""
--- /dev/null
+++ b/chivespoke/application.py
@@ -0,0 +1,109 @@
+"""The application object: owns components and their life cycle."""
+
+import abc
+import asyncio
+import collections.abc
+import signal
+
+from chivespoke import logs
+
+LOGGER = logs.make_logger('application')
+
+
+class Component(abc.ABC):
+    """Take part in the life cycle of an application."""
+
+    @abc.abstractmethod
+    async def start(self) -> None:
+        """Acquire what the component needs; on error nothing is held."""
+
+    async def drain(self) -> None:
+        """Refuse new work and finish what is in flight."""
+        return None
+
+    @abc.abstractmethod
+    async def stop(self) -> None:
+        """Release everything; may be called once after start."""
+
+
+class Application:
+    """Start components in order; drain and stop them in reverse."""
+
+    __slots__ = ('_components', '_started', '_stopping')
+
+    def __init__(
+        self, components: collections.abc.Iterable[Component]
+    ) -> None:
+        self._components = tuple(components)
+        self._started: list[Component] = []
+        self._stopping = asyncio.Event()
+
+    async def start(self) -> None:
+        """Start every component; stop the started ones if one fails."""
+        for component in self._components:
+            try:
+                await component.start()
+            except BaseException:
+                await self._stop_started()
+                raise
+            self._started.append(component)
+
+    async def stop(self) -> None:
+        """Drain every component, then stop every component."""
+        for component in reversed(self._started):
+            await component.drain()
+        await self._stop_started()
+
+    def request_stop(self) -> None:
+        """Make run return after a graceful shutdown."""
+        self._stopping.set()
+
+    async def run(self) -> None:
+        """Start, wait for SIGTERM, SIGINT or request_stop, then stop."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.request_stop)
+        await self.start()
+        LOGGER.info('Started.')
+        await self._stopping.wait()
+        LOGGER.info('Draining.')
+        await self.stop()
+        LOGGER.info('Stopped.')
+
+    async def _stop_started(self) -> None:
+        while self._started:
+            component = self._started.pop()
+            try:
+                await component.stop()
+            except Exception as error:
+                LOGGER.error('A component failed to stop.', error=error)
+
+
+class TaskOwner:
+    """Own background tasks, so that none outlives its component."""
+
+    __slots__ = ('_tasks',)
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def spawn(
+        self, coroutine: collections.abc.Coroutine[object, object, None]
+    ) -> asyncio.Task[None]:
+        """Run a coroutine as a task; a failure is logged."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._forget)
+        return task
+
+    async def cancel(self) -> None:
+        """Cancel every task and wait until all have ended."""
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _forget(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            LOGGER.error('A task failed.', error=repr(task.exception()))
--- /dev/null
+++ b/chivespoke/clock.py
@@ -0,0 +1,74 @@
+"""Clocks: the system's, and one that tests move by hand."""
+
+import abc
+import asyncio
+import heapq
+import time
+
+
+class Clock(abc.ABC):
+    """Tell the time and sleep."""
+
+    @abc.abstractmethod
+    def read_monotonic(self) -> float:
+        """Return seconds that never step back, suspension included."""
+
+    @abc.abstractmethod
+    def read_wall(self) -> float:
+        """Return seconds since the epoch; may step."""
+
+    @abc.abstractmethod
+    async def sleep(self, seconds: float) -> None:
+        """Return after the given seconds of this clock."""
+
+
+class SystemClock(Clock):
+    """Read the clocks of the operating system."""
+
+    __slots__ = ()
+
+    def read_monotonic(self) -> float:
+        # The boot-time clock goes on while a machine is suspended, so a
+        # permit cannot outlive a suspension.
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def read_wall(self) -> float:
+        return time.time()
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+
+
+class ManualClock(Clock):
+    """Stand still until a test moves it."""
+
+    __slots__ = ('_now', '_wall_offset', '_sleepers', '_sequence')
+
+    def __init__(
+        self, start: float = 1000.0, wall_offset: float = 1.7e9
+    ) -> None:
+        self._now = start
+        self._wall_offset = wall_offset
+        self._sleepers: list[tuple[float, int, asyncio.Future[None]]] = []
+        self._sequence = 0
+
+    def read_monotonic(self) -> float:
+        return self._now
+
+    def read_wall(self) -> float:
+        return self._now + self._wall_offset
+
+    async def sleep(self, seconds: float) -> None:
+        future = asyncio.get_running_loop().create_future()
+        self._sequence += 1
+        wake_at = self._now + max(seconds, 0.0)
+        heapq.heappush(self._sleepers, (wake_at, self._sequence, future))
+        await future
+
+    def advance(self, seconds: float) -> None:
+        """Move the clock and wake the sleepers that are due."""
+        self._now += seconds
+        while self._sleepers and self._sleepers[0][0] <= self._now:
+            _, _, future = heapq.heappop(self._sleepers)
+            if not future.done():
+                future.set_result(None)
--- /dev/null
+++ b/chivespoke/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the top modules, and builders of test data."""
