--- a/tools/tests.py
+++ b/tools/tests.py
@@ -1,9 +1,9 @@
-"""Run every unit test of the tree.
-
-Tests listed in KNOWN-RED.txt are run and printed, and do not fail the run.
-"""
+"""Run every unit test of the tree, several test modules at a time."""
 
 import argparse
+import concurrent.futures
+import dataclasses
+import io
 import pathlib
 import sys
 import typing
@@ -14,6 +14,18 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 TEST_PREFIX = 'test: '
+PARALLEL_MODULES = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModuleResult:
+    """Hold the outcome of one test module."""
+
+    module: str
+    ran: int
+    skipped: int
+    failed: frozenset[str]
+    output: str
 
 
 def read_known_red() -> frozenset[str]:
@@ -28,6 +40,15 @@
     )
 
 
+def list_modules() -> list[str]:
+    """Return the dotted names of the test modules, sorted."""
+    paths = (ROOT / 'chivespoke').rglob('tests/test_*.py')
+    return sorted(
+        '.'.join(path.relative_to(ROOT).with_suffix('').parts)
+        for path in paths
+    )
+
+
 def iterate_cases(suite: unittest.TestSuite) -> typing.Iterator[typing.Any]:
     """Yield the cases of a suite, nested suites flattened."""
     for entry in suite:
@@ -37,14 +58,47 @@
             yield entry
 
 
-def find_cases(pattern: str) -> unittest.TestSuite:
-    """Load the cases whose identifier contains the pattern."""
-    loader = unittest.TestLoader()
-    found = loader.discover(
-        str(ROOT / 'chivespoke'), pattern='test_*.py', top_level_dir=str(ROOT)
+def run_module(module: str, pattern: str, verbosity: int) -> ModuleResult:
+    """Run the cases of one module whose identifier holds the pattern."""
+    if str(ROOT) not in sys.path:
+        sys.path.insert(0, str(ROOT))
+    settings.register_profile('ci', derandomize=True, deadline=None)
+    settings.load_profile('ci')
+    loaded = unittest.TestLoader().loadTestsFromName(module)
+    cases = [case for case in iterate_cases(loaded) if pattern in case.id()]
+    output = io.StringIO()
+    runner = unittest.TextTestRunner(output, verbosity=verbosity)
+    result = runner.run(unittest.TestSuite(cases))
+    failed = result.failures + result.errors
+    unexpected = [case.id() for case in result.unexpectedSuccesses]
+    return ModuleResult(
+        module=module,
+        ran=result.testsRun,
+        skipped=len(result.skipped),
+        failed=frozenset([case.id() for case, _ in failed] + unexpected),
+        output=output.getvalue(),
     )
-    cases = [case for case in iterate_cases(found) if pattern in case.id()]
-    return unittest.TestSuite(cases)
+
+
+def run_modules(pattern: str, verbosity: int) -> list[ModuleResult]:
+    """Run all modules, a process each, and return results in order."""
+    # A module gets a fresh process, so that none depends on another.
+    with concurrent.futures.ProcessPoolExecutor(
+        PARALLEL_MODULES, max_tasks_per_child=1
+    ) as pool:
+        futures = [
+            pool.submit(run_module, module, pattern, verbosity)
+            for module in list_modules()
+        ]
+        return [future.result() for future in futures]
+
+
+def print_results(results: list[ModuleResult], verbose: bool) -> None:
+    """Print the output of the modules that failed, or of all."""
+    for result in results:
+        if result.failed or (verbose and result.ran):
+            print(f'== {result.module}')
+            print(result.output)
 
 
 def main() -> int:
@@ -53,21 +107,18 @@
     parser.add_argument('pattern', nargs='?', default='')
     parser.add_argument('--verbose', action='store_true')
     arguments = parser.parse_args()
-    sys.path.insert(0, str(ROOT))
-    settings.register_profile('ci', derandomize=True, deadline=None)
-    settings.load_profile('ci')
+    results = run_modules(arguments.pattern, 2 if arguments.verbose else 1)
+    print_results(results, arguments.verbose)
     known_red = read_known_red()
-    result = unittest.TextTestRunner(
-        verbosity=2 if arguments.verbose else 1
-    ).run(find_cases(arguments.pattern))
-    failed = {case.id() for case, _ in result.failures + result.errors}
+    failed = frozenset().union(*(result.failed for result in results))
     for identifier in sorted(failed & known_red):
         print(f'known red: {identifier}')
     unexpected = failed - known_red
-    skipped = len(result.skipped)
-    passed = result.testsRun - len(failed) - skipped
+    ran = sum(result.ran for result in results)
+    skipped = sum(result.skipped for result in results)
+    passed = ran - len(failed) - skipped
     print(f'{passed} passed, {len(unexpected)} failed, {skipped} skipped')
-    return 1 if unexpected or result.testsRun == 0 else 0
+    return 1 if unexpected or ran == 0 else 0
 
 
 if __name__ == '__main__':
