--- /dev/null
+++ b/chivespoke/cli/_settings.py
@@ -0,0 +1,63 @@
+"""Commands on settings files."""
+
+import pathlib
+import typing
+
+import cyclopts
+import msgspec
+
+from chivespoke.cli import _application
+from chivespoke.cli import _output
+from chivespoke import settings
+from chivespoke import settings_reference
+
+SETTINGS = cyclopts.App(name='settings', help='Look at settings files.')
+_application.COMMANDS.command(SETTINGS)
+
+
+@SETTINGS.command
+def check(file: pathlib.Path, *, json: _output.JsonFlag = False) -> None:
+    """Check a settings file and print it with every default filled in.
+
+    An unusable file gives its line and key, what would be right, and exit
+    code 2.
+
+    Parameters
+    ----------
+    file
+        Settings of an entry or of a sidecar, in YAML.
+    """
+    found = settings.check_settings(file)
+    if json:
+        _output.print_json(found)
+        return
+    kind = type(found).__name__.removesuffix('Settings').lower()
+    rows = _flatten(msgspec.to_builtins(found), '')
+    _output.print_table(f'{file}: valid, {kind}', ('key', 'value'), rows)
+
+
+@SETTINGS.command
+def keys(
+    kind: typing.Literal['entry', 'sidecar'],
+    *,
+    json: _output.JsonFlag = False,
+) -> None:
+    """List the keys of a kind of settings file, with types and defaults."""
+    found = settings_reference.list_keys(settings.KINDS[kind])
+    if json:
+        _output.print_json(found)
+        return
+    rows = [(key.name, key.type_name, key.default) for key in found]
+    _output.print_table(
+        f'settings of {kind}', ('key', 'type', 'default'), rows
+    )
+
+
+def _flatten(value: dict[str, object], prefix: str) -> list[tuple[str, str]]:
+    rows: list[tuple[str, str]] = []
+    for key, inner in value.items():
+        if isinstance(inner, dict):
+            rows.extend(_flatten(inner, f'{prefix}{key}.'))
+        else:
+            rows.append((f'{prefix}{key}', str(inner)))
+    return rows
--- a/chivespoke/settings.py
+++ b/chivespoke/settings.py
@@ -1,24 +1,25 @@
 """Settings of the daemons, read from YAML and checked."""
 
+import ipaddress
 import pathlib
-import re
 import typing
 
 import msgspec
-import ruamel.yaml
-from ruamel.yaml import comments
-from ruamel.yaml import error as yaml_error
 
-from chivespoke import errors
 from chivespoke import identifiers
 from chivespoke import logs
+from chivespoke import yaml_files
 
 Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
 PositiveCount = typing.Annotated[int, msgspec.Meta(gt=0)]
 
 STEP = 'read settings'
-UNKNOWN_FIELD = re.compile('unknown field `([^`]*)`')
+HOST_ERROR = 'host must be an IP number, as in 10.0.0.7'
+# A peer lapses only after this many heartbeats went missing.
+HEARTBEATS_IN_LIMIT = 2
+# Keys that only a sidecar's file has.
+SIDECAR_KEYS = frozenset({'service', 'backend_server'})
 
 
 class Address(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -27,6 +28,12 @@
     host: str = '127.0.0.1'
     port: Port = 0
 
+    def __post_init__(self) -> None:
+        try:
+            ipaddress.ip_address(self.host)
+        except ValueError:
+            raise ValueError(HOST_ERROR) from None
+
     def format_http(self) -> str:
         """Return the base URL of an HTTP server there."""
         return f'http://{self.host}:{self.port}'
@@ -64,6 +71,9 @@
     heartbeat_interval: Positive = 1.0
     heartbeat_limit: Positive = 3.0
 
+    def __post_init__(self) -> None:
+        _check_heartbeats(self.heartbeat_interval, self.heartbeat_limit)
+
 
 class SidecarSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
@@ -86,52 +96,37 @@
     heartbeat_interval: Positive = 1.0
     heartbeat_limit: Positive = 3.0
 
+    def __post_init__(self) -> None:
+        _check_heartbeats(self.heartbeat_interval, self.heartbeat_limit)
 
-SettingsType = typing.TypeVar(
-    'SettingsType', bound=EntrySettings | SidecarSettings
-)
+
+Settings = EntrySettings | SidecarSettings
+KINDS: dict[str, type[Settings]] = {
+    'entry': EntrySettings,
+    'sidecar': SidecarSettings,
+}
+SettingsType = typing.TypeVar('SettingsType', bound=Settings)
 
 
 def read_settings(
     path: pathlib.Path, expected: type[SettingsType]
 ) -> SettingsType:
     """Read and check a settings file; raise SettingsError."""
-    tree = _parse_yaml(path)
-    try:
-        return msgspec.convert(tree, expected)
-    except msgspec.ValidationError as error:
-        line = _find_line(tree, str(error))
-        raise errors.SettingsError(
-            STEP, f'{path}:{line}', str(error)
-        ) from error
-
-
-def _parse_yaml(path: pathlib.Path) -> typing.Any:
-    try:
-        text = path.read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        raise errors.SettingsError(STEP, str(path), str(error)) from error
-    try:
-        return ruamel.yaml.YAML(typ='rt').load(text)
-    except yaml_error.MarkedYAMLError as error:
-        mark = error.problem_mark
-        line = mark.line + 1 if mark is not None else 1
-        raise errors.SettingsError(
-            STEP, f'{path}:{line}', str(error.problem)
-        ) from error
-
-
-def _find_line(tree: typing.Any, message: str) -> int:
-    """Return the line of the key that a validation message names."""
-    _, _, location = message.partition('`$')
-    keys = location.rstrip('`').strip('.').split('.') if location else []
-    unknown = UNKNOWN_FIELD.search(message)
-    if unknown is not None:
-        keys.append(unknown.group(1))
-    line = 1
-    for key in keys:
-        if not isinstance(tree, comments.CommentedMap) or key not in tree:
-            break
-        line = tree.lc.key(key)[0] + 1
-        tree = tree[key]
-    return line
+    return yaml_files.read_yaml(path, expected, STEP)
+
+
+def check_settings(path: pathlib.Path) -> Settings:
+    """Read a file as the kind its keys tell; raise SettingsError."""
+    keys = yaml_files.read_keys(path, STEP)
+    if keys & SIDECAR_KEYS:
+        return read_settings(path, SidecarSettings)
+    return read_settings(path, EntrySettings)
+
+
+def _check_heartbeats(interval: float, limit: float) -> None:
+    if limit < HEARTBEATS_IN_LIMIT * interval:
+        raise ValueError(
+            f'heartbeat_limit {limit} s must be at least '
+            f'{HEARTBEATS_IN_LIMIT} times heartbeat_interval {interval} s, '
+            'or one lost message would look like a lost peer'
+        )
