Carry a caller's request to a backend server and back

Cause: the main job needs a working line through every part before any of them is made firm. Callers' HTTP requests now go through an entry, over pyzmq and msgspec, to the sidecar that announced a backend server, and the whole answer goes back with one of three outcomes.

--- /dev/null
+++ b/chivespoke/backend_servers/_announcer.py
@@ -0,0 +1,202 @@
+"""Announce a backend server to every entry, and say goodbye."""
+
+import asyncio
+import random
+
+import aiohttp
+import msgspec
+
+from chivespoke import application
+from chivespoke.backend_servers import _executor
+from chivespoke.backend_servers import _http
+from chivespoke.backend_servers import _messages
+from chivespoke import clock
+from chivespoke import entries
+from chivespoke import errors
+from chivespoke import identifiers
+from chivespoke import logs
+from chivespoke import settings
+from chivespoke import telemetry
+
+LOGGER = logs.make_logger('announcer')
+
+ENTRIES_PATH = '/entries'
+BALANCER_TIMEOUT = 2.0
+# Heartbeats between two questions to the balancer.
+BALANCER_PERIOD = 3
+# Failed probes after which the backend server counts as unhealthy.
+PROBE_LIMIT = 2
+ENTRIES_DECODER = msgspec.json.Decoder(tuple[entries.EntryAddress, ...])
+
+
+class Announcer(application.Component):
+    """Keep a connection to each entry and announce over it."""
+
+    __slots__ = (
+        '_settings',
+        '_identity',
+        '_handlers',
+        '_telemetry',
+        '_clock',
+        '_backend_server',
+        '_executor',
+        '_directory',
+        '_clients',
+        '_tasks',
+        '_session',
+        '_failed_probes',
+        '_leaving',
+        '_noted',
+    )
+
+    def __init__(
+        self,
+        sidecar: settings.SidecarSettings,
+        identity: entries.Identity,
+        handlers: entries.Handlers,
+        backend_server: _http.BackendServer,
+        executor: _executor.Executor,
+        instruments: telemetry.Telemetry,
+        time: clock.Clock,
+    ) -> None:
+        self._settings = sidecar
+        self._identity = identity
+        self._handlers = handlers
+        self._telemetry = instruments
+        self._clock = time
+        self._backend_server = backend_server
+        self._executor = executor
+        self._directory = entries.EntryDirectory(time)
+        self._clients: dict[str, entries.MessageClient] = {}
+        self._tasks = application.TaskOwner()
+        self._session: aiohttp.ClientSession | None = None
+        self._failed_probes = PROBE_LIMIT
+        self._leaving = False
+        self._noted: set[identifiers.Incarnation] = set()
+        handlers.register(entries.Welcome, self._handle_welcome)
+        handlers.register(_messages.LeavingNoted, self._handle_noted)
+        handlers.register(_messages.Goodbye, self._handle_goodbye)
+
+    async def start(self) -> None:
+        self._session = aiohttp.ClientSession()
+        self._executor.refusing = 'backend server not ready'
+        self._tasks.spawn(self._probe())
+        self._tasks.spawn(self._beat())
+
+    async def drain(self) -> None:
+        """Announce the leave and wait until every entry has noted it."""
+        self._leaving = True
+        self._executor.refusing = 'backend server leaving'
+        self._announce()
+        give_up_at = (
+            self._clock.read_monotonic() + self._settings.heartbeat_limit
+        )
+        while self._clock.read_monotonic() < give_up_at:
+            connected = {
+                client.peer.incarnation
+                for client in self._clients.values()
+                if client.peer.incarnation
+            }
+            if connected <= self._noted:
+                break
+            await asyncio.sleep(_executor.DRAIN_POLL)
+
+    async def stop(self) -> None:
+        await self._tasks.cancel()
+        for client in self._clients.values():
+            await client.stop()
+        self._clients.clear()
+        if self._session is not None:
+            await self._session.close()
+
+    async def _probe(self) -> None:
+        while True:
+            healthy = await self._backend_server.check_health()
+            before = self._is_healthy()
+            self._failed_probes = 0 if healthy else self._failed_probes + 1
+            if self._is_healthy() != before:
+                LOGGER.info('Health changed.', healthy=healthy)
+                self._announce()
+            if not self._leaving:
+                self._executor.refusing = (
+                    '' if self._is_healthy() else 'backend server unhealthy'
+                )
+            await self._clock.sleep(self._settings.heartbeat_interval)
+
+    async def _beat(self) -> None:
+        beats = 0
+        while True:
+            if beats % BALANCER_PERIOD == 0 or not self._clients:
+                await self._ask_balancer()
+            beats += 1
+            await self._adjust_clients()
+            self._announce()
+            # Jitter keeps the sidecars of a service out of step.
+            share = random.uniform(0.9, 1.1)
+            await self._clock.sleep(self._settings.heartbeat_interval * share)
+
+    async def _ask_balancer(self) -> None:
+        if self._session is None:
+            return
+        url = self._settings.balancer.format_http() + ENTRIES_PATH
+        try:
+            async with asyncio.timeout(BALANCER_TIMEOUT):
+                async with self._session.get(url) as response:
+                    found = ENTRIES_DECODER.decode(await response.read())
+        except (TimeoutError, aiohttp.ClientError, msgspec.DecodeError):
+            LOGGER.warning('The balancer gave no list of entries.')
+            return
+        for entry in found:
+            self._directory.add(entry, direct=False)
+
+    async def _adjust_clients(self) -> None:
+        wanted = {entry.endpoint for entry in self._directory.list_entries()}
+        for endpoint in wanted - self._clients.keys():
+            client = entries.MessageClient(
+                endpoint,
+                self._identity,
+                self._handlers,
+                self._telemetry,
+                self._clock,
+            )
+            await client.start()
+            self._clients[endpoint] = client
+        for endpoint in self._clients.keys() - wanted:
+            await self._clients.pop(endpoint).stop()
+
+    def _announce(self) -> None:
+        announcement = _messages.Announcement(
+            self._settings.service,
+            self._settings.data_centre,
+            self._settings.slots,
+            self._settings.queue_limit,
+            self._executor.outstanding,
+            self._is_healthy(),
+            self._leaving,
+        )
+        for client in self._clients.values():
+            try:
+                client.peer.send(announcement)
+            except errors.RefusedError:
+                # Not connected, yet or any more; the next beat tries again.
+                continue
+
+    def _is_healthy(self) -> bool:
+        return self._failed_probes < PROBE_LIMIT
+
+    async def _handle_welcome(
+        self, peer: entries.Peer, welcome: entries.Welcome
+    ) -> None:
+        for entry in welcome.entries:
+            direct = entry.incarnation == peer.incarnation
+            self._directory.add(entry, direct)
+
+    async def _handle_noted(
+        self, peer: entries.Peer, noted: _messages.LeavingNoted
+    ) -> None:
+        self._noted.add(peer.incarnation)
+
+    async def _handle_goodbye(
+        self, peer: entries.Peer, goodbye: _messages.Goodbye
+    ) -> None:
+        self._directory.remove(peer.incarnation)
--- /dev/null
+++ b/chivespoke/backend_servers/_registry.py
@@ -0,0 +1,201 @@
+"""The backend servers that an entry knows from their announcements."""
+
+import asyncio
+
+from chivespoke import application
+from chivespoke.backend_servers import _messages
+from chivespoke.backend_servers import _routing
+from chivespoke import clock
+from chivespoke import entries
+from chivespoke import errors
+from chivespoke import identifiers
+from chivespoke import logs
+from chivespoke import telemetry
+
+LOGGER = logs.make_logger('backend-servers')
+
+# Seconds after the deadline that a revoke may take to be confirmed.
+REVOKE_GRACE = 0.05
+
+
+class Registry(application.Component):
+    """Know the backend servers and match their replies to attempts."""
+
+    __slots__ = (
+        '_servers',
+        '_pending',
+        '_sequence',
+        '_directory',
+        '_clock',
+        '_telemetry',
+        '_weights',
+    )
+
+    def __init__(
+        self,
+        handlers: entries.Handlers,
+        directory: entries.EntryDirectory,
+        instruments: telemetry.Telemetry,
+        time: clock.Clock,
+    ) -> None:
+        self._servers: dict[identifiers.Incarnation, _routing.ServerView] = {}
+        self._pending: dict[
+            int, tuple[_routing.ServerView, asyncio.Future[_messages.Reply]]
+        ] = {}
+        self._sequence = 0
+        self._directory = directory
+        self._clock = time
+        self._telemetry = instruments
+        self._weights: dict[str, float] = {}
+        handlers.register(_messages.Announcement, self._handle_announcement)
+        handlers.register(_messages.Reply, self._handle_reply)
+        handlers.register_loss(self._handle_loss)
+
+    async def start(self) -> None:
+        return None
+
+    async def drain(self) -> None:
+        for server in self._servers.values():
+            _try_send(server.peer, _messages.Goodbye())
+
+    async def stop(self) -> None:
+        for server in tuple(self._servers.values()):
+            self._remove(server, 'entry stopped')
+
+    def list_servers(
+        self, service: identifiers.ServiceName
+    ) -> list[_routing.ServerView]:
+        """Return the backend servers of a service that are not lost."""
+        return [
+            server
+            for server in self._servers.values()
+            if server.announcement.service == service
+        ]
+
+    def set_weight(self, name: str, weight: float) -> None:
+        """Give a backend server a share in [0, 1] of its usual work."""
+        self._weights[name] = min(max(weight, 0.0), 1.0)
+        for server in self._servers.values():
+            if server.peer.name == name:
+                server.weight = self._weights[name]
+
+    def make_sequence(self) -> int:
+        """Return the next sequence, taken right before a dispatch."""
+        self._sequence += 1
+        return self._sequence
+
+    async def call(
+        self, server: _routing.ServerView, dispatch: _messages.Dispatch
+    ) -> _messages.Reply:
+        """Run one attempt at a backend server; never raise."""
+        sequence = dispatch.sequence
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[_messages.Reply] = loop.create_future()
+        size = len(dispatch.body)
+        try:
+            server.peer.send(dispatch)
+        except errors.RefusedError:
+            return _messages.Reply(
+                sequence, _messages.Outcome.NOT_RUN, 'not connected'
+            )
+        self._pending[sequence] = (server, future)
+        server.outstanding += 1
+        server.outstanding_bytes += size
+        try:
+            return await self._wait(server, dispatch, future)
+        finally:
+            del self._pending[sequence]
+            server.outstanding -= 1
+            server.outstanding_bytes -= size
+
+    async def _wait(
+        self,
+        server: _routing.ServerView,
+        dispatch: _messages.Dispatch,
+        future: asyncio.Future[_messages.Reply],
+    ) -> _messages.Reply:
+        done, _ = await asyncio.wait((future,), timeout=dispatch.remaining)
+        if not done:
+            _try_send(server.peer, _messages.Revoke(dispatch.sequence))
+            done, _ = await asyncio.wait((future,), timeout=REVOKE_GRACE)
+        if done:
+            return future.result()
+        return _messages.Reply(
+            dispatch.sequence, _messages.Outcome.UNKNOWN, 'no reply'
+        )
+
+    async def _handle_announcement(
+        self, peer: entries.Peer, announcement: _messages.Announcement
+    ) -> None:
+        now = self._clock.read_monotonic()
+        server = self._servers.get(peer.incarnation)
+        if server is None:
+            server = self._add(peer, announcement, now)
+        if announcement.healthy and not server.announcement.healthy:
+            server.joined_at = now
+        server.announcement = announcement
+        server.heard_at = now
+        server.reported = announcement.outstanding
+        if announcement.leaving:
+            # Ordered after every dispatch that was sent before.
+            _try_send(peer, _messages.LeavingNoted())
+        _try_send(peer, entries.Welcome(self._directory.list_entries()))
+
+    def _add(
+        self,
+        peer: entries.Peer,
+        announcement: _messages.Announcement,
+        now: float,
+    ) -> _routing.ServerView:
+        for other in tuple(self._servers.values()):
+            if other.peer.name == peer.name:
+                self._remove(other, 'restarted')
+        server = _routing.ServerView(peer, announcement, now)
+        server.weight = self._weights.get(peer.name, 1.0)
+        self._servers[peer.incarnation] = server
+        LOGGER.info(
+            'A backend server joined.',
+            name=peer.name,
+            service=announcement.service,
+        )
+        return server
+
+    async def _handle_reply(
+        self, peer: entries.Peer, reply: _messages.Reply
+    ) -> None:
+        server, future = self._pending.get(reply.sequence, (None, None))
+        if server is None or future is None or future.done():
+            self._telemetry.dropped_messages.add(1, {'cause': 'late reply'})
+            return
+        if server.peer.incarnation != peer.incarnation:
+            self._telemetry.dropped_messages.add(1, {'cause': 'crossed reply'})
+            return
+        server.reported = reply.outstanding
+        future.set_result(reply)
+
+    def _handle_loss(self, peer: entries.Peer) -> None:
+        server = self._servers.get(peer.incarnation)
+        if server is not None:
+            self._remove(server, 'silent')
+
+    def _remove(self, server: _routing.ServerView, cause: str) -> None:
+        del self._servers[server.peer.incarnation]
+        LOGGER.info(
+            'A backend server is lost.', name=server.peer.name, cause=cause
+        )
+        for sequence, (held, future) in self._pending.items():
+            if held is server and not future.done():
+                future.set_result(
+                    _messages.Reply(
+                        sequence,
+                        _messages.Outcome.UNKNOWN,
+                        f'backend server lost: {cause}',
+                    )
+                )
+
+
+def _try_send(peer: entries.Peer, message: entries.Message) -> None:
+    try:
+        peer.send(message)
+    except errors.RefusedError:
+        LOGGER.debug('A message could not be sent.', peer=peer.name)
--- /dev/null
+++ b/chivespoke/backend_servers/_slots.py
@@ -0,0 +1,176 @@
+"""The slots of a backend server, and the short queue before them."""
+
+import asyncio
+import collections
+import collections.abc
+import enum
+
+from chivespoke.backend_servers import _estimate
+from chivespoke.backend_servers import _messages
+from chivespoke import errors
+
+MEBIBYTE = 1024 * 1024
+QUEUE_BYTES_LIMIT = 64 * MEBIBYTE
+
+
+class TicketState(enum.Enum):
+    """Name the states of an admitted request."""
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    ENDED = 'ended'
+
+
+class Ticket:
+    """Follow one admitted request from the queue to its end."""
+
+    __slots__ = (
+        'dispatch',
+        'expires_at',
+        'queued_at',
+        'started_at',
+        'state',
+        'granted',
+    )
+
+    def __init__(
+        self, dispatch: _messages.Dispatch, now: float, expires_at: float
+    ) -> None:
+        self.dispatch = dispatch
+        self.queued_at = now
+        self.expires_at = expires_at
+        self.started_at = 0.0
+        self.state = TicketState.QUEUED
+        # Done when a slot is given (empty) or the request will not run.
+        self.granted: asyncio.Future[str] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+
+class Refusal(Exception):
+    """Report that a request is not admitted."""
+
+    __slots__ = ('cause', 'retry_after')
+
+    def __init__(self, cause: str, retry_after: float) -> None:
+        super().__init__(cause)
+        self.cause = cause
+        self.retry_after = retry_after
+
+
+class Slots:
+    """Admit, queue and grant; the authority on what runs."""
+
+    __slots__ = (
+        '_slots',
+        '_queue_limit',
+        '_queues',
+        '_running',
+        '_queue_bytes',
+        'estimate',
+        'expired_in_queue',
+    )
+
+    def __init__(self, slots: int, queue_limit: int) -> None:
+        self._slots = slots
+        self._queue_limit = queue_limit
+        self._queues: dict[
+            _messages.RequestClass, collections.deque[Ticket]
+        ] = {kind: collections.deque() for kind in _messages.RequestClass}
+        self._running: set[Ticket] = set()
+        self._queue_bytes = 0
+        self.estimate = _estimate.RunTimeEstimate()
+        self.expired_in_queue = 0
+
+    @property
+    def outstanding(self) -> int:
+        """Return the number of requests that run or wait."""
+        return len(self._running) + self._count_queued()
+
+    def admit(self, dispatch: _messages.Dispatch, now: float) -> Ticket:
+        """Grant a slot or queue the request; raise Refusal."""
+        ticket = Ticket(dispatch, now, now + dispatch.remaining)
+        if len(self._running) < self._slots:
+            self._grant(ticket, now)
+            return ticket
+        self._check_wait(dispatch, now)
+        self._make_room(dispatch)
+        self._queues[dispatch.request_class].append(ticket)
+        self._queue_bytes += len(dispatch.body)
+        return ticket
+
+    def withdraw(self, ticket: Ticket, cause: str) -> bool:
+        """Take a request out of the queue; False if it has started."""
+        if ticket.state is not TicketState.QUEUED:
+            return False
+        self._queues[ticket.dispatch.request_class].remove(ticket)
+        self._queue_bytes -= len(ticket.dispatch.body)
+        ticket.state = TicketState.ENDED
+        if not ticket.granted.done():
+            ticket.granted.set_result(cause)
+        return True
+
+    def release(self, ticket: Ticket, now: float) -> None:
+        """Free the slot of a request that has ended; grant the next."""
+        errors.check_invariant(
+            ticket in self._running, 'a slot is freed once', 'slots'
+        )
+        self._running.discard(ticket)
+        ticket.state = TicketState.ENDED
+        self.estimate.observe(now - ticket.started_at)
+        self._grant_waiting(now)
+
+    def _grant_waiting(self, now: float) -> None:
+        for queue in self._queues.values():
+            while queue and len(self._running) < self._slots:
+                ticket = queue.popleft()
+                self._queue_bytes -= len(ticket.dispatch.body)
+                if ticket.expires_at <= now:
+                    self.expired_in_queue += 1
+                    ticket.state = TicketState.ENDED
+                    ticket.granted.set_result('deadline passed in queue')
+                else:
+                    self._grant(ticket, now)
+
+    def _grant(self, ticket: Ticket, now: float) -> None:
+        errors.check_invariant(
+            ticket.state is TicketState.QUEUED, 'granted once', 'slots'
+        )
+        self._running.add(ticket)
+        ticket.state = TicketState.RUNNING
+        ticket.started_at = now
+        ticket.granted.set_result('')
+        errors.check_invariant(
+            len(self._running) <= self._slots, 'slots not exceeded', 'slots'
+        )
+
+    def _check_wait(self, dispatch: _messages.Dispatch, now: float) -> None:
+        wait = self._predict_wait(dispatch.request_class, now)
+        if wait + self.estimate.mean > dispatch.remaining:
+            raise Refusal('wait would exceed the deadline', wait)
+
+    def _predict_wait(self, kind: _messages.RequestClass, now: float) -> float:
+        ahead = len(self._queues[_messages.RequestClass.LATENCY_CRITICAL])
+        if kind is _messages.RequestClass.BATCH:
+            ahead = self._count_queued()
+        elapsed = [now - ticket.started_at for ticket in self._running]
+        return self.estimate.predict_wait(ahead, self._slots, elapsed)
+
+    def _make_room(self, dispatch: _messages.Dispatch) -> None:
+        batch = self._queues[_messages.RequestClass.BATCH]
+        yields = dispatch.request_class is _messages.RequestClass.BATCH
+        while self._is_full(len(dispatch.body)):
+            if yields or not batch:
+                raise Refusal(
+                    'queue full', self.estimate.mean * self._count_queued()
+                )
+            self.withdraw(batch[-1], 'gave way to a quicker class')
+
+    def _is_full(self, size: int) -> bool:
+        return (
+            self._count_queued() >= self._queue_limit
+            or self._queue_bytes + size > QUEUE_BYTES_LIMIT
+        )
+
+    def _count_queued(self) -> int:
+        return sum(len(queue) for queue in self._queues.values())
--- /dev/null
+++ b/chivespoke/callers/tests/builders.py
@@ -0,0 +1,183 @@
+"""Builders of whole request paths on loopback, and of their pieces."""
+
+import asyncio
+import collections.abc
+import contextlib
+import types
+import typing
+
+import aiohttp
+
+from chivespoke import backend_servers
+from chivespoke import clock
+from chivespoke import daemons
+from chivespoke import identifiers
+from chivespoke import settings
+from chivespoke import standins
+
+SERVICE = identifiers.ServiceName('counting')
+DATA_CENTRE = identifiers.DataCentreName('colombo-1')
+ANY_ADDRESS = settings.Address()
+POLL = 0.01
+# Seconds after which a condition that should come true is given up.
+PATIENCE = 15.0
+OUTCOME = 'Chivespoke-Outcome'
+
+
+class Answer(typing.NamedTuple):
+    """Hold what a caller got."""
+
+    status: int
+    headers: collections.abc.Mapping[str, str]
+    body: bytes
+
+    @property
+    def outcome(self) -> str:
+        """Return the outcome that the caller was told."""
+        return self.headers.get(OUTCOME, '')
+
+
+async def wait_until(holds: collections.abc.Callable[[], bool]) -> None:
+    """Wait until a condition holds; raise TimeoutError."""
+    async with asyncio.timeout(PATIENCE):
+        while not holds():
+            await asyncio.sleep(POLL)
+
+
+class Path:
+    """Own entries, sidecars and backend servers that talk for real."""
+
+    def __init__(self, **sidecar_settings: typing.Any) -> None:
+        self.entries: list[daemons.Entry] = []
+        self.sidecars: list[daemons.Sidecar] = []
+        self.servers: list[standins.CountingServer] = []
+        self.clock = clock.SystemClock()
+        self._sidecar_settings = sidecar_settings
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> 'Path':
+        self._session = aiohttp.ClientSession()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        for each in (*self.sidecars, *self.entries):
+            await each.stop()
+        for server in self.servers:
+            await server.stop()
+        if self._session is not None:
+            await self._session.close()
+
+    async def add_entry(
+        self,
+        address: settings.Address = ANY_ADDRESS,
+        policy: backend_servers.RoutingPolicy | None = None,
+    ) -> daemons.Entry:
+        """Start an entry."""
+        entry = daemons.Entry(
+            settings.EntrySettings(
+                name=f'entry-{len(self.entries) + 1}',
+                data_centre=DATA_CENTRE,
+                http=address,
+                platform_log=ANY_ADDRESS,
+                heartbeat_interval=0.1,
+                heartbeat_limit=0.6,
+            ),
+            self.clock,
+            policy,
+            balancer_notice=0.05,
+        )
+        await entry.start()
+        self.entries.append(entry)
+        return entry
+
+    async def add_server(self) -> standins.CountingServer:
+        """Start a backend server without a sidecar."""
+        server = standins.CountingServer(ANY_ADDRESS)
+        await server.start()
+        self.servers.append(server)
+        return server
+
+    async def add_sidecar(
+        self,
+        server: standins.CountingServer | None = None,
+        name: str = '',
+    ) -> daemons.Sidecar:
+        """Start a sidecar, and its backend server if none is given."""
+        if server is None:
+            server = await self.add_server()
+        sidecar = daemons.Sidecar(
+            settings.SidecarSettings(
+                name=name or f'server-{len(self.sidecars) + 1}',
+                data_centre=DATA_CENTRE,
+                service=SERVICE,
+                backend_server=server.address,
+                balancer=self.entries[0].http.address,
+                heartbeat_interval=0.1,
+                heartbeat_limit=0.6,
+                **self._sidecar_settings,
+            ),
+            self.clock,
+        )
+        await sidecar.start()
+        self.sidecars.append(sidecar)
+        return sidecar
+
+    async def wait_open(self, count: int) -> None:
+        """Wait until every entry knows so many servers that take work."""
+
+        def is_open(entry: daemons.Entry) -> bool:
+            found = entry.context.registry.list_servers(SERVICE)
+            return sum(server.is_open() for server in found) >= count
+
+        await wait_until(lambda: all(map(is_open, self.entries)))
+
+    async def call(
+        self,
+        path: str = '/x',
+        method: str = 'GET',
+        entry: int = 0,
+        body: bytes = b'',
+        **headers: str,
+    ) -> Answer:
+        """Send a request to a service; headers without their prefix."""
+        assert self._session is not None
+        address = self.entries[entry].http.address
+        async with self._session.request(
+            method,
+            f'{address.format_http()}/services/{SERVICE}{path}',
+            data=body or None,
+            headers={
+                'Chivespoke-' + name.replace('_', '-'): text
+                for name, text in headers.items()
+            },
+        ) as response:
+            return Answer(
+                response.status, response.headers, await response.read()
+            )
+
+    def count_runs(self) -> int:
+        """Return the runs of all backend servers."""
+        return sum(sum(server.runs.values()) for server in self.servers)
+
+
+@contextlib.asynccontextmanager
+async def run_path(
+    entries: int = 1, servers: int = 1, **sidecar_settings: typing.Any
+) -> collections.abc.AsyncIterator[Path]:
+    """Run a path that is ready to take requests."""
+    async with Path(**sidecar_settings) as path:
+        for _ in range(entries):
+            await path.add_entry()
+        for entry in path.entries:
+            for other in path.entries:
+                known = other.context.directory.list_entries()
+                entry.context.directory.add(known[-1], direct=True)
+        for _ in range(servers):
+            await path.add_sidecar()
+        await path.wait_open(servers)
+        yield path
--- a/chivespoke/capacity/tests/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the capacity calculator."""
--- /dev/null
+++ b/chivespoke/daemons.py
@@ -0,0 +1,177 @@
+"""Compose the parts of an entry and of a sidecar into applications."""
+
+import collections.abc
+
+from chivespoke import application
+from chivespoke import backend_servers
+from chivespoke import callers
+from chivespoke import clock
+from chivespoke import entries
+from chivespoke import identifiers
+from chivespoke import settings
+from chivespoke import telemetry
+from chivespoke import web
+
+# Seconds between the failing health check and the first refusal.
+BALANCER_NOTICE = 1.0
+DEFAULT_RETRY_SHARE = 0.1
+
+Part = application.Component | web.RouteProvider
+
+
+class EntryContext:
+    """Hold what every part of an entry may build on."""
+
+    __slots__ = (
+        'settings',
+        'identity',
+        'handlers',
+        'directory',
+        'registry',
+        'gateway',
+        'telemetry',
+        'clock',
+        'messages',
+    )
+
+    def __init__(
+        self,
+        entry: settings.EntrySettings,
+        time: clock.Clock,
+        policy: backend_servers.RoutingPolicy | None = None,
+    ) -> None:
+        self.settings = entry
+        self.clock = time
+        self.identity = entries.Identity(
+            entry.name, identifiers.make_incarnation(), entry.data_centre
+        )
+        self.telemetry = telemetry.Telemetry()
+        self.handlers = entries.Handlers()
+        self.directory = entries.EntryDirectory(time)
+        self.messages = entries.MessageServer(
+            entry.messages,
+            entry.heartbeat_limit,
+            self.identity,
+            self.handlers,
+            self.telemetry,
+            time,
+        )
+        self.registry = backend_servers.Registry(
+            self.handlers, self.directory, self.telemetry, time
+        )
+        dispatcher = callers.Dispatcher(
+            self.registry,
+            policy or backend_servers.ChoiceOfTwo(time),
+            callers.RetryBudget(DEFAULT_RETRY_SHARE),
+            self.telemetry,
+            time,
+        )
+        self.gateway = callers.Gateway(dispatcher, self.telemetry, time)
+
+
+PartMaker = collections.abc.Callable[
+    [EntryContext], collections.abc.Iterable[Part]
+]
+# Each maker adds the parts of one package to every entry; filled by
+# register_parts when that package's composition is imported.
+PART_MAKERS: list[PartMaker] = []
+
+
+def register_parts(maker: PartMaker) -> None:
+    """Have a package's parts added to every entry made from now on."""
+    PART_MAKERS.append(maker)
+
+
+class _OwnAddress(application.Component):
+    """Put the entry's own address into its directory."""
+
+    __slots__ = ('_context',)
+
+    def __init__(self, context: EntryContext) -> None:
+        self._context = context
+
+    async def start(self) -> None:
+        context = self._context
+        context.directory.set_own(
+            entries.EntryAddress(
+                context.identity.name,
+                context.identity.incarnation,
+                context.identity.data_centre,
+                context.messages.endpoint,
+            )
+        )
+
+    async def stop(self) -> None:
+        return None
+
+
+class Entry(application.Application):
+    """Run an entry."""
+
+    __slots__ = ('context', 'http')
+
+    def __init__(
+        self,
+        entry: settings.EntrySettings,
+        time: clock.Clock,
+        policy: backend_servers.RoutingPolicy | None = None,
+        balancer_notice: float = BALANCER_NOTICE,
+    ) -> None:
+        self.context = EntryContext(entry, time, policy)
+        health = web.Health(balancer_notice)
+        context = self.context
+        parts: list[Part] = [context.telemetry, context.directory]
+        parts += [context.messages, _OwnAddress(context), context.registry]
+        parts += [part for make in PART_MAKERS for part in make(context)]
+        parts += [context.gateway, health]
+        self.http = web.HttpServer(
+            entry.http,
+            [part for part in parts if isinstance(part, web.RouteProvider)],
+        )
+        parts.insert(-1, self.http)
+        super().__init__(
+            part for part in parts if isinstance(part, application.Component)
+        )
+
+
+class Sidecar(application.Application):
+    """Run the process beside a backend server."""
+
+    __slots__ = ('identity', 'telemetry', 'executor', 'http')
+
+    def __init__(
+        self,
+        sidecar: settings.SidecarSettings,
+        time: clock.Clock,
+    ) -> None:
+        self.identity = entries.Identity(
+            sidecar.name, identifiers.make_incarnation(), sidecar.data_centre
+        )
+        self.telemetry = telemetry.Telemetry()
+        handlers = entries.Handlers()
+        backend_server = backend_servers.HttpBackendServer(
+            sidecar.backend_server, sidecar.connections
+        )
+        self.executor = backend_servers.Executor(
+            backend_server,
+            backend_servers.Slots(sidecar.slots, sidecar.queue_limit),
+            handlers,
+            self.telemetry,
+            time,
+        )
+        announcer = backend_servers.Announcer(
+            sidecar,
+            self.identity,
+            handlers,
+            backend_server,
+            self.executor,
+            self.telemetry,
+            time,
+        )
+        health = web.Health(0.0)
+        self.http = web.HttpServer(sidecar.http, (self.telemetry, health))
+        # Drained from the end: leave first, then finish what runs. The
+        # announcer holds the connections, so it is stopped after that.
+        super().__init__(
+            (backend_server, self.http, self.executor, announcer, health)
+        )
--- /dev/null
+++ b/chivespoke/entries/_transport.py
@@ -0,0 +1,319 @@
+"""Messages between the system's own processes, by pyzmq and msgspec."""
+
+import abc
+import asyncio
+import typing
+
+import msgspec
+import zmq
+import zmq.asyncio
+
+from chivespoke import application
+from chivespoke import clock
+from chivespoke.entries import _handlers
+from chivespoke.entries import _inbox
+from chivespoke.entries import _messages
+from chivespoke import errors
+from chivespoke import identifiers
+from chivespoke import logs
+from chivespoke import settings
+from chivespoke import telemetry
+
+LOGGER = logs.make_logger('messages')
+
+# Messages that may wait in a socket for each peer.
+HIGH_WATER_MARK = 4096
+MESSAGE_BYTES_LIMIT = 96 * 1024 * 1024
+# Milliseconds that a closing socket goes on sending.
+LINGER = 200
+ENVELOPE_DECODER = msgspec.msgpack.Decoder(_messages.Envelope)
+
+
+class Endpoint(application.Component, abc.ABC):
+    """Send and receive messages on one socket."""
+
+    __slots__ = (
+        '_identity',
+        '_handlers',
+        '_telemetry',
+        '_encoder',
+        '_context',
+        '_socket',
+        '_tasks',
+        '_clock',
+    )
+
+    def __init__(
+        self,
+        identity: _messages.Identity,
+        handlers: _handlers.Handlers,
+        instruments: telemetry.Telemetry,
+        time: clock.Clock,
+    ) -> None:
+        self._identity = identity
+        self._handlers = handlers
+        self._telemetry = instruments
+        self._clock = time
+        self._encoder = msgspec.msgpack.Encoder()
+        self._context: zmq.asyncio.Context | None = None
+        self._socket: zmq.asyncio.Socket | None = None
+        self._tasks = application.TaskOwner()
+
+    def drop(self, cause: str) -> None:
+        """Count a message that is dropped."""
+        self._telemetry.dropped_messages.add(1, {'cause': cause})
+
+    def encode(
+        self, message: _messages.Message, receiver: identifiers.Incarnation
+    ) -> list[bytes]:
+        """Return the frames of a message."""
+        envelope = _messages.Envelope(
+            _messages.PROTOCOL_VERSION,
+            self._identity.name,
+            self._identity.incarnation,
+            receiver,
+        )
+        return [self._encoder.encode(envelope), self._encoder.encode(message)]
+
+    def send_frames(self, frames: list[bytes], peer: str) -> None:
+        """Hand frames to the socket; raise RefusedError if it won't."""
+        if self._socket is None:
+            raise errors.RefusedError('send message', peer, 'socket closed')
+        # Not awaited: with NOBLOCK the future is done on return.
+        sent = typing.cast(
+            'asyncio.Future[object]',
+            self._socket.send_multipart(frames, flags=zmq.NOBLOCK),
+        )
+        try:
+            sent.result()
+        except (zmq.ZMQError, asyncio.InvalidStateError) as error:
+            raise errors.RefusedError(
+                'send message', peer, str(error)
+            ) from error
+
+    def open_envelope(self, frames: list[bytes]) -> _messages.Envelope | None:
+        """Return a message's envelope, or None and count why not."""
+        try:
+            header, _ = frames
+            envelope = ENVELOPE_DECODER.decode(header)
+        except (msgspec.DecodeError, ValueError):
+            self.drop('malformed')
+            return None
+        if envelope.version != _messages.PROTOCOL_VERSION:
+            self.drop('version')
+            return None
+        if envelope.receiver not in ('', self._identity.incarnation):
+            # Meant for a life of this process that has ended.
+            self.drop('incarnation')
+            return None
+        return envelope
+
+    async def handle_payload(
+        self, peer: _handlers.Peer, payload: bytes
+    ) -> None:
+        """Decode and handle one message of a peer."""
+        try:
+            message = self._handlers.decode(payload)
+        except msgspec.DecodeError:
+            self.drop('malformed')
+            return
+        try:
+            await self._handlers.handle(peer, message)
+        except errors.InvariantError:
+            raise
+        except errors.ChivespokeError as error:
+            LOGGER.warning('A message failed.', peer=peer.name, error=error)
+
+    def open_socket(self, kind: int) -> zmq.asyncio.Socket:
+        """Open a socket of a new context."""
+        self._context = zmq.asyncio.Context()
+        opened = self._context.socket(kind)
+        opened.set(zmq.SNDHWM, HIGH_WATER_MARK)
+        opened.set(zmq.RCVHWM, HIGH_WATER_MARK)
+        opened.set(zmq.MAXMSGSIZE, MESSAGE_BYTES_LIMIT)
+        opened.set(zmq.LINGER, LINGER)
+        self._socket = opened
+        return opened
+
+    async def stop(self) -> None:
+        await self._tasks.cancel()
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+        if self._context is not None:
+            self._context.term()
+            self._context = None
+
+
+class ServerPeer(_handlers.Peer):
+    """Reach a process that has connected to this one."""
+
+    __slots__ = ('_server', '_route', 'inbox', 'heard_at')
+
+    def __init__(
+        self,
+        server: 'MessageServer',
+        route: bytes,
+        envelope: _messages.Envelope,
+        heard_at: float,
+    ) -> None:
+        super().__init__(envelope.sender, envelope.incarnation)
+        self._server = server
+        self._route = route
+        self.inbox = _inbox.Inbox()
+        self.heard_at = heard_at
+
+    def send(self, message: _messages.Message) -> None:
+        frames = self._server.encode(message, self.incarnation)
+        self._server.send_frames([self._route, *frames], self.name)
+
+
+class MessageServer(Endpoint):
+    """Take connections of many peers; one task handles each peer."""
+
+    __slots__ = ('_address', '_limit', '_peers', '_endpoint')
+
+    def __init__(
+        self,
+        address: settings.Address,
+        heartbeat_limit: float,
+        identity: _messages.Identity,
+        handlers: _handlers.Handlers,
+        instruments: telemetry.Telemetry,
+        time: clock.Clock,
+    ) -> None:
+        super().__init__(identity, handlers, instruments, time)
+        self._address = address
+        self._limit = heartbeat_limit
+        self._peers: dict[identifiers.Incarnation, ServerPeer] = {}
+        self._endpoint = ''
+
+    @property
+    def endpoint(self) -> str:
+        """Return the address that peers connect to."""
+        return self._endpoint
+
+    def list_peers(self) -> tuple[_handlers.Peer, ...]:
+        """Return the peers that are not silent."""
+        return tuple(self._peers.values())
+
+    async def start(self) -> None:
+        opened = self.open_socket(zmq.ROUTER)
+        # A peer that is gone is an error, not a message lost in silence.
+        opened.set(zmq.ROUTER_MANDATORY, 1)
+        opened.set(zmq.ROUTER_HANDOVER, 1)
+        try:
+            opened.bind(self._address.format_tcp().replace(':0', ':*'))
+        except zmq.ZMQError as error:
+            await super().stop()
+            raise errors.UnavailableError(
+                'bind messages', self._address.format_tcp(), str(error)
+            ) from error
+        self._endpoint = str(opened.getsockopt_string(zmq.LAST_ENDPOINT))
+        self._tasks.spawn(self._receive(opened))
+        self._tasks.spawn(self._watch_silence())
+
+    async def _receive(self, opened: zmq.asyncio.Socket) -> None:
+        while True:
+            route, *frames = await opened.recv_multipart()
+            envelope = self.open_envelope(frames)
+            if envelope is None:
+                continue
+            peer = self._find_peer(route, envelope)
+            if not peer.inbox.put(frames[1], len(frames[1])):
+                self.drop('inbox full')
+
+    def _find_peer(
+        self, route: bytes, envelope: _messages.Envelope
+    ) -> ServerPeer:
+        now = self._clock.read_monotonic()
+        peer = self._peers.get(envelope.incarnation)
+        if peer is None:
+            peer = ServerPeer(self, route, envelope, now)
+            self._peers[peer.incarnation] = peer
+            self._tasks.spawn(self._serve_peer(peer))
+        peer.heard_at = now
+        return peer
+
+    async def _serve_peer(self, peer: ServerPeer) -> None:
+        while peer.incarnation in self._peers:
+            payload = await peer.inbox.take()
+            if payload is not None:
+                await self.handle_payload(peer, payload)
+
+    async def _watch_silence(self) -> None:
+        while True:
+            await self._clock.sleep(self._limit / 4)
+            oldest = self._clock.read_monotonic() - self._limit
+            for peer in tuple(self._peers.values()):
+                if peer.heard_at < oldest:
+                    del self._peers[peer.incarnation]
+                    # Wakes the peer's task, which ends.
+                    peer.inbox.put(None, 0)
+                    self._handlers.report_loss(peer)
+
+
+class ClientPeer(_handlers.Peer):
+    """Reach the process that a client is connected to."""
+
+    __slots__ = ('_client',)
+
+    def __init__(
+        self,
+        client: 'MessageClient',
+        name: str,
+        incarnation: identifiers.Incarnation,
+    ) -> None:
+        super().__init__(name, incarnation)
+        self._client = client
+
+    def send(self, message: _messages.Message) -> None:
+        frames = self._client.encode(message, self.incarnation)
+        self._client.send_frames(frames, self.name)
+
+
+class MessageClient(Endpoint):
+    """Connect to one peer; one task handles what it sends.
+
+    The peer is replaced when another life of it answers there.
+    """
+
+    __slots__ = ('endpoint', 'peer', 'heard_at')
+
+    def __init__(
+        self,
+        endpoint: str,
+        identity: _messages.Identity,
+        handlers: _handlers.Handlers,
+        instruments: telemetry.Telemetry,
+        time: clock.Clock,
+    ) -> None:
+        super().__init__(identity, handlers, instruments, time)
+        self.endpoint = endpoint
+        self.peer = ClientPeer(self, endpoint, identifiers.Incarnation(''))
+        self.heard_at = time.read_monotonic()
+
+    async def start(self) -> None:
+        opened = self.open_socket(zmq.DEALER)
+        opened.set(zmq.IDENTITY, self._identity.incarnation.encode())
+        # Refuse to send while there is no connection.
+        opened.set(zmq.IMMEDIATE, 1)
+        opened.connect(self.endpoint)
+        self._tasks.spawn(self._receive(opened))
+
+    async def _receive(self, opened: zmq.asyncio.Socket) -> None:
+        while True:
+            frames = await opened.recv_multipart()
+            envelope = self.open_envelope(frames)
+            if envelope is None:
+                continue
+            self._note_sender(envelope)
+            await self.handle_payload(self.peer, frames[1])
+
+    def _note_sender(self, envelope: _messages.Envelope) -> None:
+        self.heard_at = self._clock.read_monotonic()
+        if envelope.incarnation == self.peer.incarnation:
+            return
+        if self.peer.incarnation:
+            self._handlers.report_loss(self.peer)
+        self.peer = ClientPeer(self, envelope.sender, envelope.incarnation)
--- /dev/null
+++ b/chivespoke/standins/_backend_server.py
@@ -0,0 +1,101 @@
+"""A fake backend server that counts its runs."""
+
+import asyncio
+import collections
+import collections.abc
+
+from aiohttp import web
+
+from chivespoke import application
+from chivespoke import settings
+from chivespoke import web as chivespoke_web
+
+MILLISECONDS = 1000.0
+
+
+class CountingServer(application.Component, chivespoke_web.RouteProvider):
+    """Answer requests after a while and count the runs of each path.
+
+    The query of a request may say ``ms`` (how long it runs), ``status``,
+    ``size`` (bytes of the answer) and ``fault`` (``hang``: never answer,
+    ``cut``: break off half way).
+    """
+
+    __slots__ = (
+        'runs',
+        'running',
+        'most_running',
+        'slowness',
+        'healthy',
+        '_server',
+    )
+
+    def __init__(self, address: settings.Address) -> None:
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.running = 0
+        self.most_running = 0
+        # Factor on every run time.
+        self.slowness = 1.0
+        self.healthy = True
+        self._server = chivespoke_web.HttpServer(address, (self,))
+
+    @property
+    def address(self) -> settings.Address:
+        """Return where it listens."""
+        return self._server.address
+
+    def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
+        return (
+            web.get('/health', self._answer_health),
+            web.route('*', '/{path:.*}', self._answer),
+        )
+
+    async def start(self) -> None:
+        await self._server.start()
+
+    async def drain(self) -> None:
+        """Fail the health check and finish what runs."""
+        self.healthy = False
+        while self.running:
+            await asyncio.sleep(0.02)
+
+    async def stop(self) -> None:
+        await self._server.stop()
+
+    async def _answer_health(self, request: web.Request) -> web.Response:
+        return web.Response(status=200 if self.healthy else 503)
+
+    async def _answer(self, request: web.Request) -> web.StreamResponse:
+        self.runs[request.path] += 1
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            return await self._run(request)
+        finally:
+            self.running -= 1
+
+    async def _run(self, request: web.Request) -> web.StreamResponse:
+        query = request.query
+        body = await request.read()
+        seconds = float(query.get('ms', '0')) / MILLISECONDS
+        if seconds:
+            await asyncio.sleep(seconds * self.slowness)
+        if query.get('fault') == 'hang':
+            await asyncio.Event().wait()
+        if query.get('fault') == 'cut':
+            return await _break_off(request)
+        text = body or request.method.encode() + b' ' + request.path.encode()
+        return web.Response(
+            status=int(query.get('status', '200')),
+            body=text.ljust(int(query.get('size', '0')), b'.'),
+            headers={'X-Runs': str(self.runs[request.path])},
+        )
+
+
+async def _break_off(request: web.Request) -> web.StreamResponse:
+    response = web.StreamResponse(headers={'Content-Length': '1000'})
+    await response.prepare(request)
+    await response.write(b'half')
+    if request.transport is not None:
+        request.transport.abort()
+    return response
--- /dev/null
+++ b/chivespoke/telemetry.py
@@ -0,0 +1,95 @@
+"""Metrics of a process, by OpenTelemetry, scraped over HTTP."""
+
+import collections.abc
+
+from aiohttp import web
+from opentelemetry.exporter import prometheus
+from opentelemetry import metrics as metrics_interface
+from opentelemetry.sdk import metrics
+from opentelemetry.sdk.metrics import view
+import prometheus_client
+
+from chivespoke import web as chivespoke_web
+
+METER_NAME = 'chivespoke'
+# Bounds of the latency histograms, in seconds.
+LATENCY_BOUNDS = (
+    *(0.0005, 0.001, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.015, 0.025),
+    *(0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 0.75, 1.0, 2.5, 5.0, 10.0, 30.0),
+)
+
+
+class Telemetry(chivespoke_web.RouteProvider):
+    """Own the instruments of one process or embedded application."""
+
+    __slots__ = (
+        '_registry',
+        '_provider',
+        'meter',
+        'request_latency',
+        'queue_wait',
+        'requests',
+        'retries',
+        'dropped_messages',
+        'refusals',
+    )
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        reader = prometheus.PrometheusMetricReader(
+            registry=self._registry, scope_info_enabled=False
+        )
+        latencies = view.View(
+            instrument_unit='s',
+            aggregation=view.ExplicitBucketHistogramAggregation(
+                LATENCY_BOUNDS
+            ),
+            instrument_name='chivespoke_*',
+        )
+        self._provider = metrics.MeterProvider(
+            metric_readers=(reader,),
+            views=(latencies,),
+            shutdown_on_exit=False,
+        )
+        self.meter: metrics_interface.Meter = self._provider.get_meter(
+            METER_NAME
+        )
+        self._make_instruments()
+
+    def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
+        return (web.get('/metrics', self._answer_scrape),)
+
+    def format_metrics(self) -> bytes:
+        """Return every metric in the text format of Prometheus."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def _make_instruments(self) -> None:
+        self.request_latency = self.meter.create_histogram(
+            'chivespoke_request_latency',
+            unit='s',
+            description='Caller request to answer, by tenant and class',
+        )
+        self.queue_wait = self.meter.create_histogram(
+            'chivespoke_queue_wait',
+            unit='s',
+            description='Wait for a slot of a backend server, by class',
+        )
+        self.requests = self.meter.create_counter(
+            'chivespoke_requests',
+            description='Requests by service, class and outcome',
+        )
+        self.retries = self.meter.create_counter(
+            'chivespoke_retries', description='Second attempts, by cause'
+        )
+        self.refusals = self.meter.create_counter(
+            'chivespoke_refusals', description='Refused requests, by cause'
+        )
+        self.dropped_messages = self.meter.create_counter(
+            'chivespoke_dropped_messages',
+            description='Messages dropped, by cause',
+        )
+
+    async def _answer_scrape(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=self.format_metrics(), content_type='text/plain'
+        )
