--- /dev/null
+++ b/chivespoke/capacity/_requirements.py
@@ -0,0 +1,180 @@
+"""The lines that a fleet's size asks for, each met or not."""
+
+import enum
+import math
+
+import msgspec
+
+from chivespoke.capacity import _model
+from chivespoke.capacity import _size
+from chivespoke.capacity import _slopes
+
+Measure = _slopes.Measure
+Role = _slopes.Role
+
+
+class Verdict(enum.Enum):
+    """Say whether a line is met by what was worked out."""
+
+    MET = 'met'
+    NOT_MET = 'not met'
+    NOT_MEASURED = 'not measured'
+
+
+class Requirement(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one line: what carries it, what was measured and worked out."""
+
+    line: str
+    carried_by: str
+    measured: str
+    worked_out: str
+    verdict: Verdict
+
+
+def list_requirements(
+    size: _size.FleetSize,
+    measurements: _slopes.Measurements,
+    estimates: list[_model.Estimate],
+) -> list[Requirement]:
+    """Return every line of the fleet's size with its verdict."""
+    return [
+        *(_check_budget(size, estimate) for estimate in estimates),
+        _check_appends(size, measurements),
+        _check_failures(size),
+        _check_data_centre(size),
+    ]
+
+
+def _check_budget(
+    size: _size.FleetSize, estimate: _model.Estimate
+) -> Requirement:
+    driver = estimate.find_driver()
+    ratio = estimate.ratio
+    largest = driver.value if driver is not None else 'the idle daemon'
+    worked_out = format_amount(estimate.measure, estimate.total)
+    if ratio is None:
+        verdict = Verdict.NOT_MEASURED
+        text = worked_out
+    else:
+        verdict = Verdict.MET if ratio <= 1 else Verdict.NOT_MET
+        text = f'{worked_out}, {ratio:.2f} of the budget'
+        text += _count_owners(size, estimate)
+    return Requirement(
+        line=f'{estimate.role.value}: {estimate.measure.value}',
+        carried_by=CARRIERS[estimate.role],
+        measured=(
+            f'idle {format_amount(estimate.measure, estimate.base)}; '
+            f'most by {largest}; stretched {estimate.stretch:.1f} times'
+        ),
+        worked_out=text,
+        verdict=verdict,
+    )
+
+
+CARRIERS = {
+    Role.ENTRY: 'subsets of sidecars, one heartbeat for all slots',
+    Role.SHARD_OWNER: 'sharding, one lease renewal for a whole worker',
+    Role.SIDECAR: 'a subset of entries, deltas',
+    Role.COMMAND_LINE: 'one request, nothing kept',
+    Role.LOG: 'group commit, spacing of appends in each stream',
+    Role.AGENT: 'one heartbeat for all tasks of a worker',
+}
+
+
+def _count_owners(size: _size.FleetSize, estimate: _model.Estimate) -> str:
+    """Say how many owners would meet the budget, if these don't."""
+    if estimate.role is not Role.SHARD_OWNER or estimate.budget is None:
+        return ''
+    ratio = estimate.ratio
+    room = estimate.budget - estimate.base
+    if ratio is None or ratio <= 1:
+        return ''
+    if room <= 0:
+        return '; no number of owners meets it, the idle daemon is over'
+    needed = math.ceil(
+        size.layout.owners * sum(estimate.parts.values()) / room
+    )
+    return f'; {needed} owners would meet it'
+
+
+def _check_appends(
+    size: _size.FleetSize, measurements: _slopes.Measurements
+) -> Requirement:
+    layout = size.layout
+    placing = layout.shards * layout.appends_per_stream
+    snapshots = layout.shards / layout.snapshot_seconds
+    changes = size.changes_per_day / _size.SECONDS_PER_DAY
+    total = placing + snapshots + changes
+    records = 2 * size.peak_starts / placing
+    return Requirement(
+        line=f'appends to the log under {layout.log_appends:.0f} a second',
+        carried_by='group commit, spacing of appends in each stream',
+        measured=_describe_appends(measurements),
+        worked_out=(
+            f'{placing:.0f} of {layout.shards} streams, {snapshots:.2f} '
+            f'snapshots, {changes:.2f} changes: {total:.0f} a second, '
+            f'{records:.0f} records in each'
+        ),
+        verdict=Verdict.MET
+        if total <= layout.log_appends
+        else Verdict.NOT_MET,
+    )
+
+
+def _describe_appends(measurements: _slopes.Measurements) -> str:
+    for slope in measurements.slopes:
+        if slope.measure is Measure.APPENDS:
+            return (
+                f'{max(slope.values):.1f} a second of one stream at '
+                f'{max(slope.sizes):.0f} {slope.driver.value}'
+            )
+    return 'not measured'
+
+
+def _check_failures(size: _size.FleetSize) -> Requirement:
+    failures = size.failures
+    day = _size.SECONDS_PER_DAY
+    tasks = size.latency_critical_tasks + size.batch_tasks
+    per_worker = tasks / size.workers
+    lost = failures.instance_failures_per_day + failures.replacements_per_day
+    rack = size.layout.workers_per_rack * per_worker
+    moved = lost * per_worker / day
+    return Requirement(
+        line='instances that fail or are replaced, and racks',
+        carried_by='leases, fences and placing again',
+        measured='by arithmetic only',
+        worked_out=(
+            f'{lost:.0f} a day place {moved:.2f} tasks a second again, '
+            f'{moved / size.peak_starts:.2%} of the peak; a rack places '
+            f'{rack:.0f} at once'
+        ),
+        verdict=Verdict.MET
+        if moved + rack <= size.peak_starts
+        else Verdict.NOT_MET,
+    )
+
+
+def _check_data_centre(size: _size.FleetSize) -> Requirement:
+    tasks = size.latency_critical_tasks + size.batch_tasks
+    moved = tasks / size.data_centres
+    seconds = moved / size.peak_starts
+    return Requirement(
+        line='a data centre fails or is taken out',
+        carried_by='starts of every other shard, services first',
+        measured='by arithmetic only',
+        worked_out=(
+            f'{moved:.0f} tasks, {seconds:.0f} s at the peak rate of starts'
+        ),
+        verdict=Verdict.NOT_MEASURED,
+    )
+
+
+def format_amount(measure: _slopes.Measure, amount: float) -> str:
+    """Return an amount with the unit of its measure."""
+    if measure is Measure.CORE:
+        return f'{amount:.2%} of a core'
+    if measure is Measure.MEMORY:
+        return f'{amount / 1e6:.0f} MB'
+    if measure is Measure.TRAFFIC:
+        return f'{amount / 1e3:.2f} KB/s'
+    return f'{amount:.1f} a second'
--- /dev/null
+++ b/chivespoke/capacity/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the capacity calculator."""
--- /dev/null
+++ b/chivespoke/capacity/tests/test_capacity.py
@@ -0,0 +1,107 @@
+"""Tests of the capacity calculator."""
+
+import pathlib
+import tempfile
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from chivespoke import capacity
+from chivespoke.capacity.tests import builders
+
+Driver = capacity.Driver
+Measure = capacity.Measure
+Role = capacity.Role
+
+
+class FitTest(unittest.TestCase):
+    """Fit lines to points."""
+
+    @hypothesis.given(
+        intercept=strategies.floats(0, 1e6),
+        per_unit=strategies.floats(0, 1e4),
+    )
+    def test_exact_points_give_the_line(
+        self, intercept: float, per_unit: float
+    ) -> None:
+        slope = builders.make_slope(
+            Role.ENTRY, Driver.PEERS, Measure.TRAFFIC, intercept, per_unit
+        )
+        scale = 1 + intercept + per_unit
+        self.assertLess(abs(slope.intercept - intercept) / scale, 1e-6)
+        self.assertLess(abs(slope.per_unit - per_unit) / scale, 1e-6)
+        self.assertLess(slope.residual, 1e-6)
+
+    def test_residual_tells_a_bad_fit(self) -> None:
+        points = ((1.0, 1.0), (2.0, 9.0), (3.0, 1.0), (4.0, 9.0))
+        slope = capacity.fit_slope(
+            Role.ENTRY, Driver.PEERS, Measure.CORE, points, 'command'
+        )
+        self.assertGreater(slope.residual, 0.3)
+
+
+class EstimateTest(unittest.TestCase):
+    """Work out roles and lines at the size of the example."""
+
+    def setUp(self) -> None:
+        self.size = capacity.read_size(builders.LETTER_SIZE)
+
+    def test_loads_times_slopes(self) -> None:
+        measurements = builders.make_measurements(
+            builders.make_slope(
+                Role.SHARD_OWNER, Driver.WORKERS, Measure.TRAFFIC, 100, 20
+            ),
+            builders.make_slope(
+                Role.SHARD_OWNER, Driver.STARTS, Measure.TRAFFIC, 150, 10
+            ),
+        )
+        (found,) = capacity.estimate_roles(self.size, measurements)
+        self.assertAlmostEqual(100, found.base)
+        self.assertAlmostEqual(20 * 250, found.parts[Driver.WORKERS])
+        self.assertAlmostEqual(10 * 25, found.parts[Driver.STARTS])
+        self.assertAlmostEqual(5350 / 3000, found.ratio or 0)
+        self.assertAlmostEqual(250 / 8, found.stretch)
+        self.assertIs(Driver.WORKERS, found.find_driver())
+
+    def test_verdicts_and_owners_that_would_do(self) -> None:
+        cases = (
+            (5.0, capacity.Verdict.MET, ''),
+            (20.0, capacity.Verdict.NOT_MET, '132 owners would meet it'),
+        )
+        for per_unit, verdict, words in cases:
+            with self.subTest(per_unit=per_unit):
+                measurements = builders.make_measurements(
+                    builders.make_slope(
+                        Role.SHARD_OWNER,
+                        Driver.WORKERS,
+                        Measure.TRAFFIC,
+                        100,
+                        per_unit,
+                    )
+                )
+                estimates = capacity.estimate_roles(self.size, measurements)
+                first = capacity.list_requirements(
+                    self.size, measurements, estimates
+                )[0]
+                self.assertIs(verdict, first.verdict)
+                self.assertIn(words, first.worked_out)
+
+    def test_plot_is_written(self) -> None:
+        measurements = builders.make_measurements(
+            builders.make_slope(
+                Role.ENTRY, Driver.SIDECARS, Measure.MEMORY, 6e7, 2e3
+            )
+        )
+        estimates = capacity.estimate_roles(self.size, measurements)
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'roles.png'
+            capacity.draw_estimates(estimates, path)
+            self.assertTrue(path.read_bytes().startswith(b'\x89PNG'))
+
+    def test_shipped_measurements_can_be_read(self) -> None:
+        self.assertTrue(capacity.read_measurements().machine)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/chivespoke/cli/__init__.py
+++ b/chivespoke/cli/__init__.py
@@ -2,11 +2,33 @@
 
 from chivespoke.cli._application import COMMANDS
 from chivespoke.cli._application import main
-from chivespoke.cli import _daemons
-from chivespoke.cli import _settings
 
 __all__ = ['COMMANDS', 'main']
 
-# Groups of commands register themselves when they are imported.
-del _daemons
-del _settings
+# Imported only when they are called: a daemon must not hold what another
+# command needs, such as numpy.
+COMMANDS.command(
+    'chivespoke.cli._capacity:show_capacity',
+    name='capacity',
+    help="Work out what each role costs at a fleet's size.",
+)
+COMMANDS.command(
+    'chivespoke.cli._daemons:run_entry',
+    name='entry',
+    help='Run an entry until it is told to stop.',
+)
+COMMANDS.command(
+    'chivespoke.cli._settings:SETTINGS',
+    name='settings',
+    help='Check settings files and list their keys.',
+)
+COMMANDS.command(
+    'chivespoke.cli._daemons:run_sidecar',
+    name='sidecar',
+    help='Run the process beside a backend server until told to stop.',
+)
+COMMANDS.command(
+    'chivespoke.cli._standins:STANDINS',
+    name='standin',
+    help='Run a fake of the outside.',
+)
--- a/chivespoke/cli/_settings.py
+++ b/chivespoke/cli/_settings.py
@@ -6,13 +6,23 @@
 import cyclopts
 import msgspec
 
-from chivespoke.cli import _application
 from chivespoke.cli import _output
 from chivespoke import settings
 from chivespoke import settings_reference
 
-SETTINGS = cyclopts.App(name='settings', help='Look at settings files.')
-_application.COMMANDS.command(SETTINGS)
+EPILOGUE = """\
+Examples:
+
+  chivespoke settings check examples/entry.yaml
+
+  chivespoke settings keys sidecar --json
+"""
+
+SETTINGS = cyclopts.App(
+    name='settings',
+    help='Check settings files and list their keys.',
+    help_epilogue=EPILOGUE,
+)
 
 
 @SETTINGS.command
