--- a/chivespoke/cli/__init__.py
+++ b/chivespoke/cli/__init__.py
@@ -7,6 +7,11 @@
 
 # Imported only when they are called: a daemon must not hold what another
 # command needs, such as numpy.
+COMMANDS.command(
+    'chivespoke.cli._bench:BENCH',
+    name='bench',
+    help='Measure speeds and costs on this machine.',
+)
 COMMANDS.command(
     'chivespoke.cli._capacity:show_capacity',
     name='capacity',
--- /dev/null
+++ b/chivespoke/cli/_bench.py
@@ -0,0 +1,20 @@
+"""The group of commands that measure; each is imported when called."""
+
+import cyclopts
+
+EPILOGUE = """\
+Every command takes --json. Example:
+
+  chivespoke bench slopes --json > slopes.json
+"""
+
+BENCH = cyclopts.App(
+    name='bench',
+    help='Measure speeds and costs on this machine.',
+    help_epilogue=EPILOGUE,
+)
+BENCH.command(
+    'chivespoke.cli._slopes:show_slopes',
+    name='slopes',
+    help='Measure what daemons spend against what drives them.',
+)
--- /dev/null
+++ b/chivespoke/demo/_settings.py
@@ -0,0 +1,79 @@
+"""Settings of the demonstration: one user's sizes of today."""
+
+import pathlib
+import typing
+
+import msgspec
+
+from chivespoke import identifiers
+from chivespoke import operators
+from chivespoke import resources
+from chivespoke import yaml_files
+
+STEP = 'read demo settings'
+
+Count = typing.Annotated[int, msgspec.Meta(gt=0, le=1000)]
+Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
+
+
+class DemoService(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Describe the service that is called."""
+
+    name: identifiers.ServiceName
+    runners: Count = 10
+    slots: Count = 8
+    connections: Count = 60
+    # Seconds that the backend server takes for a call.
+    work_seconds: Positive = 0.004
+    size: resources.Resources = resources.Resources(2000, 4096, 0)
+
+
+class DemoJob(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Describe the batch job that is submitted."""
+
+    name: str
+    tasks: Count = 20
+    task_seconds: Positive = 2.0
+    size: resources.Resources = resources.Resources(2000, 4096, 0)
+
+
+class DemoWorkers(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Describe the workers."""
+
+    count: Count = 10
+    capacity: resources.Resources
+    per_rack: Count = 3
+
+
+class DemoSettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Hold one user's sizes and what the demonstration does with them."""
+
+    user: str
+    region: str
+    data_centres: tuple[identifiers.DataCentreName, ...]
+    team: identifiers.TeamName
+    entries: Count = 2
+    service: DemoService
+    job: DemoJob
+    workers: DemoWorkers
+    calls: Count = 200
+    weights: operators.Weights = operators.Weights()
+
+    def __post_init__(self) -> None:
+        if len(self.data_centres) < 2:
+            raise ValueError(
+                'data_centres must name two or more, since one is taken out'
+            )
+
+
+def read_demo_settings(path: pathlib.Path) -> DemoSettings:
+    """Read and check the file; raise SettingsError."""
+    return yaml_files.read_yaml(path, DemoSettings, STEP)
