Number the configuration by patches in the log

Cause: operators race each other, and lose answers; each must learn what became of a patch and why. A proposal becomes version N+1 when its base is the current version and the result is valid, decided by the fold and so the same everywhere; a refusal names the path and what changed since. Conclusion: the HTTP interface is ready for the entries to mount.

--- a/chivespoke/operators/__init__.py
+++ b/chivespoke/operators/__init__.py
@@ -1,5 +1,7 @@
 """Operators: versioned configuration, jobs and explanations."""
 
+from chivespoke.operators._configuration import Configuration
+from chivespoke.operators._configuration import FRESHNESS_LIMIT
 from chivespoke.operators._document import DataCentre
 from chivespoke.operators._document import Document
 from chivespoke.operators._document import Limits
@@ -7,13 +9,91 @@
 from chivespoke.operators._document import ServiceState
 from chivespoke.operators._document import Team
 from chivespoke.operators._document import Weights
+from chivespoke.operators._explanation import ConfigurationExplainer
+from chivespoke.operators._explanation import Explainer
+from chivespoke.operators._explanation import Explanation
+from chivespoke.operators._fold import AcceptedPatch
+from chivespoke.operators._fold import Change
+from chivespoke.operators._fold import ConfigurationFold
+from chivespoke.operators._fold import Decision
+from chivespoke.operators._fold import encode_proposal
+from chivespoke.operators._fold import PatchProposed
+from chivespoke.operators._fold import STREAM
+from chivespoke.operators._impact import DeclaredImpact
+from chivespoke.operators._impact import Impact
+from chivespoke.operators._impact import ImpactEstimator
+from chivespoke.operators._patch import apply_operations
+from chivespoke.operators._patch import decode_operations
+from chivespoke.operators._patch import make_operations
+from chivespoke.operators._patch import Operation
+from chivespoke.operators._patch import PatchError
+from chivespoke.operators._patch import Verb
+from chivespoke.operators._reports import InForce
+from chivespoke.operators._reports import Laggard
+from chivespoke.operators._reports import LocalReporter
+from chivespoke.operators._reports import LocalRoll
+from chivespoke.operators._reports import ProcessReport
+from chivespoke.operators._reports import Roll
+from chivespoke.operators._reports import RollCaller
+from chivespoke.operators._routes import AUTHOR_HEADER
+from chivespoke.operators._routes import OperatorRoutes
+from chivespoke.operators._routes import PATCH_ID_HEADER
+from chivespoke.operators._routes import PATCH_TYPE
+from chivespoke.operators._routes import VERSION_HEADER
+from chivespoke.operators._status import Section
+from chivespoke.operators._status import Status
+from chivespoke.operators._status import StatusBoard
+from chivespoke.operators._status import StatusContributor
+from chivespoke.operators._status import StreamStatus
+from chivespoke.operators._validation import InvalidError
+from chivespoke.operators._validation import validate_tree
 
 __all__ = [
+    'AUTHOR_HEADER',
+    'AcceptedPatch',
+    'Change',
+    'Configuration',
+    'ConfigurationExplainer',
+    'ConfigurationFold',
     'DataCentre',
+    'Decision',
+    'DeclaredImpact',
     'Document',
+    'Explainer',
+    'Explanation',
+    'FRESHNESS_LIMIT',
+    'Impact',
+    'ImpactEstimator',
+    'InForce',
+    'InvalidError',
+    'Laggard',
     'Limits',
+    'LocalReporter',
+    'LocalRoll',
+    'Operation',
+    'OperatorRoutes',
+    'PATCH_ID_HEADER',
+    'PATCH_TYPE',
+    'PatchError',
+    'PatchProposed',
+    'ProcessReport',
+    'Roll',
+    'RollCaller',
+    'STREAM',
+    'Section',
     'Service',
     'ServiceState',
+    'Status',
+    'StatusBoard',
+    'StatusContributor',
+    'StreamStatus',
     'Team',
+    'VERSION_HEADER',
+    'Verb',
     'Weights',
+    'apply_operations',
+    'decode_operations',
+    'encode_proposal',
+    'make_operations',
+    'validate_tree',
 ]
--- /dev/null
+++ b/chivespoke/operators/_configuration.py
@@ -0,0 +1,264 @@
+"""The configuration as a process has it: read, patch, wait, prove."""
+
+import asyncio
+import collections
+import collections.abc
+import typing
+
+from chivespoke import application
+from chivespoke import clock as clocks
+from chivespoke import errors
+from chivespoke import identifiers
+from chivespoke import logs
+from chivespoke.operators import _document
+from chivespoke.operators import _fold
+from chivespoke.operators import _patch
+from chivespoke.operators import _validation
+from chivespoke import platform
+
+LOGGER = logs.make_logger('configuration')
+# Seconds after which a proof no longer allows a task to start.
+FRESHNESS_LIMIT = 3.0
+# Seconds that a proposal's fate is waited for.
+PROPOSAL_LIMIT = 10.0
+# Versions whose time of arrival is remembered.
+ARRIVAL_LIMIT = 256
+REBASE_LIMIT = 8
+STEP = 'patch the configuration'
+
+Result = typing.TypeVar('Result')
+VersionListener = collections.abc.Callable[[_document.Document], None]
+
+
+class Configuration(application.Component):
+    """Follow the configuration stream and propose patches."""
+
+    __slots__ = (
+        'replica',
+        'follower',
+        '_committer',
+        '_clock',
+        '_arrivals',
+        '_listeners',
+        '_seen_version',
+    )
+
+    def __init__(
+        self,
+        log: platform.Log,
+        committer: platform.GroupCommitter,
+        clock: clocks.Clock,
+        relay: platform.Relay | None = None,
+    ) -> None:
+        self.replica = platform.Replica(
+            _fold.STREAM, _fold.ConfigurationFold()
+        )
+        self.follower = platform.Follower(log, self.replica, clock, relay)
+        self._committer = committer
+        self._clock = clock
+        # Monotonic times at which versions arrived here.
+        self._arrivals: collections.OrderedDict[identifiers.Version, float] = (
+            collections.OrderedDict()
+        )
+        self._listeners: list[VersionListener] = []
+        self._seen_version = _fold.FIRST_VERSION
+        committer.watch(self.replica)
+        self.replica.add_listener(self._note_frame)
+
+    @property
+    def fold(self) -> _fold.ConfigurationFold:
+        """Return the folded state."""
+        return self.replica.fold
+
+    @property
+    def document(self) -> _document.Document:
+        """Return the document of the version that is acted on."""
+        return self.replica.fold.document
+
+    @property
+    def version(self) -> identifiers.Version:
+        """Return the version that is acted on."""
+        return self.replica.fold.version
+
+    @property
+    def digest(self) -> str:
+        """Return the digest of the version that is acted on."""
+        return self.replica.fold.digest
+
+    def add_listener(self, listener: VersionListener) -> None:
+        """Call the listener with each new document, at once with this."""
+        self._listeners.append(listener)
+        listener(self.document)
+
+    def is_recent(self, limit: float = FRESHNESS_LIMIT) -> bool:
+        """Tell whether the version is proven to be the newest."""
+        return (
+            self.replica.fault is None and self.follower.measure_age() <= limit
+        )
+
+    def measure_lag(self, version: identifiers.Version) -> float:
+        """Return the seconds since the version after this one arrived."""
+        if version >= self.version:
+            return 0.0
+        arrived = self._arrivals.get(identifiers.Version(version + 1))
+        if arrived is None:
+            return float('inf')
+        return self._clock.read_monotonic() - arrived
+
+    async def start(self) -> None:
+        await self.follower.start()
+
+    async def stop(self) -> None:
+        await self.follower.stop()
+
+    async def wait_for_version(
+        self, version: identifiers.Version, seconds: float
+    ) -> bool:
+        """Tell whether the version is reached within the time."""
+
+        def probe() -> bool | None:
+            return True if self.version >= version else None
+
+        return await self._wait(probe, seconds) is not None
+
+    async def propose(
+        self,
+        proposal: _fold.PatchProposed,
+        seconds: float = PROPOSAL_LIMIT,
+    ) -> _fold.Decision:
+        """Return what became of a proposal.
+
+        Raise UnavailableError when its fate is unknown, RefusedError when
+        it was not appended.
+        """
+        known = self.find_decision(proposal.proposal_id)
+        if known is not None:
+            return known
+        early = self._refuse_early(proposal)
+        if early is not None:
+            return early
+        committed = self._committer.submit(
+            _fold.STREAM, _fold.encode_proposal(proposal)
+        )
+
+        def probe() -> _fold.Decision | errors.RefusedError | None:
+            decision = self.find_decision(proposal.proposal_id)
+            if decision is not None:
+                return decision
+            if committed.done() and not committed.cancelled():
+                error = committed.exception()
+                if isinstance(error, errors.RefusedError):
+                    return error
+            return None
+
+        outcome: (
+            _fold.Decision | errors.RefusedError | None
+        ) = await self._wait(probe, seconds)
+        if isinstance(outcome, errors.RefusedError):
+            raise outcome
+        if outcome is None:
+            raise errors.UnavailableError(
+                STEP,
+                _fold.STREAM,
+                f'the fate of patch {proposal.proposal_id} is not known yet',
+            )
+        return outcome
+
+    async def propose_rebased(
+        self,
+        proposal: _fold.PatchProposed,
+        seconds: float = PROPOSAL_LIMIT,
+    ) -> _fold.Decision:
+        """Propose on the newest version where no path touches another's.
+
+        Each try has an identifier of its own that follows from the first,
+        so that a repetition finds what became of it.
+        """
+        decision = await self.propose(proposal, seconds)
+        for attempt in range(1, REBASE_LIMIT):
+            if decision.accepted or not self._can_rebase(proposal, decision):
+                return decision
+            retried = identifiers.ProposalId(
+                f'{proposal.proposal_id}.{attempt}'
+            )
+            known = self.find_decision(retried)
+            if known is not None:
+                decision = known
+                continue
+            decision = await self.propose(
+                _fold.PatchProposed(
+                    retried,
+                    self.version,
+                    proposal.author,
+                    proposal.proposed_at,
+                    proposal.operations,
+                ),
+                seconds,
+            )
+        return decision
+
+    def find_decision(
+        self, proposal_id: identifiers.ProposalId
+    ) -> _fold.Decision | None:
+        """Return what became of a proposal, None if nothing is known."""
+        return self.fold.decisions.get(proposal_id)
+
+    def _refuse_early(
+        self, proposal: _fold.PatchProposed
+    ) -> _fold.Decision | None:
+        """Return a refusal that the log could not turn around any more."""
+        if proposal.base >= self.version:
+            if proposal.base > self.version:
+                return None
+            try:
+                self.fold.preview(proposal.operations)
+                return None
+            except (_patch.PatchError, _validation.InvalidError):
+                pass
+        return self.fold.judge(proposal)
+
+    def _can_rebase(
+        self, proposal: _fold.PatchProposed, decision: _fold.Decision
+    ) -> bool:
+        later = self.fold.list_changes_since(proposal.base)
+        # Nothing came in between, or too much to tell.
+        if not later or decision.version == proposal.base:
+            return False
+        theirs = [path for patch in later for path in patch.describe().paths]
+        ours = _patch.list_paths(proposal.operations)
+        return _patch.find_overlap(ours, theirs) is None
+
+    def _note_frame(self, applied: platform.AppliedFrame) -> None:
+        if self.version == self._seen_version:
+            return
+        errors.check_invariant(
+            self.version > self._seen_version,
+            'versions only rise',
+            _fold.STREAM,
+            f'{self.version} after {self._seen_version}',
+        )
+        now = self._clock.read_monotonic()
+        for version in range(self._seen_version + 1, self.version + 1):
+            self._arrivals[identifiers.Version(version)] = now
+            if len(self._arrivals) > ARRIVAL_LIMIT:
+                self._arrivals.popitem(last=False)
+        self._seen_version = self.version
+        for listener in self._listeners:
+            listener(self.document)
+
+    async def _wait(
+        self,
+        probe: collections.abc.Callable[[], Result | None],
+        seconds: float,
+    ) -> Result | None:
+        waiting = asyncio.ensure_future(self.follower.wait_until(probe))
+        timeout = asyncio.ensure_future(self._clock.sleep(seconds))
+        try:
+            await asyncio.wait(
+                (waiting, timeout), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            timeout.cancel()
+            if not waiting.done():
+                waiting.cancel()
+        return waiting.result() if waiting.done() else None
--- /dev/null
+++ b/chivespoke/operators/_fold.py
@@ -0,0 +1,318 @@
+"""The fold of the configuration stream: patches in, numbered versions out."""
+
+import collections
+import collections.abc
+import copy
+import typing
+
+import msgspec
+import xxhash
+
+from chivespoke import errors
+from chivespoke import identifiers
+from chivespoke.operators import _document
+from chivespoke.operators import _patch
+from chivespoke.operators import _validation
+from chivespoke import platform
+
+STREAM = 'configuration'
+# Versions whose patches are kept.
+HISTORY_LIMIT = 1024
+# Decisions that are kept for callers that ask again.
+DECISION_LIMIT = 4096
+# Changes that a refusal lists.
+CHANGE_LIMIT = 20
+FIRST_VERSION = identifiers.Version(0)
+
+
+class PatchProposed(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='patch',
+    forbid_unknown_fields=True,
+):
+    """Propose the next version of the configuration."""
+
+    proposal_id: identifiers.ProposalId
+    base: identifiers.Version
+    author: str
+    # The proposer's wall clock, for people only.
+    proposed_at: float
+    operations: tuple[_patch.Operation, ...]
+
+
+class Change(msgspec.Struct, frozen=True):
+    """Tell who made a version and which paths it touched."""
+
+    version: identifiers.Version
+    author: str
+    paths: tuple[str, ...]
+
+
+class Decision(msgspec.Struct, frozen=True):
+    """Tell what became of a proposal; never changes."""
+
+    proposal_id: identifiers.ProposalId
+    accepted: bool
+    # The version made, or the version that stood when it was refused.
+    version: identifiers.Version
+    reason: str = ''
+    # A JSON pointer into the document, when one place is at fault.
+    path: str = ''
+    # What was accepted since the proposal's base.
+    changed: tuple[Change, ...] = ()
+
+
+class AcceptedPatch(msgspec.Struct, frozen=True):
+    """Hold one version of the history."""
+
+    version: identifiers.Version
+    proposal_id: identifiers.ProposalId
+    author: str
+    proposed_at: float
+    operations: tuple[_patch.Operation, ...]
+    digest: str
+
+    def describe(self) -> Change:
+        """Return who made the version and what it touched."""
+        return Change(
+            self.version, self.author, _patch.list_paths(self.operations)
+        )
+
+
+class Preview(typing.NamedTuple):
+    """Hold what operations would make of a version."""
+
+    tree: _patch.Tree
+    document: _document.Document
+
+
+class _State(msgspec.Struct, frozen=True, array_like=True):
+    version: identifiers.Version
+    digest: str
+    tree: _patch.Tree
+    oldest_version: identifiers.Version
+    oldest_tree: _patch.Tree
+    history: tuple[AcceptedPatch, ...]
+    decisions: tuple[Decision, ...]
+
+
+ENCODER = msgspec.msgpack.Encoder(order='deterministic')
+RECORD_DECODER = msgspec.msgpack.Decoder(PatchProposed)
+STATE_DECODER = msgspec.msgpack.Decoder(_State)
+
+
+def encode_proposal(proposal: PatchProposed) -> bytes:
+    """Return the record of a proposal."""
+    return ENCODER.encode(proposal)
+
+
+class ConfigurationFold(platform.Fold[PatchProposed]):
+    """Hold the configuration, its history and what became of proposals."""
+
+    __slots__ = (
+        'version',
+        'digest',
+        'tree',
+        'document',
+        'history',
+        'decisions',
+        'oldest_version',
+        '_oldest_tree',
+    )
+
+    def __init__(self) -> None:
+        self.version = FIRST_VERSION
+        # Chained over the accepted patches, so that equal digests mean
+        # equal histories.
+        self.digest = ''
+        # Starts with every section, so that a first patch can add to it.
+        self.tree: _patch.Tree = msgspec.to_builtins(_document.Document())
+        self.document = _document.Document()
+        self.history: collections.deque[AcceptedPatch] = collections.deque()
+        self.decisions: collections.OrderedDict[
+            identifiers.ProposalId, Decision
+        ] = collections.OrderedDict()
+        # The version before the oldest patch of the history.
+        self.oldest_version = FIRST_VERSION
+        self._oldest_tree: _patch.Tree = self.tree
+
+    def decode(self, record: bytes) -> PatchProposed:
+        try:
+            return RECORD_DECODER.decode(record)
+        except msgspec.MsgspecError as error:
+            raise platform.UnreadableError(
+                'read a patch', STREAM, str(error)
+            ) from error
+
+    def apply(
+        self, record: PatchProposed, position: platform.Position
+    ) -> None:
+        if record.proposal_id in self.decisions:
+            return
+        decision, preview = self._judge(record)
+        if preview is not None:
+            self._accept(record, preview)
+        self.decisions[record.proposal_id] = decision
+        if len(self.decisions) > DECISION_LIMIT:
+            self.decisions.popitem(last=False)
+
+    def encode_state(self) -> bytes:
+        return ENCODER.encode(
+            _State(
+                self.version,
+                self.digest,
+                self.tree,
+                self.oldest_version,
+                self._oldest_tree,
+                tuple(self.history),
+                tuple(self.decisions.values()),
+            )
+        )
+
+    def restore_state(self, state: bytes) -> None:
+        try:
+            decoded = STATE_DECODER.decode(state)
+            document = _validation.validate_tree(decoded.tree)
+        except (msgspec.MsgspecError, _validation.InvalidError) as error:
+            raise platform.UnreadableError(
+                'read a snapshot', STREAM, str(error)
+            ) from error
+        errors.check_invariant(
+            decoded.version >= self.version,
+            'versions only rise',
+            STREAM,
+            f'{decoded.version} after {self.version}',
+        )
+        self.version = decoded.version
+        self.digest = decoded.digest
+        self.tree = decoded.tree
+        self.document = document
+        self.history = collections.deque(decoded.history)
+        self.decisions = collections.OrderedDict(
+            (decision.proposal_id, decision) for decision in decoded.decisions
+        )
+        self.oldest_version = decoded.oldest_version
+        self._oldest_tree = decoded.oldest_tree
+
+    def preview(self, operations: tuple[_patch.Operation, ...]) -> Preview:
+        """Return what operations would make of the current version.
+
+        Raise PatchError or InvalidError; nothing changes.
+        """
+        tree = _patch.apply_operations(self.tree, operations)
+        paths = _patch.list_paths(operations)
+        changes = [_patch.split_pointer(path) for path in paths]
+        document = _validation.validate_changes(tree, self.document, changes)
+        return Preview(tree, document)
+
+    def list_changes_since(
+        self, base: identifiers.Version
+    ) -> tuple[AcceptedPatch, ...] | None:
+        """Return the patches after a version, None if not all are kept."""
+        if base < self.oldest_version or base > self.version:
+            return None
+        count = self.version - base
+        start = len(self.history) - count
+        return tuple(self.history[index + start] for index in range(count))
+
+    def rebuild_tree(self, version: identifiers.Version) -> _patch.Tree | None:
+        """Return the document tree of a version, None if not kept."""
+        if version < self.oldest_version or version > self.version:
+            return None
+        tree = copy.deepcopy(self._oldest_tree)
+        for accepted in self.history:
+            if accepted.version > version:
+                break
+            tree = _patch.apply_operations(tree, accepted.operations)
+        return tree
+
+    def judge(self, proposal: PatchProposed) -> Decision:
+        """Return what would become of a proposal here; change nothing."""
+        return self._judge(proposal)[0]
+
+    def _judge(
+        self, proposal: PatchProposed
+    ) -> tuple[Decision, Preview | None]:
+        if proposal.base != self.version:
+            return self._refuse_base(proposal), None
+        if not proposal.operations:
+            reason = 'the patch has no operations'
+            return self._refuse(proposal, reason), None
+        try:
+            preview = self.preview(proposal.operations)
+        except (_patch.PatchError, _validation.InvalidError) as error:
+            reason = f'{error.step}: {error.detail}'
+            return self._refuse(proposal, reason, error.peer), None
+        version = identifiers.Version(self.version + 1)
+        return Decision(proposal.proposal_id, True, version), preview
+
+    def _accept(self, proposal: PatchProposed, preview: Preview) -> None:
+        version = identifiers.Version(self.version + 1)
+        self.tree = preview.tree
+        self.document = preview.document
+        self.digest = _chain_digest(self.digest, proposal)
+        self.version = version
+        self.history.append(
+            AcceptedPatch(
+                version,
+                proposal.proposal_id,
+                proposal.author,
+                proposal.proposed_at,
+                proposal.operations,
+                self.digest,
+            )
+        )
+        if len(self.history) > HISTORY_LIMIT:
+            oldest = self.history.popleft()
+            self._oldest_tree = _patch.apply_operations(
+                self._oldest_tree, oldest.operations
+            )
+            self.oldest_version = oldest.version
+
+    def _refuse(
+        self, proposal: PatchProposed, reason: str, path: str = ''
+    ) -> Decision:
+        return Decision(
+            proposal.proposal_id, False, self.version, reason, path
+        )
+
+    def _refuse_base(self, proposal: PatchProposed) -> Decision:
+        if proposal.base > self.version:
+            return self._refuse(
+                proposal, f'version {proposal.base} does not exist'
+            )
+        later = self.list_changes_since(proposal.base)
+        reason = (
+            f'the base is version {proposal.base}, the configuration '
+            f'stands at {self.version}'
+        )
+        changed = [patch.describe() for patch in later or ()]
+        paths = _patch.list_paths(proposal.operations)
+        touched = _find_first_overlap(paths, changed)
+        return Decision(
+            proposal.proposal_id,
+            False,
+            self.version,
+            reason,
+            touched,
+            tuple(changed[-CHANGE_LIMIT:]),
+        )
+
+
+def _find_first_overlap(
+    paths: collections.abc.Iterable[str],
+    changed: collections.abc.Iterable[Change],
+) -> str:
+    theirs = [path for change in changed for path in change.paths]
+    try:
+        return _patch.find_overlap(paths, theirs) or ''
+    except _patch.APPLY_ERRORS:
+        # A pointer that cannot be parsed overlaps nothing.
+        return ''
+
+
+def _chain_digest(previous: str, proposal: PatchProposed) -> str:
+    content: typing.Any = (previous, proposal.operations)
+    return xxhash.xxh3_64_hexdigest(ENCODER.encode(content))
--- /dev/null
+++ b/chivespoke/operators/_impact.py
@@ -0,0 +1,119 @@
+"""What a patch would do, worked out before it is proposed."""
+
+import abc
+import collections.abc
+
+import msgspec
+
+from chivespoke import identifiers
+from chivespoke.operators import _document
+from chivespoke import resources
+
+
+class Impact(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell what would be stopped, moved or become impossible to place."""
+
+    stopped: tuple[str, ...] = ()
+    moved: tuple[str, ...] = ()
+    impossible: tuple[str, ...] = ()
+
+
+class ImpactEstimator(abc.ABC):
+    """Estimate what a change of the document would do."""
+
+    @abc.abstractmethod
+    def estimate(
+        self, before: _document.Document, after: _document.Document
+    ) -> Impact:
+        """Return the impact; nothing changes."""
+
+
+class DeclaredImpact(ImpactEstimator):
+    """Estimate by what is declared alone, without the tasks that run."""
+
+    __slots__ = ()
+
+    def estimate(
+        self, before: _document.Document, after: _document.Document
+    ) -> Impact:
+        return Impact(
+            stopped=tuple(_list_stopped(before, after)),
+            moved=tuple(_list_moved(before, after)),
+            impossible=tuple(_list_impossible(after)),
+        )
+
+
+def merge_impacts(impacts: collections.abc.Iterable[Impact]) -> Impact:
+    """Return everything that some estimators found."""
+    found = tuple(impacts)
+    return Impact(
+        stopped=tuple(line for each in found for line in each.stopped),
+        moved=tuple(line for each in found for line in each.moved),
+        impossible=tuple(line for each in found for line in each.impossible),
+    )
+
+
+def _list_stopped(
+    before: _document.Document, after: _document.Document
+) -> collections.abc.Iterator[str]:
+    for name, service in before.services.items():
+        new = after.services.get(name)
+        if new is None:
+            yield f'service {name}: all {service.replicas} replicas'
+        elif new.replicas < service.replicas:
+            fewer = service.replicas - new.replicas
+            yield f'service {name}: {fewer} of {service.replicas} replicas'
+
+
+def _list_moved(
+    before: _document.Document, after: _document.Document
+) -> collections.abc.Iterator[str]:
+    in_service = _document.ServiceState.IN_SERVICE
+    for home, data_centre in before.data_centres.items():
+        new = after.data_centres.get(home)
+        if data_centre.state is not in_service:
+            continue
+        if new is None or new.state is not in_service:
+            yield f'data centre {home}: everything that runs there'
+    for name, service in before.services.items():
+        changed = after.services.get(name)
+        if changed is None:
+            continue
+        left = set(_list_homes(before, service)) - set(
+            _list_homes(after, changed)
+        )
+        for lost in sorted(left):
+            yield f'service {name}: its replicas in {lost}'
+        if changed.revision != service.revision:
+            yield f'service {name}: all replicas, one by one, new revision'
+
+
+def _list_impossible(
+    after: _document.Document,
+) -> collections.abc.Iterator[str]:
+    demand: dict[str, resources.Resources] = {}
+    for name, service in after.services.items():
+        if service.replicas and not _list_homes(after, service):
+            yield f'service {name}: no data centre in service may run it'
+        total = demand.get(service.team, resources.NOTHING)
+        size = service.size
+        demand[service.team] = total + resources.Resources(
+            size.millicores * service.replicas,
+            size.memory_mib * service.replicas,
+            size.accelerators * service.replicas,
+        )
+    for team, total in demand.items():
+        quota = after.teams[identifiers.TeamName(team)].quota
+        if not total.fits_within(quota):
+            yield f'team {team}: its services need more than its quota'
+
+
+def _list_homes(
+    document: _document.Document, service: _document.Service
+) -> list[str]:
+    return [
+        name
+        for name, data_centre in document.data_centres.items()
+        if data_centre.state is _document.ServiceState.IN_SERVICE
+        and (not service.data_centres or name in service.data_centres)
+    ]
--- /dev/null
+++ b/chivespoke/operators/_patch.py
@@ -0,0 +1,164 @@
+"""Patches of the configuration: RFC 6902 operations on the document tree."""
+
+import collections.abc
+import copy
+import enum
+import typing
+
+import jsonpatch
+import jsonpointer
+import msgspec
+
+from chivespoke import errors
+
+Tree = dict[str, typing.Any]
+APPLY_ERRORS = (
+    jsonpatch.JsonPatchException,
+    jsonpointer.JsonPointerException,
+    # What the library lets through on odd operands.
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
+
+
+class Verb(enum.Enum):
+    """Name the operations of RFC 6902."""
+
+    ADD = 'add'
+    REMOVE = 'remove'
+    REPLACE = 'replace'
+    MOVE = 'move'
+    COPY = 'copy'
+    TEST = 'test'
+
+
+class Operation(
+    msgspec.Struct,
+    frozen=True,
+    omit_defaults=True,
+    forbid_unknown_fields=True,
+    rename={'source': 'from'},
+):
+    """Hold one operation of a patch."""
+
+    op: Verb
+    path: str
+    value: typing.Any = msgspec.UNSET
+    source: str | None = None
+
+
+class PatchError(errors.ChivespokeError):
+    """Report a patch that cannot be applied; peer is the path."""
+
+
+OPERATIONS_DECODER = msgspec.json.Decoder(tuple[Operation, ...])
+
+
+def decode_operations(encoded: bytes) -> tuple[Operation, ...]:
+    """Return the operations of a JSON patch; raise PatchError."""
+    try:
+        return OPERATIONS_DECODER.decode(encoded)
+    except msgspec.MsgspecError as error:
+        raise PatchError('read a patch', '', str(error)) from error
+
+
+def apply_operations(
+    tree: Tree, operations: collections.abc.Iterable[Operation]
+) -> Tree:
+    """Return a patched tree; the given one stays as it is.
+
+    Only the containers on the paths are copied, as the library's own copy
+    of the whole document would dominate the replay.
+    """
+    changed: typing.Any = dict(tree)
+    for operation in operations:
+        try:
+            _copy_along(changed, operation.path)
+            if operation.source is not None:
+                _copy_along(changed, operation.source)
+            changed = jsonpatch.apply_patch(
+                changed, [msgspec.to_builtins(operation)], in_place=True
+            )
+        except APPLY_ERRORS as error:
+            raise PatchError(
+                f'apply {operation.op.value}', operation.path, str(error)
+            ) from error
+    if not isinstance(changed, dict):
+        raise PatchError('apply a patch', '', 'the document must be a map')
+    return changed
+
+
+def split_pointer(pointer: str) -> list[str]:
+    """Return the parts of a JSON pointer."""
+    parts = jsonpointer.JsonPointer(pointer).parts
+    return [str(part) for part in parts]
+
+
+def join_pointer(*parts: str) -> str:
+    """Return the JSON pointer of some parts."""
+    return str(jsonpointer.JsonPointer.from_parts(parts).path)
+
+
+def list_paths(
+    operations: collections.abc.Iterable[Operation],
+) -> tuple[str, ...]:
+    """Return every path that the operations name, in order, once each."""
+    paths: dict[str, None] = {}
+    for operation in operations:
+        paths[operation.path] = None
+        if operation.source is not None:
+            paths[operation.source] = None
+    return tuple(paths)
+
+
+def find_overlap(
+    ours: collections.abc.Iterable[str],
+    theirs: collections.abc.Iterable[str],
+) -> str | None:
+    """Return the first of our paths that touches one of theirs."""
+    others = [_cut_at_index(path) for path in theirs]
+    for path in ours:
+        own = _cut_at_index(path)
+        for other in others:
+            shorter = min(len(own), len(other))
+            if own[:shorter] == other[:shorter]:
+                return path
+    return None
+
+
+def make_operations(before: Tree, after: Tree) -> tuple[Operation, ...]:
+    """Return the operations that turn one tree into another."""
+    return msgspec.convert(
+        jsonpatch.make_patch(before, after).patch, tuple[Operation, ...]
+    )
+
+
+def _cut_at_index(pointer: str) -> list[str]:
+    """Return the parts up to a list's index.
+
+    An insertion moves all later elements, so that two paths into one list
+    always touch.
+    """
+    kept: list[str] = []
+    for part in split_pointer(pointer):
+        if part == '-' or part.isdigit():
+            break
+        kept.append(part)
+    return kept
+
+
+def _copy_along(tree: typing.Any, pointer: str) -> None:
+    node = tree
+    for part in split_pointer(pointer)[:-1]:
+        if isinstance(node, list):
+            if not part.isdigit() or int(part) >= len(node):
+                return
+            key: typing.Any = int(part)
+        elif isinstance(node, dict) and part in node:
+            key = part
+        else:
+            return
+        node[key] = copy.copy(node[key])
+        node = node[key]
--- /dev/null
+++ b/chivespoke/operators/_routes.py
@@ -0,0 +1,324 @@
+"""The operators' HTTP interface."""
+
+import collections.abc
+import typing
+
+from aiohttp import web
+import msgspec
+
+from chivespoke import clock as clocks
+from chivespoke import errors
+from chivespoke import identifiers
+from chivespoke.operators import _configuration
+from chivespoke.operators import _document
+from chivespoke.operators import _explanation
+from chivespoke.operators import _fold
+from chivespoke.operators import _impact
+from chivespoke.operators import _patch
+from chivespoke.operators import _reports
+from chivespoke.operators import _status
+from chivespoke.operators import _validation
+from chivespoke import web as web_common
+
+# The version that the caller has seen, and that the answer is made from.
+VERSION_HEADER = 'Chivespoke-Version'
+PATCH_ID_HEADER = 'Idempotency-Key'
+AUTHOR_HEADER = 'Chivespoke-Author'
+PATCH_TYPE = 'application/json-patch+json'
+# Seconds that a caller waits for a version that it has seen elsewhere.
+CATCH_UP_LIMIT = 5.0
+# Seconds that a question to all processes may take.
+ROLL_LIMIT = 1.0
+WAIT_LIMIT = 30.0
+HISTORY_SHOWN = 20
+RETRY_AFTER = '1'
+
+Handler = collections.abc.Callable[
+    [web.Request], collections.abc.Awaitable[web.Response]
+]
+
+
+class Answer(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer a question about one version."""
+
+    version: identifiers.Version
+    digest: str
+    document: _patch.Tree
+
+
+class Trial(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer a dry run."""
+
+    decision: _fold.Decision
+    impact: _impact.Impact
+
+
+class Difference(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer what changed between two versions."""
+
+    older: identifiers.Version
+    newer: identifiers.Version
+    operations: tuple[_patch.Operation, ...]
+
+
+class Refusal(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer why a request was not served."""
+
+    reason: str
+    path: str = ''
+
+
+class OperatorRoutes(web_common.RouteProvider):
+    """Serve the configuration, the status and explanations."""
+
+    __slots__ = (
+        '_configuration',
+        '_clock',
+        '_roll_caller',
+        '_status',
+        '_explainers',
+        '_estimators',
+    )
+
+    def __init__(
+        self,
+        configuration: _configuration.Configuration,
+        clock: clocks.Clock,
+        roll_caller: _reports.RollCaller,
+        status: _status.StatusBoard,
+        explainers: collections.abc.Iterable[_explanation.Explainer] = (),
+        estimators: collections.abc.Iterable[_impact.ImpactEstimator] = (),
+    ) -> None:
+        self._configuration = configuration
+        self._clock = clock
+        self._roll_caller = roll_caller
+        self._status = status
+        self._explainers = (
+            _explanation.ConfigurationExplainer(configuration),
+            *explainers,
+        )
+        self._estimators = (_impact.DeclaredImpact(), *estimators)
+
+    def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
+        return (
+            web.get('/configuration', self._guard(self._show)),
+            web.patch('/configuration', self._guard(self._patch)),
+            web.post('/configuration/validate', self._guard(self._validate)),
+            web.get('/configuration/history', self._guard(self._history)),
+            web.get('/configuration/diff', self._guard(self._diff)),
+            web.get('/configuration/in-force', self._guard(self._in_force)),
+            web.get('/configuration/patches/{id}', self._guard(self._fate)),
+            web.get('/status', self._guard(self._show_status)),
+            web.get('/explain/{kind}/{name}', self._guard(self._explain)),
+        )
+
+    def _guard(self, handler: Handler) -> Handler:
+        """Wrap a handler: never older than what the caller has seen."""
+
+        async def handle(request: web.Request) -> web.Response:
+            try:
+                seen = _read_number(
+                    request.headers.get(VERSION_HEADER, '0'), VERSION_HEADER
+                )
+                if not await self._configuration.wait_for_version(
+                    seen, CATCH_UP_LIMIT
+                ):
+                    return self._refuse(
+                        503, f'version {seen} has not arrived here yet'
+                    )
+                return await handler(request)
+            except _BadRequestError as error:
+                return self._refuse(400, error.detail, error.peer)
+            except errors.RefusedError as error:
+                return self._refuse(503, str(error))
+            except errors.UnavailableError as error:
+                return self._refuse(504, str(error))
+
+        return handle
+
+    def _respond(self, value: typing.Any, status: int = 200) -> web.Response:
+        headers = {
+            VERSION_HEADER: str(self._configuration.version),
+            'ETag': f'"{self._configuration.version}"',
+        }
+        if status == 503:
+            headers['Retry-After'] = RETRY_AFTER
+        return web.Response(
+            body=msgspec.json.encode(value),
+            status=status,
+            headers=headers,
+            content_type='application/json',
+        )
+
+    def _refuse(
+        self, status: int, reason: str, path: str = ''
+    ) -> web.Response:
+        return self._respond(Refusal(reason=reason, path=path), status)
+
+    async def _show(self, request: web.Request) -> web.Response:
+        fold = self._configuration.fold
+        version = _read_query(request, 'version', fold.version)
+        tree = fold.rebuild_tree(version) if version != fold.version else None
+        if version == fold.version:
+            tree = fold.tree
+        if tree is None:
+            return self._refuse(404, f'version {version} is not kept')
+        digest = fold.digest if version == fold.version else ''
+        return self._respond(
+            Answer(version=version, digest=digest, document=tree)
+        )
+
+    async def _history(self, request: web.Request) -> web.Response:
+        limit = _read_query(request, 'limit', HISTORY_SHOWN)
+        history = tuple(self._configuration.fold.history)
+        return self._respond(
+            history[len(history) - min(limit, len(history)) :]
+        )
+
+    async def _diff(self, request: web.Request) -> web.Response:
+        fold = self._configuration.fold
+        older = _read_query(request, 'from', max(fold.version - 1, 0))
+        newer = _read_query(request, 'to', fold.version)
+        before, after = fold.rebuild_tree(older), fold.rebuild_tree(newer)
+        if before is None or after is None:
+            return self._refuse(
+                404,
+                f'versions {fold.oldest_version} to {fold.version} are kept',
+            )
+        return self._respond(
+            Difference(
+                older=older,
+                newer=newer,
+                operations=_patch.make_operations(before, after),
+            )
+        )
+
+    async def _validate(self, request: web.Request) -> web.Response:
+        try:
+            tree = msgspec.json.decode(await request.read(), type=_patch.Tree)
+            _validation.validate_tree(tree)
+        except msgspec.MsgspecError as error:
+            return self._refuse(400, str(error))
+        except _validation.InvalidError as error:
+            return self._refuse(422, error.detail, error.peer)
+        return self._respond(Refusal(reason=''))
+
+    async def _patch(self, request: web.Request) -> web.Response:
+        if request.content_type != PATCH_TYPE:
+            return self._refuse(415, f'the content type must be {PATCH_TYPE}')
+        if 'If-Match' not in request.headers:
+            return self._refuse(428, 'If-Match must name the base version')
+        base = _read_number(request.headers['If-Match'].strip('"'), 'If-Match')
+        try:
+            operations = _patch.decode_operations(await request.read())
+        except _patch.PatchError as error:
+            return self._refuse(400, error.detail)
+        proposal = _fold.PatchProposed(
+            identifiers.ProposalId(
+                request.headers.get(PATCH_ID_HEADER)
+                or identifiers.make_proposal_id()
+            ),
+            base,
+            request.headers.get(AUTHOR_HEADER, 'unknown'),
+            self._clock.read_wall(),
+            operations,
+        )
+        if request.query.get('dry_run') == 'true':
+            return self._try(proposal)
+        if request.query.get('rebase') == 'true':
+            decision = await self._configuration.propose_rebased(proposal)
+        else:
+            decision = await self._configuration.propose(proposal)
+        return self._respond(decision, 200 if decision.accepted else 412)
+
+    def _try(self, proposal: _fold.PatchProposed) -> web.Response:
+        fold = self._configuration.fold
+        decision = fold.judge(proposal)
+        impact = _impact.Impact()
+        if decision.accepted:
+            after: _document.Document = fold.preview(
+                proposal.operations
+            ).document
+            impact = _impact.merge_impacts(
+                estimator.estimate(fold.document, after)
+                for estimator in self._estimators
+            )
+        return self._respond(
+            Trial(decision=decision, impact=impact),
+            200 if decision.accepted else 412,
+        )
+
+    async def _fate(self, request: web.Request) -> web.Response:
+        decision = self._configuration.find_decision(
+            identifiers.ProposalId(request.match_info['id'])
+        )
+        if decision is None:
+            recent = self._configuration.is_recent()
+            reason = 'no such patch' + (
+                '' if recent else ' so far; not recent'
+            )
+            return self._refuse(404 if recent else 503, reason)
+        return self._respond(decision)
+
+    async def _in_force(self, request: web.Request) -> web.Response:
+        """Answer once a version is in force everywhere, or time is up."""
+        version = _read_query(request, 'version', self._configuration.version)
+        wait = min(_read_query(request, 'wait', 0), int(WAIT_LIMIT))
+        until = self._clock.read_monotonic() + wait
+        if not await self._configuration.wait_for_version(version, wait):
+            return self._refuse(404, f'version {version} is not known here')
+        while True:
+            in_force = await self._call_roll(version)
+            if in_force.is_everywhere():
+                break
+            if self._clock.read_monotonic() >= until:
+                break
+            await self._clock.sleep(0.2)
+        return self._respond(in_force)
+
+    async def _call_roll(
+        self, version: identifiers.Version
+    ) -> _reports.InForce:
+        configuration = self._configuration
+        roll = await self._roll_caller.call_roll(ROLL_LIMIT)
+        return _reports.judge_roll(
+            roll,
+            version,
+            configuration.version,
+            configuration.digest,
+            configuration.measure_lag,
+        )
+
+    async def _show_status(self, request: web.Request) -> web.Response:
+        in_force = await self._call_roll(self._configuration.version)
+        return self._respond(self._status.make_status(in_force))
+
+    async def _explain(self, request: web.Request) -> web.Response:
+        kind = request.match_info['kind']
+        name = request.match_info['name']
+        able = [each for each in self._explainers if kind in each.kinds]
+        for explainer in able:
+            explanation = explainer.explain(kind, name)
+            if explanation is not None:
+                return self._respond(explanation)
+        known = sorted(
+            {known for each in able for known in each.list_names(kind)}
+        )
+        hint = f'; known: {", ".join(known[:HISTORY_SHOWN])}' if known else ''
+        return self._refuse(404, f'no {kind} is named {name}{hint}')
+
+
+class _BadRequestError(errors.ChivespokeError):
+    """Report a request that cannot be read; peer is the field."""
+
+
+def _read_number(text: str, field: str) -> identifiers.Version:
+    if not text.isdecimal():
+        raise _BadRequestError('read a request', field, 'must be a number')
+    return identifiers.Version(int(text))
+
+
+def _read_query(
+    request: web.Request, key: str, default: int
+) -> identifiers.Version:
+    return _read_number(request.query.get(key, str(default)), key)
--- /dev/null
+++ b/chivespoke/operators/_status.py
@@ -0,0 +1,140 @@
+"""The status of the system as one process sees it."""
+
+import abc
+import collections.abc
+
+import msgspec
+
+from chivespoke import identifiers
+from chivespoke.operators import _configuration
+from chivespoke.operators import _reports
+
+
+class StreamStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell how a process follows a stream."""
+
+    stream: str
+    next_offset: identifiers.Offset
+    # Seconds since the state was proven; None if it never was.
+    proof_age: float | None
+    is_recent: bool
+    # Why the stream stands still; empty when it does not.
+    fault: str = ''
+    # What another process folded differently; empty when nothing.
+    divergence: str = ''
+    relayed_records: int = 0
+
+
+class Section(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one part's lines for the status screen."""
+
+    title: str
+    lines: dict[str, str] = {}
+    troubles: tuple[str, ...] = ()
+
+
+class StatusContributor(abc.ABC):
+    """Add a section to the status."""
+
+    @abc.abstractmethod
+    def make_section(self) -> Section:
+        """Return the section as of now."""
+
+
+class Status(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what an operator needs to see first."""
+
+    process: str
+    version: identifiers.Version
+    digest: str
+    may_start_tasks: bool
+    # Sentences that call for a hand; none when all is well.
+    troubles: tuple[str, ...]
+    streams: tuple[StreamStatus, ...]
+    in_force: _reports.InForce
+    sections: tuple[Section, ...] = ()
+
+
+class StatusBoard:
+    """Gather the status of one process."""
+
+    __slots__ = ('_process', '_configuration', '_contributors')
+
+    def __init__(
+        self,
+        process: str,
+        configuration: _configuration.Configuration,
+        contributors: collections.abc.Iterable[StatusContributor] = (),
+    ) -> None:
+        self._process = process
+        self._configuration = configuration
+        self._contributors = tuple(contributors)
+
+    def make_stream_status(self) -> StreamStatus:
+        """Return how the configuration stream is followed."""
+        follower = self._configuration.follower
+        replica = follower.replica
+        age = follower.measure_age()
+        divergence = replica.divergence
+        return StreamStatus(
+            stream=replica.stream,
+            next_offset=replica.next_offset,
+            proof_age=age if age != float('inf') else None,
+            is_recent=self._configuration.is_recent(),
+            fault=str(replica.fault) if replica.fault is not None else '',
+            divergence=(
+                f'{divergence.author} differs at mark {divergence.mark}'
+                if divergence is not None
+                else ''
+            ),
+            relayed_records=follower.relayed_records,
+        )
+
+    def make_status(self, in_force: _reports.InForce) -> Status:
+        """Return the whole status, troubles first."""
+        stream = self.make_stream_status()
+        sections = tuple(
+            contributor.make_section() for contributor in self._contributors
+        )
+        troubles = [*_list_stream_troubles(stream)]
+        troubles += _list_roll_troubles(in_force)
+        for section in sections:
+            troubles += section.troubles
+        return Status(
+            process=self._process,
+            version=self._configuration.version,
+            digest=self._configuration.digest,
+            may_start_tasks=stream.is_recent,
+            troubles=tuple(troubles),
+            streams=(stream,),
+            in_force=in_force,
+            sections=sections,
+        )
+
+
+def _list_stream_troubles(
+    stream: StreamStatus,
+) -> collections.abc.Iterator[str]:
+    if stream.fault:
+        yield f'{stream.stream} stands still: {stream.fault}'
+    if stream.divergence:
+        yield f'{stream.stream} was folded differently: {stream.divergence}'
+    if not stream.is_recent:
+        age = stream.proof_age
+        since = 'ever' if age is None else f'for {age:.1f} s'
+        yield f'not proven recent {since}; starts no task'
+
+
+def _list_roll_troubles(
+    in_force: _reports.InForce,
+) -> collections.abc.Iterator[str]:
+    if in_force.laggards:
+        yield (
+            f'{len(in_force.laggards)} processes lag behind version '
+            f'{in_force.version}'
+        )
+    if in_force.differing:
+        names = ', '.join(each.name for each in in_force.differing)
+        yield f'another history at the same version: {names}'
+    if in_force.unreachable:
+        yield f'no report from {", ".join(in_force.unreachable)}'
--- /dev/null
+++ b/chivespoke/operators/_validation.py
@@ -0,0 +1,227 @@
+"""Checks of a configuration document beyond its types."""
+
+import collections.abc
+import dataclasses
+import re
+import typing
+
+import msgspec
+
+from chivespoke import errors
+from chivespoke.operators import _document
+from chivespoke.operators import _patch
+from chivespoke import resources
+
+STEP = 'validate the configuration'
+# The sections that map names to entries.
+ENTRY_TYPES: dict[str, type[msgspec.Struct]] = {
+    'data_centres': _document.DataCentre,
+    'services': _document.Service,
+    'teams': _document.Team,
+}
+SINGLE_TYPES: dict[str, type[msgspec.Struct]] = {
+    'weights': _document.Weights,
+    'limits': _document.Limits,
+}
+MESSAGE_PATH = re.compile(r' - at `\$([^`]*)`')
+NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
+
+
+class InvalidError(errors.ChivespokeError):
+    """Report a document that does not hold; peer is the path."""
+
+
+@dataclasses.dataclass(slots=True)
+class Finding:
+    """Hold a path within an entry and what is wrong there."""
+
+    field: str
+    reason: str
+
+
+def validate_tree(tree: _patch.Tree) -> _document.Document:
+    """Return the typed document of a whole tree; raise InvalidError."""
+    return validate_changes(
+        tree, _document.Document(), [[key] for key in (*tree, *ENTRY_TYPES)]
+    )
+
+
+def validate_changes(
+    tree: _patch.Tree,
+    before: _document.Document,
+    changes: collections.abc.Iterable[collections.abc.Sequence[str]],
+) -> _document.Document:
+    """Return the typed document after changes at some paths.
+
+    Only what the changes can affect is converted and checked again; raise
+    InvalidError with the path in the document.
+    """
+    sections: dict[str, typing.Any] = {}
+    touched: dict[str, set[str]] = {}
+    for parts in changes:
+        if not parts:
+            return validate_tree(tree)
+        _convert_change(tree, before, parts, sections, touched)
+    document = msgspec.structs.replace(before, **sections)
+    _check_references(document, before, touched)
+    return document
+
+
+def _convert_change(
+    tree: _patch.Tree,
+    before: _document.Document,
+    parts: collections.abc.Sequence[str],
+    sections: dict[str, typing.Any],
+    touched: dict[str, set[str]],
+) -> None:
+    section = parts[0]
+    if section in SINGLE_TYPES:
+        sections[section] = _convert(
+            tree.get(section, {}), SINGLE_TYPES[section], section
+        )
+        _raise_first(check_single(sections[section]), section)
+        return
+    if section not in ENTRY_TYPES:
+        if section in tree:
+            raise InvalidError(
+                STEP, _patch.join_pointer(section), 'unknown section'
+            )
+        return
+    raw = tree.get(section, {})
+    if not isinstance(raw, dict):
+        raise InvalidError(STEP, f'/{section}', 'must be a map of names')
+    if len(parts) > 1:
+        names = {parts[1]}
+        if section not in sections:
+            sections[section] = dict(getattr(before, section))
+    else:
+        names = {*raw, *getattr(before, section)}
+        sections[section] = {}
+    entries = sections[section]
+    for name in sorted(names):
+        if name in raw:
+            entries[name] = _convert_entry(raw[name], section, name)
+        else:
+            entries.pop(name, None)
+    touched.setdefault(section, set()).update(names)
+
+
+def _convert_entry(raw: typing.Any, section: str, name: str) -> typing.Any:
+    if NAME.fullmatch(name) is None:
+        raise InvalidError(
+            STEP,
+            _patch.join_pointer(section, name),
+            'a name has letters, digits, dots, dashes; at most 63',
+        )
+    entry = _convert(raw, ENTRY_TYPES[section], section, name)
+    _raise_first(check_entry(entry), section, name)
+    return entry
+
+
+def _convert(
+    raw: typing.Any, expected: type[msgspec.Struct], *path: str
+) -> typing.Any:
+    try:
+        return msgspec.convert(raw, expected)
+    except msgspec.ValidationError as error:
+        text = str(error)
+        found = MESSAGE_PATH.search(text)
+        inner = found.group(1) if found is not None else ''
+        fields = re.findall(r'[^.\[\]]+', inner)
+        raise InvalidError(
+            STEP,
+            _patch.join_pointer(*path, *fields),
+            MESSAGE_PATH.sub('', text),
+        ) from error
+
+
+def _raise_first(
+    findings: collections.abc.Iterable[Finding], *path: str
+) -> None:
+    for finding in findings:
+        raise InvalidError(
+            STEP, _patch.join_pointer(*path, finding.field), finding.reason
+        )
+
+
+def check_entry(entry: msgspec.Struct) -> collections.abc.Iterator[Finding]:
+    """Yield what is wrong with one entry by itself."""
+    if isinstance(entry, _document.DataCentre):
+        if not entry.region:
+            yield Finding('region', 'must not be empty')
+        yield from _check_positive(entry, ('leave_within',), zero=True)
+    elif isinstance(entry, _document.Team):
+        yield from _check_amount('quota', entry.quota)
+        yield from _check_positive(entry, ('request_rate',), zero=True)
+    elif isinstance(entry, _document.Service):
+        yield from _check_amount('size', entry.size)
+        yield from _check_positive(entry, ('replicas',), zero=True)
+        yield from _check_positive(
+            entry, ('latency_target', 'slots_per_server')
+        )
+
+
+def check_single(entry: msgspec.Struct) -> collections.abc.Iterator[Finding]:
+    """Yield what is wrong with a section that is one entry."""
+    fields = entry.__struct_fields__
+    yield from _check_positive(entry, fields, zero=True)
+    if isinstance(entry, _document.Weights):
+        if not any(getattr(entry, field) for field in fields):
+            yield Finding(fields[0], 'not all weights may be 0')
+    elif isinstance(entry, _document.Limits) and entry.body_bytes == 0:
+        yield Finding('body_bytes', 'must be above 0')
+
+
+def _check_positive(
+    entry: msgspec.Struct,
+    fields: collections.abc.Iterable[str],
+    zero: bool = False,
+) -> collections.abc.Iterator[Finding]:
+    for field in fields:
+        value = getattr(entry, field)
+        # A comparison that a not-a-number fails as well.
+        if not (value > 0 or (zero and value == 0)) or value == float('inf'):
+            bound = 'at least 0' if zero else 'above 0'
+            yield Finding(field, f'must be finite and {bound}')
+
+
+def _check_amount(
+    field: str, amount: resources.Resources
+) -> collections.abc.Iterator[Finding]:
+    if not amount.is_valid():
+        yield Finding(field, 'amounts must be at least 0')
+
+
+def _check_references(
+    document: _document.Document,
+    before: _document.Document,
+    touched: dict[str, set[str]],
+) -> None:
+    """Check that services name teams and data centres that exist."""
+    gone = any(
+        name not in getattr(document, section)
+        for section in ('teams', 'data_centres')
+        for name in touched.get(section, ())
+    )
+    names: collections.abc.Iterable[str] = (
+        document.services if gone else touched.get('services', ())
+    )
+    for name in sorted(names):
+        service = document.services.get(typing.cast(typing.Any, name))
+        if service is None:
+            continue
+        if service.team not in document.teams:
+            raise InvalidError(
+                STEP,
+                _patch.join_pointer('services', name, 'team'),
+                f'unknown team {service.team}',
+            )
+        for index, data_centre in enumerate(service.data_centres):
+            if data_centre not in document.data_centres:
+                raise InvalidError(
+                    STEP,
+                    _patch.join_pointer(
+                        'services', name, 'data_centres', str(index)
+                    ),
+                    f'unknown data centre {data_centre}',
+                )
--- /dev/null
+++ b/chivespoke/operators/tests/builders.py
@@ -0,0 +1,94 @@
+"""Builders of documents, patches and configurations for tests."""
+
+import typing
+
+from chivespoke import clock as clocks
+from chivespoke import identifiers
+from chivespoke import operators
+from chivespoke import platform
+
+BASE_TREE: dict[str, typing.Any] = {
+    'data_centres': {
+        'colombo-1': {'region': 'western'},
+        'colombo-2': {'region': 'western'},
+    },
+    'teams': {'counting': {'quota': [64000, 65536, 4]}},
+    'services': {
+        'counts': {
+            'team': 'counting',
+            'replicas': 3,
+            'size': [1000, 1024, 0],
+            'data_centres': ['colombo-1'],
+        }
+    },
+}
+
+
+def build_operation(
+    op: str, path: str, value: typing.Any = None
+) -> operators.Operation:
+    """Return one operation."""
+    verb = operators.Verb(op)
+    if verb is operators.Verb.REMOVE:
+        return operators.Operation(verb, path)
+    return operators.Operation(verb, path, value)
+
+
+BASE_OPERATIONS = tuple(
+    build_operation('add', f'/{section}/{name}', entry)
+    for section in ('data_centres', 'teams', 'services')
+    for name, entry in BASE_TREE[section].items()
+)
+
+
+def build_proposal(
+    proposal_id: str,
+    base: int,
+    *operations: operators.Operation,
+    author: str = 'kumari',
+) -> operators.PatchProposed:
+    """Return a proposal."""
+    return operators.PatchProposed(
+        identifiers.ProposalId(proposal_id),
+        identifiers.Version(base),
+        author,
+        1.7e9,
+        operations,
+    )
+
+
+def build_position(offset: int = 0) -> platform.Position:
+    """Return a position in the stream."""
+    return platform.Position(
+        identifiers.Offset(offset), 0, identifiers.Incarnation('one')
+    )
+
+
+def build_fold() -> operators.ConfigurationFold:
+    """Return a fold whose version 1 holds the base tree."""
+    fold = operators.ConfigurationFold()
+    fold.apply(build_proposal('first', 0, *BASE_OPERATIONS), build_position())
+    return fold
+
+
+class ConfigurationProcess:
+    """Hold a configuration and its committer."""
+
+    def __init__(
+        self, log: platform.Log, clock: clocks.Clock, name: str
+    ) -> None:
+        self.committer = platform.GroupCommitter(
+            log, clock, identifiers.Incarnation(name), seed=1
+        )
+        self.configuration = operators.Configuration(
+            log, self.committer, clock
+        )
+
+    async def start(self) -> None:
+        """Follow the stream."""
+        await self.configuration.start()
+
+    async def stop(self) -> None:
+        """Stop every task."""
+        await self.configuration.stop()
+        await self.committer.stop()
