Place tasks through a shard's stream and start them on workers

Cause: tasks need a life that survives any process: the fold admits placements by worker, attempt, capacity, data centre and quota, an owner proposes them, links renew leases and start what was placed under a permit.

--- a/chivespoke/operators/__init__.py
+++ b/chivespoke/operators/__init__.py
@@ -7,6 +7,7 @@
 from chivespoke.operators._document import Limits
 from chivespoke.operators._document import Service
 from chivespoke.operators._document import ServiceState
+from chivespoke.operators._document import ShardGroup
 from chivespoke.operators._document import Team
 from chivespoke.operators._document import Weights
 from chivespoke.operators._explanation import ConfigurationExplainer
@@ -83,6 +84,7 @@
     'Section',
     'Service',
     'ServiceState',
+    'ShardGroup',
     'Status',
     'StatusBoard',
     'StatusContributor',
--- a/chivespoke/operators/_document.py
+++ b/chivespoke/operators/_document.py
@@ -55,6 +55,16 @@
     request_rate: float = 0.0
 
 
+class ShardGroup(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Describe one worker group, which a shard of its own schedules."""
+
+    # The one group whose shard hands out the teams' quotas; it must stay
+    # the same while any shard holds some.
+    mints_quotas: bool = False
+
+
 class Weights(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
@@ -89,5 +99,7 @@
     data_centres: dict[identifiers.DataCentreName, DataCentre] = {}
     services: dict[identifiers.ServiceName, Service] = {}
     teams: dict[identifiers.TeamName, Team] = {}
+    # Worker groups, each with a shard of its own.
+    shards: dict[str, ShardGroup] = {}
     weights: Weights = Weights()
     limits: Limits = Limits()
--- a/chivespoke/operators/_validation.py
+++ b/chivespoke/operators/_validation.py
@@ -18,6 +18,7 @@
     'data_centres': _document.DataCentre,
     'services': _document.Service,
     'teams': _document.Team,
+    'shards': _document.ShardGroup,
 }
 SINGLE_TYPES: dict[str, type[msgspec.Struct]] = {
     'weights': _document.Weights,
--- /dev/null
+++ b/chivespoke/scheduling/_assembly.py
@@ -0,0 +1,75 @@
+"""Put the parts of scheduling together."""
+
+import collections.abc
+
+from chivespoke import application
+from chivespoke import clock as clocks
+from chivespoke import identifiers
+from chivespoke import platform
+from chivespoke.scheduling import _configuration
+from chivespoke.scheduling import _desk
+from chivespoke.scheduling import _feasibility
+from chivespoke.scheduling import _owner
+from chivespoke.scheduling import _planner
+from chivespoke.scheduling import _routes
+from chivespoke.scheduling import _stream
+from chivespoke import workers
+
+
+def make_planners() -> tuple[_planner.Planner, ...]:
+    """Return the planners of one shard, in the order of their turns."""
+    return (_feasibility.FlagPlanner(),)
+
+
+class Scheduling(application.Component):
+    """Follow the shards of a process and own them when nobody does."""
+
+    __slots__ = ('desk', 'routes', '_components', '_application')
+
+    def __init__(
+        self,
+        name: str,
+        shards: collections.abc.Sequence[str],
+        log: platform.Log,
+        committer: platform.GroupCommitter,
+        configuration: _configuration.ConfigurationSource,
+        clock: clocks.Clock,
+        policies: _owner.OwnerPolicies | None = None,
+        connector: workers.WorkerConnector | None = None,
+    ) -> None:
+        # The name stays over lives; the rest is new in each.
+        identity = identifiers.Incarnation(
+            f'{name}:{identifiers.make_incarnation()}'
+        )
+        reach = connector or workers.HttpWorkerConnector()
+        names = tuple(shards) or (_configuration.DEFAULT_SHARD,)
+        owners = [
+            _owner.ShardOwner(
+                identity,
+                _stream.ShardStream(shard, log, committer, clock),
+                configuration,
+                reach,
+                clock,
+                policies,
+                make_planners(),
+            )
+            for shard in names
+        ]
+        self.desk = _desk.Desk(configuration, owners)
+        self.routes = _routes.SchedulingRoutes(self.desk)
+        self._components: tuple[application.Component, ...] = (
+            reach,
+            *(owner.stream for owner in owners),
+            *owners,
+        )
+        self._application = application.Application(self._components)
+
+    async def start(self) -> None:
+        await self._application.start()
+
+    async def drain(self) -> None:
+        for component in reversed(self._components):
+            await component.drain()
+
+    async def stop(self) -> None:
+        await self._application.stop()
--- a/chivespoke/standins/__init__.py
+++ b/chivespoke/standins/__init__.py
@@ -4,5 +4,20 @@
 from chivespoke.standins._log import LogFaults
 from chivespoke.standins._log import MemoryLog
 from chivespoke.standins._log_server import LogServer
+from chivespoke.standins._worker import Run
+from chivespoke.standins._worker import TaskPlan
+from chivespoke.standins._worker import WorkerAgent
+from chivespoke.standins._worker_client import MemoryWorkerClient
+from chivespoke.standins._worker_client import MemoryWorkerConnector
 
-__all__ = ['CountingServer', 'LogFaults', 'LogServer', 'MemoryLog']
+__all__ = [
+    'CountingServer',
+    'LogFaults',
+    'LogServer',
+    'MemoryLog',
+    'MemoryWorkerClient',
+    'MemoryWorkerConnector',
+    'Run',
+    'TaskPlan',
+    'WorkerAgent',
+]
--- /dev/null
+++ b/chivespoke/standins/_worker.py
@@ -0,0 +1,325 @@
+"""A stand-in of the platform's agent on a worker; it runs no processes."""
+
+import msgspec
+
+from chivespoke import clock as clocks
+from chivespoke import errors
+from chivespoke import identifiers
+from chivespoke import resources
+from chivespoke import workers
+
+# Seconds that a refused or stopped attempt is remembered after the log
+# holds it; far longer than any start command may be under way.
+TOMBSTONE_SECONDS = 60.0
+# The share of its speed that a throttled task keeps.
+THROTTLED_SPEED = 0.5
+TERMINAL_PHASES = frozenset(
+    (
+        workers.TaskPhase.STOPPED,
+        workers.TaskPhase.COMPLETED,
+        workers.TaskPhase.FAILED,
+        workers.TaskPhase.NOT_STARTED,
+    )
+)
+
+
+class TaskPlan(msgspec.Struct, frozen=True, kw_only=True):
+    """Say how the stand-in acts a task out; the payload of a job."""
+
+    # Seconds of undisturbed work; 0 runs until it is stopped.
+    seconds: float = 0.0
+    # Fails after that work instead of completing.
+    fails: bool = False
+
+
+class Run(msgspec.Struct, kw_only=True):
+    """Hold one attempt that runs, or ran, on the worker."""
+
+    command: workers.StartCommand
+    plan: TaskPlan
+    # Readings of the worker's clock.
+    started_at: float
+    settled_at: float
+    ended_at: float | None = None
+    # Seconds of work, those of earlier attempts included.
+    progress: float = 0.0
+    saved: float = 0.0
+    resumed_from: float = 0.0
+    throttled: bool = False
+    status: workers.TaskStatus | None = None
+
+
+class WorkerAgent:
+    """Act out tasks under leases, on a clock of its own."""
+
+    __slots__ = (
+        'registration',
+        'clock',
+        'epoch',
+        'lease_until',
+        'runs',
+        'history',
+        'fails_everything',
+        'late_starts_refused',
+        '_tombstones',
+    )
+
+    def __init__(
+        self, registration: workers.Registration, clock: clocks.Clock
+    ) -> None:
+        self.registration = registration
+        self.clock = clock
+        self.epoch = 0
+        self.lease_until = float('-inf')
+        self.runs: dict[identifiers.TaskId, Run] = {}
+        # Every run, for checks across workers.
+        self.history: list[Run] = []
+        self.fails_everything = False
+        self.late_starts_refused = 0
+        # Statuses of attempts that will never run again, and the clock's
+        # reading from which they may be dropped.
+        self._tombstones: dict[
+            tuple[identifiers.TaskId, identifiers.Attempt],
+            tuple[workers.TaskStatus, float | None],
+        ] = {}
+
+    def renew(self, renewal: workers.LeaseRenewal) -> workers.Heartbeat:
+        """Extend the leases; refuse a stale owner."""
+        self.settle()
+        self._check_epoch(renewal.epoch)
+        self.lease_until = max(self.lease_until, renewal.lease_until)
+        now = self.clock.read_monotonic()
+        for key in renewal.acknowledged:
+            if key in self._tombstones:
+                status, _ = self._tombstones[key]
+                self._tombstones[key] = (status, now + TOMBSTONE_SECONDS)
+        self._forget(now)
+        return self.make_heartbeat()
+
+    def make_heartbeat(self) -> workers.Heartbeat:
+        """Report the clock, what runs and what is not acknowledged."""
+        running = [self._describe(run) for run in self.runs.values()]
+        ended = [
+            status
+            for status, drop_at in self._tombstones.values()
+            if drop_at is None
+        ]
+        return workers.Heartbeat(
+            worker_id=self.registration.worker_id,
+            incarnation=self.registration.incarnation,
+            clock=self.clock.read_monotonic(),
+            statuses=(*running, *ended),
+        )
+
+    def start(self, command: workers.StartCommand) -> workers.TaskStatus:
+        """Start an attempt, or refuse it for good."""
+        self.settle()
+        self._check_epoch(command.epoch)
+        key = (command.task_id, command.attempt)
+        if key in self._tombstones:
+            return self._tombstones[key][0]
+        run = self.runs.get(command.task_id)
+        if run is not None and run.command.attempt == command.attempt:
+            return self._describe(run)
+        refusal = self._find_refusal(command)
+        if refusal:
+            return self._bury(
+                workers.TaskStatus(
+                    task_id=command.task_id,
+                    attempt=command.attempt,
+                    phase=workers.TaskPhase.NOT_STARTED,
+                    checkpoint=command.checkpoint,
+                    detail=refusal,
+                )
+            )
+        return self._describe(self._begin(command))
+
+    def stop(self, command: workers.StopCommand) -> workers.TaskStatus:
+        """Stop an attempt; one that never came can never start."""
+        self.settle()
+        self._check_epoch(command.epoch)
+        key = (command.task_id, command.attempt)
+        if key in self._tombstones:
+            return self._tombstones[key][0]
+        run = self.runs.get(command.task_id)
+        if run is None or run.command.attempt != command.attempt:
+            return self._bury(
+                workers.TaskStatus(
+                    task_id=command.task_id,
+                    attempt=command.attempt,
+                    phase=workers.TaskPhase.NOT_STARTED,
+                    detail='never started here',
+                )
+            )
+        if command.checkpoint:
+            run.saved = run.progress
+        now = self.clock.read_monotonic()
+        return self._end(run, now, workers.TaskPhase.STOPPED)
+
+    def checkpoint(
+        self, command: workers.CheckpointCommand
+    ) -> workers.TaskStatus:
+        """Save an attempt's progress while it runs on."""
+        run = self._find(command.task_id, command.attempt, command.epoch)
+        run.saved = run.progress
+        return self._describe(run)
+
+    def throttle(self, command: workers.ThrottleCommand) -> workers.TaskStatus:
+        """Slow an attempt down, or release it."""
+        run = self._find(command.task_id, command.attempt, command.epoch)
+        run.throttled = command.throttled
+        return self._describe(run)
+
+    def settle(self) -> None:
+        """Bring every run up to the clock; stop all at the lease's end."""
+        now = self.clock.read_monotonic()
+        for run in tuple(self.runs.values()):
+            self._advance(run, min(now, self.lease_until))
+        if now > self.lease_until:
+            for run in tuple(self.runs.values()):
+                self._end(
+                    run,
+                    max(self.lease_until, run.started_at),
+                    workers.TaskPhase.STOPPED,
+                    'the lease lapsed',
+                )
+
+    def measure_commitment(self) -> resources.Resources:
+        """Return the sum of the sizes of what runs."""
+        return sum(
+            (run.command.size for run in self.runs.values()),
+            resources.NOTHING,
+        )
+
+    def _find_refusal(self, command: workers.StartCommand) -> str:
+        now = self.clock.read_monotonic()
+        if now > command.permit_until:
+            self.late_starts_refused += 1
+            return 'the permit has lapsed'
+        if now > self.lease_until:
+            return 'no lease is held'
+        other = self.runs.get(command.task_id)
+        if other is not None:
+            return f'attempt {other.command.attempt} runs here'
+        return ''
+
+    def _begin(self, command: workers.StartCommand) -> Run:
+        total = self.measure_commitment() + command.size
+        errors.check_invariant(
+            total.fits_within(self.registration.capacity),
+            'never over-committed',
+            self.registration.worker_id,
+            f'{total} of {self.registration.capacity}',
+        )
+        now = self.clock.read_monotonic()
+        saved = float(command.checkpoint) if command.checkpoint else 0.0
+        run = Run(
+            command=command,
+            plan=read_plan(command.payload),
+            started_at=now,
+            settled_at=now,
+            progress=saved,
+            saved=saved,
+            resumed_from=saved,
+        )
+        self.runs[command.task_id] = run
+        self.history.append(run)
+        return run
+
+    def _advance(self, run: Run, now: float) -> None:
+        if now <= run.settled_at:
+            return
+        speed = THROTTLED_SPEED if run.throttled else 1.0
+        work = (now - run.settled_at) * speed
+        total = run.plan.seconds
+        if total and run.progress + work >= total:
+            ended_at = run.settled_at + (total - run.progress) / speed
+            run.progress = total
+            failed = run.plan.fails or self.fails_everything
+            self._end(
+                run,
+                ended_at,
+                workers.TaskPhase.FAILED
+                if failed
+                else workers.TaskPhase.COMPLETED,
+                'exit status 1' if failed else '',
+            )
+            return
+        run.progress += work
+        run.settled_at = now
+
+    def _end(
+        self,
+        run: Run,
+        ended_at: float,
+        phase: workers.TaskPhase,
+        detail: str = '',
+    ) -> workers.TaskStatus:
+        run.ended_at = ended_at
+        del self.runs[run.command.task_id]
+        completed = phase is workers.TaskPhase.COMPLETED
+        status = workers.TaskStatus(
+            task_id=run.command.task_id,
+            attempt=run.command.attempt,
+            phase=phase,
+            checkpoint=str(run.saved) if run.saved else '',
+            ran_seconds=run.progress - run.resumed_from,
+            lost_seconds=0.0 if completed else run.progress - run.saved,
+            detail=detail,
+        )
+        return self._bury(status)
+
+    def _bury(self, status: workers.TaskStatus) -> workers.TaskStatus:
+        self._tombstones[(status.task_id, status.attempt)] = (status, None)
+        return status
+
+    def _forget(self, now: float) -> None:
+        self._tombstones = {
+            key: (status, drop_at)
+            for key, (status, drop_at) in self._tombstones.items()
+            if drop_at is None or now < drop_at
+        }
+
+    def _describe(self, run: Run) -> workers.TaskStatus:
+        return workers.TaskStatus(
+            task_id=run.command.task_id,
+            attempt=run.command.attempt,
+            phase=workers.TaskPhase.THROTTLED
+            if run.throttled
+            else workers.TaskPhase.RUNNING,
+            checkpoint=str(run.saved) if run.saved else '',
+            ran_seconds=run.progress - run.resumed_from,
+            lost_seconds=run.progress - run.saved,
+        )
+
+    def _find(
+        self,
+        task_id: identifiers.TaskId,
+        attempt: identifiers.Attempt,
+        epoch: int,
+    ) -> Run:
+        self.settle()
+        self._check_epoch(epoch)
+        run = self.runs.get(task_id)
+        if run is None or run.command.attempt != attempt:
+            raise errors.RefusedError(
+                'find attempt', self.registration.worker_id, 'it does not run'
+            )
+        return run
+
+    def _check_epoch(self, epoch: int) -> None:
+        if epoch < self.epoch:
+            raise errors.RefusedError(
+                'check epoch',
+                self.registration.worker_id,
+                f'{epoch} is before {self.epoch}',
+            )
+        self.epoch = epoch
+
+
+def read_plan(payload: str) -> TaskPlan:
+    """Return the plan in a payload; what is no plan runs until stopped."""
+    try:
+        return msgspec.json.decode(payload, type=TaskPlan)
+    except msgspec.MsgspecError:
+        return TaskPlan()
--- a/chivespoke/workers/_messages.py
+++ b/chivespoke/workers/_messages.py
@@ -52,6 +52,10 @@
     data_centre: identifiers.DataCentreName
     rack: identifiers.RackName
     capacity: resources.Resources
+    # The worker group: whose shard schedules the worker.
+    group: str = 'default'
+    # Base URL of the worker's agent.
+    address: str = ''
 
 
 class StartCommand(msgspec.Struct, frozen=True, kw_only=True):
@@ -66,6 +70,8 @@
     payload: str
     # Last reading of the worker's clock at which it may still start.
     permit_until: float
+    # The sender's owner epoch of the shard: a lower one is stale.
+    epoch: int = 0
     # Resume from this checkpoint; empty starts from the beginning.
     checkpoint: str = ''
 
@@ -78,6 +84,37 @@
     epoch: int
     # Reading of the worker's clock at which the leases lapse.
     lease_until: float
+    # Terminal statuses that the log holds: the worker may drop them.
+    acknowledged: tuple[
+        tuple[identifiers.TaskId, identifiers.Attempt], ...
+    ] = ()
+
+
+class StopCommand(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask a worker to stop an attempt, after a checkpoint if wanted."""
+
+    task_id: identifiers.TaskId
+    attempt: identifiers.Attempt
+    # The sender's owner epoch of the shard: a lower one is stale.
+    epoch: int
+    checkpoint: bool = False
+
+
+class CheckpointCommand(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask a worker to save an attempt's progress while it runs on."""
+
+    task_id: identifiers.TaskId
+    attempt: identifiers.Attempt
+    epoch: int
+
+
+class ThrottleCommand(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask a worker to slow an attempt down, or to release it."""
+
+    task_id: identifiers.TaskId
+    attempt: identifiers.Attempt
+    epoch: int
+    throttled: bool = True
 
 
 class TaskPhase(enum.Enum):
@@ -111,3 +148,5 @@
     incarnation: identifiers.Incarnation
     clock: float
     statuses: tuple[TaskStatus, ...] = ()
+    # The last usage report, measured some time ago.
+    report: UsageReport | None = None
