Keep a base in streams whose records expire

Cause: records expire, and a fresh process must never start from a state that the stream does not prove. A mark makes every reader compute its checksum at one offset; the mark's author appends that state; readers compare. Whoever notices waits a random delay and looks again. A process without a base takes a live peer's state; a peer's proof age counts from the asker's question. Figures: six processes over three retentions append at most 8 marks.

--- a/chivespoke/platform/__init__.py
+++ b/chivespoke/platform/__init__.py
@@ -11,6 +11,7 @@
 from chivespoke.platform._committer import GroupCommitter
 from chivespoke.platform._fold import Fold
 from chivespoke.platform._fold import Position
+from chivespoke.platform._follower import answer_relay
 from chivespoke.platform._follower import Follower
 from chivespoke.platform._follower import Relay
 from chivespoke.platform._follower import RelayAnswer
@@ -25,6 +26,7 @@
 from chivespoke.platform._log import LogRecord
 from chivespoke.platform._replica import AppliedFrame
 from chivespoke.platform._replica import Replica
+from chivespoke.platform._snapshotter import Snapshotter
 
 __all__ = [
     'AppliedFrame',
@@ -42,6 +44,8 @@
     'Relay',
     'RelayAnswer',
     'Replica',
+    'Snapshotter',
+    'answer_relay',
     'UnreadableError',
     'decode_frame',
     'encode_frame',
--- a/chivespoke/platform/_follower.py
+++ b/chivespoke/platform/_follower.py
@@ -10,11 +10,9 @@
 from chivespoke import clock as clocks
 from chivespoke import errors
 from chivespoke import identifiers
-from chivespoke import logs
 from chivespoke.platform import _log
 from chivespoke.platform import _replica
 
-LOGGER = logs.make_logger('follower')
 # Records a read asks for.
 PAGE_LIMIT = 512
 # Seconds that a read waits for a first record; bounds the proof's age.
@@ -54,6 +52,7 @@
         'replica',
         'proven_at',
         'relayed_records',
+        'failed_reads',
         'relay',
         '_log',
         '_clock',
@@ -75,6 +74,7 @@
         # stream's end; None until there was one.
         self.proven_at: float | None = None
         self.relayed_records = 0
+        self.failed_reads = 0
         self.relay = relay
         self._log = log
         self._clock = clock
@@ -130,8 +130,8 @@
         while True:
             try:
                 await self.read_once(POLL_WAIT)
-            except errors.UnavailableError as error:
-                LOGGER.debug('A read failed.', error=error)
+            except errors.UnavailableError:
+                self.failed_reads += 1
                 await self._ask_peer(needs_seed=not self.replica.is_ready)
                 await self._pause(pause)
                 pause = min(pause * 2, RETRY_MAXIMUM)
@@ -181,3 +181,26 @@
     def _notify(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
+
+
+def answer_relay(
+    follower: Follower[typing.Any],
+    start: identifiers.Offset,
+    needs_seed: bool,
+) -> RelayAnswer | None:
+    """Return what this process can pass on of a stream."""
+    replica = follower.replica
+    if not replica.is_ready:
+        return None
+    age = follower.measure_age()
+    proof_age = None if age == float('inf') else age
+    records = replica.list_recent(start)
+    seed = b''
+    if needs_seed or records is None:
+        seed = replica.encode_state()
+        start = replica.next_offset
+        records = ()
+    # A peer that is behind has nothing to tell; the asker sees it.
+    end = replica.next_offset
+    page = _log.LogPage(records, start, end)
+    return RelayAnswer(page, proof_age, seed)
--- a/chivespoke/platform/_replica.py
+++ b/chivespoke/platform/_replica.py
@@ -213,6 +213,7 @@
         if encoded is None:
             return
         state = _snapshot.decode_replica_state(encoded, self.stream)
+        self.last_snapshot = part.mark
         self._restore(state)
 
     def _restore(self, state: _snapshot.ReplicaState) -> None:
--- a/chivespoke/platform/tests/builders.py
+++ b/chivespoke/platform/tests/builders.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import typing
+import zlib
 
 from chivespoke import clock as clocks
 from chivespoke import identifiers
@@ -55,6 +56,7 @@
         name: str = 'process-1',
         limits: platform.CommitLimits | None = None,
         relay: platform.Relay | None = None,
+        retention: float = 600.0,
     ) -> None:
         self.replica = platform.Replica(STREAM, CountFold())
         self.follower = platform.Follower(
@@ -64,9 +66,22 @@
             log, clock, identifiers.Incarnation(name), limits, seed=1
         )
         self.committer.watch(self.replica)
+        self.snapshotter = platform.Snapshotter(
+            self.follower,
+            self.committer,
+            clock,
+            retention,
+            seed=zlib.crc32(name.encode()),
+        )
+
+    async def start(self) -> None:
+        """Follow the stream and keep a base in it."""
+        await self.follower.start()
+        await self.snapshotter.start()
 
     async def stop(self) -> None:
         """Stop every task."""
+        await self.snapshotter.stop()
         await self.follower.stop()
         await self.committer.stop()
 
--- /dev/null
+++ b/chivespoke/platform/tests/test_snapshots.py
@@ -0,0 +1,215 @@
+"""Tests of snapshots, expiry, seeds and divergence."""
+
+import unittest
+
+from chivespoke import identifiers
+from chivespoke import platform
+from chivespoke.platform import _snapshot
+from chivespoke.platform.tests import builders
+
+RETENTION = 600.0
+
+
+class PeerRelay(platform.Relay):
+    """Answer out of another process's replica."""
+
+    def __init__(self, peer: builders.Process) -> None:
+        self.peer = peer
+
+    async def ask(
+        self, stream: str, start: identifiers.Offset, needs_seed: bool
+    ) -> platform.RelayAnswer | None:
+        return platform.answer_relay(self.peer.follower, start, needs_seed)
+
+
+class SnapshotTest(unittest.IsolatedAsyncioTestCase):
+    """Keep state for longer than the log keeps records."""
+
+    async def asyncSetUp(self) -> None:
+        self.log, self.clock = builders.build_log(RETENTION)
+
+    def build(
+        self, name: str, relay: platform.Relay | None = None
+    ) -> builders.Process:
+        process = builders.Process(
+            self.log, self.clock, name, relay=relay, retention=RETENTION
+        )
+        self.addAsyncCleanup(process.stop)
+        return process
+
+    async def write(self, process: builders.Process, count: int = 1) -> None:
+        for _ in range(count):
+            await builders.drive(
+                self.clock,
+                process.committer.commit(
+                    builders.STREAM, builders.build_record()
+                ),
+            )
+
+    async def snapshot(self, process: builders.Process) -> None:
+        await builders.drive(self.clock, process.snapshotter.append_snapshot())
+
+    async def read_all(self, process: builders.Process) -> None:
+        await process.follower.read_once()
+        await process.follower.read_once()
+
+    def count_frames(self, kind: platform.FrameKind) -> int:
+        state = self.log._open(builders.STREAM)
+        frames = [platform.decode_frame(each, '') for each in state.records]
+        return sum(frame.kind is kind for frame in frames)
+
+    async def test_state_outlives_retention_without_a_storm(self) -> None:
+        processes = [self.build(f'process-{i}') for i in range(6)]
+        for process in processes:
+            await process.start()
+        await self.write(processes[0], 3)
+        await builders.advance(self.clock, 3 * RETENTION, step=1.0)
+        for process in processes:
+            self.assertEqual({'pages': 3}, process.replica.fold.sums)
+        # One each quarter of the retention, at most one more for a draw.
+        self.assertLessEqual(self.count_frames(platform.FrameKind.MARK), 8)
+        fresh = self.build('fresh')
+        await self.read_all(fresh)
+        self.assertGreater(fresh.replica.earliest, 3)
+        self.assertEqual({'pages': 3}, fresh.replica.fold.sums)
+        self.assertEqual(
+            processes[0].replica.encode_state(),
+            fresh.replica.encode_state(),
+        )
+
+    async def test_snapshot_that_is_not_contiguous_is_not_trusted(
+        self,
+    ) -> None:
+        writer = self.build('writer')
+        await writer.follower.start()
+        await self.write(writer, 2)
+        await self.snapshot(writer)
+        await self.write(writer, 2)
+        # The mark stands at 2 and its snapshot at 3.
+        for earliest, expected in ((3, True), (4, False)):
+            with self.subTest(earliest=earliest):
+                self.log.truncate(builders.STREAM, earliest)
+                fresh = self.build(f'fresh-{earliest}')
+                await self.read_all(fresh)
+                self.assertEqual(expected, fresh.replica.is_ready)
+                self.assertEqual(
+                    expected, fresh.follower.proven_at is not None
+                )
+
+    async def test_late_snapshot_of_a_stale_process_brings_nothing_back(
+        self,
+    ) -> None:
+        stale, recent = self.build('stale'), self.build('recent')
+        await stale.follower.start()
+        await recent.follower.start()
+        await self.write(recent, 2)
+        mark = await builders.drive(
+            self.clock,
+            stale.committer.commit(
+                builders.STREAM, b'', platform.FrameKind.MARK
+            ),
+        )
+        await builders.advance(self.clock, 2)
+        old_state = stale.replica.encode_state()
+        await stale.follower.stop()
+        await self.write(recent, 5)
+        await self.snapshot(recent)
+        # The stale process wakes up and appends the state at its mark.
+        for record in _snapshot.cut_snapshot(mark, old_state):
+            await builders.drive(
+                self.clock,
+                stale.committer.commit(
+                    builders.STREAM, record, platform.FrameKind.SNAPSHOT
+                ),
+            )
+        await builders.advance(self.clock, 2)
+        for earliest in (0, 1, 4):
+            self.log.truncate(builders.STREAM, earliest)
+            fresh = self.build(f'fresh-{earliest}')
+            await self.read_all(fresh)
+            self.assertEqual({'pages': 7}, fresh.replica.fold.sums)
+        self.assertEqual({'pages': 7}, recent.replica.fold.sums)
+        self.assertIsNone(recent.replica.divergence)
+
+    async def test_outage_beyond_retention_is_seeded_by_a_peer(self) -> None:
+        old = self.build('old')
+        await old.start()
+        await self.write(old, 4)
+        self.log.faults.append_down = self.log.faults.read_down = True
+        await builders.advance(self.clock, 2 * RETENTION, step=5.0)
+        # Replaced during the outage: all that is known is the peer's.
+        fresh = self.build('fresh', PeerRelay(old))
+        await fresh.start()
+        await builders.advance(self.clock, 5)
+        self.assertEqual({'pages': 4}, fresh.replica.fold.sums)
+        self.assertGreater(fresh.follower.measure_age(), RETENTION)
+        await old.stop()
+        self.log.faults.append_down = self.log.faults.read_down = False
+        await builders.advance(self.clock, RETENTION / 2, step=0.5)
+        self.assertLess(fresh.follower.measure_age(), 5.0)
+        await self.write(fresh)
+        later = self.build('later')
+        await self.read_all(later)
+        self.assertEqual({'pages': 5}, later.replica.fold.sums)
+
+    async def test_without_peer_or_base_nothing_is_made_up(self) -> None:
+        old = self.build('old')
+        await old.follower.start()
+        await self.write(old, 4)
+        self.log.truncate(builders.STREAM, 3)
+        fresh = self.build('fresh')
+        await self.read_all(fresh)
+        self.assertFalse(fresh.replica.is_ready)
+        self.assertIsNone(fresh.follower.proven_at)
+
+    async def test_partitioned_reader_is_fed_by_a_peer(self) -> None:
+        old = self.build('old')
+        await old.start()
+        await self.write(old, 2)
+        cut_log, _ = builders.build_log()
+        cut_log.faults.read_down = True
+        cut = builders.Process(
+            cut_log, self.clock, 'cut', relay=PeerRelay(old)
+        )
+        self.addAsyncCleanup(cut.stop)
+        await cut.follower.start()
+        await builders.advance(self.clock, 2)
+        await self.write(old, 2)
+        await builders.advance(self.clock, 3)
+        self.assertEqual({'pages': 4}, cut.replica.fold.sums)
+        # The proof is never younger than the peer's own.
+        self.assertGreaterEqual(
+            cut.follower.measure_age(), old.follower.measure_age()
+        )
+        self.assertLess(cut.follower.measure_age(), 5.0)
+
+    async def test_divergence_is_an_alarm(self) -> None:
+        honest, other = self.build('honest'), self.build('other')
+        await honest.follower.start()
+        await other.follower.start()
+        await self.write(honest, 2)
+        await builders.advance(self.clock, 2)
+        other.replica.fold.sums['pages'] = 99
+        await self.snapshot(other)
+        await builders.advance(self.clock, 2)
+        found = honest.replica.divergence
+        assert found is not None
+        self.assertEqual('other', found.author)
+        self.assertEqual({'pages': 2}, honest.replica.fold.sums)
+
+    async def test_large_state_is_cut_into_parts(self) -> None:
+        encoded = bytes(
+            (number * 7919 + number // 251) % 256 for number in range(10**6)
+        )
+        records = _snapshot.cut_snapshot(identifiers.Offset(5), encoded)
+        collector = _snapshot.SnapshotCollector('s')
+        results = [
+            collector.add('a', _snapshot.decode_part(record, 's'))
+            for record in reversed(records)
+        ]
+        self.assertEqual([None] * (len(records) - 1), results[:-1])
+        self.assertEqual(encoded, results[-1])
+
+
+if __name__ == '__main__':
+    unittest.main()
