--- a/chivespoke/bench/_slope_scenarios.py
+++ b/chivespoke/bench/_slope_scenarios.py
@@ -3,8 +3,12 @@
 import collections.abc
 
 from chivespoke.bench import _slopes
+from chivespoke.bench import _slopes_requests
 
 
 def list_slope_scenarios() -> collections.abc.Sequence[_slopes.Scenario]:
     """Return every scenario."""
-    return ()
+    return (
+        _slopes_requests.EntrySidecars(),
+        _slopes_requests.SidecarEntries(),
+    )
--- a/chivespoke/cli/_slopes.py
+++ b/chivespoke/cli/_slopes.py
@@ -9,6 +9,7 @@
 from chivespoke import bench
 from chivespoke import capacity
 from chivespoke.cli import _output
+from chivespoke import logs
 
 
 class _Bar(bench.Progress):
@@ -43,6 +44,7 @@
 
     Example: chivespoke bench slopes --seconds 5 --json > slopes.json
     """
+    logs.configure_logs(logs.LogFormat.HUMAN, 'ERROR')
     scenarios = [
         scenario
         for scenario in bench.list_slope_scenarios()
