Serve stand-in workers over HTTP and reach them in MessagePack

Cause: nothing drove the client of a worker's agent over a real socket, and it could not work: a first renewal reads the worker's clock with a lease until minus infinity, which JSON writes as null, so that every worker refused ('Expected float, got null') and no task ever started. MessagePack carries infinities and is shorter.

Before: the new test timed out after 30 s with 6 placed tasks and 0 runs. After: 6 runs, 6 completed. 'standin log' and 'standin worker' run the fakes by hand.

--- a/chivespoke/cli/_standins.py
+++ b/chivespoke/cli/_standins.py
@@ -1,23 +1,111 @@
 """Commands that run fakes of the outside."""
 
 import asyncio
+import collections.abc
+import typing
 
 import cyclopts
 
 from chivespoke import application
+from chivespoke import clock
+from chivespoke import identifiers
 from chivespoke import logs
+from chivespoke import resources
 from chivespoke import settings
 from chivespoke import standins
 
-STANDINS = cyclopts.App(name='standin', help='Run a fake of the outside.')
+STANDINS = cyclopts.App(
+    name='standin',
+    help='Run a fake of the outside, for trials on one machine.',
+    help_epilogue="""\
+Examples:
+
+  chivespoke standin log --port 9000
+
+  chivespoke standin worker --entry-port 8080 --count 10
+""",
+)
+
+Count = typing.Annotated[
+    int, cyclopts.Parameter(validator=cyclopts.validators.Number(gte=1))
+]
 
 
 @STANDINS.command(name='backend-server')
-def run_backend_server(*, port: int = 0, count: int = 1) -> None:
+def run_backend_server(*, port: int = 0, count: Count = 1) -> None:
     """Run fake backend servers on consecutive ports."""
-    logs.configure_logs(logs.LogFormat.HUMAN, 'INFO')
     ports = [port + index if port else 0 for index in range(count)]
-    servers = [
+    _run(
         standins.CountingServer(settings.Address(port=each)) for each in ports
-    ]
-    asyncio.run(application.Application(servers).run())
+    )
+
+
+@STANDINS.command(name='log')
+def run_log(*, port: int = 0, retention: float = 86_400.0) -> None:
+    """Run a fake of the platform's log, in memory.
+
+    Parameters
+    ----------
+    port
+        Where it listens; 0 takes any free port.
+    retention
+        Seconds for which it keeps a record.
+    """
+    log = standins.MemoryLog(clock.SystemClock(), retention)
+    _run((standins.LogServer(log, settings.Address(port=port)),))
+
+
+@STANDINS.command(name='worker')
+def run_workers(
+    *,
+    entry_port: int,
+    count: Count = 1,
+    data_centres: tuple[str, ...] = ('colombo',),
+    processors: Count = 16,
+    memory_gib: Count = 60,
+    group: str = 'default',
+) -> None:
+    """Run fake workers that register at an entry of this machine.
+
+    Parameters
+    ----------
+    entry_port
+        Where the entry answers HTTP.
+    count
+        How many workers; three to a rack.
+    data_centres
+        Where they are, in turn.
+    processors
+        Of each worker.
+    memory_gib
+        Of each worker.
+    group
+        The worker group, whose shard schedules them.
+    """
+    capacity = resources.Resources(
+        processors * resources.MILLICORES, memory_gib * resources.MIB_IN_GIB, 0
+    )
+    _run(
+        standins.WorkerServer(
+            standins.make_worker_registration(
+                f'worker-{index + 1}',
+                identifiers.DataCentreName(
+                    data_centres[index % len(data_centres)]
+                ),
+                f'rack-{index // standins.WORKERS_PER_RACK + 1}',
+                capacity,
+                group,
+            ),
+            settings.Address(),
+            settings.Address(port=entry_port),
+            clock.SystemClock(),
+        )
+        for index in range(count)
+    )
+
+
+def _run(
+    components: collections.abc.Iterable[application.Component],
+) -> None:
+    logs.configure_logs(logs.LogFormat.HUMAN, 'INFO')
+    asyncio.run(application.Application(components).run())
--- a/chivespoke/resources.py
+++ b/chivespoke/resources.py
@@ -2,6 +2,10 @@
 
 import msgspec
 
+# In one processor, and mebibytes in one gibibyte.
+MILLICORES = 1000
+MIB_IN_GIB = 1024
+
 
 class Resources(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Hold one amount of each kind; integers, so that sums are exact."""
--- a/chivespoke/standins/__init__.py
+++ b/chivespoke/standins/__init__.py
@@ -9,6 +9,9 @@
 from chivespoke.standins._worker import WorkerAgent
 from chivespoke.standins._worker_client import MemoryWorkerClient
 from chivespoke.standins._worker_client import MemoryWorkerConnector
+from chivespoke.standins._worker_server import make_worker_registration
+from chivespoke.standins._worker_server import WORKERS_PER_RACK
+from chivespoke.standins._worker_server import WorkerServer
 
 __all__ = [
     'CountingServer',
@@ -20,4 +23,7 @@
     'Run',
     'TaskPlan',
     'WorkerAgent',
+    'WORKERS_PER_RACK',
+    'WorkerServer',
+    'make_worker_registration',
 ]
--- /dev/null
+++ b/chivespoke/standins/_worker_server.py
@@ -0,0 +1,163 @@
+"""An HTTP server for the stand-in of a worker's agent."""
+
+import asyncio
+import collections.abc
+import typing
+
+import aiohttp
+from aiohttp import web
+import msgspec
+
+from chivespoke import application
+from chivespoke import clock as clocks
+from chivespoke import errors
+from chivespoke import identifiers
+from chivespoke import logs
+from chivespoke import resources
+from chivespoke import settings
+from chivespoke.standins import _worker
+from chivespoke import web as chivespoke_web
+from chivespoke import workers
+
+LOGGER = logs.make_logger('worker')
+# Seconds between looks at what has ended, and between tries to register.
+SETTLE_INTERVAL = 0.1
+REGISTER_INTERVAL = 0.5
+REQUEST_LIMIT = 12.0
+WORKERS_PER_RACK = 3
+MESSAGE_PACK = 'application/msgpack'
+
+Command = typing.TypeVar('Command')
+
+
+class WorkerServer(application.Component, chivespoke_web.RouteProvider):
+    """Register a worker at an entry and serve its agent over HTTP."""
+
+    __slots__ = (
+        'agent',
+        'registered',
+        '_registration',
+        '_entry',
+        '_clock',
+        '_http',
+        '_session',
+        '_tasks',
+    )
+
+    def __init__(
+        self,
+        registration: workers.Registration,
+        address: settings.Address,
+        entry: settings.Address,
+        clock: clocks.Clock,
+    ) -> None:
+        self.registered = asyncio.Event()
+        self._registration = registration
+        self._entry = entry.format_http()
+        self._clock = clock
+        self._http = chivespoke_web.HttpServer(address, (self,))
+        self._session: aiohttp.ClientSession | None = None
+        self._tasks = application.TaskOwner()
+        self.agent = _worker.WorkerAgent(registration, clock)
+
+    def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
+        commands: tuple[tuple[str, type, typing.Any], ...] = (
+            ('renew', workers.LeaseRenewal, 'renew'),
+            ('start', workers.StartCommand, 'start'),
+            ('stop', workers.StopCommand, 'stop'),
+            ('checkpoint', workers.CheckpointCommand, 'checkpoint'),
+            ('throttle', workers.ThrottleCommand, 'throttle'),
+        )
+        return [
+            web.post(f'/v1/{step}', self._make_handler(kind, name))
+            for step, kind, name in commands
+        ]
+
+    async def start(self) -> None:
+        await self._http.start()
+        self._registration = msgspec.structs.replace(
+            self._registration, address=self._http.address.format_http()
+        )
+        self.agent = _worker.WorkerAgent(self._registration, self._clock)
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=REQUEST_LIMIT)
+        )
+        self._tasks.spawn(self._register())
+        self._tasks.spawn(self._settle())
+
+    async def stop(self) -> None:
+        await self._tasks.cancel()
+        if self._session is not None:
+            await self._session.close()
+        await self._http.stop()
+
+    def _make_handler(
+        self, kind: type[Command], name: str
+    ) -> collections.abc.Callable[
+        [web.Request], collections.abc.Awaitable[web.StreamResponse]
+    ]:
+        async def handle(request: web.Request) -> web.StreamResponse:
+            try:
+                command = msgspec.msgpack.decode(
+                    await request.read(), type=kind
+                )
+                answer = getattr(self.agent, name)(command)
+            except msgspec.MsgspecError as error:
+                return web.Response(status=400, text=str(error))
+            except errors.RefusedError as error:
+                return web.Response(status=409, text=str(error))
+            return web.Response(
+                body=msgspec.msgpack.encode(answer),
+                content_type=MESSAGE_PACK,
+            )
+
+        return handle
+
+    async def _register(self) -> None:
+        while not self.registered.is_set():
+            if await self._post('/v1/workers', self._registration):
+                self.registered.set()
+                return
+            await asyncio.sleep(REGISTER_INTERVAL)
+
+    async def _settle(self) -> None:
+        name = self._registration.worker_id
+        group = self._registration.group
+        running = 0
+        while True:
+            await asyncio.sleep(SETTLE_INTERVAL)
+            self.agent.settle()
+            if len(self.agent.runs) < running:
+                await self._post(f'/v1/workers/{group}/{name}/news', None)
+            running = len(self.agent.runs)
+
+    async def _post(self, path: str, message: msgspec.Struct | None) -> bool:
+        if self._session is None:
+            return False
+        body = msgspec.json.encode(message) if message is not None else b''
+        try:
+            async with self._session.post(
+                self._entry + path, data=body
+            ) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            LOGGER.debug('An entry did not answer.', error=repr(error))
+            return False
+
+
+def make_worker_registration(
+    name: str,
+    data_centre: identifiers.DataCentreName,
+    rack: str,
+    capacity: resources.Resources,
+    group: str = 'default',
+) -> workers.Registration:
+    """Return the registration of a new life of a worker."""
+    return workers.Registration(
+        worker_id=identifiers.WorkerId(name),
+        incarnation=identifiers.make_incarnation(),
+        data_centre=data_centre,
+        rack=identifiers.RackName(rack),
+        capacity=capacity,
+        group=group,
+    )
--- /dev/null
+++ b/chivespoke/standins/tests/test_worker_server.py
@@ -0,0 +1,93 @@
+"""Tests of workers over HTTP: registered, started, counted."""
+
+import asyncio
+import unittest
+
+import aiohttp
+import msgspec
+
+from chivespoke import application
+from chivespoke import clock as clocks
+from chivespoke import identifiers
+from chivespoke import operators
+from chivespoke import platform
+from chivespoke import resources
+from chivespoke import scheduling
+from chivespoke import settings
+from chivespoke import standins
+from chivespoke import web
+
+CAPACITY = resources.Resources(4000, 4096, 0)
+PATIENCE = 30.0
+
+
+class WorkerServerTest(unittest.IsolatedAsyncioTestCase):
+    """Run a job on workers that are reached over loopback."""
+
+    async def asyncSetUp(self) -> None:
+        clock = clocks.SystemClock()
+        log = standins.MemoryLog(clock)
+        committer = platform.GroupCommitter(
+            log, clock, identifiers.make_incarnation()
+        )
+        configuration = operators.Configuration(log, committer, clock)
+        parts = scheduling.Scheduling(
+            'entry-1',
+            (),
+            log,
+            committer,
+            scheduling.FollowedConfiguration(configuration),
+            clock,
+        )
+        server = web.HttpServer(settings.Address(), (parts.routes,))
+        await self.start(committer, configuration, parts, server)
+        self.entry = server.address
+        self.workers = [
+            standins.WorkerServer(
+                standins.make_worker_registration(
+                    f'worker-{index}',
+                    identifiers.DataCentreName('colombo'),
+                    'rack-1',
+                    CAPACITY,
+                ),
+                settings.Address(),
+                self.entry,
+                clock,
+            )
+            for index in range(2)
+        ]
+        await self.start(*self.workers)
+
+    async def start(self, *components: application.Component) -> None:
+        for component in components:
+            await component.start()
+            self.addAsyncCleanup(component.stop)
+
+    async def test_job_is_counted_once_for_each_task(self) -> None:
+        job = {
+            'id': 'statements',
+            'team': 'billing',
+            'tasks': 6,
+            'payload': msgspec.json.encode(
+                standins.TaskPlan(seconds=0.2)
+            ).decode(),
+        }
+        url = self.entry.format_http() + '/v1/jobs'
+        async with asyncio.timeout(PATIENCE), aiohttp.ClientSession() as http:
+            for worker in self.workers:
+                await worker.registered.wait()
+            async with http.post(url, json={'jobs': [job]}) as answer:
+                (accepted,) = await answer.json()
+            self.assertTrue(accepted['accepted'], accepted)
+            while True:
+                async with http.get(f'{url}/statements') as answer:
+                    report = await answer.json()
+                if report['state'] == 'completed':
+                    break
+                await asyncio.sleep(0.1)
+        runs = [run for each in self.workers for run in each.agent.history]
+        self.assertEqual((6, 6), (report['completed'], len(runs)))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/chivespoke/workers/_client.py
+++ b/chivespoke/workers/_client.py
@@ -97,7 +97,7 @@
 
 
 class HttpWorkerClient(WorkerClient):
-    """Send commands as JSON over HTTP."""
+    """Send commands as MessagePack over HTTP: it carries infinities."""
 
     __slots__ = ('_session', '_address')
 
@@ -134,7 +134,7 @@
         self, step: str, message: msgspec.Struct, expected: type[Answer]
     ) -> Answer:
         url = f'{self._address}/v1/{step}'
-        body = msgspec.json.encode(message)
+        body = msgspec.msgpack.encode(message)
         try:
             async with self._session.post(url, data=body) as response:
                 answer = await response.read()
@@ -146,7 +146,7 @@
             detail = answer.decode(errors='replace')
             raise errors.RefusedError(step, self._address, detail)
         try:
-            return msgspec.json.decode(answer, type=expected)
+            return msgspec.msgpack.decode(answer, type=expected)
         except msgspec.MsgspecError as error:
             raise errors.UnavailableError(
                 step, self._address, str(error)
