Join entries by the log and keep sidecars' versions

Cause: an entry must find the others, notice their loss, be helped by them when it cannot read the log, and show who acts on which version. Members announce in a stream; each watches three neighbours on a ring of hashes and reports a silent one; a report on an old renewal has no effect. Peers pass on records and state with their proof's age. Sidecars are told a version until they confirm it. The roll of all processes is called on demand only. A refused read no longer ends the follower. Conclusion: the cost of each process does not depend on their number between changes.

--- /dev/null
+++ b/chivespoke/control.py
@@ -0,0 +1,136 @@
+"""Compose what an entry needs for the configuration and its peers."""
+
+import collections.abc
+
+from opentelemetry import metrics
+
+from chivespoke import application
+from chivespoke import clock as clocks
+from chivespoke import entries
+from chivespoke import operators
+from chivespoke import platform
+from chivespoke import settings
+from chivespoke import telemetry
+from chivespoke import web
+
+
+class Control:
+    """Hold an entry's log, committer, configuration and membership."""
+
+    __slots__ = (
+        'log',
+        'committer',
+        'configuration',
+        'links',
+        'answerer',
+        'membership',
+        'routes',
+        'status',
+        '_versions',
+        '_snapshotters',
+    )
+
+    def __init__(
+        self,
+        entry: settings.EntrySettings,
+        identity: entries.Identity,
+        server: entries.MessageServer,
+        handlers: entries.Handlers,
+        directory: entries.EntryDirectory,
+        instruments: telemetry.Telemetry,
+        clock: clocks.Clock,
+    ) -> None:
+        self.log = platform.HttpLog(entry.platform_log.format_http())
+        self.committer = platform.GroupCommitter(
+            self.log, clock, identity.incarnation
+        )
+        self.links = entries.Links(identity, instruments, clock)
+        self.configuration = operators.Configuration(
+            self.log, self.committer, clock, entries.LinkRelay(self.links)
+        )
+        self._versions = entries.VersionBoard(
+            identity, self.configuration, server, handlers, clock
+        )
+        self.answerer = entries.QuestionAnswerer(handlers, (self._versions,))
+        self.membership = entries.Membership(
+            self.log,
+            self.committer,
+            clock,
+            self.links,
+            directory,
+            handlers,
+            lambda: entries.EntryAddress(
+                identity.name,
+                identity.incarnation,
+                identity.data_centre,
+                server.endpoint,
+            ),
+            entry.heartbeat_interval,
+            entry.heartbeat_limit,
+        )
+        followers = (self.configuration.follower, self.membership.follower)
+        for follower in followers:
+            self.answerer.serve(follower)
+        self._snapshotters = tuple(
+            platform.Snapshotter(
+                follower, self.committer, clock, entry.platform_log_retention
+            )
+            for follower in followers
+        )
+        self.status = operators.StatusBoard(identity.name, self.configuration)
+        self.routes = operators.OperatorRoutes(
+            self.configuration,
+            clock,
+            entries.MemberRoll(self.membership, self.links, self.answerer),
+            self.status,
+        )
+        _add_gauges(instruments, self.configuration)
+
+    def list_parts(
+        self,
+    ) -> collections.abc.Sequence[application.Component | web.RouteProvider]:
+        """Return the parts in the order in which they start."""
+        return (
+            self.log,
+            self.committer,
+            self.links,
+            self.configuration,
+            self.membership,
+            *self._snapshotters,
+            self._versions,
+            self.routes,
+        )
+
+
+def _add_gauges(
+    instruments: telemetry.Telemetry, configuration: operators.Configuration
+) -> None:
+    gauges: dict[str, collections.abc.Callable[[], float]] = {
+        'version': lambda: configuration.version,
+        'proof_age': configuration.follower.measure_age,
+        'recent': lambda: float(configuration.is_recent()),
+        'stands_still': lambda: float(configuration.replica.fault is not None),
+        'divergent': lambda: float(
+            configuration.replica.divergence is not None
+        ),
+    }
+    for name, measure in gauges.items():
+        instruments.meter.create_observable_gauge(
+            f'chivespoke_configuration_{name}',
+            callbacks=(_make_callback(measure),),
+            description=f'Configuration of this process: {name}',
+        )
+
+
+def _make_callback(
+    measure: collections.abc.Callable[[], float],
+) -> collections.abc.Callable[
+    [metrics.CallbackOptions],
+    collections.abc.Iterable[metrics.Observation],
+]:
+    def observe(
+        options: metrics.CallbackOptions,
+    ) -> collections.abc.Iterable[metrics.Observation]:
+        return (metrics.Observation(measure()),)
+
+    return observe
--- a/chivespoke/daemons.py
+++ b/chivespoke/daemons.py
@@ -6,6 +6,7 @@
 from chivespoke import backend_servers
 from chivespoke import callers
 from chivespoke import clock
+from chivespoke import control
 from chivespoke import entries
 from chivespoke import identifiers
 from chivespoke import settings
@@ -32,6 +33,7 @@
         'telemetry',
         'clock',
         'messages',
+        'control',
     )
 
     def __init__(
@@ -56,6 +58,15 @@
             self.telemetry,
             time,
         )
+        self.control = control.Control(
+            entry,
+            self.identity,
+            self.messages,
+            self.handlers,
+            self.directory,
+            self.telemetry,
+            time,
+        )
         self.registry = backend_servers.Registry(
             self.handlers, self.directory, self.telemetry, time
         )
@@ -122,6 +133,7 @@
         context = self.context
         parts: list[Part] = [context.telemetry, context.directory]
         parts += [context.messages, _OwnAddress(context), context.registry]
+        parts += context.control.list_parts()
         parts += [part for make in PART_MAKERS for part in make(context)]
         parts += [context.gateway, health]
         self.http = web.HttpServer(
@@ -137,7 +149,7 @@
 class Sidecar(application.Application):
     """Run the process beside a backend server."""
 
-    __slots__ = ('identity', 'telemetry', 'executor', 'http')
+    __slots__ = ('identity', 'telemetry', 'executor', 'http', 'versions')
 
     def __init__(
         self,
@@ -149,6 +161,7 @@
         )
         self.telemetry = telemetry.Telemetry()
         handlers = entries.Handlers()
+        self.versions = entries.VersionHolder(sidecar.data_centre, handlers)
         backend_server = backend_servers.HttpBackendServer(
             sidecar.backend_server, sidecar.connections
         )
--- a/chivespoke/entries/__init__.py
+++ b/chivespoke/entries/__init__.py
@@ -3,6 +3,13 @@
 from chivespoke.entries._directory import EntryDirectory
 from chivespoke.entries._handlers import Handlers
 from chivespoke.entries._handlers import Peer
+from chivespoke.entries._membership import MemberRoll
+from chivespoke.entries._membership import Membership
+from chivespoke.entries._membership_links import LinkRelay
+from chivespoke.entries._membership_links import Links
+from chivespoke.entries._membership_links import QuestionAnswerer
+from chivespoke.entries._membership_versions import VersionBoard
+from chivespoke.entries._membership_versions import VersionHolder
 from chivespoke.entries._messages import EntryAddress
 from chivespoke.entries._messages import Envelope
 from chivespoke.entries._messages import Identity
@@ -19,11 +26,18 @@
     'Envelope',
     'Handlers',
     'Identity',
+    'LinkRelay',
+    'Links',
+    'MemberRoll',
+    'Membership',
     'Message',
     'MessageClient',
     'MessageServer',
     'PROTOCOL_VERSION',
     'Peer',
     'Ping',
+    'QuestionAnswerer',
+    'VersionBoard',
+    'VersionHolder',
     'Welcome',
 ]
--- /dev/null
+++ b/chivespoke/entries/_membership_links.py
@@ -0,0 +1,251 @@
+"""Links to a bounded number of other entries, and questions over them."""
+
+import asyncio
+import collections.abc
+import random
+import typing
+
+from chivespoke import application
+from chivespoke import clock as clocks
+from chivespoke.entries import _handlers
+from chivespoke.entries import _membership_messages as messages
+from chivespoke.entries import _messages
+from chivespoke.entries import _transport
+from chivespoke import errors
+from chivespoke import identifiers
+from chivespoke import operators
+from chivespoke import platform
+from chivespoke import telemetry
+
+# Seconds that a neighbour has for an answer.
+ANSWER_LIMIT = 1.0
+# Neighbours that are asked for records before giving up for now.
+RELAY_TRIES = 2
+# Entries that are asked for their reports at once.
+ROLL_WIDTH = 32
+CONNECT_POLL = 0.01
+
+Reply = messages.RelayReply | messages.RollReply
+
+
+class Links(application.Component):
+    """Own the connections to other entries."""
+
+    __slots__ = (
+        '_identity',
+        '_handlers',
+        '_telemetry',
+        '_clock',
+        '_clients',
+        '_pending',
+        '_number',
+    )
+
+    def __init__(
+        self,
+        identity: _messages.Identity,
+        instruments: telemetry.Telemetry,
+        clock: clocks.Clock,
+    ) -> None:
+        self._identity = identity
+        self._telemetry = instruments
+        self._clock = clock
+        self._clients: dict[
+            identifiers.Incarnation, _transport.MessageClient
+        ] = {}
+        self._pending: dict[int, asyncio.Future[Reply]] = {}
+        self._number = 0
+        self._handlers = _handlers.Handlers()
+        self._handlers.register(messages.BeatNoted, self._ignore)
+        self._handlers.register(messages.RelayReply, self._take_reply)
+        self._handlers.register(messages.RollReply, self._take_reply)
+
+    async def start(self) -> None:
+        return None
+
+    async def stop(self) -> None:
+        for client in tuple(self._clients.values()):
+            await client.stop()
+        self._clients.clear()
+
+    async def adjust(
+        self, wanted: collections.abc.Iterable[_messages.EntryAddress]
+    ) -> None:
+        """Keep connections to exactly the given entries."""
+        addresses = {address.incarnation: address for address in wanted}
+        for incarnation in self._clients.keys() - addresses.keys():
+            await self._clients.pop(incarnation).stop()
+        for incarnation in addresses.keys() - self._clients.keys():
+            self._clients[incarnation] = await self._connect(
+                addresses[incarnation]
+            )
+
+    def beat(self, own: _messages.EntryAddress) -> None:
+        """Send a beat over every connection."""
+        for client in self._clients.values():
+            try:
+                client.peer.send(messages.Beat(own))
+            except errors.RefusedError:
+                # Not connected; the silence is noticed.
+                continue
+
+    def measure_silence(self, incarnation: identifiers.Incarnation) -> float:
+        """Return the seconds since a neighbour was heard."""
+        client = self._clients.get(incarnation)
+        if client is None:
+            return 0.0
+        return self._clock.read_monotonic() - client.heard_at
+
+    async def ask_any(
+        self, stream: str, start: identifiers.Offset, needs_seed: bool
+    ) -> messages.RelayReply | None:
+        """Ask some neighbours for records; return the first useful reply."""
+        clients = list(self._clients.values())
+        random.shuffle(clients)
+        for client in clients[:RELAY_TRIES]:
+            reply = await self._ask(
+                client,
+                lambda number: messages.RelayQuestion(
+                    number, stream, start, needs_seed
+                ),
+                ANSWER_LIMIT,
+            )
+            if isinstance(reply, messages.RelayReply) and reply.page:
+                return reply
+        return None
+
+    async def ask_reports(
+        self, address: _messages.EntryAddress, seconds: float
+    ) -> tuple[operators.ProcessReport, ...] | None:
+        """Return an entry's reports, None when it does not answer."""
+        held = self._clients.get(address.incarnation)
+        client = held or await self._connect(address)
+        try:
+            reply = await self._ask(client, messages.RollQuestion, seconds)
+        finally:
+            if held is None:
+                await client.stop()
+        return reply.reports if isinstance(reply, messages.RollReply) else None
+
+    async def _connect(
+        self, address: _messages.EntryAddress
+    ) -> _transport.MessageClient:
+        client = _transport.MessageClient(
+            address.endpoint,
+            self._identity,
+            self._handlers,
+            self._telemetry,
+            self._clock,
+        )
+        await client.start()
+        return client
+
+    async def _ask(
+        self,
+        client: _transport.MessageClient,
+        make: collections.abc.Callable[[int], _messages.Message],
+        seconds: float,
+    ) -> Reply | None:
+        self._number += 1
+        number = self._number
+        future: asyncio.Future[Reply] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._pending[number] = future
+        try:
+            async with asyncio.timeout(seconds):
+                await self._send_when_connected(client, make(number))
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            del self._pending[number]
+
+    async def _send_when_connected(
+        self, client: _transport.MessageClient, message: _messages.Message
+    ) -> None:
+        while True:
+            try:
+                client.peer.send(message)
+                return
+            except errors.RefusedError:
+                await asyncio.sleep(CONNECT_POLL)
+
+    async def _take_reply(self, peer: _handlers.Peer, reply: Reply) -> None:
+        future = self._pending.get(reply.number)
+        if future is not None and not future.done():
+            future.set_result(reply)
+
+    async def _ignore(
+        self, peer: _handlers.Peer, noted: messages.BeatNoted
+    ) -> None:
+        # The client itself has noted that the peer was heard.
+        return None
+
+
+class LinkRelay(platform.Relay):
+    """Ask neighbours for records that this process could not read."""
+
+    __slots__ = ('_links',)
+
+    def __init__(self, links: Links) -> None:
+        self._links = links
+
+    async def ask(
+        self, stream: str, start: identifiers.Offset, needs_seed: bool
+    ) -> platform.RelayAnswer | None:
+        reply = await self._links.ask_any(stream, start, needs_seed)
+        if reply is None or reply.page is None:
+            return None
+        return platform.RelayAnswer(reply.page, reply.proof_age, reply.seed)
+
+
+class QuestionAnswerer:
+    """Answer other entries' questions."""
+
+    __slots__ = ('_followers', '_reporters')
+
+    def __init__(
+        self,
+        handlers: _handlers.Handlers,
+        reporters: collections.abc.Iterable[operators.LocalReporter],
+    ) -> None:
+        self._followers: dict[str, platform.Follower[typing.Any]] = {}
+        self._reporters = tuple(reporters)
+        handlers.register(messages.RelayQuestion, self._answer_relay)
+        handlers.register(messages.RollQuestion, self._answer_roll)
+
+    def serve(self, follower: platform.Follower[typing.Any]) -> None:
+        """Pass on the records of a stream that this process follows."""
+        self._followers[follower.replica.stream] = follower
+
+    def list_reports(self) -> tuple[operators.ProcessReport, ...]:
+        """Return the reports that this process holds."""
+        return tuple(
+            report
+            for reporter in self._reporters
+            for report in reporter.list_reports()
+        )
+
+    async def _answer_relay(
+        self, peer: _handlers.Peer, question: messages.RelayQuestion
+    ) -> None:
+        follower = self._followers.get(question.stream)
+        answer = None
+        if follower is not None:
+            answer = platform.answer_relay(
+                follower, question.start, question.needs_seed
+            )
+        if answer is None:
+            peer.send(messages.RelayReply(question.number))
+            return
+        peer.send(
+            messages.RelayReply(
+                question.number, answer.page, answer.proof_age, answer.seed
+            )
+        )
+
+    async def _answer_roll(
+        self, peer: _handlers.Peer, question: messages.RollQuestion
+    ) -> None:
+        peer.send(messages.RollReply(question.number, self.list_reports()))
--- /dev/null
+++ b/chivespoke/entries/_membership_versions.py
@@ -0,0 +1,142 @@
+"""Versions of the configuration that sidecars are told and act on."""
+
+import collections.abc
+
+from chivespoke import application
+from chivespoke import clock as clocks
+from chivespoke.entries import _handlers
+from chivespoke.entries import _membership_messages as messages
+from chivespoke.entries import _messages
+from chivespoke.entries import _transport
+from chivespoke import errors
+from chivespoke import identifiers
+from chivespoke import operators
+
+# Seconds between two looks at who has not confirmed the version.
+NOTICE_INTERVAL = 0.25
+
+
+class VersionBoard(application.Component, operators.LocalReporter):
+    """Tell sidecars the version, and hold what they and we act on.
+
+    A sidecar is told until it has confirmed, and then not again: in between
+    changes this costs nothing.
+    """
+
+    __slots__ = (
+        '_identity',
+        '_configuration',
+        '_server',
+        '_clock',
+        '_noted',
+        '_tasks',
+    )
+
+    def __init__(
+        self,
+        identity: _messages.Identity,
+        configuration: operators.Configuration,
+        server: _transport.MessageServer,
+        handlers: _handlers.Handlers,
+        clock: clocks.Clock,
+    ) -> None:
+        self._identity = identity
+        self._configuration = configuration
+        self._server = server
+        self._clock = clock
+        self._noted: dict[
+            identifiers.Incarnation, operators.ProcessReport
+        ] = {}
+        self._tasks = application.TaskOwner()
+        handlers.register(messages.VersionNoted, self._handle_noted)
+        handlers.register_loss(self._forget)
+
+    async def start(self) -> None:
+        self._tasks.spawn(self._notify())
+
+    async def stop(self) -> None:
+        await self._tasks.cancel()
+
+    def list_reports(
+        self,
+    ) -> collections.abc.Sequence[operators.ProcessReport]:
+        configuration = self._configuration
+        age = configuration.follower.measure_age()
+        fault = configuration.replica.fault
+        own = operators.ProcessReport(
+            self._identity.name,
+            'entry',
+            self._identity.data_centre,
+            self._identity.incarnation,
+            configuration.version,
+            configuration.digest,
+            age if age != float('inf') else None,
+            str(fault) if fault is not None else '',
+        )
+        return (own, *self._noted.values())
+
+    async def _notify(self) -> None:
+        while True:
+            version = self._configuration.version
+            notice = messages.VersionNotice(
+                version, self._configuration.digest
+            )
+            for peer in self._server.list_peers():
+                noted = self._noted.get(peer.incarnation)
+                if noted is None or noted.version < version:
+                    _try_send(peer, notice)
+            await self._clock.sleep(NOTICE_INTERVAL)
+
+    async def _handle_noted(
+        self, peer: _handlers.Peer, noted: messages.VersionNoted
+    ) -> None:
+        self._noted[peer.incarnation] = operators.ProcessReport(
+            peer.name,
+            'sidecar',
+            noted.data_centre,
+            peer.incarnation,
+            noted.version,
+            noted.digest,
+            None,
+        )
+
+    def _forget(self, peer: _handlers.Peer) -> None:
+        self._noted.pop(peer.incarnation, None)
+
+
+class VersionHolder:
+    """Hold the version that a sidecar acts on; it only rises."""
+
+    __slots__ = ('version', 'digest', '_data_centre')
+
+    def __init__(
+        self,
+        data_centre: identifiers.DataCentreName,
+        handlers: _handlers.Handlers,
+    ) -> None:
+        self.version = identifiers.Version(0)
+        self.digest = ''
+        self._data_centre = data_centre
+        handlers.register(messages.VersionNotice, self._handle_notice)
+
+    async def _handle_notice(
+        self, peer: _handlers.Peer, notice: messages.VersionNotice
+    ) -> None:
+        # An entry that lags is told the version that is acted on here.
+        if notice.version >= self.version:
+            self.version = notice.version
+            self.digest = notice.digest
+        _try_send(
+            peer,
+            messages.VersionNoted(
+                self.version, self.digest, self._data_centre
+            ),
+        )
+
+
+def _try_send(peer: _handlers.Peer, message: _messages.Message) -> None:
+    try:
+        peer.send(message)
+    except errors.RefusedError:
+        # Gone or not reachable now; told again at the next look.
+        return
--- a/chivespoke/operators/__init__.py
+++ b/chivespoke/operators/__init__.py
@@ -43,6 +43,7 @@
 from chivespoke.operators._routes import VERSION_HEADER
 from chivespoke.operators._status import Section
 from chivespoke.operators._status import Status
+from chivespoke.operators._status import STATUS_DECODER
 from chivespoke.operators._status import StatusBoard
 from chivespoke.operators._status import StatusContributor
 from chivespoke.operators._status import StreamStatus
@@ -80,6 +81,7 @@
     'ProcessReport',
     'Roll',
     'RollCaller',
+    'STATUS_DECODER',
     'STREAM',
     'Section',
     'Service',
--- a/chivespoke/operators/_routes.py
+++ b/chivespoke/operators/_routes.py
@@ -86,18 +86,25 @@
         clock: clocks.Clock,
         roll_caller: _reports.RollCaller,
         status: _status.StatusBoard,
-        explainers: collections.abc.Iterable[_explanation.Explainer] = (),
-        estimators: collections.abc.Iterable[_impact.ImpactEstimator] = (),
     ) -> None:
         self._configuration = configuration
         self._clock = clock
         self._roll_caller = roll_caller
         self._status = status
-        self._explainers = (
-            _explanation.ConfigurationExplainer(configuration),
-            *explainers,
-        )
-        self._estimators = (_impact.DeclaredImpact(), *estimators)
+        self._explainers: list[_explanation.Explainer] = [
+            _explanation.ConfigurationExplainer(configuration)
+        ]
+        self._estimators: list[_impact.ImpactEstimator] = [
+            _impact.DeclaredImpact()
+        ]
+
+    def add_explainer(self, explainer: _explanation.Explainer) -> None:
+        """Have more kinds of things explained."""
+        self._explainers.append(explainer)
+
+    def add_estimator(self, estimator: _impact.ImpactEstimator) -> None:
+        """Have a dry run show more of what a patch would do."""
+        self._estimators.append(estimator)
 
     def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
         return (
--- a/chivespoke/operators/_status.py
+++ b/chivespoke/operators/_status.py
@@ -55,6 +55,9 @@
     sections: tuple[Section, ...] = ()
 
 
+STATUS_DECODER = msgspec.json.Decoder(Status)
+
+
 class StatusBoard:
     """Gather the status of one process."""
 
@@ -64,11 +67,14 @@
         self,
         process: str,
         configuration: _configuration.Configuration,
-        contributors: collections.abc.Iterable[StatusContributor] = (),
     ) -> None:
         self._process = process
         self._configuration = configuration
-        self._contributors = tuple(contributors)
+        self._contributors: list[StatusContributor] = []
+
+    def add_contributor(self, contributor: StatusContributor) -> None:
+        """Have a section added to the status."""
+        self._contributors.append(contributor)
 
     def make_stream_status(self) -> StreamStatus:
         """Return how the configuration stream is followed."""
--- a/chivespoke/platform/_committer.py
+++ b/chivespoke/platform/_committer.py
@@ -20,6 +20,8 @@
 STEP = 'commit a record'
 RETRY_FIRST = 0.1
 RETRY_MAXIMUM = 2.0
+# Seconds that a stopping process waits for the log.
+DRAIN_LIMIT = 3.0
 
 
 class CommitLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -115,13 +117,14 @@
         return None
 
     async def drain(self) -> None:
-        """Wait until what was submitted has been committed or given up."""
+        """Wait a while until what was submitted has been committed."""
         waiting = [
             item.committed
             for stream in self._streams.values()
             for item in stream.queue
         ]
-        await asyncio.gather(*waiting, return_exceptions=True)
+        if waiting:
+            await asyncio.wait(waiting, timeout=DRAIN_LIMIT)
 
     async def stop(self) -> None:
         await self._tasks.cancel()
--- a/chivespoke/platform/_follower.py
+++ b/chivespoke/platform/_follower.py
@@ -129,8 +129,10 @@
         pause = RETRY_FIRST
         while True:
             try:
-                await self.read_once(POLL_WAIT)
-            except errors.UnavailableError:
+                # The first proof must not wait for a next record.
+                first = self.proven_at is None
+                await self.read_once(0.0 if first else POLL_WAIT)
+            except (errors.UnavailableError, errors.RefusedError):
                 self.failed_reads += 1
                 await self._ask_peer(needs_seed=not self.replica.is_ready)
                 await self._pause(pause)
--- a/chivespoke/platform/_http_log.py
+++ b/chivespoke/platform/_http_log.py
@@ -55,11 +55,15 @@
             'limit': str(limit),
             'wait': str(wait_seconds),
         }
-        body = await self._ask(
-            'read', 'GET', f'/streams/{stream}', query, b'', wait_seconds
-        )
         try:
+            body = await self._ask(
+                'read', 'GET', f'/streams/{stream}', query, b'', wait_seconds
+            )
             return PAGE_DECODER.decode(body)
+        except errors.RefusedError as error:
+            raise errors.UnavailableError(
+                error.step, error.peer, error.detail
+            ) from error
         except msgspec.MsgspecError as error:
             raise errors.UnavailableError(
                 'read', self._base, str(error)
@@ -88,11 +92,7 @@
                 body = await response.read()
         except aiohttp.ClientConnectorError as error:
             # No connection: the request never left.
-            raise (
-                errors.RefusedError(step, self._base, str(error))
-                if method == 'POST'
-                else errors.UnavailableError(step, self._base, str(error))
-            ) from error
+            raise errors.RefusedError(step, self._base, str(error)) from error
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
             raise errors.UnavailableError(
                 step, self._base, repr(error)
--- a/chivespoke/settings.py
+++ b/chivespoke/settings.py
@@ -64,6 +64,8 @@
     # The platform's balancer in front of the entries.
     balancer: Address | None = None
     platform_log: Address
+    # Seconds for which the log keeps a record.
+    platform_log_retention: Positive = 86400.0
     # Worker groups whose tasks this entry may schedule.
     shards: tuple[str, ...] = ()
     log: LogSettings = LogSettings()
