--- /dev/null
+++ b/chivespoke/bench/_cluster.py
@@ -0,0 +1,396 @@
+"""A log, workers and scheduling processes on one clock moved by hand."""
+
+import asyncio
+import collections.abc
+
+from chivespoke import clock as clocks
+from chivespoke import errors
+from chivespoke import identifiers
+from chivespoke import operators
+from chivespoke import platform
+from chivespoke import resources
+from chivespoke import scheduling
+from chivespoke import standins
+from chivespoke import workers
+
+CAPACITY = resources.Resources(16_000, 61_440, 0)
+# Turns of the event loop in which everything that can happen does.
+TURNS = 14
+# Seconds of one step.
+STEP = 0.1
+DATA_CENTRES = ('dc1', 'dc2', 'dc3')
+WORKERS_PER_RACK = 3
+
+
+class Gate:
+    """Hold a process at whatever line it has reached."""
+
+    __slots__ = ('_open',)
+
+    def __init__(self) -> None:
+        self._open = asyncio.Event()
+        self._open.set()
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the process runs."""
+        return self._open.is_set()
+
+    def close(self) -> None:
+        """Pause the process."""
+        self._open.clear()
+
+    def open(self) -> None:
+        """Let the process run on."""
+        self._open.set()
+
+    async def wait(self) -> None:
+        """Return once the process runs."""
+        await self._open.wait()
+
+
+class GatedClock(clocks.Clock):
+    """Read the common clock; wake up only while the process runs."""
+
+    __slots__ = ('_base', '_gate')
+
+    def __init__(self, base: clocks.Clock, gate: Gate) -> None:
+        self._base = base
+        self._gate = gate
+
+    def read_monotonic(self) -> float:
+        return self._base.read_monotonic()
+
+    def read_wall(self) -> float:
+        return self._base.read_wall()
+
+    async def sleep(self, seconds: float) -> None:
+        await self._base.sleep(seconds)
+        await self._gate.wait()
+
+
+class SkewedClock(clocks.Clock):
+    """Run beside another clock with an offset and a drift."""
+
+    __slots__ = ('_base', '_origin', '_offset', '_rate')
+
+    def __init__(
+        self, base: clocks.Clock, offset: float = 0.0, drift: float = 0.0
+    ) -> None:
+        self._base = base
+        self._origin = base.read_monotonic()
+        self._offset = offset
+        self._rate = 1 + drift
+
+    def read_monotonic(self) -> float:
+        elapsed = self._base.read_monotonic() - self._origin
+        return self._offset + elapsed * self._rate
+
+    def convert(self, reading: float) -> float:
+        """Return the base clock's time of an own reading."""
+        return self._origin + (reading - self._offset) / self._rate
+
+    def read_wall(self) -> float:
+        return self._base.read_wall()
+
+    async def sleep(self, seconds: float) -> None:
+        await self._base.sleep(seconds / self._rate)
+
+
+class GatedLog(platform.Log):
+    """Reach the log; a pause delays what is sent and what comes back."""
+
+    __slots__ = ('_log', '_gate', 'reachable')
+
+    def __init__(self, log: platform.Log, gate: Gate) -> None:
+        self._log = log
+        self._gate = gate
+        self.reachable = True
+
+    async def append(self, stream: str, payload: bytes) -> identifiers.Offset:
+        await self._gate.wait()
+        self._check()
+        offset = await self._log.append(stream, payload)
+        await self._gate.wait()
+        return offset
+
+    async def read(
+        self,
+        stream: str,
+        start: identifiers.Offset,
+        limit: int,
+        wait_seconds: float,
+    ) -> platform.LogPage:
+        await self._gate.wait()
+        self._check()
+        page = await self._log.read(stream, start, limit, wait_seconds)
+        await self._gate.wait()
+        return page
+
+    def _check(self) -> None:
+        if not self.reachable:
+            raise errors.UnavailableError('reach', 'log', 'cut off')
+
+
+class GatedClient(workers.WorkerClient):
+    """Reach a worker; a pause delays commands and answers."""
+
+    __slots__ = ('_client', '_gate')
+
+    def __init__(self, client: workers.WorkerClient, gate: Gate) -> None:
+        self._client = client
+        self._gate = gate
+
+    async def renew(self, renewal: workers.LeaseRenewal) -> workers.Heartbeat:
+        await self._gate.wait()
+        answer = await self._client.renew(renewal)
+        await self._gate.wait()
+        return answer
+
+    async def start(self, command: workers.StartCommand) -> workers.TaskStatus:
+        await self._gate.wait()
+        answer = await self._client.start(command)
+        await self._gate.wait()
+        return answer
+
+    async def stop(self, command: workers.StopCommand) -> workers.TaskStatus:
+        await self._gate.wait()
+        answer = await self._client.stop(command)
+        await self._gate.wait()
+        return answer
+
+    async def checkpoint(
+        self, command: workers.CheckpointCommand
+    ) -> workers.TaskStatus:
+        await self._gate.wait()
+        return await self._client.checkpoint(command)
+
+    async def throttle(
+        self, command: workers.ThrottleCommand
+    ) -> workers.TaskStatus:
+        await self._gate.wait()
+        return await self._client.throttle(command)
+
+
+class GatedConnector(workers.WorkerConnector):
+    """Make gated clients."""
+
+    __slots__ = ('_connector', '_gate')
+
+    def __init__(self, connector: workers.WorkerConnector, gate: Gate) -> None:
+        self._connector = connector
+        self._gate = gate
+
+    def connect(self, address: str) -> workers.WorkerClient:
+        return GatedClient(self._connector.connect(address), self._gate)
+
+
+class PolledConfiguration(scheduling.ConfigurationSource):
+    """See what operators published as of the last read."""
+
+    __slots__ = ('_published', '_version', '_document', '_proven_at', '_next')
+
+    def __init__(self, published: scheduling.FixedConfiguration) -> None:
+        self._published = published
+        self._version = identifiers.Version(0)
+        self._document = operators.Document()
+        self._proven_at: float | None = None
+        self._next: (
+            tuple[float, identifiers.Version, operators.Document] | None
+        ) = None
+
+    @property
+    def version(self) -> identifiers.Version:
+        return self._version
+
+    @property
+    def document(self) -> operators.Document:
+        return self._document
+
+    @property
+    def proven_at(self) -> float | None:
+        return self._proven_at
+
+    def poll(self, now: float) -> None:
+        """Take in the read that began a poll ago, and begin another."""
+        if self._next is not None:
+            self._proven_at, self._version, self._document = self._next
+        published = self._published
+        self._next = (now, published.version, published.document)
+
+
+class SchedulerProcess:
+    """Hold one process that follows shards and may own them."""
+
+    def __init__(self, cluster: 'Cluster', name: str, life: int) -> None:
+        self.name = name
+        self.life = life
+        self.gate = Gate()
+        self.log = GatedLog(cluster.log, self.gate)
+        clock = GatedClock(cluster.clock, self.gate)
+        self.configuration = PolledConfiguration(cluster.configuration)
+        self.committer = platform.GroupCommitter(
+            self.log,
+            clock,
+            identifiers.Incarnation(f'{name}:{life}'),
+            seed=life,
+        )
+        self.scheduling = scheduling.Scheduling(
+            name,
+            cluster.shards,
+            self.log,
+            self.committer,
+            self.configuration,
+            clock,
+            cluster.policies,
+            GatedConnector(cluster.connector, self.gate),
+            identifiers.Incarnation(str(life)),
+        )
+
+    @property
+    def desk(self) -> scheduling.Desk:
+        """Return what takes jobs and workers."""
+        return self.scheduling.desk
+
+    def get_owner(self, shard: str = 'default') -> scheduling.ShardOwner:
+        """Return the owner of a shard in this process."""
+        return self.desk.owners[shard]
+
+    async def start(self) -> None:
+        """Begin following."""
+        await self.scheduling.start()
+
+    async def die(self) -> None:
+        """End at once, saying nothing to anybody."""
+        await self.scheduling.stop()
+        await self.committer.stop()
+
+
+class Cluster:
+    """Hold everything of one small platform."""
+
+    def __init__(
+        self,
+        workers_count: int = 3,
+        shards: collections.abc.Sequence[str] = ('default',),
+        policies: scheduling.OwnerPolicies | None = None,
+        retention: float = float('inf'),
+    ) -> None:
+        self.clock = clocks.ManualClock()
+        self.log = standins.MemoryLog(self.clock, retention)
+        self.configuration = scheduling.FixedConfiguration()
+        self.configuration.set(build_document(shards))
+        self.shards = tuple(shards)
+        self.policies = policies
+        self.connector = standins.MemoryWorkerConnector()
+        self.agents: dict[int, standins.WorkerAgent] = {}
+        self.processes: dict[str, SchedulerProcess] = {}
+        self._steps = 0
+        for number in range(workers_count):
+            self.add_worker(number)
+
+    def now(self) -> float:
+        """Return the common clock's seconds."""
+        return self.clock.read_monotonic()
+
+    def add_worker(
+        self,
+        number: int,
+        life: int = 1,
+        drift: float = 0.0,
+        capacity: resources.Resources = CAPACITY,
+    ) -> standins.WorkerAgent:
+        """Add a worker, or its next life; data centres go in turn."""
+        place = number % len(DATA_CENTRES)
+        rack = number // (len(DATA_CENTRES) * WORKERS_PER_RACK)
+        group = self.shards[number // len(DATA_CENTRES) % len(self.shards)]
+        agent = standins.WorkerAgent(
+            workers.Registration(
+                worker_id=identifiers.WorkerId(f'worker-{number}'),
+                incarnation=identifiers.Incarnation(f'{number}.{life}'),
+                data_centre=identifiers.DataCentreName(DATA_CENTRES[place]),
+                rack=identifiers.RackName(f'rack-{place}-{rack}'),
+                capacity=capacity,
+                group=group,
+                address=f'memory://{number}',
+            ),
+            SkewedClock(self.clock, 500.0 * number + life, drift),
+        )
+        self.agents[number] = agent
+        self.connector.add(agent)
+        return agent
+
+    async def add_process(
+        self, name: str = 'entry-1', life: int = 1
+    ) -> SchedulerProcess:
+        """Start a process, or its next life."""
+        process = SchedulerProcess(self, name, life)
+        self.processes[name] = process
+        await process.start()
+        return process
+
+    async def register_workers(self) -> None:
+        """Register every worker through the first process."""
+        process = next(iter(self.processes.values()))
+        for agent in self.agents.values():
+            process.desk.streams[agent.registration.group].propose(
+                scheduling.make_registration(agent.registration)
+            )
+        await self.run(1.0)
+
+    async def run(self, seconds: float, step: float = STEP) -> None:
+        """Let time pass in small steps."""
+        for _ in range(max(1, round(seconds / step))):
+            await self.step(step)
+
+    async def step(self, seconds: float = STEP) -> None:
+        """Move the clock once and let everything happen."""
+        self.clock.advance(seconds)
+        now = self.now()
+        for process in self.processes.values():
+            if process.gate.is_open and process.log.reachable:
+                if not self.log.faults.read_down:
+                    process.configuration.poll(now)
+        for agent in self.agents.values():
+            agent.settle()
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
+
+    def find_owner(
+        self, shard: str = 'default'
+    ) -> scheduling.ShardOwner | None:
+        """Return the owner by the newest state that any process has."""
+        owners = [
+            process.get_owner(shard)
+            for process in self.processes.values()
+            if process.get_owner(shard).epoch
+        ]
+        return max(owners, key=lambda owner: owner.epoch, default=None)
+
+    def publish(self, document: operators.Document) -> None:
+        """Accept a configuration."""
+        self.configuration.set(document)
+
+    async def stop(self) -> None:
+        """End every process."""
+        for process in self.processes.values():
+            process.gate.open()
+            await process.die()
+
+
+def build_document(
+    shards: collections.abc.Sequence[str] = ('default',),
+) -> operators.Document:
+    """Return a configuration with three data centres."""
+    return operators.Document(
+        data_centres={
+            identifiers.DataCentreName(name): operators.DataCentre(
+                region='western'
+            )
+            for name in DATA_CENTRES
+        },
+        shards={
+            name: operators.ShardGroup(mints_quotas=index == 0)
+            for index, name in enumerate(shards)
+        },
+    )
--- /dev/null
+++ b/chivespoke/bench/_fault_world.py
@@ -0,0 +1,469 @@
+"""The platform that a random run of faults works on."""
+
+import collections
+import collections.abc
+import random
+import sys
+import typing
+
+import msgspec
+
+from chivespoke.bench import _cluster
+from chivespoke.bench import _fault_actions
+from chivespoke.bench import _fault_checks
+from chivespoke import errors
+from chivespoke import identifiers
+from chivespoke import operators
+from chivespoke import platform
+from chivespoke import resources
+from chivespoke import scheduling
+from chivespoke.scheduling import _records
+from chivespoke import standins
+from chivespoke import workers
+
+Kind = _fault_actions.ActionKind
+WORKERS = 18
+PROCESSES = ('entry-1', 'entry-2', 'entry-3')
+SHARDS = ('default', 'second')
+STEP_SECONDS = (0.05, 0.4)
+TEAM = identifiers.TeamName('billing')
+SERVICE = identifiers.ServiceName('counting')
+# Seconds in which everything must finish once all is well.
+FINISH_LIMIT = 9000.0
+FINISH_STEP = 0.5
+MILLISECONDS = 1000
+
+
+class FaultWorld:
+    """Carry out actions, let faults end, and check."""
+
+    def __init__(self, source: random.Random) -> None:
+        self.cluster = _cluster.Cluster(0, SHARDS)
+        self.witness = _fault_checks.Witness(self.cluster)
+        self.injected: collections.Counter[str] = collections.Counter()
+        self.submitted: dict[identifiers.JobId, tuple[typing.Any, int]] = {}
+        self._random = source
+        self._lives: collections.Counter[str] = collections.Counter()
+        self._endings: list[
+            tuple[float, collections.abc.Callable[[], None]]
+        ] = []
+        self._document = _cluster.build_document(SHARDS)
+        for number in range(WORKERS):
+            drift = source.uniform(-4e-4, 4e-4)
+            self.cluster.add_worker(number, drift=drift)
+
+    async def start(self) -> None:
+        """Start the processes and register the workers."""
+        for name in PROCESSES:
+            self._lives[name] = 1
+            await self.cluster.add_process(name)
+        self._publish(
+            services={
+                SERVICE: operators.Service(
+                    team=TEAM,
+                    replicas=4,
+                    size=resources.Resources(2000, 2048, 0),
+                )
+            },
+            teams={
+                TEAM: operators.Team(
+                    quota=resources.Resources(150_000, 600_000, 0)
+                )
+            },
+        )
+        await self.cluster.register_workers()
+
+    async def stop(self) -> None:
+        """End every process."""
+        await self.cluster.stop()
+
+    async def step(self) -> None:
+        """Let a little time pass and check."""
+        now = self.cluster.now()
+        due = [ending for ending in self._endings if ending[0] <= now]
+        self._endings = [end for end in self._endings if end[0] > now]
+        for _, restore in due:
+            restore()
+        await self.cluster.step(self._random.uniform(*STEP_SECONDS))
+        self.witness.check()
+
+    async def act(self, action: _fault_actions.Action) -> None:
+        """Carry one action out."""
+        self.injected[action.kind.value] += 1
+        match action.kind:
+            case Kind.SUBMIT:
+                self._submit(action)
+            case Kind.REPEAT_SUBMIT:
+                self._submit_again(action)
+            case Kind.CANCEL_WAVE:
+                self._cancel(action)
+            case Kind.KILL_PROCESS:
+                await self._kill_process(action)
+            case Kind.PAUSE_PROCESS | Kind.CUT_PROCESS:
+                self._disturb_process(action)
+            case Kind.JUMP:
+                until = self.cluster.now() + action.duration
+                while self.cluster.now() < until:
+                    await self.step()
+            case (
+                Kind.TAKE_OUT
+                | Kind.TAKE_OUT_TWO
+                | Kind.RETURN
+                | Kind.SCALE_SERVICE
+                | Kind.ROLL_SERVICE
+                | Kind.CHANGE_QUOTA
+            ):
+                self._configure(action)
+            case (
+                Kind.LOG_DOWN
+                | Kind.LOG_APPENDS_DOWN
+                | Kind.LOG_SLOW
+                | Kind.LOSE_LOG_ANSWERS
+                | Kind.DUPLICATE_APPENDS
+            ):
+                self._disturb_log(action)
+            case _:
+                self._disturb_worker(action)
+
+    # Requests.
+
+    def _pick_process(self, choice: float) -> _cluster.SchedulerProcess:
+        processes = list(self.cluster.processes.values())
+        return processes[int(choice * len(processes))]
+
+    def _submit(self, action: _fault_actions.Action) -> None:
+        job_id = identifiers.JobId(f'job-{len(self.submitted)}')
+        seconds = 1.0 + action.duration
+        spec = _records.JobSpec(
+            kind=workers.TaskKind.BATCH,
+            family=f'family-{int(action.choice * 5)}',
+            team=TEAM,
+            size=resources.Resources(
+                1000 + 1000 * int(action.size * 6), 2048, 0
+            ),
+            priority=int(action.choice > 0.2),
+            data_centres=(
+                (identifiers.DataCentreName('dc1'),)
+                if action.size > 0.9
+                else ()
+            ),
+            run_time=seconds * (0.2 + 2 * action.choice),
+            checkpointing=action.choice > 0.4,
+            payload=msgspec.json.encode(
+                standins.TaskPlan(seconds=seconds, fails=action.choice > 0.95)
+            ).decode(),
+        )
+        tasks = 1 + int(action.size * 30)
+        self.submitted[job_id] = (spec, tasks)
+        self._propose_job(job_id, action.choice)
+
+    def _submit_again(self, action: _fault_actions.Action) -> None:
+        if self.submitted:
+            names = list(self.submitted)
+            self._propose_job(
+                names[int(action.size * len(names))], action.choice
+            )
+
+    def _propose_job(self, job_id: identifiers.JobId, choice: float) -> None:
+        spec, tasks = self.submitted[job_id]
+        process = self._pick_process(choice)
+        stream = process.desk.choose_stream(job_id)
+        stream.propose(_records.JobSubmitted(job_id, spec, tasks))
+
+    def _cancel(self, action: _fault_actions.Action) -> None:
+        desk = self._pick_process(action.choice).desk
+        names = list(self.submitted)[-int(1 + action.size * 6) :]
+        for name in names:
+            stream = desk.choose_stream(name)
+            number = stream.fold.shard.job_numbers.get(name)
+            if number is not None:
+                stream.propose(_records.JobCancelled(number))
+
+    # The configuration.
+
+    def _publish(self, **changes: typing.Any) -> None:
+        self._document = msgspec.structs.replace(self._document, **changes)
+        self.cluster.publish(self._document)
+        self.witness.note_published(self._document)
+
+    def _configure(self, action: _fault_actions.Action) -> None:
+        names = list(self._document.data_centres)
+        first = int(action.choice * len(names))
+        match action.kind:
+            case Kind.TAKE_OUT:
+                self._set_out([names[first]], action)
+            case Kind.TAKE_OUT_TWO:
+                self._set_out([names[first], names[first - 1]], action)
+            case Kind.RETURN:
+                self._publish(
+                    data_centres={
+                        name: operators.DataCentre(region='western')
+                        for name in names
+                    }
+                )
+            case Kind.CHANGE_QUOTA:
+                size = 60_000 + int(action.size * 200_000)
+                quota = resources.Resources(size, 600_000, 0)
+                self._publish(teams={TEAM: operators.Team(quota=quota)})
+            case Kind.SCALE_SERVICE:
+                self._change_service(replicas=int(action.size * 9))
+            case _:
+                self._change_service(revision=str(action.step))
+
+    def _set_out(
+        self,
+        names: list[identifiers.DataCentreName],
+        action: _fault_actions.Action,
+    ) -> None:
+        data_centres = dict(self._document.data_centres)
+        for name in names:
+            data_centres[name] = operators.DataCentre(
+                region='western',
+                state=operators.ServiceState.OUT_OF_SERVICE,
+                leave_within=action.duration if action.size > 0.5 else 0.0,
+            )
+        self._publish(data_centres=data_centres)
+
+    def _change_service(self, **changes: typing.Any) -> None:
+        service = msgspec.structs.replace(
+            self._document.services[SERVICE], **changes
+        )
+        self._publish(services={SERVICE: service})
+
+    # Faults.
+
+    def _end_after(
+        self, seconds: float, restore: collections.abc.Callable[[], None]
+    ) -> None:
+        self._endings.append((self.cluster.now() + seconds, restore))
+
+    async def _kill_process(self, action: _fault_actions.Action) -> None:
+        process = self._pick_process(action.choice)
+        await process.die()
+        del self.cluster.processes[process.name]
+        self._lives[process.name] += 1
+        await self.cluster.add_process(process.name, self._lives[process.name])
+
+    def _disturb_process(self, action: _fault_actions.Action) -> None:
+        process = self._pick_process(action.choice)
+        if action.kind is Kind.PAUSE_PROCESS:
+            process.gate.close()
+            self._end_after(action.duration, process.gate.open)
+            return
+        process.log.reachable = False
+
+        def restore() -> None:
+            process.log.reachable = True
+
+        self._end_after(action.duration, restore)
+
+    def _disturb_log(self, action: _fault_actions.Action) -> None:
+        faults = self.cluster.log.faults
+        match action.kind:
+            case Kind.LOSE_LOG_ANSWERS:
+                faults.lost_answers += 1 + int(action.size * 4)
+            case Kind.DUPLICATE_APPENDS:
+                faults.duplicates += 1 + int(action.size * 3)
+            case Kind.LOG_SLOW:
+                faults.append_delay = action.size * 3
+                faults.read_delay = action.choice
+            case Kind.LOG_APPENDS_DOWN:
+                faults.append_down = True
+            case _:
+                faults.append_down = True
+                faults.read_down = True
+        self._end_after(action.duration, self._repair_log)
+
+    def _repair_log(self) -> None:
+        faults = self.cluster.log.faults
+        faults.append_down = False
+        faults.read_down = False
+        faults.append_delay = 0.0
+        faults.read_delay = 0.0
+
+    def _disturb_worker(self, action: _fault_actions.Action) -> None:
+        number = int(action.choice * WORKERS)
+        agent = self.cluster.agents[number]
+        client = self.cluster.connector.clients[agent.registration.address]
+        match action.kind:
+            case Kind.CUT_WORKER:
+                self._cut([number], action.duration)
+            case Kind.CUT_RACK:
+                rack = agent.registration.rack
+                self._cut(
+                    [
+                        other
+                        for other, each in self.cluster.agents.items()
+                        if each.registration.rack == rack
+                    ],
+                    action.duration,
+                )
+            case Kind.RESTART_WORKER:
+                self._restart_worker(number)
+            case Kind.LOSE_WORKER_ANSWERS:
+                client.lost_answers += 1 + int(action.size * 4)
+            case Kind.BREAK_WORKER:
+                agent.fails_everything = True
+            case _:
+                for each in self.cluster.agents.values():
+                    each.fails_everything = False
+
+    def _cut(self, numbers: list[int], seconds: float) -> None:
+        for number in numbers:
+            address = self.cluster.agents[number].registration.address
+            clients = self.cluster.connector.clients
+            clients[address].reachable = False
+
+            def restore(address: str = address) -> None:
+                clients[address].reachable = True
+
+            self._end_after(seconds, restore)
+
+    def _restart_worker(self, number: int) -> None:
+        old = self.cluster.agents[number]
+        self.witness.note_killed(old)
+        key = str(old.registration.worker_id)
+        self._lives[key] += 1
+        agent = self.cluster.add_worker(number, 1 + self._lives[key])
+        client = self.cluster.connector.clients[old.registration.address]
+        client.agent = agent
+
+    # Checks.
+
+    def compare_states(self) -> None:
+        """Check that every process folded the same, as a whole replay."""
+        for shard in SHARDS:
+            states: dict[int, bytes] = {}
+            for process in self.cluster.processes.values():
+                stream = process.desk.streams[shard]
+                if not stream.replica.is_ready:
+                    continue
+                state = stream.replica.encode_state()
+                offset = int(stream.replica.next_offset)
+                known = states.setdefault(offset, state)
+                self.witness.checks['same state at the same offset'] += 1
+                errors.check_invariant(
+                    known == state, 'same state', process.name
+                )
+
+    async def heal_and_finish(self) -> None:
+        """End every fault, wait for all work, and count it."""
+        for _, restore in self._endings:
+            restore()
+        self._endings = []
+        self._repair_log()
+        for agent in self.cluster.agents.values():
+            agent.fails_everything = False
+        quota = resources.Resources(1_000_000, 4_000_000, 0)
+        self._publish(
+            data_centres={
+                name: operators.DataCentre(region='western')
+                for name in self._document.data_centres
+            },
+            teams={TEAM: operators.Team(quota=quota)},
+        )
+        for name in self.submitted:
+            self._propose_job(name, 0.0)
+        deadline = self.cluster.now() + FINISH_LIMIT
+        while self.cluster.now() < deadline and not self._is_finished():
+            await self.cluster.step(FINISH_STEP)
+            self.witness.check()
+        self._check_counts()
+        await self._replay()
+
+    def list_parts(
+        self, job_id: identifiers.JobId
+    ) -> list[scheduling.ShardFold]:
+        """Return the folds, of one process, that know a job."""
+        process = self.cluster.processes[PROCESSES[0]]
+        return [
+            stream.fold
+            for stream in process.desk.streams.values()
+            if job_id in stream.fold.shard.job_numbers
+        ]
+
+    def _is_finished(self) -> bool:
+        desk = self.cluster.processes[PROCESSES[0]].desk
+        for job_id in self.submitted:
+            report = desk.report_job(job_id)
+            if report is None or report.waiting or report.running:
+                return False
+        return not any(
+            queue
+            for stream in desk.streams.values()
+            for queue in stream.fold.shard.outbox.values()
+        )
+
+    def _check_counts(self) -> None:
+        desk = self.cluster.processes[PROCESSES[0]].desk
+        for job_id, (_, tasks) in self.submitted.items():
+            report = desk.report_job(job_id)
+            done = 0
+            if report is not None:
+                done = report.completed + report.failed + report.cancelled
+            self.witness.checks['nothing lost, nothing twice'] += 1
+            errors.check_invariant(
+                report is not None and done == tasks == report.submitted,
+                'nothing lost, nothing twice',
+                job_id,
+                f'{done} of {tasks}: {report}',
+            )
+
+    async def _replay(self) -> None:
+        """Fold each stream from its beginning and compare."""
+        process = self.cluster.processes[PROCESSES[0]]
+        for name, stream in process.desk.streams.items():
+            replica = platform.Replica(
+                stream.replica.stream, scheduling.ShardFold(name)
+            )
+            page = await self.cluster.log.read(
+                replica.stream, identifiers.Offset(0), sys.maxsize, 0.0
+            )
+            replica.take_page(page)
+            self.witness.checks['whole replay'] += 1
+            if replica.next_offset == stream.replica.next_offset:
+                errors.check_invariant(
+                    replica.encode_state() == stream.replica.encode_state(),
+                    'whole replay',
+                    name,
+                )
+
+    def fill(
+        self,
+        injected: dict[str, int],
+        checked: dict[str, int],
+        refused: dict[str, int],
+    ) -> None:
+        """Tell what was injected, checked and refused."""
+        injected.update(sorted(self.injected.items()))
+        for process in self.cluster.processes.values():
+            for stream in process.desk.streams.values():
+                self.witness.checks['invariants of the fold'] += (
+                    stream.fold.applied
+                )
+                for refusal, count in stream.fold.refused.items():
+                    key = refusal.value
+                    refused[key] = max(refused.get(key, 0), count)
+        checked.update(sorted(self.witness.checks.items()))
+
+    def total(self, report: typing.Any) -> None:
+        """Add up the counts of all jobs."""
+        desk = self.cluster.processes[PROCESSES[0]].desk
+        report.simulated_seconds = round(self.cluster.now() - 1000.0, 1)
+        report.jobs = len(self.submitted)
+        for job_id in self.submitted:
+            found = desk.report_job(job_id)
+            if found is None:
+                continue
+            report.tasks += found.submitted
+            for field in (
+                'completed',
+                'failed',
+                'cancelled',
+                'attempts',
+                'evictions',
+                'abandoned',
+                'lost_seconds',
+            ):
+                total = getattr(report, field) + getattr(found, field)
+                setattr(report, field, total)
--- a/chivespoke/cli/__init__.py
+++ b/chivespoke/cli/__init__.py
@@ -17,11 +17,21 @@
     name='capacity',
     help="Work out what each role costs at a fleet's size.",
 )
+COMMANDS.command(
+    'chivespoke.cli._data_centre:DATA_CENTRE',
+    name='data-centre',
+    help='Take data centres out of service and return them.',
+)
 COMMANDS.command(
     'chivespoke.cli._daemons:run_entry',
     name='entry',
     help='Run an entry until it is told to stop.',
 )
+COMMANDS.command(
+    'chivespoke.cli._job:JOB',
+    name='job',
+    help='Submit, cancel and follow jobs.',
+)
 COMMANDS.command(
     'chivespoke.cli._settings:SETTINGS',
     name='settings',
--- a/chivespoke/cli/_bench.py
+++ b/chivespoke/cli/_bench.py
@@ -13,13 +13,13 @@
     help='Measure speeds and costs on this machine.',
     help_epilogue=EPILOGUE,
 )
-BENCH.command(
-    'chivespoke.cli._bench_policy:show_policy',
-    name='policy',
-    help='Compare the policies on a seeded model of workers.',
-)
 BENCH.command(
     'chivespoke.cli._slopes:show_slopes',
     name='slopes',
     help='Measure what daemons spend against what drives them.',
 )
+BENCH.command(
+    'chivespoke.cli._bench_tasks:show_faults',
+    name='faults',
+    help='Run tasks under random faults and check invariants.',
+)
--- a/chivespoke/operators/_document.py
+++ b/chivespoke/operators/_document.py
@@ -60,6 +60,8 @@
 ):
     """Describe one worker group, which a shard of its own schedules."""
 
+    # Where its workers stand; empty means everywhere.
+    data_centres: tuple[identifiers.DataCentreName, ...] = ()
     # The one group whose shard hands out the teams' quotas; it must stay
     # the same while any shard holds some.
     mints_quotas: bool = False
--- a/chivespoke/scheduling/_assembly.py
+++ b/chivespoke/scheduling/_assembly.py
@@ -8,17 +8,32 @@
 from chivespoke import platform
 from chivespoke.scheduling import _configuration
 from chivespoke.scheduling import _desk
+from chivespoke.scheduling import _drain
 from chivespoke.scheduling import _feasibility
 from chivespoke.scheduling import _owner
 from chivespoke.scheduling import _planner
+from chivespoke.scheduling import _quarantine
 from chivespoke.scheduling import _routes
+from chivespoke.scheduling import _services
+from chivespoke.scheduling import _state
 from chivespoke.scheduling import _stream
+from chivespoke.scheduling import _transfers
 from chivespoke import workers
 
 
-def make_planners() -> tuple[_planner.Planner, ...]:
+def make_planners(
+    stream: _stream.ShardStream, peers: _transfers.Peers
+) -> tuple[_planner.Planner, ...]:
     """Return the planners of one shard, in the order of their turns."""
-    return (_feasibility.FlagPlanner(),)
+    return (
+        _feasibility.FlagPlanner(),
+        _quarantine.QuarantinePlanner(),
+        _services.ServicePlanner(),
+        _drain.DrainPlanner(),
+        _transfers.QuotaPlanner(stream.propose),
+        _transfers.BalancePlanner(peers),
+        _transfers.TransferCourier(stream.propose),
+    )
 
 
 class Scheduling(application.Component):
@@ -36,24 +51,32 @@
         clock: clocks.Clock,
         policies: _owner.OwnerPolicies | None = None,
         connector: workers.WorkerConnector | None = None,
+        incarnation: identifiers.Incarnation | None = None,
     ) -> None:
         # The name stays over lives; the rest is new in each.
-        identity = identifiers.Incarnation(
-            f'{name}:{identifiers.make_incarnation()}'
-        )
+        life = incarnation or identifiers.make_incarnation()
+        identity = identifiers.Incarnation(f'{name}:{life}')
         reach = connector or workers.HttpWorkerConnector()
         names = tuple(shards) or (_configuration.DEFAULT_SHARD,)
+        streams = [
+            _stream.ShardStream(shard, log, committer, clock)
+            for shard in names
+        ]
+
+        def list_peers() -> dict[str, _state.Shard]:
+            return {stream.name: stream.fold.shard for stream in streams}
+
         owners = [
             _owner.ShardOwner(
                 identity,
-                _stream.ShardStream(shard, log, committer, clock),
+                stream,
                 configuration,
                 reach,
                 clock,
                 policies,
-                make_planners(),
+                make_planners(stream, list_peers),
             )
-            for shard in names
+            for stream in streams
         ]
         self.desk = _desk.Desk(configuration, owners)
         self.routes = _routes.SchedulingRoutes(self.desk)
--- a/chivespoke/scheduling/_desk.py
+++ b/chivespoke/scheduling/_desk.py
@@ -54,7 +54,7 @@
     ) -> _requests.JobAnswer:
         job_id = identifiers.JobId(request.id)
         spec = _requests.make_spec(request)
-        stream = self._choose_stream(job_id)
+        stream = self.choose_stream(job_id)
         shard = stream.fold.shard
         known = shard.job_numbers.get(job_id)
         if known is None:
@@ -86,7 +86,7 @@
     async def _cancel_one(
         self, job_id: identifiers.JobId
     ) -> _requests.JobAnswer:
-        stream = self._choose_stream(job_id)
+        stream = self.choose_stream(job_id)
         number = stream.fold.shard.job_numbers.get(job_id)
         if number is None:
             return _refuse(job_id, 'the job is unknown')
@@ -154,7 +154,7 @@
             for worker in stream.fold.shard.workers.values()
         ]
 
-    def _choose_stream(self, job_id: identifiers.JobId) -> _stream.ShardStream:
+    def choose_stream(self, job_id: identifiers.JobId) -> _stream.ShardStream:
         """Return the job's home by rendezvous hashing."""
         return max(
             self.streams.values(),
--- a/chivespoke/scheduling/_fold.py
+++ b/chivespoke/scheduling/_fold.py
@@ -110,7 +110,7 @@
 
     def encode_state(self) -> bytes:
         _invariants.check_all(self.shard)
-        return msgspec.msgpack.encode(self.shard, order='deterministic')
+        return msgspec.msgpack.encode(self.shard)
 
     def restore_state(self, state: bytes) -> None:
         try:
--- a/chivespoke/scheduling/_link.py
+++ b/chivespoke/scheduling/_link.py
@@ -151,7 +151,11 @@
     async def _ask(self, lease_until: float) -> None:
         owner = self._owner
         epoch = owner.epoch
-        errors.check_invariant(epoch > 0, 'only an owner renews', 'worker')
+        if not epoch:
+            # Lost while an answer was under way.
+            raise errors.RefusedError(
+                'renew a lease', owner.shard.name, 'the shard is not owned'
+            )
         self.lease_sent = max(self.lease_sent, lease_until)
         heartbeat = await self.client.renew(
             workers.LeaseRenewal(
--- a/chivespoke/scheduling/_owner.py
+++ b/chivespoke/scheduling/_owner.py
@@ -121,6 +121,10 @@
     def blocked(self) -> set[int]:
         return self._blocked
 
+    def has_room(self, job: int) -> bool:
+        demand = _index.make_demand(self.shard.jobs[job], 0)
+        return bool(self.index.find_candidates(demand))
+
     def read_clock(self) -> float:
         return self.clock.read_monotonic()
 
@@ -262,6 +266,11 @@
             self._blocked = set()
             version = self.shard.version
             if self.configuration.version == version:
+                self.placer.pace(
+                    now,
+                    self.shard.out,
+                    self.document.limits.moves_at_once,
+                )
                 records.extend(self.placer.decide(version, self._blocked))
         if now - self._spoke_at >= ALIVE_INTERVAL:
             self._spoke_at = now
--- a/chivespoke/scheduling/_placer.py
+++ b/chivespoke/scheduling/_placer.py
@@ -5,11 +5,13 @@
 
 from chivespoke import identifiers
 from chivespoke import resources
+from chivespoke.scheduling import _drain
 from chivespoke.scheduling import _fold
 from chivespoke.scheduling import _index
 from chivespoke.scheduling import _placing
 from chivespoke.scheduling import _policy
 from chivespoke.scheduling import _records
+from chivespoke.scheduling import _spread
 from chivespoke.scheduling import _state
 
 # Placements proposed in one frame.
@@ -22,7 +24,15 @@
 class Placer:
     """Propose placements, most urgent first."""
 
-    __slots__ = ('policy', 'active', '_fold', '_index', '_quota_taken')
+    __slots__ = (
+        'policy',
+        'active',
+        '_fold',
+        '_index',
+        '_quota_taken',
+        '_pacer',
+        '_allowance',
+    )
 
     def __init__(
         self,
@@ -36,6 +46,17 @@
         self._fold = fold
         self._index = index
         self._quota_taken: dict[identifiers.TeamName, resources.Resources] = {}
+        self._pacer = _drain.RefillPacer()
+        self._allowance: dict[identifiers.DataCentreName, int] = {}
+
+    def pace(
+        self,
+        now: float,
+        out: tuple[identifiers.DataCentreName, ...],
+        rate: float,
+    ) -> None:
+        """Bound the next batch in data centres that have just returned."""
+        self._allowance = self._pacer.compute_allowance(now, out, rate)
 
     def decide(
         self,
@@ -80,11 +101,14 @@
         self, number: int, job: _state.Job, version: int, limit: int
     ) -> list[_records.Placed]:
         batch: list[_records.Placed] = []
+        spread = _spread.Spread(self._fold.shard, job)
         for index in itertools.islice(list_pending(job), limit):
             if not self._may_use_quota(job.spec):
                 break
             demand = _index.make_demand(job, index)
-            candidates = self._index.find_candidates(demand)
+            candidates = spread.filter(
+                self._drop_paced(self._index.find_candidates(demand))
+            )
             if not candidates:
                 break
             view = self.policy.choose_worker(demand, candidates)
@@ -92,6 +116,10 @@
                 break
             worker = self._index.get_number(view)
             self._index.reserve(worker, job.spec.size)
+            spread.add(view)
+            self._pacer.take(view.data_centre)
+            if view.data_centre in self._allowance:
+                self._allowance[view.data_centre] -= 1
             self._take_quota(job.spec)
             waiting = _placing.find_pending(job, index)
             last = waiting.last_attempt if waiting is not None else 0
@@ -100,6 +128,17 @@
             )
         return batch
 
+    def _drop_paced(
+        self, candidates: list[_policy.WorkerView]
+    ) -> list[_policy.WorkerView]:
+        if not self._allowance:
+            return candidates
+        return [
+            view
+            for view in candidates
+            if self._allowance.get(view.data_centre, 1) > 0
+        ]
+
     def _may_use_quota(self, spec: _records.JobSpec) -> bool:
         taken = self._quota_taken.get(spec.team, resources.NOTHING)
         return _placing.has_quota(
--- a/chivespoke/scheduling/_planner.py
+++ b/chivespoke/scheduling/_planner.py
@@ -29,6 +29,10 @@
     def blocked(self) -> set[int]:
         """Return the jobs that found no room in the last batch."""
 
+    @abc.abstractmethod
+    def has_room(self, job: int) -> bool:
+        """Tell whether a task of a job could be placed now."""
+
 
 class Planner(abc.ABC):
     """Plan one concern of a shard."""
