Schedule tasks in every entry, over HTTP

Cause: scheduling ran in tests only. Seen: a real entry, log server and worker on loopback complete 5 of 5 tasks with 5 attempts, cancel an endless job, and refuse a job too large and a changed job under a known id with their reasons. Conclusion: the path works between processes' interfaces.

--- a/chivespoke/daemons.py
+++ b/chivespoke/daemons.py
@@ -9,6 +9,7 @@
 from chivespoke import control
 from chivespoke import entries
 from chivespoke import identifiers
+from chivespoke import scheduling
 from chivespoke import settings
 from chivespoke import telemetry
 from chivespoke import web
@@ -34,6 +35,7 @@
         'clock',
         'messages',
         'control',
+        'scheduling',
     )
 
     def __init__(
@@ -67,6 +69,7 @@
             self.telemetry,
             time,
         )
+        self.scheduling = _make_scheduling(self)
         self.registry = backend_servers.Registry(
             self.handlers, self.directory, self.telemetry, time
         )
@@ -80,6 +83,25 @@
         self.gateway = callers.Gateway(dispatcher, self.telemetry, time)
 
 
+def _make_scheduling(context: EntryContext) -> scheduling.Scheduling:
+    control = context.control
+    entry = context.settings
+    parts = scheduling.Scheduling(
+        entry.name,
+        entry.shards,
+        control.log,
+        control.committer,
+        scheduling.FollowedConfiguration(control.configuration),
+        context.clock,
+        incarnation=context.identity.incarnation,
+        relay=entries.LinkRelay(control.links),
+        retention=entry.platform_log_retention,
+    )
+    for follower in parts.followers:
+        control.answerer.serve(follower)
+    return parts
+
+
 PartMaker = collections.abc.Callable[
     [EntryContext], collections.abc.Iterable[Part]
 ]
@@ -134,6 +156,7 @@
         parts: list[Part] = [context.telemetry, context.directory]
         parts += [context.messages, _OwnAddress(context), context.registry]
         parts += context.control.list_parts()
+        parts += [context.scheduling, context.scheduling.routes]
         parts += [part for make in PART_MAKERS for part in make(context)]
         parts += [context.gateway, health]
         self.http = web.HttpServer(
--- a/chivespoke/scheduling/_assembly.py
+++ b/chivespoke/scheduling/_assembly.py
@@ -39,7 +39,13 @@
 class Scheduling(application.Component):
     """Follow the shards of a process and own them when nobody does."""
 
-    __slots__ = ('desk', 'routes', '_components', '_application')
+    __slots__ = (
+        'desk',
+        'routes',
+        'followers',
+        '_components',
+        '_application',
+    )
 
     def __init__(
         self,
@@ -52,6 +58,8 @@
         policies: _owner.OwnerPolicies | None = None,
         connector: workers.WorkerConnector | None = None,
         incarnation: identifiers.Incarnation | None = None,
+        relay: platform.Relay | None = None,
+        retention: float | None = None,
     ) -> None:
         # The name stays over lives; the rest is new in each.
         life = incarnation or identifiers.make_incarnation()
@@ -59,7 +67,7 @@
         reach = connector or workers.HttpWorkerConnector()
         names = tuple(shards) or (_configuration.DEFAULT_SHARD,)
         streams = [
-            _stream.ShardStream(shard, log, committer, clock)
+            _stream.ShardStream(shard, log, committer, clock, relay)
             for shard in names
         ]
 
@@ -80,10 +88,18 @@
         ]
         self.desk = _desk.Desk(configuration, owners)
         self.routes = _routes.SchedulingRoutes(self.desk)
+        self.followers = tuple(stream.follower for stream in streams)
+        snapshotters: tuple[application.Component, ...] = ()
+        if retention is not None:
+            snapshotters = tuple(
+                platform.Snapshotter(follower, committer, clock, retention)
+                for follower in self.followers
+            )
         self._components: tuple[application.Component, ...] = (
             reach,
-            *(owner.stream for owner in owners),
+            *streams,
             *owners,
+            *snapshotters,
         )
         self._application = application.Application(self._components)
 
--- a/chivespoke/scheduling/_stream.py
+++ b/chivespoke/scheduling/_stream.py
@@ -23,13 +23,14 @@
         log: platform.Log,
         committer: platform.GroupCommitter,
         clock: clocks.Clock,
+        relay: platform.Relay | None = None,
     ) -> None:
         self.name = name
         self.clock = clock
         self.committer = committer
         self.fold = _fold.ShardFold(name)
         self.replica = platform.Replica(STREAM_PREFIX + name, self.fold)
-        self.follower = platform.Follower(log, self.replica, clock)
+        self.follower = platform.Follower(log, self.replica, clock, relay)
         committer.watch(self.replica)
 
     async def start(self) -> None:
