Run the whole system in one process: chivespoke demo

Cause: the parts had landed but nothing put tasks into an entry, and nobody had seen the whole path run.

--- a/chivespoke/cli/__init__.py
+++ b/chivespoke/cli/__init__.py
@@ -27,6 +27,11 @@
     name='data-centre',
     help='Take data centres out of service and return them.',
 )
+COMMANDS.command(
+    'chivespoke.cli._demo:show_demo',
+    name='demo',
+    help='Run the whole system in one process and show it work.',
+)
 COMMANDS.command(
     'chivespoke.cli._daemons:run_entry',
     name='entry',
