--- a/chivespoke/cli/_bench.py
+++ b/chivespoke/cli/_bench.py
@@ -23,3 +23,13 @@
     name='faults',
     help='Run tasks under random faults and check invariants.',
 )
+BENCH.command(
+    'chivespoke.cli._bench_platform:show_log',
+    name='log',
+    help="Measure the log's client: appends, bytes, replay, snapshots.",
+)
+BENCH.command(
+    'chivespoke.cli._bench_platform:show_config',
+    name='config',
+    help='Measure the configuration: in force, replay, cost of an entry.',
+)
