--- a/chivespoke/cli/_bench.py
+++ b/chivespoke/cli/_bench.py
@@ -13,6 +13,11 @@
     help='Measure speeds and costs on this machine.',
     help_epilogue=EPILOGUE,
 )
+BENCH.command(
+    'chivespoke.cli._bench_policy:show_policy',
+    name='policy',
+    help='Compare the policies on a seeded model of workers.',
+)
 BENCH.command(
     'chivespoke.cli._slopes:show_slopes',
     name='slopes',
