--- a/chivespoke/bench/_cluster.py
+++ b/chivespoke/bench/_cluster.py
@@ -245,6 +245,8 @@
             cluster.policies,
             GatedConnector(cluster.connector, self.gate),
             identifiers.Incarnation(str(life)),
+            retention=cluster.retention,
+            plan=cluster.plan,
         )
 
     @property
@@ -275,13 +277,16 @@
         shards: collections.abc.Sequence[str] = ('default',),
         policies: scheduling.OwnerPolicies | None = None,
         retention: float = float('inf'),
+        plan: scheduling.PlannerMaker = scheduling.make_planners,
     ) -> None:
         self.clock = clocks.ManualClock()
         self.log = standins.MemoryLog(self.clock, retention)
         self.configuration = scheduling.FixedConfiguration()
         self.configuration.set(build_document(shards))
         self.shards = tuple(shards)
+        self.retention = None if retention == float('inf') else retention
         self.policies = policies
+        self.plan = plan
         self.connector = standins.MemoryWorkerConnector()
         self.agents: dict[int, standins.WorkerAgent] = {}
         self.processes: dict[str, SchedulerProcess] = {}
@@ -352,10 +357,22 @@
                 if not self.log.faults.read_down:
                     process.configuration.poll(now)
         for agent in self.agents.values():
+            running = len(agent.runs)
             agent.settle()
+            if len(agent.runs) < running:
+                self._tell_news(agent)
         for _ in range(TURNS):
             await asyncio.sleep(0)
 
+    def _tell_news(self, agent: standins.WorkerAgent) -> None:
+        """Tell the processes, as a worker does, that something ended."""
+        registration = agent.registration
+        if not self.connector.clients[registration.address].reachable:
+            return
+        for process in self.processes.values():
+            if process.gate.is_open:
+                process.desk.poke(registration.group, registration.worker_id)
+
     def find_owner(
         self, shard: str = 'default'
     ) -> scheduling.ShardOwner | None:
--- a/chivespoke/scheduling/__init__.py
+++ b/chivespoke/scheduling/__init__.py
@@ -1,6 +1,8 @@
 """Scheduling: placement, interference, quotas, quarantine, drains."""
 
+from chivespoke.scheduling._assembly import make_naive_planners
 from chivespoke.scheduling._assembly import make_planners
+from chivespoke.scheduling._assembly import PlannerMaker
 from chivespoke.scheduling._assembly import Scheduling
 from chivespoke.scheduling._configuration import ConfigurationSource
 from chivespoke.scheduling._configuration import FixedConfiguration
@@ -47,6 +49,7 @@
     'OwnerPolicies',
     'PlacedTask',
     'PlacementPolicy',
+    'PlannerMaker',
     'Planner',
     'Priority',
     'Refusal',
@@ -58,6 +61,7 @@
     'TaskDemand',
     'WorkerReport',
     'WorkerView',
+    'make_naive_planners',
     'make_planners',
     'make_registration',
 ]
--- a/chivespoke/scheduling/_assembly.py
+++ b/chivespoke/scheduling/_assembly.py
@@ -10,8 +10,10 @@
 from chivespoke.scheduling import _desk
 from chivespoke.scheduling import _drain
 from chivespoke.scheduling import _feasibility
+from chivespoke.scheduling import _naive_plans
 from chivespoke.scheduling import _owner
 from chivespoke.scheduling import _planner
+from chivespoke.scheduling import _preemption
 from chivespoke.scheduling import _quarantine
 from chivespoke.scheduling import _routes
 from chivespoke.scheduling import _services
@@ -30,12 +32,32 @@
         _quarantine.QuarantinePlanner(),
         _services.ServicePlanner(),
         _drain.DrainPlanner(),
+        _preemption.PreemptionPlanner(),
         _transfers.QuotaPlanner(stream.propose),
         _transfers.BalancePlanner(peers),
         _transfers.TransferCourier(stream.propose),
     )
 
 
+def make_naive_planners(
+    stream: _stream.ShardStream, peers: _transfers.Peers
+) -> tuple[_planner.Planner, ...]:
+    """Return planners that stop everything at once on a take-out."""
+    del peers
+    return (
+        _feasibility.FlagPlanner(),
+        _naive_plans.HastyServicePlanner(),
+        _naive_plans.StopEverything(),
+        _transfers.QuotaPlanner(stream.propose),
+        _transfers.TransferCourier(stream.propose),
+    )
+
+
+PlannerMaker = collections.abc.Callable[
+    [_stream.ShardStream, _transfers.Peers], tuple[_planner.Planner, ...]
+]
+
+
 class Scheduling(application.Component):
     """Follow the shards of a process and own them when nobody does."""
 
@@ -60,6 +82,7 @@
         incarnation: identifiers.Incarnation | None = None,
         relay: platform.Relay | None = None,
         retention: float | None = None,
+        plan: PlannerMaker = make_planners,
     ) -> None:
         # The name stays over lives; the rest is new in each.
         life = incarnation or identifiers.make_incarnation()
@@ -82,7 +105,7 @@
                 reach,
                 clock,
                 policies,
-                make_planners(stream, list_peers),
+                plan(stream, list_peers),
             )
             for stream in streams
         ]
--- a/chivespoke/scheduling/_drain.py
+++ b/chivespoke/scheduling/_drain.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from chivespoke import identifiers
+from chivespoke.scheduling import _attempts
 from chivespoke.scheduling import _link
 from chivespoke.scheduling import _planner
 from chivespoke.scheduling import _records
@@ -20,7 +21,7 @@
     """Weigh moving one attempt."""
 
     worker: int
-    key: _link.AttemptKey
+    key: _attempts.AttemptKey
     checkpointing: bool
     # Processor seconds of progress that the move throws away.
     lost: float
@@ -35,7 +36,7 @@
 
     def __init__(self) -> None:
         self._out_since: dict[identifiers.DataCentreName, float] = {}
-        self._queued: dict[int, set[_link.AttemptKey]] = {}
+        self._queued: dict[int, set[_attempts.AttemptKey]] = {}
 
     def plan(
         self, now: float, owner: _planner.PlanContext
@@ -117,7 +118,7 @@
 def make_move(
     now: float,
     worker: int,
-    key: _link.AttemptKey,
+    key: _attempts.AttemptKey,
     job: _state.Job,
     link: _link.WorkerLink,
 ) -> Move:
--- a/chivespoke/scheduling/_lapse.py
+++ b/chivespoke/scheduling/_lapse.py
@@ -97,4 +97,4 @@
 
 def _may_return(link: _link.WorkerLink) -> bool:
     """Tell whether the worker answers and runs nothing of old."""
-    return link.contacted and not link.failures and link.is_clean()
+    return link.contacted and not link.failures and link.book.is_clean()
--- a/chivespoke/scheduling/_owner.py
+++ b/chivespoke/scheduling/_owner.py
@@ -11,6 +11,7 @@
 from chivespoke import identifiers
 from chivespoke import logs
 from chivespoke import operators
+from chivespoke.scheduling import _claims
 from chivespoke.scheduling import _configuration
 from chivespoke.scheduling import _first_fit
 from chivespoke.scheduling import _index
@@ -33,8 +34,6 @@
 PLAN_INTERVAL = 1.0
 # Seconds between signs of life in a stream that is otherwise quiet.
 ALIVE_INTERVAL = 5.0
-# Seconds of a quiet stream after which another process takes over.
-TAKE_OVER_AFTER = 15.0
 # Seconds for which a proposal is not made again.
 PROPOSAL_SECONDS = 5.0
 
@@ -200,9 +199,9 @@
             return True
         if self._held_epoch:
             self._end_epoch()
-        self._fence_predecessors()
-        if self._is_vacant():
-            self._claim()
+        if self._is_proven() and not self._is_batch_under_way():
+            quiet = self.read_clock() - self._heard_at
+            self._submit(_claims.decide(self.shard, self.identity, quiet))
         return False
 
     def _begin_epoch(self, epoch: int) -> None:
@@ -219,36 +218,6 @@
         self._inbox = []
         self._proposed = {}
 
-    def _fence_predecessors(self) -> None:
-        """Say of own earlier epochs, in this life or not, that they ended."""
-        if self._is_batch_under_way() or not self._is_proven():
-            return
-        mine = get_process_name(self.identity)
-        fences = [
-            _records.OwnerFenced(epoch)
-            for epoch, owner in self.shard.unfenced.items()
-            if get_process_name(owner) == mine
-        ]
-        if fences:
-            self._submit(fences)
-
-    def _is_vacant(self) -> bool:
-        if not self._is_proven() or self._is_batch_under_way():
-            return False
-        if not self.shard.epoch:
-            return True
-        # The own next life takes over at once: the last one is dead.
-        same = get_process_name(self.shard.owner) == get_process_name(
-            self.identity
-        )
-        quiet = self.read_clock() - self._heard_at
-        return same or quiet > TAKE_OVER_AFTER
-
-    def _claim(self) -> None:
-        self._submit(
-            [_records.OwnerClaimed(self.shard.epoch + 1, self.identity)]
-        )
-
     def _is_proven(self) -> bool:
         age = self.stream.measure_proof_age()
         return age <= _permits.FRESHNESS_LIMIT
@@ -356,8 +325,11 @@
                 | _records.WorkerQuarantined()
             ):
                 self._dirty.add(record.worker)
+                # The tasks that it freed wait again.
+                self.placer.active.update(self.shard.jobs)
             case _records.WorkerRegistered():
                 self._dirty.add(self.shard.worker_numbers[record.worker_id])
+                self.placer.active.update(self.shard.jobs)
             case _records.JobSubmitted():
                 self.placer.active.add(self.shard.next_job - 1)
             case _records.ConfigurationObserved():
@@ -398,6 +370,8 @@
             link = self.links.get(number)
             if link is None or link.incarnation != worker.incarnation:
                 link = self._connect(number)
+            elif link.address != worker.address and not link.busy:
+                link.move(worker.address, self._connector)
             if link.is_due(now):
                 self._tasks.spawn(link.exchange())
         self._awake.clear()
@@ -407,7 +381,7 @@
         link = _link.WorkerLink(
             self,
             number,
-            worker.incarnation,
+            worker,
             self._connector.connect(worker.address),
         )
         self.links[number] = link
@@ -419,8 +393,3 @@
         link = self.links.get(number) if number is not None else None
         if link is not None and not link.busy and self.epoch:
             self._tasks.spawn(link.exchange(renew=True))
-
-
-def get_process_name(identity: identifiers.Incarnation) -> str:
-    """Return the name that a process keeps over its lives."""
-    return identity.partition(':')[0]
--- a/chivespoke/scheduling/_services.py
+++ b/chivespoke/scheduling/_services.py
@@ -14,7 +14,7 @@
 SURGE_SHARE = 0.25
 # Seconds for which a replacement may be without room before an old replica
 # makes way for it.
-ROOM_WAIT = 10.0
+ROOM_WAIT = 30.0
 # Seconds after which replicas leave a data centre that is out, replaced or
 # not, when operators set no time.
 LEAVE_WAIT = 60.0
--- a/chivespoke/standins/_worker.py
+++ b/chivespoke/standins/_worker.py
@@ -87,7 +87,8 @@
         """Extend the leases; refuse a stale owner."""
         self.settle()
         self._check_epoch(renewal.epoch)
-        self.lease_until = max(self.lease_until, renewal.lease_until)
+        if renewal.incarnation == self.registration.incarnation:
+            self.lease_until = max(self.lease_until, renewal.lease_until)
         now = self.clock.read_monotonic()
         for key in renewal.acknowledged:
             if key in self._tombstones:
@@ -115,6 +116,12 @@
         """Start an attempt, or refuse it for good."""
         self.settle()
         self._check_epoch(command.epoch)
+        if command.incarnation != self.registration.incarnation:
+            raise errors.RefusedError(
+                'start an attempt',
+                self.registration.worker_id,
+                'the permit is for another incarnation',
+            )
         key = (command.task_id, command.attempt)
         if key in self._tombstones:
             return self._tombstones[key][0]
--- a/chivespoke/workers/_messages.py
+++ b/chivespoke/workers/_messages.py
@@ -72,6 +72,8 @@
     permit_until: float
     # The sender's owner epoch of the shard: a lower one is stale.
     epoch: int = 0
+    # Whose clock the permit was computed for; another one refuses.
+    incarnation: identifiers.Incarnation = identifiers.Incarnation('')
     # Resume from this checkpoint; empty starts from the beginning.
     checkpoint: str = ''
 
@@ -84,6 +86,8 @@
     epoch: int
     # Reading of the worker's clock at which the leases lapse.
     lease_until: float
+    # Whose clock the lease was computed for; another one takes no lease.
+    incarnation: identifiers.Incarnation = identifiers.Incarnation('')
     # Terminal statuses that the log holds: the worker may drop them.
     acknowledged: tuple[
         tuple[identifiers.TaskId, identifiers.Attempt], ...
