--- a/chivespoke/bench/__init__.py
+++ b/chivespoke/bench/__init__.py
@@ -1,13 +1,23 @@
 """Seeded measurements; their figures go to standard output as JSON or text."""
 
+from chivespoke.bench._policy_plot import draw_policies
+from chivespoke.bench._policy_runner import Outcome as PolicyOutcome
+from chivespoke.bench._policy_runner import run_all as run_policies
+from chivespoke.bench._policy_runner import select as select_measure
+from chivespoke.bench._policy_suites import POLICY_NAMES
 from chivespoke.bench._slope_scenarios import list_slope_scenarios
 from chivespoke.bench._slopes import measure_slopes
 from chivespoke.bench._slopes import Progress
 from chivespoke.bench._slopes import Scenario
 
 __all__ = [
+    'POLICY_NAMES',
+    'PolicyOutcome',
     'Progress',
     'Scenario',
+    'draw_policies',
     'list_slope_scenarios',
     'measure_slopes',
+    'run_policies',
+    'select_measure',
 ]
--- a/chivespoke/bench/_processes.py
+++ b/chivespoke/bench/_processes.py
@@ -24,6 +24,9 @@
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.1
 STOP_SECONDS = 20.0
+# Seconds between looks at the open connections; far less than the time for
+# which an idle connection is kept.
+LOOK_SECONDS = 2.0
 LOOPBACK = '127.0.0.1'
 # The kernel's own counts of payload bytes of a TCP connection.
 SENT = re.compile(r'bytes_sent:(\d+)')
@@ -135,21 +138,32 @@
         )
 
     async def measure(self, seconds: float) -> Usage:
-        """Return what the process spends over the given seconds."""
-        before = await self.sample()
-        await asyncio.sleep(seconds)
-        return compare_samples(before, await self.sample())
-
+        """Return what the process spends over the given seconds.
 
-def compare_samples(before: Sample, after: Sample) -> Usage:
+        Connections are looked at often enough that one which is closed
+        after its idle time has been counted whole.
+        """
+        before = await self.sample()
+        end = before.at + seconds
+        seen: dict[str, int] = {}
+        while time.monotonic() < end:
+            left = end - time.monotonic()
+            await asyncio.sleep(max(0.0, min(LOOK_SECONDS, left)))
+            seen.update(await read_connections(self.pid))
+        return compare_samples(before, await self.sample(), seen)
+
+
+def compare_samples(
+    before: Sample, after: Sample, seen: dict[str, int]
+) -> Usage:
     """Return the rates between two samples.
 
-    A connection that closed in between is missed.
+    Seen are the connections that were open in between.
     """
     seconds = after.at - before.at
     moved = sum(
         total - before.connections.get(name, 0)
-        for name, total in after.connections.items()
+        for name, total in {**seen, **after.connections}.items()
     )
     return Usage(
         (after.core_seconds - before.core_seconds) / seconds,
--- a/chivespoke/bench/tests/test_processes.py
+++ b/chivespoke/bench/tests/test_processes.py
@@ -30,8 +30,8 @@
         before = _processes.Sample(10.0, 1.0, 50, {'a': 100, 'closed': 9})
         after = _processes.Sample(14.0, 3.0, 60, {'a': 500, 'new': 40})
         self.assertEqual(
-            _processes.Usage(0.5, 60.0, 110.0),
-            _processes.compare_samples(before, after),
+            _processes.Usage(0.5, 60.0, 115.0),
+            _processes.compare_samples(before, after, {'a': 90, 'gone': 20}),
         )
 
 
--- a/chivespoke/capacity/_slopes.py
+++ b/chivespoke/capacity/_slopes.py
@@ -43,6 +43,10 @@
     TRAFFIC = 'traffic'
     # Appends a second to the log.
     APPENDS = 'appends'
+    # Seconds from submission to start, 99th percentile.
+    START_DELAY = 'start delay'
+    # Seconds until a change is in force at another entry, the longest.
+    CHANGE_DELAY = 'change delay'
 
 
 class Slope(msgspec.Struct, frozen=True, kw_only=True):
--- a/chivespoke/cli/__init__.py
+++ b/chivespoke/cli/__init__.py
@@ -17,16 +17,31 @@
     name='capacity',
     help="Work out what each role costs at a fleet's size.",
 )
+COMMANDS.command(
+    'chivespoke.cli._config:CONFIG',
+    name='config',
+    help='Show, patch and follow the numbered configuration.',
+)
 COMMANDS.command(
     'chivespoke.cli._data_centre:DATA_CENTRE',
     name='data-centre',
     help='Take data centres out of service and return them.',
 )
+COMMANDS.command(
+    'chivespoke.cli._demo:show_demo',
+    name='demo',
+    help='Run the whole system in one process and show it work.',
+)
 COMMANDS.command(
     'chivespoke.cli._daemons:run_entry',
     name='entry',
     help='Run an entry until it is told to stop.',
 )
+COMMANDS.command(
+    'chivespoke.cli._status:explain',
+    name='explain',
+    help='Explain what a thing is, why, and what would change it.',
+)
 COMMANDS.command(
     'chivespoke.cli._job:JOB',
     name='job',
@@ -47,3 +62,8 @@
     name='standin',
     help='Run a fake of the outside.',
 )
+COMMANDS.command(
+    'chivespoke.cli._status:show_status',
+    name='status',
+    help='Show what calls for a hand, who lags, and by how long.',
+)
--- a/chivespoke/cli/_bench.py
+++ b/chivespoke/cli/_bench.py
@@ -13,6 +13,11 @@
     help='Measure speeds and costs on this machine.',
     help_epilogue=EPILOGUE,
 )
+BENCH.command(
+    'chivespoke.cli._bench_policy:show_policy',
+    name='policy',
+    help='Compare the policies on a seeded model of workers.',
+)
 BENCH.command(
     'chivespoke.cli._slopes:show_slopes',
     name='slopes',
@@ -23,6 +28,16 @@
     name='faults',
     help='Run tasks under random faults and check invariants.',
 )
+BENCH.command(
+    'chivespoke.cli._bench_platform:show_log',
+    name='log',
+    help="Measure the log's client: appends, bytes, replay, snapshots.",
+)
+BENCH.command(
+    'chivespoke.cli._bench_platform:show_config',
+    name='config',
+    help='Measure the configuration: in force, replay, cost of an entry.',
+)
 BENCH.command(
     'chivespoke.cli._bench_tasks:show_placement',
     name='placement',
--- a/chivespoke/demo/_settings.py
+++ b/chivespoke/demo/_settings.py
@@ -77,3 +77,24 @@
 def read_demo_settings(path: pathlib.Path) -> DemoSettings:
     """Read and check the file; raise SettingsError."""
     return yaml_files.read_yaml(path, DemoSettings, STEP)
+
+
+# The sizes of Kandy Tallyworks, as in examples/kandy_tallyworks.yaml.
+DEFAULT_SETTINGS = DemoSettings(
+    user='Kandy Tallyworks',
+    region='western',
+    data_centres=(
+        identifiers.DataCentreName('colombo'),
+        identifiers.DataCentreName('gampaha'),
+        identifiers.DataCentreName('kalutara'),
+    ),
+    team=identifiers.TeamName('counting'),
+    service=DemoService(name=identifiers.ServiceName('counting')),
+    job=DemoJob(
+        name='statements',
+        tasks=24,
+        size=resources.Resources(4000, 8192, 0),
+    ),
+    workers=DemoWorkers(capacity=resources.Resources(16_000, 61_440, 0)),
+    weights=operators.Weights(batch_throughput=2.0, data_centre_work=2.0),
+)
--- a/chivespoke/demo/tests/test_settings.py
+++ b/chivespoke/demo/tests/test_settings.py
@@ -29,6 +29,10 @@
                     ),
                 )
 
+    def test_default_is_the_first_example(self) -> None:
+        path = EXAMPLES / 'kandy_tallyworks.yaml'
+        self.assertEqual(demo.read_demo_settings(path), demo.DEFAULT_SETTINGS)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/chivespoke/entries/tests/test_membership.py
+++ b/chivespoke/entries/tests/test_membership.py
@@ -81,6 +81,20 @@
             folds.MembershipFold().decode(b'\x92\xa7Unknown\x01')
 
 
+class CompositionTest(unittest.TestCase):
+    """Make an entry before any event loop runs, as the daemon does."""
+
+    def test_entry_needs_no_loop_to_be_made(self) -> None:
+        daemons.Entry(
+            settings.EntrySettings(
+                name='entry-1',
+                data_centre=identifiers.DataCentreName('colombo-1'),
+                platform_log=settings.Address(),
+            ),
+            clocks.SystemClock(),
+        )
+
+
 class EntriesTest(unittest.IsolatedAsyncioTestCase):
     """Run entries against the stand-in log."""
 
--- a/chivespoke/operators/__init__.py
+++ b/chivespoke/operators/__init__.py
@@ -1,5 +1,6 @@
 """Operators: versioned configuration, jobs and explanations."""
 
+from chivespoke.operators._client import OperatorClient
 from chivespoke.operators._configuration import Configuration
 from chivespoke.operators._configuration import FRESHNESS_LIMIT
 from chivespoke.operators._document import DataCentre
@@ -73,6 +74,7 @@
     'LocalReporter',
     'LocalRoll',
     'Operation',
+    'OperatorClient',
     'OperatorRoutes',
     'PATCH_ID_HEADER',
     'PATCH_TYPE',
--- a/chivespoke/platform/__init__.py
+++ b/chivespoke/platform/__init__.py
@@ -26,6 +26,8 @@
 from chivespoke.platform._log import LogRecord
 from chivespoke.platform._replica import AppliedFrame
 from chivespoke.platform._replica import Replica
+from chivespoke.platform._snapshot import cut_snapshot
+from chivespoke.platform._snapshot import join_snapshot
 from chivespoke.platform._snapshotter import Snapshotter
 
 __all__ = [
@@ -47,6 +49,8 @@
     'Snapshotter',
     'answer_relay',
     'UnreadableError',
+    'cut_snapshot',
     'decode_frame',
     'encode_frame',
+    'join_snapshot',
 ]
--- a/chivespoke/platform/_committer.py
+++ b/chivespoke/platform/_committer.py
@@ -57,6 +57,7 @@
         'filled',
         'sequence',
         'applied',
+        'is_served',
     )
 
     def __init__(self, name: str) -> None:
@@ -65,6 +66,8 @@
         self.queued_bytes = 0
         self.filled = asyncio.Event()
         self.sequence = 0
+        # Whether the stream has a task yet; none before a loop runs.
+        self.is_served = False
         # Resolved when the frame under way is seen in the stream.
         self.applied: asyncio.Future[identifiers.Offset] | None = None
 
@@ -180,6 +183,9 @@
         )
         # A caller that went away does not make its error unseen.
         committed.add_done_callback(_read_error)
+        if not state.is_served:
+            state.is_served = True
+            self._tasks.spawn(self._run(state))
         state.queue.append(_Item(kind, record, committed))
         state.queued_bytes += len(record)
         state.filled.set()
@@ -189,7 +195,6 @@
         state = self._streams.get(name)
         if state is None:
             state = self._streams[name] = _Stream(name)
-            self._tasks.spawn(self._run(state))
         return state
 
     async def _run(self, stream: _Stream) -> None:
--- a/chivespoke/platform/_snapshot.py
+++ b/chivespoke/platform/_snapshot.py
@@ -1,5 +1,6 @@
 """Snapshots: the state of a stream at a mark, cut into parts."""
 
+import collections.abc
 import typing
 import zlib
 
@@ -130,3 +131,13 @@
     own: int
     other: int
     author: identifiers.Incarnation
+
+
+def join_snapshot(records: collections.abc.Iterable[bytes]) -> bytes:
+    """Return the encoded state of a snapshot's records."""
+    collector = SnapshotCollector('snapshot')
+    for record in records:
+        encoded = collector.add('', decode_part(record, 'snapshot'))
+        if encoded is not None:
+            return encoded
+    raise _frame.UnreadableError(STEP, 'snapshot', 'a part is missing')
--- /dev/null
+++ b/chivespoke/scheduling/policies/__init__.py
@@ -0,0 +1,67 @@
+"""Policies: placement, guards, sizes, routing, and their naive twins."""
+
+from chivespoke.scheduling.policies._guard import SteppedGuard
+from chivespoke.scheduling.policies._interference import add_shares
+from chivespoke.scheduling.policies._interference import InterferenceModel
+from chivespoke.scheduling.policies._interference import make_share
+from chivespoke.scheduling.policies._interference import NoInterference
+from chivespoke.scheduling.policies._interference import PairwiseModel
+from chivespoke.scheduling.policies._interference import Prediction
+from chivespoke.scheduling.policies._interference import Share
+from chivespoke.scheduling.policies._knowledge import Knowledge
+from chivespoke.scheduling.policies._knowledge import ReplicaState
+from chivespoke.scheduling.policies._naive import EvictAtOnce
+from chivespoke.scheduling.policies._naive import FirstFit
+from chivespoke.scheduling.policies._naive import IgnoreReports
+from chivespoke.scheduling.policies._naive import LeastLoaded
+from chivespoke.scheduling.policies._naive import NoGuard
+from chivespoke.scheduling.policies._naive import RandomChoice
+from chivespoke.scheduling.policies._placement import make_tuning
+from chivespoke.scheduling.policies._placement import Tuning
+from chivespoke.scheduling.policies._placement import WeighedPlacement
+from chivespoke.scheduling.policies._reports import MatchedReport
+from chivespoke.scheduling.policies._reports import Observation
+from chivespoke.scheduling.policies._reports import Refusal
+from chivespoke.scheduling.policies._reports import ReportMatcher
+from chivespoke.scheduling.policies._routing import DisturbanceRouting
+from chivespoke.scheduling.policies._routing import EvenRouting
+from chivespoke.scheduling.policies._routing import RoutingPolicy
+from chivespoke.scheduling.policies._sizes import CorrectedSize
+from chivespoke.scheduling.policies._sizes import DeclaredSizes
+from chivespoke.scheduling.policies._sizes import LearntSizes
+from chivespoke.scheduling.policies._sizes import observe_sizes
+from chivespoke.scheduling.policies._sizes import SizePolicy
+
+__all__ = [
+    'CorrectedSize',
+    'DeclaredSizes',
+    'DisturbanceRouting',
+    'EvenRouting',
+    'EvictAtOnce',
+    'FirstFit',
+    'IgnoreReports',
+    'InterferenceModel',
+    'Knowledge',
+    'LearntSizes',
+    'LeastLoaded',
+    'MatchedReport',
+    'NoGuard',
+    'NoInterference',
+    'Observation',
+    'PairwiseModel',
+    'Prediction',
+    'RandomChoice',
+    'Refusal',
+    'ReplicaState',
+    'ReportMatcher',
+    'RoutingPolicy',
+    'Share',
+    'SizePolicy',
+    'SteppedGuard',
+    'Tuning',
+    'WeighedPlacement',
+    'add_shares',
+    'make_share',
+    'make_tuning',
+    'observe_sizes',
+]
--- /dev/null
+++ b/chivespoke/scheduling/policies/_interference.py
@@ -0,0 +1,158 @@
+"""The interference model: how batch families slow services, by load."""
+
+import abc
+import math
+
+import msgspec
+import numpy
+
+from chivespoke import resources
+from chivespoke.scheduling.policies import _moments
+
+# Log slowdown that one whole worker of an unknown family is expected to add.
+PRIOR_HARM = 1.0
+PRIOR_DEVIATION = 1.0
+
+
+class Prediction(msgspec.Struct, frozen=True, gc=False):
+    """Hold a log slowdown and its standard deviation."""
+
+    mean: float
+    deviation: float
+
+
+class Share(msgspec.Struct, frozen=True, gc=False):
+    """Hold a use as shares of a worker's capacity."""
+
+    processors: float
+    memory: float
+    accelerators: float
+
+
+class InterferenceModel(abc.ABC):
+    """Predict what batch families do to services."""
+
+    @abc.abstractmethod
+    def predict_harm(
+        self, service: str, family: str, share: Share, load: float
+    ) -> Prediction:
+        """Return the log slowdown that a batch task's share adds.
+
+        The load is the service replica's, as a share of its usual peak.
+        """
+
+    @abc.abstractmethod
+    def estimate_alone(self, service: str, load: float) -> float | None:
+        """Return the service's latency alone in milliseconds, if known."""
+
+
+class NoInterference(InterferenceModel):
+    """Expect no harm from anything."""
+
+    __slots__ = ()
+
+    def predict_harm(
+        self, service: str, family: str, share: Share, load: float
+    ) -> Prediction:
+        return Prediction(0.0, 0.0)
+
+    def estimate_alone(self, service: str, load: float) -> float | None:
+        return None
+
+
+class PairwiseModel(InterferenceModel):
+    """Learn harm per pair and load, shrunk towards the family's mean."""
+
+    __slots__ = ('_fits', '_families', '_family_means', '_cache')
+
+    def __init__(self) -> None:
+        self._fits: dict[str, _moments.ServiceFit] = {}
+        self._families: dict[str, int] = {}
+        self._family_means = numpy.zeros(0)
+        self._cache: dict[tuple[str, str, Share, int], Prediction] = {}
+
+    def observe_latency(
+        self,
+        service: str,
+        load: float,
+        latency: float,
+        shares: dict[str, Share],
+        weight: float,
+    ) -> float:
+        """Take in one matched measurement; return its surprise.
+
+        The surprise is the innovation in standard deviations of the noise.
+        """
+        for family in shares:
+            self._families.setdefault(family, len(self._families))
+        features = numpy.zeros(_moments.KINDS * len(self._families))
+        for family, share in shares.items():
+            start = _moments.KINDS * self._families[family]
+            features[start] = share.processors
+            features[start + 1] = share.memory
+            features[start + 2] = share.accelerators
+        fit = self._fits.get(service)
+        if fit is None:
+            fit = self._fits[service] = _moments.ServiceFit()
+        surprise = fit.observe(load, math.log(latency), features, weight)
+        if fit.is_due:
+            self._refit()
+        return surprise
+
+    def predict_harm(
+        self, service: str, family: str, share: Share, load: float
+    ) -> Prediction:
+        bucket = _moments.find_bucket(load)
+        key = (service, family, share, bucket)
+        found = self._cache.get(key)
+        if found is None:
+            found = self._compute_harm(service, family, share, load)
+            self._cache[key] = found
+        return found
+
+    def estimate_alone(self, service: str, load: float) -> float | None:
+        fit = self._fits.get(service)
+        if fit is None or not fit.is_ready:
+            return None
+        return math.exp(fit.get_intercept(load))
+
+    def _compute_harm(
+        self, service: str, family: str, share: Share, load: float
+    ) -> Prediction:
+        vector = numpy.array(
+            [share.processors, share.memory, share.accelerators]
+        )
+        index = self._families.get(family)
+        fit = self._fits.get(service)
+        if fit is None or index is None or not fit.is_ready:
+            size = max(float(vector[0]), float(vector[1]))
+            return Prediction(PRIOR_HARM * size, PRIOR_DEVIATION * size)
+        return Prediction(*fit.predict(index, vector, load))
+
+    def _refit(self) -> None:
+        """Fit every service anew, towards the means over the services."""
+        self._cache.clear()
+        dimension = _moments.KINDS * len(self._families)
+        means = _moments.pool_means(list(self._fits.values()), dimension)
+        for fit in self._fits.values():
+            fit.refit(means)
+
+
+def make_share(
+    use: resources.Resources, capacity: resources.Resources
+) -> Share:
+    """Return a use as shares of a capacity."""
+    return Share(
+        use.millicores / max(capacity.millicores, 1),
+        use.memory_mib / max(capacity.memory_mib, 1),
+        use.accelerators / max(capacity.accelerators, 1),
+    )
+
+
+def add_shares(first: Share, second: Share) -> Share:
+    """Return the sum of two shares."""
+    return Share(
+        first.processors + second.processors,
+        first.memory + second.memory,
+        first.accelerators + second.accelerators,
+    )
--- /dev/null
+++ b/chivespoke/scheduling/policies/_knowledge.py
@@ -0,0 +1,209 @@
+"""What reports have taught: loads, slowdowns, harms and sizes."""
+
+import collections
+import math
+import typing
+
+import msgspec
+
+from chivespoke import identifiers
+from chivespoke import scheduling
+from chivespoke.scheduling.policies import _interference
+from chivespoke.scheduling.policies import _reports
+from chivespoke.scheduling.policies import _sizes
+from chivespoke import workers
+
+ReplicaKey: typing.TypeAlias = tuple[
+    identifiers.WorkerId, identifiers.TaskId, identifiers.Attempt
+]
+
+# Share of the newest measurement in a replica's filtered values.
+FILTER = 0.35
+# Decay of the highest rate that a replica of a service has shown.
+PEAK_DECAY = 0.9997
+# Share of a throttled task's use that remains.
+THROTTLED_SHARE = 0.3
+# Smoothing of a worker's mean squared surprise, and where distrust begins.
+TRUST_RATE = 0.03
+TRUST_LIMIT = 2.0
+DEFAULT_LOAD = 0.6
+
+
+class ReplicaState(msgspec.Struct):
+    """Hold what the reports say of one replica of a service."""
+
+    load: float = DEFAULT_LOAD
+    # Filtered log slowdown, and its excess over the model's expectation.
+    slowdown: float = 0.0
+    residual: float = 0.0
+    # Worker's clock at the start of the newest measured interval.
+    measured_from: float = -math.inf
+    # Log slowdown in the newest interval alone.
+    newest: float = 0.0
+
+
+class Knowledge(scheduling.ReportObserver):
+    """Learn from reports, and answer the policies' questions."""
+
+    __slots__ = (
+        'matcher',
+        'model',
+        'sizes',
+        'replicas',
+        '_peaks',
+        '_distrust',
+    )
+
+    def __init__(
+        self,
+        model: _interference.InterferenceModel,
+        sizes: _sizes.SizePolicy,
+    ) -> None:
+        self.matcher = _reports.ReportMatcher()
+        self.model = model
+        self.sizes = sizes
+        self.replicas: dict[ReplicaKey, ReplicaState] = {}
+        self._peaks: dict[str, dict[identifiers.WorkerId, float]] = {}
+        self._distrust: collections.defaultdict[
+            identifiers.WorkerId, float
+        ] = collections.defaultdict(lambda: 1.0)
+
+    def observe_report(
+        self,
+        now: float,
+        report: workers.UsageReport,
+        worker: scheduling.WorkerView,
+    ) -> None:
+        matched = self.matcher.match_report(now, report, worker)
+        if matched is None:
+            return
+        if isinstance(self.sizes, _sizes.LearntSizes) and matched.is_steady:
+            for each in matched.observations:
+                _sizes.observe_sizes(
+                    self.sizes,
+                    worker,
+                    each.usage.task_id,
+                    each.demand,
+                    each.usage.use,
+                )
+        self._observe_services(matched)
+
+    def predict_replica(
+        self,
+        worker: scheduling.WorkerView,
+        replica: scheduling.PlacedTask,
+        without: identifiers.TaskId | None = None,
+    ) -> _interference.Prediction:
+        """Return a replica's log slowdown by the tasks placed beside it."""
+        service = replica.demand.family
+        load = self.get_replica(worker, replica).load
+        mean = variance = 0.0
+        for placed in worker.tasks.values():
+            demand = placed.demand
+            if demand.kind is not workers.TaskKind.BATCH:
+                continue
+            if demand.task_id == without:
+                continue
+            scale = THROTTLED_SHARE if placed.throttled else 1.0
+            harm = self.predict_harm(service, demand, worker, load)
+            mean += scale * harm.mean
+            variance += (scale * harm.deviation) ** 2
+        return _interference.Prediction(mean, variance**0.5)
+
+    def predict_harm(
+        self,
+        service: str,
+        demand: scheduling.TaskDemand,
+        worker: scheduling.WorkerView,
+        load: float,
+    ) -> _interference.Prediction:
+        """Return the log slowdown that one task adds to a service."""
+        use = self.sizes.estimate_use(demand)
+        share = _interference.make_share(use, worker.capacity)
+        return self.model.predict_harm(service, demand.family, share, load)
+
+    def get_replica(
+        self, worker: scheduling.WorkerView, replica: scheduling.PlacedTask
+    ) -> ReplicaState:
+        """Return a replica's state; a new replica's until it reports."""
+        key = (worker.worker_id, replica.demand.task_id, replica.attempt)
+        state = self.replicas.get(key)
+        if state is None:
+            state = self.replicas[key] = ReplicaState()
+        return state
+
+    def _observe_services(self, matched: _reports.MatchedReport) -> None:
+        shares: dict[str, _interference.Share] = {}
+        for each in matched.observations:
+            if each.demand.kind is not workers.TaskKind.BATCH:
+                continue
+            share = _interference.make_share(each.usage.use, matched.capacity)
+            known = shares.get(each.demand.family)
+            if known is not None:
+                share = _interference.add_shares(known, share)
+            shares[each.demand.family] = share
+        for each in matched.observations:
+            if each.demand.kind is workers.TaskKind.LATENCY_CRITICAL:
+                self._observe_replica(matched, each, shares)
+
+    def _observe_replica(
+        self,
+        matched: _reports.MatchedReport,
+        observation: _reports.Observation,
+        shares: dict[str, _interference.Share],
+    ) -> None:
+        service = observation.demand.family
+        rate = observation.usage.request_rate or 0.0
+        latency = observation.usage.latency_p99 or 1.0
+        load = self._normalise_rate(service, matched.worker_id, rate)
+        if matched.is_steady:
+            self._learn(matched, service, load, latency, shares)
+        key = (
+            matched.worker_id,
+            observation.usage.task_id,
+            observation.usage.attempt,
+        )
+        state = self.replicas.setdefault(key, ReplicaState())
+        state.measured_from = matched.measured_from
+        state.load += FILTER * (load - state.load)
+        alone = self.model.estimate_alone(service, load)
+        if alone is None:
+            return
+        expected = sum(
+            self.model.predict_harm(service, family, share, load).mean
+            for family, share in shares.items()
+        )
+        state.newest = math.log(latency / alone)
+        state.slowdown += FILTER * (state.newest - state.slowdown)
+        excess = state.newest - expected
+        state.residual += FILTER * (excess - state.residual)
+
+    def _learn(
+        self,
+        matched: _reports.MatchedReport,
+        service: str,
+        load: float,
+        latency: float,
+        shares: dict[str, _interference.Share],
+    ) -> None:
+        if not isinstance(self.model, _interference.PairwiseModel):
+            return
+        distrust = self._distrust[matched.worker_id]
+        weight = 1.0 if distrust < TRUST_LIMIT else (1.0 / distrust) ** 2
+        surprise = self.model.observe_latency(
+            service, load, latency, shares, weight
+        )
+        squared = min(surprise * surprise, 100.0)
+        self._distrust[matched.worker_id] = distrust + TRUST_RATE * (
+            squared - distrust
+        )
+
+    def _normalise_rate(
+        self, service: str, worker_id: identifiers.WorkerId, rate: float
+    ) -> float:
+        """Return a rate as a share of the median worker's peak."""
+        peaks = self._peaks.setdefault(service, {})
+        peaks[worker_id] = max(rate, PEAK_DECAY * peaks.get(worker_id, 0.0))
+        ordered = sorted(peaks.values())
+        peak = ordered[len(ordered) // 2]
+        return rate / peak if peak > 0.0 else 0.0
--- /dev/null
+++ b/chivespoke/scheduling/policies/_placement.py
@@ -0,0 +1,206 @@
+"""Placement by predicted slowdown, packing, spread and pressure."""
+
+import collections.abc
+import math
+
+import msgspec
+
+from chivespoke import clock as clocks
+from chivespoke import operators
+from chivespoke import scheduling
+from chivespoke.scheduling.policies import _knowledge
+from chivespoke import workers
+
+# Deviations of a prediction that are added to it where no budget is left.
+CAUTION = 0.5
+# Deviations taken off for what is little known, while budget is left.
+CURIOSITY = 0.3
+# Seconds of waiting after which a task accepts twice the slowdown.
+PATIENCE = 1800.0
+PACKING_COST = 0.05
+SPREAD_COST = 0.05
+PRESSURE_COST = 2.0
+# Expected use beyond this share of the processors slows everything.
+PRESSURE_LIMIT = 0.95
+WAITING_LIMIT = 10000
+
+
+class Tuning(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what the operators' weights mean for the policies."""
+
+    # Log slowdowns: of placements to avoid, and of guards.
+    place_limit: float
+    guard_limit: float
+    tail_weight: float
+    spread_weight: float
+    eviction_weight: float
+
+
+def make_tuning(weights: operators.Weights) -> Tuning:
+    """Derive the limits from the ratios of the weights."""
+    total = weights.tail_latency + weights.batch_throughput
+    tail = weights.tail_latency / total if total > 0.0 else 0.5
+    others = sum(
+        (
+            weights.tail_latency,
+            weights.batch_throughput,
+            weights.evictions,
+            weights.data_centre_work,
+        )
+    )
+    mean = others / 4.0 if others > 0.0 else 1.0
+    return Tuning(
+        place_limit=math.log(2.0 + 2.0 * (1.0 - tail)),
+        guard_limit=math.log(2.5 + 2.5 * (1.0 - tail)),
+        tail_weight=2.0 * tail,
+        spread_weight=weights.data_centre_work / mean,
+        eviction_weight=weights.evictions / mean,
+    )
+
+
+class WeighedPlacement(scheduling.PlacementPolicy):
+    """Take the candidate of least weighed cost, or wait."""
+
+    __slots__ = ('_knowledge', '_tuning', '_clock', '_waiting')
+
+    def __init__(
+        self,
+        knowledge: _knowledge.Knowledge,
+        weights: operators.Weights,
+        clock: clocks.Clock,
+    ) -> None:
+        self._knowledge = knowledge
+        self._tuning = make_tuning(weights)
+        self._clock = clock
+        # When each waiting task was first considered.
+        self._waiting: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+
+    def choose_worker(
+        self,
+        demand: scheduling.TaskDemand,
+        candidates: collections.abc.Sequence[scheduling.WorkerView],
+    ) -> scheduling.WorkerView | None:
+        if not candidates:
+            return None
+        is_batch = demand.kind is workers.TaskKind.BATCH
+        limit = self._find_limit(demand) if is_batch else math.inf
+        spread = _count_family(demand, candidates)
+        best: scheduling.WorkerView | None = None
+        best_cost = math.inf
+        for worker in candidates:
+            if is_batch:
+                cost = self._score_batch(demand, worker, limit)
+            else:
+                cost = self._score_service(demand, worker)
+            cost += self._score_spread(worker, spread)
+            if cost < best_cost:
+                best, best_cost = worker, cost
+        if best is not None:
+            self._waiting.pop(demand.task_id, None)
+        return best
+
+    def _find_limit(self, demand: scheduling.TaskDemand) -> float:
+        """Return the log slowdown that a task's waiting has earned it."""
+        now = self._clock.read_monotonic()
+        since = self._waiting.setdefault(demand.task_id, now)
+        if len(self._waiting) > WAITING_LIMIT:
+            self._waiting.popitem(last=False)
+        if demand.priority is scheduling.Priority.URGENT:
+            return 2.0 * self._tuning.place_limit
+        return self._tuning.place_limit * (1.0 + (now - since) / PATIENCE)
+
+    def _score_batch(
+        self,
+        demand: scheduling.TaskDemand,
+        worker: scheduling.WorkerView,
+        limit: float,
+    ) -> float:
+        """Return the cost of a batch task; infinite means not there now."""
+        cost = 0.0
+        for replica in worker.tasks.values():
+            if replica.demand.kind is not workers.TaskKind.LATENCY_CRITICAL:
+                continue
+            cost += self._score_harm(demand, worker, replica, limit)
+            if cost == math.inf:
+                return cost
+        cost *= self._tuning.tail_weight
+        return cost + self._score_room(demand, worker)
+
+    def _score_harm(
+        self,
+        demand: scheduling.TaskDemand,
+        worker: scheduling.WorkerView,
+        replica: scheduling.PlacedTask,
+        limit: float,
+    ) -> float:
+        knowledge = self._knowledge
+        state = knowledge.get_replica(worker, replica)
+        before = knowledge.predict_replica(worker, replica)
+        harm = knowledge.predict_harm(
+            replica.demand.family, demand, worker, state.load
+        )
+        base = before.mean + max(state.residual, 0.0)
+        deviation = math.hypot(before.deviation, harm.deviation)
+        after = base + harm.mean
+        if after + CAUTION * deviation > limit and harm.mean > 0.02:
+            return math.inf
+        added = math.exp(after) - math.exp(base)
+        # Trying what is little known is worth something only while even
+        # a bad outcome stays within the budget.
+        if after + 2.0 * deviation < limit:
+            return added - CURIOSITY * harm.deviation * added
+        return added + CAUTION * harm.deviation
+
+    def _score_service(
+        self, demand: scheduling.TaskDemand, worker: scheduling.WorkerView
+    ) -> float:
+        cost = 0.0
+        for placed in worker.tasks.values():
+            if placed.demand.kind is not workers.TaskKind.BATCH:
+                continue
+            cost += self._knowledge.predict_harm(
+                demand.family,
+                placed.demand,
+                worker,
+                _knowledge.DEFAULT_LOAD,
+            ).mean
+        return cost + self._score_room(demand, worker)
+
+    def _score_room(
+        self, demand: scheduling.TaskDemand, worker: scheduling.WorkerView
+    ) -> float:
+        estimate = self._knowledge.sizes.estimate_use
+        used = estimate(demand).millicores
+        for placed in worker.tasks.values():
+            used += estimate(placed.demand).millicores
+        share = used / max(worker.capacity.millicores, 1)
+        over = max(share - PRESSURE_LIMIT, 0.0)
+        return PRESSURE_COST * over + PACKING_COST * (1.0 - share)
+
+    def _score_spread(
+        self,
+        worker: scheduling.WorkerView,
+        counts: collections.Counter[str],
+    ) -> float:
+        total = counts['']
+        if not total:
+            return 0.0
+        share = counts[worker.rack] + counts[worker.data_centre]
+        return SPREAD_COST * self._tuning.spread_weight * share / total
+
+
+def _count_family(
+    demand: scheduling.TaskDemand,
+    candidates: collections.abc.Sequence[scheduling.WorkerView],
+) -> collections.Counter[str]:
+    """Count the family's tasks by rack and data centre, '' for all."""
+    counts: collections.Counter[str] = collections.Counter()
+    for worker in candidates:
+        for placed in worker.tasks.values():
+            if placed.demand.family == demand.family:
+                counts[worker.rack] += 1
+                counts[worker.data_centre] += 1
+                counts[''] += 1
+    return counts
--- /dev/null
+++ b/chivespoke/scheduling/policies/_reports.py
@@ -0,0 +1,220 @@
+"""Checks of usage reports, and their match to what shared the worker."""
+
+import collections
+import enum
+import math
+
+import msgspec
+
+from chivespoke import identifiers
+from chivespoke import resources
+from chivespoke import scheduling
+from chivespoke import workers
+
+# Tasks whose demand is remembered for each worker after they left.
+HISTORY_LIMIT = 128
+# No report from a worker can be older than this.
+LAG_LIMIT = 600.0  # seconds
+# A report may seem to come from this far ahead of a worker's clock.
+FUTURE_TOLERANCE = 2.0  # seconds
+# A use beyond this multiple of the worker's capacity is a fault.
+USE_LIMIT = 4.0
+RATE_LIMIT = 1e7  # requests a second
+LATENCY_LIMIT = 1e7  # milliseconds
+
+
+class Refusal(enum.Enum):
+    """Name the reasons for which a report, or a part of it, is refused."""
+
+    DUPLICATE = 'duplicate'
+    FUTURE = 'future'
+    STALE = 'stale'
+    MALFORMED = 'malformed'
+    MISSING = 'missing'
+    UNKNOWN_TASK = 'unknown-task'
+    SPANS_CHANGE = 'spans-change'
+
+
+class Observation(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one task's checked measurement and what kind of task it is."""
+
+    usage: workers.TaskUsage
+    demand: scheduling.TaskDemand
+
+
+class MatchedReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold a checked report with the co-location at its measurement."""
+
+    worker_id: identifiers.WorkerId
+    measured_from: float
+    measured_until: float
+    capacity: resources.Resources
+    observations: tuple[Observation, ...]
+    # Whether the same attempts shared the worker over the whole interval.
+    is_steady: bool
+
+
+class _WorkerHistory:
+    """Remember one worker's tasks, last report and clock."""
+
+    __slots__ = ('demands', 'sequence', 'until', 'attempts', 'clock_offset')
+
+    def __init__(self) -> None:
+        self.demands: collections.OrderedDict[
+            tuple[str, int], scheduling.TaskDemand
+        ] = collections.OrderedDict()
+        self.sequence = -1
+        self.until = -math.inf
+        self.attempts: frozenset[tuple[str, int]] = frozenset()
+        # Least seen difference of the scheduler's clock to the worker's.
+        self.clock_offset = math.inf
+
+
+class ReportMatcher:
+    """Refuse bad reports and match the good to what shared the worker."""
+
+    __slots__ = ('refusals', '_histories')
+
+    def __init__(self) -> None:
+        self.refusals: collections.Counter[Refusal] = collections.Counter()
+        self._histories: dict[identifiers.WorkerId, _WorkerHistory] = {}
+
+    def observe_clock(
+        self, now: float, worker_id: identifiers.WorkerId, clock: float
+    ) -> None:
+        """Take in a heartbeat's clock reading, for a tighter bound."""
+        history = self._get_history(worker_id)
+        if math.isfinite(clock):
+            history.clock_offset = min(history.clock_offset, now - clock)
+
+    def estimate_worker_clock(
+        self, now: float, worker_id: identifiers.WorkerId
+    ) -> float:
+        """Return the worker's clock at the scheduler's time."""
+        offset = self._get_history(worker_id).clock_offset
+        return now - offset if math.isfinite(offset) else math.inf
+
+    def match_report(
+        self,
+        now: float,
+        report: workers.UsageReport,
+        worker: scheduling.WorkerView,
+    ) -> MatchedReport | None:
+        """Return the checked report, or None when it is refused."""
+        history = self._get_history(report.worker_id)
+        self._remember_tasks(history, worker)
+        refusal = self._check_frame(now, report, history)
+        if refusal is not None:
+            self.refusals[refusal] += 1
+            return None
+        contiguous = report.sequence == history.sequence + 1
+        attempts = frozenset(
+            (usage.task_id, usage.attempt) for usage in report.tasks
+        )
+        steady = contiguous and attempts == history.attempts
+        history.sequence = report.sequence
+        history.until = report.measured_until
+        history.attempts = attempts
+        if not steady:
+            self.refusals[Refusal.SPANS_CHANGE] += 1
+        observations, complete = self._check_tasks(report, worker, history)
+        return MatchedReport(
+            worker_id=report.worker_id,
+            measured_from=report.measured_from,
+            measured_until=report.measured_until,
+            capacity=worker.capacity,
+            observations=observations,
+            is_steady=steady and complete,
+        )
+
+    def _get_history(self, worker_id: identifiers.WorkerId) -> _WorkerHistory:
+        history = self._histories.get(worker_id)
+        if history is None:
+            history = self._histories[worker_id] = _WorkerHistory()
+        return history
+
+    def _remember_tasks(
+        self, history: _WorkerHistory, worker: scheduling.WorkerView
+    ) -> None:
+        for placed in worker.tasks.values():
+            key = (placed.demand.task_id, placed.attempt)
+            if key not in history.demands:
+                history.demands[key] = placed.demand
+        while len(history.demands) > HISTORY_LIMIT + len(worker.tasks):
+            history.demands.popitem(last=False)
+
+    def _check_frame(
+        self,
+        now: float,
+        report: workers.UsageReport,
+        history: _WorkerHistory,
+    ) -> Refusal | None:
+        start, end = report.measured_from, report.measured_until
+        if not (math.isfinite(start) and math.isfinite(end) and start < end):
+            return Refusal.MALFORMED
+        if report.sequence <= history.sequence:
+            return Refusal.DUPLICATE
+        if end <= history.until:
+            return Refusal.STALE
+        if math.isfinite(history.clock_offset):
+            clock = now - history.clock_offset
+            if end > clock + FUTURE_TOLERANCE:
+                return Refusal.FUTURE
+            if end < clock - LAG_LIMIT:
+                return Refusal.STALE
+        return None
+
+    def _check_tasks(
+        self,
+        report: workers.UsageReport,
+        worker: scheduling.WorkerView,
+        history: _WorkerHistory,
+    ) -> tuple[tuple[Observation, ...], bool]:
+        """Return the good parts, and whether every part was good."""
+        good: list[Observation] = []
+        for usage in report.tasks:
+            demand = history.demands.get((usage.task_id, usage.attempt))
+            refusal = _check_usage(usage, demand, worker.capacity)
+            if refusal is not None or demand is None:
+                self.refusals[refusal or Refusal.UNKNOWN_TASK] += 1
+                continue
+            good.append(Observation(usage=usage, demand=demand))
+        return tuple(good), len(good) == len(report.tasks)
+
+
+def _check_usage(
+    usage: workers.TaskUsage,
+    demand: scheduling.TaskDemand | None,
+    capacity: resources.Resources,
+) -> Refusal | None:
+    if demand is None:
+        return Refusal.UNKNOWN_TASK
+    if not usage.use.is_valid() or not _is_plausible(usage.use, capacity):
+        return Refusal.MALFORMED
+    if demand.kind is workers.TaskKind.BATCH:
+        return _check_number(usage.progress, 1.5, positive=False)
+    return _check_number(
+        usage.latency_p99, LATENCY_LIMIT, positive=True
+    ) or _check_number(usage.request_rate, RATE_LIMIT, positive=False)
+
+
+def _is_plausible(
+    use: resources.Resources, capacity: resources.Resources
+) -> bool:
+    return (
+        use.millicores <= USE_LIMIT * capacity.millicores
+        and use.memory_mib <= USE_LIMIT * capacity.memory_mib
+        and use.accelerators <= USE_LIMIT * capacity.accelerators
+    )
+
+
+def _check_number(
+    number: float | None, limit: float, positive: bool
+) -> Refusal | None:
+    if number is None:
+        return Refusal.MISSING
+    if not math.isfinite(number) or number < 0.0 or number > limit:
+        return Refusal.MALFORMED
+    if positive and number == 0.0:
+        return Refusal.MALFORMED
+    return None
--- /dev/null
+++ b/chivespoke/scheduling/policies/_routing.py
@@ -0,0 +1,50 @@
+"""Weights by which request routing spares disturbed workers."""
+
+import abc
+import math
+
+from chivespoke import scheduling
+from chivespoke.scheduling.policies import _knowledge
+
+# A server never loses more than this share, so that it keeps being measured.
+LEAST_WEIGHT = 0.4
+# Log slowdown that is noise and costs no weight.
+DEAD_BAND = 0.1
+
+
+class RoutingPolicy(abc.ABC):
+    """Weigh the backend servers of a service for request routing."""
+
+    @abc.abstractmethod
+    def compute_weight(
+        self, worker: scheduling.WorkerView, replica: scheduling.PlacedTask
+    ) -> float:
+        """Return a weight in [0, 1]; 1 is an undisturbed server's."""
+
+
+class EvenRouting(RoutingPolicy):
+    """Give every backend server the same weight."""
+
+    __slots__ = ()
+
+    def compute_weight(
+        self, worker: scheduling.WorkerView, replica: scheduling.PlacedTask
+    ) -> float:
+        return 1.0
+
+
+class DisturbanceRouting(RoutingPolicy):
+    """Give disturbed backend servers less, before placement can act."""
+
+    __slots__ = ('_knowledge',)
+
+    def __init__(self, knowledge: _knowledge.Knowledge) -> None:
+        self._knowledge = knowledge
+
+    def compute_weight(
+        self, worker: scheduling.WorkerView, replica: scheduling.PlacedTask
+    ) -> float:
+        state = self._knowledge.get_replica(worker, replica)
+        expected = self._knowledge.predict_replica(worker, replica).mean
+        slowdown = max(state.slowdown, expected) - DEAD_BAND
+        return max(math.exp(-max(slowdown, 0.0)), LEAST_WEIGHT)
--- /dev/null
+++ b/chivespoke/scheduling/policies/_sizes.py
@@ -0,0 +1,221 @@
+"""Sizes and run times learnt per job family by quantile sketches."""
+
+import abc
+import collections
+
+import ddsketch
+import msgspec
+
+from chivespoke import identifiers
+from chivespoke import resources
+from chivespoke import scheduling
+from chivespoke import workers
+
+RELATIVE_ACCURACY = 0.02
+# Measurements of a family, and workers, before a declaration is corrected.
+LEAST_COUNT = 12
+LEAST_WORKERS = 3
+# A declaration within these multiples of the learnt use stands.
+OVER_DECLARED = 1.25
+UNDER_DECLARED = 0.9
+# Processors can be shared for a while, so the typical use is committed, and
+# placement bounds the risk that the sum exceeds a worker; memory cannot.
+TYPICAL_QUANTILE = 0.5
+MEMORY_QUANTILE = 0.95
+COMMIT_MARGIN = 1.05
+# Sketches of one family, one for each of its most recent workers.
+WORKERS_KEPT = 16
+
+
+class CorrectedSize(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the size to commit, and why it differs from the declaration."""
+
+    size: resources.Resources
+    # Empty when the declaration stands.
+    note: str = ''
+
+
+class SizePolicy(abc.ABC):
+    """Correct declared sizes."""
+
+    @abc.abstractmethod
+    def correct_size(
+        self, family: str, declared: resources.Resources
+    ) -> CorrectedSize:
+        """Return the size to commit."""
+
+    @abc.abstractmethod
+    def estimate_use(
+        self, demand: scheduling.TaskDemand
+    ) -> resources.Resources:
+        """Return the typical use of a task."""
+
+
+class DeclaredSizes(SizePolicy):
+    """Believe every declaration."""
+
+    __slots__ = ()
+
+    def correct_size(
+        self, family: str, declared: resources.Resources
+    ) -> CorrectedSize:
+        return CorrectedSize(size=declared)
+
+    def estimate_use(
+        self, demand: scheduling.TaskDemand
+    ) -> resources.Resources:
+        return demand.size
+
+
+class _Sketches:
+    """Hold the sketches of one family on one worker."""
+
+    __slots__ = ('millicores', 'memory_mib', 'count')
+
+    def __init__(self) -> None:
+        self.millicores = ddsketch.DDSketch(RELATIVE_ACCURACY)
+        self.memory_mib = ddsketch.DDSketch(RELATIVE_ACCURACY)
+        self.count = 0
+
+
+class LearntSizes(SizePolicy):
+    """Correct declarations by the median over workers of quantiles of use.
+
+    The median keeps one worker that lies from steering the others.
+    """
+
+    __slots__ = ('_families', '_run_times', '_cache')
+
+    def __init__(self) -> None:
+        self._families: dict[
+            str, collections.OrderedDict[identifiers.WorkerId, _Sketches]
+        ] = {}
+        self._run_times: dict[str, ddsketch.DDSketch] = {}
+        self._cache: dict[tuple[str, float], tuple[int, int] | None] = {}
+
+    def observe_use(
+        self,
+        worker_id: identifiers.WorkerId,
+        demand: scheduling.TaskDemand,
+        use: resources.Resources,
+    ) -> None:
+        """Take in one checked measurement of an unthrottled task."""
+        by_worker = self._families.setdefault(
+            demand.family, collections.OrderedDict()
+        )
+        sketches = by_worker.get(worker_id)
+        if sketches is None:
+            sketches = by_worker[worker_id] = _Sketches()
+            if len(by_worker) > WORKERS_KEPT:
+                by_worker.popitem(last=False)
+        sketches.millicores.add(float(use.millicores))
+        sketches.memory_mib.add(float(use.memory_mib))
+        sketches.count += 1
+        if sketches.count % LEAST_COUNT == 0:
+            for quantile in (MEMORY_QUANTILE, TYPICAL_QUANTILE):
+                self._cache.pop((demand.family, quantile), None)
+
+    def observe_run_time(self, family: str, seconds: float) -> None:
+        """Take in the run time of a task that completed."""
+        sketch = self._run_times.get(family)
+        if sketch is None:
+            sketch = ddsketch.DDSketch(RELATIVE_ACCURACY)
+            self._run_times[family] = sketch
+        sketch.add(seconds)
+
+    def estimate_run_time(self, family: str, declared: float) -> float:
+        """Return the median run time in seconds, or the declaration."""
+        sketch = self._run_times.get(family)
+        if sketch is None or sketch.count < LEAST_COUNT:
+            return declared
+        return _read_quantile(sketch, TYPICAL_QUANTILE)
+
+    def correct_size(
+        self, family: str, declared: resources.Resources
+    ) -> CorrectedSize:
+        typical = self._get_quantile(family, TYPICAL_QUANTILE)
+        high = self._get_quantile(family, MEMORY_QUANTILE)
+        if typical is None or high is None:
+            return CorrectedSize(size=declared)
+        millicores = _correct(declared.millicores, typical[0])
+        memory = _correct(declared.memory_mib, high[1])
+        size = resources.Resources(millicores, memory, declared.accelerators)
+        if size == declared:
+            return CorrectedSize(size=declared)
+        note = (
+            f'{family}: declared {declared.millicores} millicores and '
+            f'{declared.memory_mib} MiB, committed {millicores} and {memory} '
+            f'by measured use'
+        )
+        return CorrectedSize(size=size, note=note)
+
+    def estimate_use(
+        self, demand: scheduling.TaskDemand
+    ) -> resources.Resources:
+        learnt = self._get_quantile(demand.family, TYPICAL_QUANTILE)
+        if learnt is None:
+            return demand.size
+        return resources.Resources(
+            learnt[0], learnt[1], demand.size.accelerators
+        )
+
+    def _get_quantile(
+        self, family: str, quantile: float
+    ) -> tuple[int, int] | None:
+        key = (family, quantile)
+        if key not in self._cache:
+            self._cache[key] = self._compute_quantile(family, quantile)
+        return self._cache[key]
+
+    def _compute_quantile(
+        self, family: str, quantile: float
+    ) -> tuple[int, int] | None:
+        known = [
+            sketches
+            for sketches in self._families.get(family, {}).values()
+            if sketches.count >= LEAST_COUNT
+        ]
+        if len(known) < LEAST_WORKERS:
+            return None
+        return (
+            _take_median(
+                [_read_quantile(s.millicores, quantile) for s in known]
+            ),
+            _take_median(
+                [_read_quantile(s.memory_mib, quantile) for s in known]
+            ),
+        )
+
+
+def observe_sizes(
+    sizes: LearntSizes,
+    worker: scheduling.WorkerView,
+    task_id: identifiers.TaskId,
+    demand: scheduling.TaskDemand,
+    use: resources.Resources,
+) -> None:
+    """Feed a sketch from a report, unless the task was throttled."""
+    placed = worker.tasks.get(task_id)
+    if demand.kind is not workers.TaskKind.BATCH:
+        return
+    if placed is not None and not placed.throttled:
+        sizes.observe_use(worker.worker_id, demand, use)
+
+
+def _correct(declared: int, learnt: int) -> int:
+    wanted = int(learnt * COMMIT_MARGIN)
+    if UNDER_DECLARED * wanted <= declared <= OVER_DECLARED * wanted:
+        return declared
+    return max(wanted, 1)
+
+
+def _read_quantile(sketch: ddsketch.DDSketch, quantile: float) -> float:
+    return float(sketch.get_quantile_value(quantile) or 0.0)
+
+
+def _take_median(values: list[float]) -> int:
+    ordered = sorted(values)
+    middle = len(ordered) // 2
+    if len(ordered) % 2:
+        return round(ordered[middle])
+    return round((ordered[middle - 1] + ordered[middle]) / 2)
