--- a/chivespoke/bench/__init__.py
+++ b/chivespoke/bench/__init__.py
@@ -5,17 +5,21 @@
 from chivespoke.bench._policy_runner import run_all as run_policies
 from chivespoke.bench._policy_runner import select as select_measure
 from chivespoke.bench._policy_suites import POLICY_NAMES
+from chivespoke.bench._processes import Daemon
+from chivespoke.bench._processes import find_free_port
 from chivespoke.bench._slope_scenarios import list_slope_scenarios
 from chivespoke.bench._slopes import measure_slopes
 from chivespoke.bench._slopes import Progress
 from chivespoke.bench._slopes import Scenario
 
 __all__ = [
+    'Daemon',
     'POLICY_NAMES',
     'PolicyOutcome',
     'Progress',
     'Scenario',
     'draw_policies',
+    'find_free_port',
     'list_slope_scenarios',
     'measure_slopes',
     'run_policies',
--- a/chivespoke/standins/__init__.py
+++ b/chivespoke/standins/__init__.py
@@ -1,6 +1,7 @@
 """Small fakes of the outside, for tests, benches and the demo."""
 
 from chivespoke.standins._backend_server import CountingServer
+from chivespoke.standins._balancer import Balancer
 from chivespoke.standins._log import LogFaults
 from chivespoke.standins._log import MemoryLog
 from chivespoke.standins._log_server import LogServer
@@ -14,6 +15,7 @@
 from chivespoke.standins._worker_server import WorkerServer
 
 __all__ = [
+    'Balancer',
     'CountingServer',
     'LogFaults',
     'LogServer',
