--- a/tools/tests.py
+++ b/tools/tests.py
@@ -10,6 +10,7 @@
 import unittest
 
 from hypothesis import settings
+import loguru
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
@@ -64,6 +65,7 @@
         sys.path.insert(0, str(ROOT))
     settings.register_profile('ci', derandomize=True, deadline=None)
     settings.load_profile('ci')
+    loguru.logger.remove()
     loaded = unittest.TestLoader().loadTestsFromName(module)
     cases = [case for case in iterate_cases(loaded) if pattern in case.id()]
     output = io.StringIO()
