--- a/chivespoke/cli/_output.py
+++ b/chivespoke/cli/_output.py
@@ -16,6 +16,7 @@
 
 # Columns of output that does not go to a terminal.
 PIPE_WIDTH = 100
+LARGE_AMOUNT = 1000
 
 JsonFlag = typing.Annotated[
     bool,
@@ -96,5 +97,8 @@
 
 
 def _format_cell(cell: object) -> rich.text.Text:
-    text = f'{cell:,.4g}' if isinstance(cell, float) else str(cell)
-    return rich.text.Text(text)
+    if isinstance(cell, float):
+        # Large amounts are whole numbers, small ones keep their digits.
+        large = abs(cell) >= LARGE_AMOUNT
+        return rich.text.Text(f'{cell:,.0f}' if large else f'{cell:.4g}')
+    return rich.text.Text(str(cell))
--- a/chivespoke/demo/_settings.py
+++ b/chivespoke/demo/_settings.py
@@ -37,7 +37,7 @@
 
     name: str
     tasks: Count = 20
-    task_seconds: Positive = 2.0
+    task_seconds: Positive = 6.0
     size: resources.Resources = resources.Resources(2000, 4096, 0)
 
 
--- a/chivespoke/demo/_story.py
+++ b/chivespoke/demo/_story.py
@@ -20,11 +20,11 @@
 AUTHOR = 'demo'
 POLL_SECONDS = 0.1
 # Calls under way at once.
-CALLERS = 16
+CALLERS = 4
 # Seconds within which a taken-out data centre sees its last start.
 START_BOUND = 3.0
 # Seconds for which the data centre stays out.
-OUT_SECONDS = 4.0
+OUT_SECONDS = 7.0
 # Seconds that anything may take before the story ends in an error.
 PATIENCE = 60.0
 
@@ -163,22 +163,25 @@
         while (await client.show_job(job.name)).running == 0:
             await asyncio.sleep(POLL_SECONDS)
         report = await client.show_job(job.name)
+        while self._count_running() < report.running:
+            await asyncio.sleep(POLL_SECONDS)
         seconds = self._clock.read_monotonic() - submitted_at
         self._reporter.tell(
-            f'{report.running} of {job.tasks} tasks of {job.name} were '
-            f'placed within {seconds:.1f} s.'
+            f'{report.running} of {job.tasks} tasks of {job.name} run on '
+            f'workers after {seconds:.1f} s.'
         )
         return submitted_at
 
     async def _take_out_and_return(self, client: _client.EntryClient) -> None:
-        name = self._demo.data_centres[-1]
+        # The one that holds most of the job.
+        name = max(self._demo.data_centres, key=self._count_tasks)
         self._reporter.begin_step(f'Operators take {name} out')
         before = await client.show_job(self._demo.job.name)
         self.measures.tasks_there = self._count_tasks(name)
         version = await self._set_state(client, name, 'out-of-service')
         out_at = self._clock.read_monotonic()
         self._reporter.tell(
-            f'Version {version} is in force; {self.measures.tasks_there} '
+            f'Version {version} is accepted; {self.measures.tasks_there} '
             'tasks were running there.'
         )
         self._note_calls(await self._send_calls(client), 'during')
@@ -216,6 +219,9 @@
             for run in worker.agent.history
         ]
 
+    def _count_running(self) -> int:
+        return sum(map(self._count_tasks, self._demo.data_centres))
+
     def _count_tasks(self, name: str) -> int:
         return sum(run.ended_at is None for run in self._list_runs(name))
 
