--- a/chivespoke/bench/_cluster.py
+++ b/chivespoke/bench/_cluster.py
@@ -132,59 +132,75 @@
             raise errors.UnavailableError('reach', 'log', 'cut off')
 
 
+class GatedConnector(workers.WorkerConnector):
+    """Make clients whose commands a pause, or a slow network, holds up."""
+
+    __slots__ = ('delay', '_connector', '_clock', '_gate')
+
+    def __init__(
+        self,
+        connector: workers.WorkerConnector,
+        clock: clocks.Clock,
+        gate: Gate,
+    ) -> None:
+        # Seconds that each command is under way.
+        self.delay = 0.0
+        self._connector = connector
+        self._clock = clock
+        self._gate = gate
+
+    def connect(self, address: str) -> workers.WorkerClient:
+        return GatedClient(self, self._connector.connect(address))
+
+    async def wait(self) -> None:
+        """Return once a message is through."""
+        if self.delay:
+            await self._clock.sleep(self.delay)
+        await self._gate.wait()
+
+
 class GatedClient(workers.WorkerClient):
-    """Reach a worker; a pause delays commands and answers."""
+    """Reach a worker through what holds commands and answers up."""
 
-    __slots__ = ('_client', '_gate')
+    __slots__ = ('_way', '_client')
 
-    def __init__(self, client: workers.WorkerClient, gate: Gate) -> None:
+    def __init__(
+        self, way: GatedConnector, client: workers.WorkerClient
+    ) -> None:
+        self._way = way
         self._client = client
-        self._gate = gate
 
     async def renew(self, renewal: workers.LeaseRenewal) -> workers.Heartbeat:
-        await self._gate.wait()
+        await self._way.wait()
         answer = await self._client.renew(renewal)
-        await self._gate.wait()
+        await self._way.wait()
         return answer
 
     async def start(self, command: workers.StartCommand) -> workers.TaskStatus:
-        await self._gate.wait()
+        await self._way.wait()
         answer = await self._client.start(command)
-        await self._gate.wait()
+        await self._way.wait()
         return answer
 
     async def stop(self, command: workers.StopCommand) -> workers.TaskStatus:
-        await self._gate.wait()
+        await self._way.wait()
         answer = await self._client.stop(command)
-        await self._gate.wait()
+        await self._way.wait()
         return answer
 
     async def checkpoint(
         self, command: workers.CheckpointCommand
     ) -> workers.TaskStatus:
-        await self._gate.wait()
+        await self._way.wait()
         return await self._client.checkpoint(command)
 
     async def throttle(
         self, command: workers.ThrottleCommand
     ) -> workers.TaskStatus:
-        await self._gate.wait()
+        await self._way.wait()
         return await self._client.throttle(command)
 
 
-class GatedConnector(workers.WorkerConnector):
-    """Make gated clients."""
-
-    __slots__ = ('_connector', '_gate')
-
-    def __init__(self, connector: workers.WorkerConnector, gate: Gate) -> None:
-        self._connector = connector
-        self._gate = gate
-
-    def connect(self, address: str) -> workers.WorkerClient:
-        return GatedClient(self._connector.connect(address), self._gate)
-
-
 class PolledConfiguration(scheduling.ConfigurationSource):
     """See what operators published as of the last read."""
 
@@ -228,6 +244,7 @@
         self.gate = Gate()
         self.log = GatedLog(cluster.log, self.gate)
         clock = GatedClock(cluster.clock, self.gate)
+        self.connector = GatedConnector(cluster.connector, clock, self.gate)
         self.configuration = PolledConfiguration(cluster.configuration)
         self.committer = platform.GroupCommitter(
             self.log,
@@ -243,7 +260,7 @@
             self.configuration,
             clock,
             cluster.policies,
-            GatedConnector(cluster.connector, self.gate),
+            self.connector,
             identifiers.Incarnation(str(life)),
             retention=cluster.retention,
             plan=cluster.plan,
--- a/chivespoke/bench/_fault_actions.py
+++ b/chivespoke/bench/_fault_actions.py
@@ -20,6 +20,7 @@
     KILL_PROCESS = 'process died and restarted'
     PAUSE_PROCESS = 'process paused'
     CUT_PROCESS = 'process cut off from the log'
+    SLOW_COMMANDS = 'commands to workers slow'
     LOG_DOWN = 'log down'
     LOG_APPENDS_DOWN = 'log appends down'
     LOG_SLOW = 'log slow'
@@ -47,6 +48,7 @@
     ActionKind.KILL_PROCESS: 4,
     ActionKind.PAUSE_PROCESS: 5,
     ActionKind.CUT_PROCESS: 3,
+    ActionKind.SLOW_COMMANDS: 5,
     ActionKind.LOG_DOWN: 2,
     ActionKind.LOG_APPENDS_DOWN: 2,
     ActionKind.LOG_SLOW: 2,
--- a/chivespoke/bench/_fault_world.py
+++ b/chivespoke/bench/_fault_world.py
@@ -48,6 +48,8 @@
             tuple[float, collections.abc.Callable[[], None]]
         ] = []
         self._document = _cluster.build_document(SHARDS)
+        # The largest quota ever published; less holds for new work only.
+        self._largest_quota = 0
         for number in range(WORKERS):
             drift = source.uniform(-4e-4, 4e-4)
             self.cluster.add_worker(number, drift=drift)
@@ -86,6 +88,20 @@
             restore()
         await self.cluster.step(self._random.uniform(*STEP_SECONDS))
         self.witness.check()
+        self._check_quota()
+
+    def _check_quota(self) -> None:
+        running = sum(
+            agent.measure_commitment().millicores
+            for agent in self.cluster.agents.values()
+        )
+        self.witness.checks['quota never over-run'] += 1
+        errors.check_invariant(
+            running <= self._largest_quota,
+            'quota never over-run',
+            TEAM,
+            f'{running} of {self._largest_quota}',
+        )
 
     async def act(self, action: _fault_actions.Action) -> None:
         """Carry one action out."""
@@ -99,7 +115,7 @@
                 self._cancel(action)
             case Kind.KILL_PROCESS:
                 await self._kill_process(action)
-            case Kind.PAUSE_PROCESS | Kind.CUT_PROCESS:
+            case Kind.PAUSE_PROCESS | Kind.CUT_PROCESS | Kind.SLOW_COMMANDS:
                 self._disturb_process(action)
             case Kind.JUMP:
                 until = self.cluster.now() + action.duration
@@ -183,6 +199,8 @@
 
     def _publish(self, **changes: typing.Any) -> None:
         self._document = msgspec.structs.replace(self._document, **changes)
+        quota = self._document.teams[TEAM].quota.millicores
+        self._largest_quota = max(self._largest_quota, quota)
         self.cluster.publish(self._document)
         self.witness.note_published(self._document)
 
@@ -250,9 +268,13 @@
             process.gate.close()
             self._end_after(action.duration, process.gate.open)
             return
-        process.log.reachable = False
+        if action.kind is Kind.SLOW_COMMANDS:
+            process.connector.delay = 4 * action.size
+        else:
+            process.log.reachable = False
 
         def restore() -> None:
+            process.connector.delay = 0.0
             process.log.reachable = True
 
         self._end_after(action.duration, restore)
--- a/chivespoke/scheduling/_owner.py
+++ b/chivespoke/scheduling/_owner.py
@@ -11,6 +11,7 @@
 from chivespoke import identifiers
 from chivespoke import logs
 from chivespoke import operators
+from chivespoke import resources
 from chivespoke.scheduling import _claims
 from chivespoke.scheduling import _configuration
 from chivespoke.scheduling import _first_fit
@@ -120,6 +121,11 @@
     def blocked(self) -> set[int]:
         return self._blocked
 
+    def cap_quotas(
+        self, caps: dict[identifiers.TeamName, resources.Resources]
+    ) -> None:
+        self.placer.caps = caps
+
     def has_room(self, job: int) -> bool:
         demand = _index.make_demand(self.shard.jobs[job], 0)
         return bool(self.index.find_candidates(demand))
@@ -179,7 +185,6 @@
 
     def step(self) -> None:
         """Do what is due now; nothing here waits."""
-        self._take_restored()
         self._refresh_index()
         if not self._hold_ownership():
             return
@@ -339,14 +344,11 @@
             case _:
                 self._scan_at = float('-inf')
 
-    def _take_restored(self) -> None:
-        if self._restored != self.stream.fold.restored:
-            self._restored = self.stream.fold.restored
-            self._stale_index = True
-
     def _refresh_index(self) -> None:
         now = self.read_clock()
-        if self._stale_index:
+        restored = self.stream.fold.restored
+        if self._stale_index or self._restored != restored:
+            self._restored = restored
             self._stale_index = False
             self.placer.active = set(self.shard.jobs)
             for number in self.shard.workers:
--- a/chivespoke/scheduling/_placer.py
+++ b/chivespoke/scheduling/_placer.py
@@ -27,6 +27,7 @@
     __slots__ = (
         'policy',
         'active',
+        'caps',
         '_fold',
         '_index',
         '_quota_taken',
@@ -43,6 +44,8 @@
         self.policy = policy
         # Numbers of the jobs that may have waiting tasks.
         self.active: set[int] = set(fold.shard.jobs)
+        # What this shard's tasks of a team may use, short of its share.
+        self.caps: dict[identifiers.TeamName, resources.Resources] = {}
         self._fold = fold
         self._index = index
         self._quota_taken: dict[identifiers.TeamName, resources.Resources] = {}
@@ -141,6 +144,11 @@
 
     def _may_use_quota(self, spec: _records.JobSpec) -> bool:
         taken = self._quota_taken.get(spec.team, resources.NOTHING)
+        cap = self.caps.get(spec.team)
+        if cap is not None:
+            used = self._fold.shard.used.get(spec.team, resources.NOTHING)
+            if not (used + taken + spec.size).fits_within(cap):
+                return False
         return _placing.has_quota(
             self._fold.shard, spec.team, spec.size + taken
         )
--- a/chivespoke/scheduling/_planner.py
+++ b/chivespoke/scheduling/_planner.py
@@ -4,6 +4,7 @@
 
 from chivespoke import identifiers
 from chivespoke import operators
+from chivespoke import resources
 from chivespoke.scheduling import _context
 from chivespoke.scheduling import _link
 from chivespoke.scheduling import _policy
@@ -29,6 +30,12 @@
     def blocked(self) -> set[int]:
         """Return the jobs that found no room in the last batch."""
 
+    @abc.abstractmethod
+    def cap_quotas(
+        self, caps: dict[identifiers.TeamName, resources.Resources]
+    ) -> None:
+        """Keep this shard's own placements within some amounts."""
+
     @abc.abstractmethod
     def has_room(self, job: int) -> bool:
         """Tell whether a task of a job could be placed now."""
--- a/chivespoke/scheduling/_transfers.py
+++ b/chivespoke/scheduling/_transfers.py
@@ -92,7 +92,7 @@
         shard = owner.shard
         home = _configuration.get_quota_home(owner.document)
         if shard.name == home:
-            return self._grant(shard)
+            return self._grant(owner)
         demand = measure_demand(shard)
         records: list[_records.Record] = []
         for team in shard.bounded:
@@ -109,24 +109,31 @@
                     records.append(_make_sent(shard, home, team, unused))
         return records
 
-    def _grant(self, shard: _state.Shard) -> list[_records.Record]:
-        """Grant what is unused here to those who asked, in turn."""
-        granted: set[tuple[str, str]] = set()
+    def _grant(self, owner: _planner.PlanContext) -> list[_records.Record]:
+        """Grant what is unused here to those who asked, in turn.
+
+        While others ask, this shard keeps to a fair share itself.
+        """
+        shard = owner.shard
+        fair = measure_fair_shares(shard)
+        owner.cap_quotas(fair)
+        demand = measure_demand(shard)
+        granted: set[str] = set()
         records: list[_records.Record] = []
         for request in shard.requests.values():
             # One transfer a receiver and team at a time keeps the
             # sequences, and the shares, simple to follow.
-            key = ('', request.team)
-            if (request.sender, '') in granted or key in granted:
+            team = request.team
+            if request.sender in granted or team in granted:
                 continue
-            unused = measure_unused(shard, request.team)
-            amount = take_smaller(request.amount, unused)
-            if amount == resources.NOTHING:
-                continue
-            granted.update({(request.sender, ''), key})
-            records.append(
-                _make_sent(shard, request.sender, request.team, amount)
-            )
+            room = measure_unused(shard, team)
+            if team in demand:
+                used = shard.used.get(team, resources.NOTHING)
+                room = room - take_smaller(fair[team] - used, room)
+            amount = take_smaller(request.amount, room)
+            if amount.millicores and amount.memory_mib:
+                granted.update((request.sender, team))
+                records.append(_make_sent(shard, request.sender, team, amount))
         return records
 
     def _ask(
@@ -257,6 +264,24 @@
     return demand
 
 
+def measure_fair_shares(
+    shard: _state.Shard,
+) -> dict[identifiers.TeamName, resources.Resources]:
+    """Return an equal share of each quota that others ask for."""
+    askers: dict[identifiers.TeamName, int] = {}
+    for request in shard.requests.values():
+        askers[request.team] = askers.get(request.team, 0) + 1
+    shares: dict[identifiers.TeamName, resources.Resources] = {}
+    for team, count in askers.items():
+        whole = shard.minted.get(team, resources.NOTHING)
+        shares[team] = resources.Resources(
+            whole.millicores // (count + 1),
+            whole.memory_mib // (count + 1),
+            whole.accelerators // (count + 1),
+        )
+    return shares
+
+
 def measure_unused(
     shard: _state.Shard, team: identifiers.TeamName
 ) -> resources.Resources:
--- a/chivespoke/scheduling/tests/builders.py
+++ b/chivespoke/scheduling/tests/builders.py
@@ -1,5 +1,7 @@
 """Builders of jobs and configurations for tests of scheduling."""
 
+import asyncio
+import collections.abc
 import typing
 
 import msgspec
@@ -121,3 +123,14 @@
     stream = process.desk.choose_stream(identifiers.JobId(job_id))
     stream.propose(build_submission(job_id, tasks, **changes))
     await cluster.run(0.5)
+
+
+async def run_beside(
+    cluster: _cluster.Cluster,
+    work: collections.abc.Coroutine[typing.Any, typing.Any, typing.Any],
+    seconds: float,
+) -> None:
+    """Let work go on while time passes."""
+    future = asyncio.ensure_future(work)
+    await cluster.run(seconds, 0.25)
+    await future
--- a/chivespoke/scheduling/tests/test_what_fails.py
+++ b/chivespoke/scheduling/tests/test_what_fails.py
@@ -237,22 +237,33 @@
         self._check_finished(cluster, 40)
 
     async def test_nothing_starts_late_after_a_pause(self) -> None:
-        """Hold start commands in a paused process over a take-out."""
-        for pause in (0.5, 2.0, 2.9, 4.0, 40.0):
-            with self.subTest(pause=pause):
-                cluster = await self._build(3)
-                await builders.submit(cluster, 12)
-                process = cluster.processes['entry-1']
-                process.gate.close()
-                cluster.publish(
-                    builders.take_out(
-                        builders.build_document(), 'dc1', 'dc2', 'dc3'
-                    )
-                )
-                await cluster.run(pause, 0.1)
-                process.gate.open()
-                await cluster.run(10, 0.1)
-                self.assertEqual(cluster.get_report().state, 'impossible')
+        """Hold start commands under way over a take-out and a pause."""
+        refused = 0
+        for delay in (0.5, 1.5, 2.5, 4.0):
+            for pause in (0.0, 2.0, 30.0):
+                with self.subTest(delay=delay, pause=pause):
+                    refused += await self._pause_over_take_out(delay, pause)
+        # Workers refused what arrived too late.
+        self.assertGreater(refused, 0)
+
+    async def _pause_over_take_out(self, delay: float, pause: float) -> int:
+        cluster = await self._build(3)
+        process = cluster.processes['entry-1']
+        await cluster.run(1, STEP)
+        stream = process.desk.streams['default']
+        stream.propose(builders.build_submission('job-1', 12))
+        process.connector.delay = delay
+        await cluster.run(1.0, 0.1)
+        cluster.publish(
+            builders.take_out(builders.build_document(), 'dc1', 'dc2', 'dc3')
+        )
+        process.gate.close()
+        await cluster.run(pause, 0.25)
+        process.gate.open()
+        await cluster.run(10, 0.1)
+        return sum(
+            agent.late_starts_refused for agent in cluster.agents.values()
+        )
 
     async def test_two_data_centres_leave_and_services_stay_whole(
         self,
