--- a/chivespoke/cli/_bench_tasks.py
+++ b/chivespoke/cli/_bench_tasks.py
@@ -11,7 +11,9 @@
 from chivespoke.bench import _urgent
 from chivespoke.cli import _exit_codes
 from chivespoke.cli import _output
+from chivespoke import clock
 from chivespoke import scheduling
+from chivespoke.scheduling import policies
 
 # Microseconds of processor a decision at 250 workers.
 COST_TARGET = 200.0
@@ -49,9 +51,15 @@
         How long urgent tasks are submitted at the peak rate.
     """
     loguru.logger.remove()
+    source = scheduling.FixedConfiguration()
     costs = tuple(
         _placement.measure_decisions(
-            count, scheduling.FirstFit(), seed, decisions
+            count,
+            policies.make_owner_policies(
+                source, clock.SystemClock()
+            ).placement,
+            seed,
+            decisions,
         )
         for count in _placement.WORKER_COUNTS
     )
--- a/chivespoke/daemons.py
+++ b/chivespoke/daemons.py
@@ -10,6 +10,7 @@
 from chivespoke import entries
 from chivespoke import identifiers
 from chivespoke import scheduling
+from chivespoke.scheduling import policies
 from chivespoke import settings
 from chivespoke import telemetry
 from chivespoke import web
@@ -86,13 +87,15 @@
 def _make_scheduling(context: EntryContext) -> scheduling.Scheduling:
     control = context.control
     entry = context.settings
+    configuration = scheduling.FollowedConfiguration(control.configuration)
     parts = scheduling.Scheduling(
         entry.name,
         entry.shards,
         control.log,
         control.committer,
-        scheduling.FollowedConfiguration(control.configuration),
+        configuration,
         context.clock,
+        policies.make_owner_policies(configuration, context.clock),
         incarnation=context.identity.incarnation,
         relay=entries.LinkRelay(control.links),
         retention=entry.platform_log_retention,
--- a/chivespoke/scheduling/_index.py
+++ b/chivespoke/scheduling/_index.py
@@ -7,9 +7,12 @@
 from chivespoke import resources
 from chivespoke.scheduling import _policy
 from chivespoke.scheduling import _state
+from chivespoke import workers
 
-# Candidates that a policy chooses among.
-CANDIDATES = 16
+# Candidates that a policy chooses among: replicas of services are few and
+# their place matters more.
+SERVICE_CANDIDATES = 16
+BATCH_CANDIDATES = 4
 # Workers looked at in one bucket before the next one's turn.
 PROBES = 32
 
@@ -21,12 +24,27 @@
 class WorkerIndex:
     """Hold the views of a shard's workers by what is free on them."""
 
-    __slots__ = ('views', '_numbers', '_buckets', '_places', '_reserved')
+    __slots__ = (
+        'views',
+        '_numbers',
+        '_buckets',
+        '_levels',
+        '_centres',
+        '_places',
+        '_reserved',
+        '_turn',
+    )
 
     def __init__(self) -> None:
         self.views: dict[int, _policy.WorkerView] = {}
         self._numbers: dict[identifiers.WorkerId, int] = {}
         self._buckets: dict[BucketKey, dict[int, None]] = {}
+        # Of the buckets that are not empty.
+        self._levels: dict[
+            tuple[identifiers.DataCentreName, bool], list[int]
+        ] = {}
+        self._centres: list[identifiers.DataCentreName] = []
+        self._turn = 0
         self._places: dict[int, BucketKey] = {}
         self._reserved: set[int] = set()
 
@@ -39,6 +57,8 @@
         for state in (self.views, self._numbers, self._places):
             state.clear()
         self._buckets.clear()
+        self._levels.clear()
+        self._centres = []
         self._reserved.clear()
         for number in shard.workers:
             self.refresh(shard, number, now)
@@ -75,19 +95,25 @@
     def find_candidates(
         self, demand: _policy.TaskDemand
     ) -> list[_policy.WorkerView]:
-        """Return workers that have room, in every allowed data centre."""
-        names = {key[0] for key in self._buckets}
+        """Return workers that have room, over the allowed data centres."""
         allowed = [
             name
-            for name in sorted(names)
+            for name in self._centres
             if not demand.data_centres or name in demand.data_centres
         ]
         if not allowed:
             return []
-        share = max(2, CANDIDATES // len(allowed))
+        is_service = demand.kind is workers.TaskKind.LATENCY_CRITICAL
+        limit = SERVICE_CANDIDATES if is_service else BATCH_CANDIDATES
+        # Another one is first each time, so that all get their share.
+        self._turn += 1
+        turn = self._turn % len(allowed)
         found: list[_policy.WorkerView] = []
-        for name in allowed:
-            found.extend(self._find_in(name, demand, share))
+        share = -(-limit // len(allowed))
+        for name in allowed[turn:] + allowed[:turn]:
+            room = share if is_service else min(share, limit - len(found))
+            if room > 0:
+                found.extend(self._find_in(name, demand, room))
         return found
 
     def _find_in(
@@ -115,11 +141,11 @@
         share: int,
     ) -> list[_policy.WorkerView]:
         lowest = demand.size.millicores.bit_length()
-        levels = sorted(
+        levels = [
             level
-            for place, kind, level in self._buckets
-            if place == name and kind is accelerated and level >= lowest
-        )
+            for level in self._levels.get((name, accelerated), ())
+            if level >= lowest
+        ]
         found: list[_policy.WorkerView] = []
         # From both ends, so that a policy can choose tight or wide.
         for level in _alternate(levels):
@@ -151,10 +177,24 @@
             del bucket[number]
             if not bucket:
                 del self._buckets[old]
+                self._list_levels(old)
         if eligible:
-            self._buckets.setdefault(key, {})[number] = None
+            if key not in self._buckets:
+                self._buckets[key] = {}
+                self._list_levels(key)
+            self._buckets[key][number] = None
             self._places[number] = key
 
+    def _list_levels(self, changed: BucketKey) -> None:
+        """Keep the levels of one kind of workers, and the data centres."""
+        name, accelerated, _ = changed
+        self._levels[(name, accelerated)] = sorted(
+            level
+            for place, kind, level in self._buckets
+            if place == name and kind is accelerated
+        )
+        self._centres = sorted({place for place, _, _ in self._buckets})
+
 
 def _rotate(bucket: dict[int, None], looked: tuple[int, ...]) -> None:
     """Put what was looked at behind the rest."""
--- a/chivespoke/scheduling/policies/__init__.py
+++ b/chivespoke/scheduling/policies/__init__.py
@@ -1,5 +1,8 @@
 """Policies: placement, guards, sizes, routing, and their naive twins."""
 
+from chivespoke.scheduling.policies._followed import FollowedGuard
+from chivespoke.scheduling.policies._followed import FollowedPlacement
+from chivespoke.scheduling.policies._followed import make_owner_policies
 from chivespoke.scheduling.policies._guard import SteppedGuard
 from chivespoke.scheduling.policies._interference import add_shares
 from chivespoke.scheduling.policies._interference import InterferenceModel
@@ -39,6 +42,8 @@
     'EvenRouting',
     'EvictAtOnce',
     'FirstFit',
+    'FollowedGuard',
+    'FollowedPlacement',
     'IgnoreReports',
     'InterferenceModel',
     'Knowledge',
@@ -61,6 +66,7 @@
     'Tuning',
     'WeighedPlacement',
     'add_shares',
+    'make_owner_policies',
     'make_share',
     'make_tuning',
     'observe_sizes',
