Make the request path firm, and measure it under faults

Cause: the thin path let a caller's deadline lapse in a queue, tried nothing twice and forgot what had run. Sidecars now revoke, predict waits and remember keys; entries limit, eject and keep home lists in the log.

--- a/chivespoke/backend_servers/__init__.py
+++ b/chivespoke/backend_servers/__init__.py
@@ -1,18 +1,39 @@
 """Backend servers: announcements, slots, dispatch, routing, drain."""
 
 from chivespoke.backend_servers._announcer import Announcer
+from chivespoke.backend_servers._announcer import Departure
 from chivespoke.backend_servers._executor import Executor
+from chivespoke.backend_servers._home_keeper import HomeKeeper
+from chivespoke.backend_servers._home_keeper import HomeLimits
+from chivespoke.backend_servers._home_keeper import Resolution
+from chivespoke.backend_servers._homes import Change
+from chivespoke.backend_servers._homes import Fence
+from chivespoke.backend_servers._homes import find_chain
+from chivespoke.backend_servers._homes import HomesFold
 from chivespoke.backend_servers._http import BackendServer
 from chivespoke.backend_servers._http import HttpBackendServer
 from chivespoke.backend_servers._http import keep_end_to_end
+from chivespoke.backend_servers._http import ProbeResult
 from chivespoke.backend_servers._http import RunResult
+from chivespoke.backend_servers._keys import KeyTable
+from chivespoke.backend_servers._messages import Announcement
 from chivespoke.backend_servers._messages import Dispatch
+from chivespoke.backend_servers._messages import Farewell
+from chivespoke.backend_servers._messages import FarewellNoted
 from chivespoke.backend_servers._messages import HeaderPairs
+from chivespoke.backend_servers._messages import KEY_FREE
+from chivespoke.backend_servers._messages import LeavingNoted
+from chivespoke.backend_servers._messages import NEVER_CAME
 from chivespoke.backend_servers._messages import Outcome
 from chivespoke.backend_servers._messages import Reply
 from chivespoke.backend_servers._messages import RequestClass
+from chivespoke.backend_servers._messages import Revoke
+from chivespoke.backend_servers._messages import STALE_HOMES
+from chivespoke.backend_servers._registry import NOT_CONNECTED
 from chivespoke.backend_servers._registry import Registry
+from chivespoke.backend_servers._registry import REPLY_MARGIN
 from chivespoke.backend_servers._routing import ChoiceOfTwo
+from chivespoke.backend_servers._routing import make_policy
 from chivespoke.backend_servers._routing import RandomChoice
 from chivespoke.backend_servers._routing import RoundRobin
 from chivespoke.backend_servers._routing import RoutingPolicy
@@ -20,22 +41,43 @@
 from chivespoke.backend_servers._slots import Slots
 
 __all__ = [
+    'Announcement',
     'Announcer',
     'BackendServer',
+    'Change',
     'ChoiceOfTwo',
+    'Departure',
     'Dispatch',
     'Executor',
+    'Farewell',
+    'FarewellNoted',
+    'Fence',
     'HeaderPairs',
+    'HomeKeeper',
+    'HomeLimits',
+    'HomesFold',
     'HttpBackendServer',
+    'KEY_FREE',
+    'KeyTable',
+    'LeavingNoted',
+    'NEVER_CAME',
+    'NOT_CONNECTED',
     'Outcome',
+    'ProbeResult',
+    'REPLY_MARGIN',
     'RandomChoice',
     'Registry',
     'Reply',
     'RequestClass',
+    'Resolution',
+    'Revoke',
     'RoundRobin',
     'RoutingPolicy',
     'RunResult',
+    'STALE_HOMES',
     'ServerView',
     'Slots',
+    'find_chain',
     'keep_end_to_end',
+    'make_policy',
 ]
--- a/chivespoke/backend_servers/_announcer.py
+++ b/chivespoke/backend_servers/_announcer.py
@@ -24,8 +24,10 @@
 BALANCER_TIMEOUT = 2.0
 # Heartbeats between two questions to the balancer.
 BALANCER_PERIOD = 3
-# Failed probes after which the backend server counts as unhealthy.
+# Silent probes after which the backend server counts as unhealthy.
 PROBE_LIMIT = 2
+# Keys in one message of a farewell.
+KEYS_IN_MESSAGE = 10_000
 ENTRIES_DECODER = msgspec.json.Decoder(tuple[entries.EntryAddress, ...])
 
 
@@ -47,6 +49,7 @@
         '_failed_probes',
         '_leaving',
         '_noted',
+        '_farewelled',
     )
 
     def __init__(
@@ -73,8 +76,10 @@
         self._failed_probes = PROBE_LIMIT
         self._leaving = False
         self._noted: set[identifiers.Incarnation] = set()
+        self._farewelled: set[identifiers.Incarnation] = set()
         handlers.register(entries.Welcome, self._handle_welcome)
         handlers.register(_messages.LeavingNoted, self._handle_noted)
+        handlers.register(_messages.FarewellNoted, self._handle_farewell_noted)
         handlers.register(_messages.Goodbye, self._handle_goodbye)
 
     async def start(self) -> None:
@@ -88,6 +93,23 @@
         self._leaving = True
         self._executor.refusing = 'backend server leaving'
         self._announce()
+        await self._wait_for(self._noted)
+
+    async def say_farewell(self) -> None:
+        """Hand over what has run to every entry; nothing runs after this."""
+        keys = self._executor.keys.list_ends(self._clock.read_monotonic())
+        for client in self._clients.values():
+            for start in range(0, max(1, len(keys)), KEYS_IN_MESSAGE):
+                end = start + KEYS_IN_MESSAGE
+                message = _messages.Farewell(keys[start:end], end >= len(keys))
+                try:
+                    client.peer.send(message)
+                except errors.RefusedError:
+                    break
+        await self._wait_for(self._farewelled)
+
+    async def _wait_for(self, seen: set[identifiers.Incarnation]) -> None:
+        """Wait until every connected entry has confirmed, within a limit."""
         give_up_at = (
             self._clock.read_monotonic() + self._settings.heartbeat_limit
         )
@@ -95,9 +117,9 @@
             connected = {
                 client.peer.incarnation
                 for client in self._clients.values()
-                if client.peer.incarnation
+                if client.is_alive(self._settings.heartbeat_limit)
             }
-            if connected <= self._noted:
+            if connected <= seen:
                 break
             await asyncio.sleep(_executor.DRAIN_POLL)
 
@@ -111,11 +133,11 @@
 
     async def _probe(self) -> None:
         while True:
-            healthy = await self._backend_server.check_health()
+            found = await self._backend_server.probe()
             before = self._is_healthy()
-            self._failed_probes = 0 if healthy else self._failed_probes + 1
+            self._note_probe(found)
             if self._is_healthy() != before:
-                LOGGER.info('Health changed.', healthy=healthy)
+                LOGGER.info('Health changed.', found=found.value)
                 self._announce()
             if not self._leaving:
                 self._executor.refusing = (
@@ -123,6 +145,14 @@
                 )
             await self._clock.sleep(self._settings.heartbeat_interval)
 
+    def _note_probe(self, found: _http.ProbeResult) -> None:
+        if found is _http.ProbeResult.HEALTHY:
+            self._failed_probes = 0
+        elif found is _http.ProbeResult.LEAVING:
+            self._failed_probes = PROBE_LIMIT
+        else:
+            self._failed_probes += 1
+
     async def _beat(self) -> None:
         beats = 0
         while True:
@@ -173,6 +203,7 @@
             self._executor.outstanding,
             self._is_healthy(),
             self._leaving,
+            self._executor.homes_version,
         )
         for client in self._clients.values():
             try:
@@ -196,7 +227,30 @@
     ) -> None:
         self._noted.add(peer.incarnation)
 
+    async def _handle_farewell_noted(
+        self, peer: entries.Peer, noted: _messages.FarewellNoted
+    ) -> None:
+        self._farewelled.add(peer.incarnation)
+
     async def _handle_goodbye(
         self, peer: entries.Peer, goodbye: _messages.Goodbye
     ) -> None:
         self._directory.remove(peer.incarnation)
+
+
+class Departure(application.Component):
+    """Say farewell once nothing runs; listed before the executor."""
+
+    __slots__ = ('_announcer',)
+
+    def __init__(self, announcer: Announcer) -> None:
+        self._announcer = announcer
+
+    async def start(self) -> None:
+        return None
+
+    async def drain(self) -> None:
+        await self._announcer.say_farewell()
+
+    async def stop(self) -> None:
+        return None
--- a/chivespoke/backend_servers/_executor.py
+++ b/chivespoke/backend_servers/_executor.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import msgspec
+
 from chivespoke import application
 from chivespoke.backend_servers import _http
+from chivespoke.backend_servers import _keys
 from chivespoke.backend_servers import _messages
 from chivespoke.backend_servers import _slots
 from chivespoke import clock
@@ -31,12 +34,15 @@
         '_tasks',
         '_telemetry',
         'refusing',
+        'keys',
+        'homes_version',
     )
 
     def __init__(
         self,
         backend_server: _http.BackendServer,
         slots: _slots.Slots,
+        keys: _keys.KeyTable,
         handlers: entries.Handlers,
         instruments: telemetry.Telemetry,
         time: clock.Clock,
@@ -54,6 +60,11 @@
         self._highest: dict[identifiers.Incarnation, int] = {}
         # Why new work is refused; empty when it is taken.
         self.refusing = ''
+        self.keys = keys
+        # The newest home list by which a key was asked for here. What is
+        # sent by an older one is refused: the key may belong elsewhere.
+        self.homes_version = 0
+        handlers.register(_messages.HomesVersion, self._handle_version)
         handlers.register(_messages.Dispatch, self._handle_dispatch)
         handlers.register(_messages.Revoke, self._handle_revoke)
         handlers.register_loss(self._forget_peer)
@@ -86,13 +97,45 @@
         if not self.note_sequence(peer, dispatch.sequence):
             self._telemetry.dropped_messages.add(1, {'cause': 'late'})
             return
+        if dispatch.key and self._settle_key(peer, dispatch):
+            return
         try:
             ticket = self._admit(dispatch)
         except _slots.Refusal as refusal:
             self._refuse(peer, dispatch, refusal.cause, refusal.retry_after)
             return
+        record = None
+        if dispatch.key:
+            record = self.keys.open(dispatch.key, ticket.queued_at)
         self._live[peer.incarnation, dispatch.sequence] = ticket
-        self._tasks.spawn(self._serve(peer, ticket))
+        self._tasks.spawn(self._serve(peer, ticket, record))
+
+    def _settle_key(
+        self, peer: entries.Peer, dispatch: _messages.Dispatch
+    ) -> bool:
+        """Answer for a key that needs no run; tell whether that was so."""
+        now = self._clock.read_monotonic()
+        record = self.keys.find(dispatch.key, now)
+        stale = dispatch.homes_version < self.homes_version
+        self.homes_version = max(self.homes_version, dispatch.homes_version)
+        if record is not None and record.reply is None:
+            record.joiners.append(_keys.Joiner(peer, dispatch.sequence))
+        elif record is not None and record.reply is not None:
+            self._reply(peer, _readdress(record.reply, dispatch.sequence))
+        elif stale:
+            self._refuse(peer, dispatch, _messages.STALE_HOMES, 0.0)
+        elif dispatch.lookup:
+            self._refuse(peer, dispatch, _messages.KEY_FREE, 0.0)
+        elif self.keys.is_full():
+            self._refuse(peer, dispatch, 'key memory full', 1.0)
+        else:
+            return False
+        return True
+
+    async def _handle_version(
+        self, peer: entries.Peer, message: _messages.HomesVersion
+    ) -> None:
+        self.homes_version = max(self.homes_version, message.version)
 
     def _admit(self, dispatch: _messages.Dispatch) -> _slots.Ticket:
         if self.refusing:
@@ -107,21 +150,30 @@
             self._reply(
                 peer,
                 _messages.Reply(
-                    revoke.sequence, _messages.Outcome.NOT_RUN, 'revoked'
+                    revoke.sequence,
+                    _messages.Outcome.NOT_RUN,
+                    _messages.NEVER_CAME,
                 ),
             )
             return
         ticket = self._live.get((peer.incarnation, revoke.sequence))
-        if ticket is not None and self._slots.withdraw(ticket, 'revoked'):
-            # Its own task replies.
-            return
+        if ticket is not None:
+            self._slots.withdraw(ticket, 'revoked')
+            if ticket.state is not _slots.TicketState.RUNNING:
+                # Its own task replies, and knows best.
+                return
         cause = 'running' if ticket is not None else 'ended'
         self._reply(
             peer,
             _messages.Reply(revoke.sequence, _messages.Outcome.UNKNOWN, cause),
         )
 
-    async def _serve(self, peer: entries.Peer, ticket: _slots.Ticket) -> None:
+    async def _serve(
+        self,
+        peer: entries.Peer,
+        ticket: _slots.Ticket,
+        record: _keys.KeyRecord | None,
+    ) -> None:
         dispatch = ticket.dispatch
         timer = asyncio.get_running_loop().call_later(
             dispatch.remaining, self._expire, ticket
@@ -133,9 +185,16 @@
             timer.cancel()
             del self._live[peer.incarnation, dispatch.sequence]
         self._reply(peer, reply)
+        if record is None:
+            return
+        now = self._clock.read_monotonic()
+        for joiner in self.keys.close(record, reply, now):
+            self._reply(joiner.peer, _readdress(reply, joiner.sequence))
 
     async def _run(self, ticket: _slots.Ticket, cause: str) -> _messages.Reply:
         sequence = ticket.dispatch.sequence
+        if cause == _slots.EXPIRED:
+            self._telemetry.expired_in_queue.add(1)
         if cause:
             return _messages.Reply(sequence, _messages.Outcome.NOT_RUN, cause)
         left = ticket.expires_at - self._clock.read_monotonic()
@@ -161,8 +220,7 @@
         )
 
     def _expire(self, ticket: _slots.Ticket) -> None:
-        if self._slots.withdraw(ticket, 'deadline passed in queue'):
-            self._slots.expired_in_queue += 1
+        self._slots.withdraw(ticket, _slots.EXPIRED)
 
     def _refuse(
         self,
@@ -180,6 +238,7 @@
                 cause,
                 retry_after=retry_after,
                 outstanding=self._slots.outstanding,
+                homes_version=self.homes_version,
             ),
         )
 
@@ -192,3 +251,8 @@
 
     def _forget_peer(self, peer: entries.Peer) -> None:
         self._highest.pop(peer.incarnation, None)
+
+
+def _readdress(reply: _messages.Reply, sequence: int) -> _messages.Reply:
+    """Return the same end for another attempt."""
+    return msgspec.structs.replace(reply, sequence=sequence)
--- a/chivespoke/backend_servers/_http.py
+++ b/chivespoke/backend_servers/_http.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import collections.abc
+import enum
 
 import aiohttp
 import msgspec
@@ -26,6 +27,15 @@
 OWN_HEADER_PREFIX = 'chivespoke-'
 
 
+class ProbeResult(enum.Enum):
+    """Name what a health probe may find."""
+
+    HEALTHY = 'healthy'
+    # It answered that it takes no new work.
+    LEAVING = 'leaving'
+    SILENT = 'silent'
+
+
 class RunResult(msgspec.Struct, frozen=True):
     """Hold what a backend server made of a request."""
 
@@ -46,8 +56,8 @@
         """Run a request within the timeout in seconds; never raise."""
 
     @abc.abstractmethod
-    async def check_health(self) -> bool:
-        """Tell whether the backend server takes new work."""
+    async def probe(self) -> ProbeResult:
+        """Ask whether the backend server takes new work; never raise."""
 
 
 class HttpBackendServer(BackendServer, application.Component):
@@ -89,17 +99,19 @@
         except (aiohttp.ClientError, ValueError, OSError) as error:
             return _fail(f'backend server broke off: {type(error).__name__}')
 
-    async def check_health(self) -> bool:
+    async def probe(self) -> ProbeResult:
         if self._session is None:
-            return False
+            return ProbeResult.SILENT
         url = self._base + HEALTH_PATH
         try:
             async with asyncio.timeout(HEALTH_TIMEOUT):
                 async with self._session.get(url) as response:
                     await response.read()
-                    return response.status == 200
         except (TimeoutError, aiohttp.ClientError, OSError):
-            return False
+            return ProbeResult.SILENT
+        if response.status == 200:
+            return ProbeResult.HEALTHY
+        return ProbeResult.LEAVING
 
     async def _exchange(self, dispatch: _messages.Dispatch) -> RunResult:
         if self._session is None:
--- a/chivespoke/backend_servers/_messages.py
+++ b/chivespoke/backend_servers/_messages.py
@@ -5,6 +5,11 @@
 from chivespoke import entries
 from chivespoke import identifiers
 
+# Causes of "not run" that an entry tells apart.
+STALE_HOMES = 'home list is out of date'
+KEY_FREE = 'key has not run here'
+NEVER_CAME = 'revoked before it came'
+
 HeaderPairs = tuple[tuple[str, str], ...]
 
 
@@ -35,12 +40,32 @@
     outstanding: int
     healthy: bool
     leaving: bool
+    # The newest home list by which it was sent a key.
+    homes_version: int = 0
 
 
 class LeavingNoted(entries.Message, frozen=True):
     """Promise that no dispatch follows."""
 
 
+class Farewell(entries.Message, frozen=True):
+    """Hand over the keys that a leaving sidecar has run; it runs no more."""
+
+    # Each key, and the seconds for which it is still remembered.
+    keys: tuple[tuple[str, float], ...]
+    final: bool
+
+
+class FarewellNoted(entries.Message, frozen=True):
+    """Confirm that all of a farewell has come."""
+
+
+class HomesVersion(entries.Message, frozen=True):
+    """Tell a sidecar that a newer home list is in force."""
+
+    version: int
+
+
 class Goodbye(entries.Message, frozen=True):
     """Tell a sidecar that an entry has finished and is going."""
 
@@ -63,6 +88,8 @@
     key: str = ''
     # Version of the home list by which the key was sent here.
     homes_version: int = 0
+    # Only tell whether the key has run, and its answer.
+    lookup: bool = False
 
 
 class Revoke(entries.Message, frozen=True):
@@ -87,3 +114,5 @@
     outstanding: int = 0
     wait_seconds: float = 0.0
     run_seconds: float = 0.0
+    # Where the home list that the sidecar knows is newer.
+    homes_version: int = 0
--- a/chivespoke/backend_servers/_registry.py
+++ b/chivespoke/backend_servers/_registry.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from chivespoke import application
+from chivespoke.backend_servers import _ejection
 from chivespoke.backend_servers import _messages
 from chivespoke.backend_servers import _routing
 from chivespoke import clock
@@ -16,6 +17,11 @@
 
 # Seconds after the deadline that a revoke may take to be confirmed.
 REVOKE_GRACE = 0.05
+# Seconds by which a sidecar's deadline comes before the entry's.
+REPLY_MARGIN = 0.002
+# Replaced lives that are remembered.
+REPLACED_LIMIT = 10_000
+NOT_CONNECTED = 'not connected'
 
 
 class Registry(application.Component):
@@ -29,6 +35,9 @@
         '_clock',
         '_telemetry',
         '_weights',
+        '_replaced',
+        '_ejector',
+        'ejects',
     )
 
     def __init__(
@@ -47,6 +56,11 @@
         self._clock = time
         self._telemetry = instruments
         self._weights: dict[str, float] = {}
+        # Lives that another life of the same name has replaced.
+        self._replaced: dict[identifiers.Incarnation, None] = {}
+        self._ejector = _ejection.Ejector()
+        # Naive routing is compared without ejection.
+        self.ejects = True
         handlers.register(_messages.Announcement, self._handle_announcement)
         handlers.register(_messages.Reply, self._handle_reply)
         handlers.register_loss(self._handle_loss)
@@ -72,6 +86,43 @@
             if server.announcement.service == service
         ]
 
+    def count_open(self, service: identifiers.ServiceName) -> int:
+        """Return the number of a service's servers that take work now."""
+        now = self._clock.read_monotonic()
+        return sum(each.is_open(now) for each in self.list_servers(service))
+
+    def list_all(self) -> list[_routing.ServerView]:
+        """Return the backend servers of all services."""
+        return list(self._servers.values())
+
+    def list_replaced(self) -> frozenset[identifiers.Incarnation]:
+        """Return lives that ended, as a next life of the name shows."""
+        return frozenset(self._replaced)
+
+    def find(
+        self, incarnation: identifiers.Incarnation
+    ) -> _routing.ServerView | None:
+        """Return one life of a backend server, unless it is lost."""
+        return self._servers.get(incarnation)
+
+    def tell(
+        self, server: _routing.ServerView, message: entries.Message
+    ) -> None:
+        """Send a message for which no reply is awaited."""
+        _try_send(server.peer, message)
+
+    def note_result(
+        self, server: _routing.ServerView, seconds: float, failed: bool
+    ) -> None:
+        """Take in an attempt's time and end; eject a server that fails."""
+        if not failed:
+            server.observe_run(seconds)
+        server.observe_result(failed)
+        if self.ejects:
+            fellows = self.list_servers(server.announcement.service)
+            now = self._clock.read_monotonic()
+            self._ejector.judge(server, fellows, now)
+
     def set_weight(self, name: str, weight: float) -> None:
         """Give a backend server a share in [0, 1] of its usual work."""
         self._weights[name] = min(max(weight, 0.0), 1.0)
@@ -96,7 +147,7 @@
             server.peer.send(dispatch)
         except errors.RefusedError:
             return _messages.Reply(
-                sequence, _messages.Outcome.NOT_RUN, 'not connected'
+                sequence, _messages.Outcome.NOT_RUN, NOT_CONNECTED
             )
         self._pending[sequence] = (server, future)
         server.outstanding += 1
@@ -114,7 +165,8 @@
         dispatch: _messages.Dispatch,
         future: asyncio.Future[_messages.Reply],
     ) -> _messages.Reply:
-        done, _ = await asyncio.wait((future,), timeout=dispatch.remaining)
+        patience = dispatch.remaining + REPLY_MARGIN
+        done, _ = await asyncio.wait((future,), timeout=patience)
         if not done:
             _try_send(server.peer, _messages.Revoke(dispatch.sequence))
             done, _ = await asyncio.wait((future,), timeout=REVOKE_GRACE)
@@ -149,7 +201,10 @@
     ) -> _routing.ServerView:
         for other in tuple(self._servers.values()):
             if other.peer.name == peer.name:
+                self._replaced[other.peer.incarnation] = None
                 self._remove(other, 'restarted')
+        while len(self._replaced) > REPLACED_LIMIT:
+            del self._replaced[next(iter(self._replaced))]
         server = _routing.ServerView(peer, announcement, now)
         server.weight = self._weights.get(peer.name, 1.0)
         self._servers[peer.incarnation] = server
--- a/chivespoke/backend_servers/_routing.py
+++ b/chivespoke/backend_servers/_routing.py
@@ -32,6 +32,7 @@
         'latency',
         'failures',
         'answers',
+        'attempts',
         'ejected_until',
         'ejections',
         'weight',
@@ -55,21 +56,39 @@
         # A moving share of attempts that failed.
         self.failures = 0.0
         self.answers = 0
+        self.attempts = 0
         self.ejected_until = 0.0
         self.ejections = 0
         # Share of the usual work that it should get, in [0, 1].
         self.weight = 1.0
 
-    def is_open(self) -> bool:
+    def eject(self, until: float) -> None:
+        """Keep it out of the choice, and start it slowly after that."""
+        self.ejected_until = until
+        self.joined_at = until
+        self.failures = 0.0
+        self.latency = 0.0
+        self.answers = 0
+        self.attempts = 0
+
+    def is_open(self, now: float) -> bool:
         """Tell whether it takes work and has room."""
         held = self.announcement
         return (
             held.healthy
+            and self.ejected_until <= now
             and not held.leaving
-            and self.outstanding < held.slots + held.queue_limit
+            and self.outstanding < self.count_room()
             and self.outstanding_bytes < BYTES_LIMIT
         )
 
+    def count_room(self) -> int:
+        """Return the requests that may be sent before replies come.
+
+        A few more than fit, so that the sidecar can make batch give way.
+        """
+        return 2 * self.announcement.slots + self.announcement.queue_limit
+
     def observe_run(self, seconds: float) -> None:
         """Take in the time that an attempt took at the server."""
         self.answers += 1
@@ -78,6 +97,7 @@
 
     def observe_result(self, failed: bool) -> None:
         """Take in whether an attempt failed."""
+        self.attempts += 1
         self.failures += FAILURE_GAIN * (float(failed) - self.failures)
 
     def estimate_load(self) -> int:
@@ -154,3 +174,12 @@
         latency = server.latency if server.answers else FIRST_LATENCY
         load = server.estimate_load() + 1
         return latency * load / server.estimate_share(now)
+
+
+def make_policy(name: str, time: clock.Clock) -> RoutingPolicy:
+    """Return the policy that the settings name."""
+    if name == 'round-robin':
+        return RoundRobin()
+    if name == 'random':
+        return RandomChoice()
+    return ChoiceOfTwo(time)
--- a/chivespoke/backend_servers/_slots.py
+++ b/chivespoke/backend_servers/_slots.py
@@ -10,6 +10,7 @@
 from chivespoke import errors
 
 MEBIBYTE = 1024 * 1024
+EXPIRED = 'deadline passed in queue'
 QUEUE_BYTES_LIMIT = 64 * MEBIBYTE
 
 
@@ -68,7 +69,6 @@
         '_running',
         '_queue_bytes',
         'estimate',
-        'expired_in_queue',
     )
 
     def __init__(self, slots: int, queue_limit: int) -> None:
@@ -80,7 +80,6 @@
         self._running: set[Ticket] = set()
         self._queue_bytes = 0
         self.estimate = _estimate.RunTimeEstimate()
-        self.expired_in_queue = 0
 
     @property
     def outstanding(self) -> int:
@@ -126,9 +125,8 @@
                 ticket = queue.popleft()
                 self._queue_bytes -= len(ticket.dispatch.body)
                 if ticket.expires_at <= now:
-                    self.expired_in_queue += 1
                     ticket.state = TicketState.ENDED
-                    ticket.granted.set_result('deadline passed in queue')
+                    ticket.granted.set_result(EXPIRED)
                 else:
                     self._grant(ticket, now)
 
--- a/chivespoke/bench/__init__.py
+++ b/chivespoke/bench/__init__.py
@@ -7,6 +7,10 @@
 from chivespoke.bench._policy_suites import POLICY_NAMES
 from chivespoke.bench._processes import Daemon
 from chivespoke.bench._processes import find_free_port
+from chivespoke.bench._requests import RequestsReport
+from chivespoke.bench._requests import run_requests
+from chivespoke.bench._routing import measure_routing
+from chivespoke.bench._routing import RoutingReport
 from chivespoke.bench._slope_scenarios import list_slope_scenarios
 from chivespoke.bench._slopes import measure_slopes
 from chivespoke.bench._slopes import Progress
@@ -17,11 +21,15 @@
     'POLICY_NAMES',
     'PolicyOutcome',
     'Progress',
+    'RequestsReport',
+    'RoutingReport',
     'Scenario',
     'draw_policies',
     'find_free_port',
     'list_slope_scenarios',
+    'measure_routing',
     'measure_slopes',
     'run_policies',
+    'run_requests',
     'select_measure',
 ]
--- a/chivespoke/callers/__init__.py
+++ b/chivespoke/callers/__init__.py
@@ -1,7 +1,21 @@
 """Callers: requests in, whole replies out."""
 
+from chivespoke.callers._attempts import Attempts
+from chivespoke.callers._attempts import CallerRequest
 from chivespoke.callers._dispatcher import Dispatcher
 from chivespoke.callers._gateway import Gateway
+from chivespoke.callers._headers import CallerHeaders
+from chivespoke.callers._keyed import KeyedDispatcher
+from chivespoke.callers._limits import RequestLimits
 from chivespoke.callers._retries import RetryBudget
 
-__all__ = ['Dispatcher', 'Gateway', 'RetryBudget']
+__all__ = [
+    'Attempts',
+    'CallerHeaders',
+    'CallerRequest',
+    'Dispatcher',
+    'Gateway',
+    'KeyedDispatcher',
+    'RequestLimits',
+    'RetryBudget',
+]
--- /dev/null
+++ b/chivespoke/callers/_attempts.py
@@ -0,0 +1,89 @@
+"""One attempt of a caller's request at one backend server."""
+
+import msgspec
+
+from chivespoke import backend_servers
+from chivespoke.callers import _headers
+from chivespoke import clock
+from chivespoke import identifiers
+
+# A time-out within this many usual run times is the caller's haste, not
+# the server's fault.
+HASTE_FACTOR = 3.0
+
+
+class CallerRequest(msgspec.Struct, frozen=True):
+    """Hold a caller's request as it is carried."""
+
+    request_id: int
+    service: identifiers.ServiceName
+    method: str
+    target: str
+    headers: backend_servers.HeaderPairs
+    body: bytes
+    caller: _headers.CallerHeaders
+    # This process's monotonic seconds.
+    expires_at: float
+
+
+class Attempts:
+    """Make attempts and tell the registry how they went."""
+
+    __slots__ = ('_registry', '_clock')
+
+    def __init__(
+        self, registry: backend_servers.Registry, time: clock.Clock
+    ) -> None:
+        self._registry = registry
+        self._clock = time
+
+    async def run(
+        self,
+        request: CallerRequest,
+        server: backend_servers.ServerView,
+        attempt: int,
+        homes_version: int = 0,
+        lookup: bool = False,
+    ) -> backend_servers.Reply:
+        """Return the end of an attempt, in time for the caller."""
+        begun = self._clock.read_monotonic()
+        remaining = request.expires_at - begun - backend_servers.REPLY_MARGIN
+        if remaining <= 0:
+            return backend_servers.Reply(
+                0, backend_servers.Outcome.UNKNOWN, 'deadline passed'
+            )
+        reply = await self._registry.call(
+            server,
+            backend_servers.Dispatch(
+                self._registry.make_sequence(),
+                request.request_id,
+                attempt,
+                request.method,
+                request.target,
+                request.headers,
+                request.body,
+                remaining,
+                request.caller.request_class,
+                request.caller.tenant,
+                request.caller.key,
+                homes_version,
+                lookup,
+            ),
+        )
+        self._judge(server, reply, remaining, begun)
+        return reply
+
+    def _judge(
+        self,
+        server: backend_servers.ServerView,
+        reply: backend_servers.Reply,
+        remaining: float,
+        begun: float,
+    ) -> None:
+        if reply.outcome is backend_servers.Outcome.NOT_RUN:
+            return
+        elapsed = self._clock.read_monotonic() - begun
+        if reply.outcome is backend_servers.Outcome.ANSWERED:
+            self._registry.note_result(server, elapsed, reply.status >= 500)
+        elif remaining > HASTE_FACTOR * server.latency:
+            self._registry.note_result(server, elapsed, failed=True)
--- a/chivespoke/callers/_gateway.py
+++ b/chivespoke/callers/_gateway.py
@@ -9,8 +9,11 @@
 
 from chivespoke import application
 from chivespoke import backend_servers
+from chivespoke.callers import _attempts
 from chivespoke.callers import _dispatcher
 from chivespoke.callers import _headers
+from chivespoke.callers import _keyed
+from chivespoke.callers import _limits
 from chivespoke import clock
 from chivespoke import errors
 from chivespoke import identifiers
@@ -21,6 +24,10 @@
 # Seconds between looks at what is still in flight.
 DRAIN_POLL = 0.02
 SERVICE_PREFIX = '/services/'
+OVER_LIMIT = 'over the limit of its tenant and class'
+# HTTP statuses of refusals.
+TOO_MANY = 429
+UNAVAILABLE = 503
 
 
 class Gateway(application.Component, chivespoke_web.RouteProvider):
@@ -28,6 +35,8 @@
 
     __slots__ = (
         '_dispatcher',
+        '_keyed',
+        'limits',
         '_clock',
         '_telemetry',
         '_in_flight',
@@ -39,10 +48,14 @@
     def __init__(
         self,
         dispatcher: _dispatcher.Dispatcher,
+        keyed: _keyed.KeyedDispatcher,
+        limits: _limits.RequestLimits,
         instruments: telemetry.Telemetry,
         time: clock.Clock,
     ) -> None:
         self._dispatcher = dispatcher
+        self._keyed = keyed
+        self.limits = limits
         self._clock = time
         self._telemetry = instruments
         self._in_flight = 0
@@ -91,8 +104,8 @@
         if body is None:
             return _make_refusal(413, 'body too large', 0.0, close=True)
         self._request_id += 1
-        reply = await self._dispatcher.carry(
-            _dispatcher.CallerRequest(
+        reply, status = await self._end(
+            _attempts.CallerRequest(
                 self._request_id,
                 identifiers.ServiceName(request.match_info['service']),
                 request.method,
@@ -104,7 +117,25 @@
             )
         )
         self._measure(request, caller, reply, begun)
-        return make_response(reply)
+        return make_response(reply, status)
+
+    async def _end(
+        self, request: _attempts.CallerRequest
+    ) -> tuple[backend_servers.Reply, int]:
+        """Return a request's end, and the status if it was not run."""
+        caller = request.caller
+        wait = self.limits.take(caller.tenant, caller.request_class)
+        if wait > 0:
+            self._telemetry.refusals.add(1, {'cause': OVER_LIMIT})
+        if caller.key:
+            # Even over the limit the home is asked: the key may have run.
+            reply = await self._keyed.carry(request, lookup=wait > 0)
+            if wait > 0 and reply.cause == backend_servers.KEY_FREE:
+                return _refuse(wait), TOO_MANY
+            return reply, UNAVAILABLE
+        if wait > 0:
+            return _refuse(wait), TOO_MANY
+        return await self._dispatcher.carry(request), UNAVAILABLE
 
     async def _read_body(self, request: web.Request) -> bytes | None:
         length = request.content_length
@@ -141,14 +172,22 @@
         )
 
 
-def make_response(reply: backend_servers.Reply) -> web.Response:
-    """Return the HTTP response that tells a caller its request's end."""
+def _refuse(wait: float) -> backend_servers.Reply:
+    return backend_servers.Reply(
+        0, backend_servers.Outcome.NOT_RUN, OVER_LIMIT, retry_after=wait
+    )
+
+
+def make_response(reply: backend_servers.Reply, status: int) -> web.Response:
+    """Return the response that tells a caller its request's end."""
     if reply.outcome is backend_servers.Outcome.NOT_RUN:
-        return _make_refusal(503, reply.cause, reply.retry_after)
+        return _make_refusal(status, reply.cause, reply.retry_after)
     headers: multidict.CIMultiDict[str] = multidict.CIMultiDict(reply.headers)
     headers[_headers.OUTCOME] = reply.outcome.value
     if reply.outcome is backend_servers.Outcome.UNKNOWN:
         headers[_headers.CAUSE] = reply.cause
+        if reply.retry_after:
+            headers[_headers.RETRY_AFTER] = _format_wait(reply.retry_after)
         return web.Response(status=504, headers=headers, text='unknown\n')
     return web.Response(status=reply.status, headers=headers, body=reply.body)
 
@@ -160,9 +199,8 @@
         _headers.OUTCOME: backend_servers.Outcome.NOT_RUN.value,
         _headers.CAUSE: cause,
     }
-    if status in (429, 503):
-        # Whole seconds; the header knows no fractions.
-        headers[_headers.RETRY_AFTER] = str(max(1, math.ceil(retry_after)))
+    if status in (TOO_MANY, UNAVAILABLE):
+        headers[_headers.RETRY_AFTER] = _format_wait(retry_after)
     response = web.Response(
         status=status, headers=headers, text=f'not run: {cause}\n'
     )
@@ -171,6 +209,11 @@
     return response
 
 
+def _format_wait(seconds: float) -> str:
+    # Whole seconds; the header knows no fractions.
+    return str(max(1, math.ceil(seconds)))
+
+
 def _find_target(request: web.Request) -> str:
     """Return the path and query after the service, as the caller sent it."""
     rest = request.raw_path.removeprefix(SERVICE_PREFIX)
--- /dev/null
+++ b/chivespoke/callers/_limits.py
@@ -0,0 +1,93 @@
+"""Limits on the requests of each tenant and class."""
+
+from chivespoke import backend_servers
+from chivespoke import clock
+
+# Seconds of its rate that a tenant may send at once.
+BURST_SECONDS = 1.0
+# Share of a tenant's burst that requests of the batch class leave alone.
+BATCH_RESERVE = 0.25
+
+
+class TokenBucket:
+    """Let a rate of requests pass, with a burst."""
+
+    __slots__ = ('rate', '_tokens', '_filled_at')
+
+    def __init__(self, rate: float, now: float) -> None:
+        self.rate = rate
+        self._tokens = self.burst
+        self._filled_at = now
+
+    @property
+    def burst(self) -> float:
+        """Return the most requests that may pass at once."""
+        return max(1.0, self.rate * BURST_SECONDS)
+
+    def take(self, now: float, reserve: float) -> float:
+        """Take a token and return 0, or the seconds until there is one."""
+        gained = (now - self._filled_at) * self.rate
+        self._tokens = min(self.burst, self._tokens + gained)
+        self._filled_at = now
+        missing = 1.0 + reserve - self._tokens
+        if missing > 0:
+            return missing / self.rate
+        self._tokens -= 1.0
+        return 0.0
+
+
+class RequestLimits:
+    """Hold a bucket for each tenant and class that has a limit."""
+
+    __slots__ = ('_clock', '_rates', '_buckets')
+
+    def __init__(self, time: clock.Clock) -> None:
+        self._clock = time
+        self._rates: dict[
+            tuple[str, backend_servers.RequestClass | None], float
+        ] = {}
+        self._buckets: dict[
+            tuple[str, backend_servers.RequestClass | None], TokenBucket
+        ] = {}
+
+    def set_rate(
+        self,
+        tenant: str,
+        rate: float,
+        request_class: backend_servers.RequestClass | None = None,
+    ) -> None:
+        """Limit a tenant, or one of its classes; 0 lifts the limit.
+
+        The rate is in requests a second at this entry.
+        """
+        pair = (tenant, request_class)
+        if self._rates.get(pair, 0.0) == rate:
+            return
+        self._buckets.pop(pair, None)
+        self._rates.pop(pair, None)
+        if rate > 0:
+            self._rates[pair] = rate
+
+    def take(
+        self, tenant: str, request_class: backend_servers.RequestClass
+    ) -> float:
+        """Let a request pass and return 0, or seconds to come back after."""
+        wait = self._take((tenant, request_class), 0.0)
+        if wait > 0:
+            return wait
+        is_batch = request_class is backend_servers.RequestClass.BATCH
+        return self._take((tenant, None), BATCH_RESERVE * is_batch)
+
+    def _take(
+        self,
+        pair: tuple[str, backend_servers.RequestClass | None],
+        reserve: float,
+    ) -> float:
+        rate = self._rates.get(pair)
+        if rate is None:
+            return 0.0
+        now = self._clock.read_monotonic()
+        bucket = self._buckets.get(pair)
+        if bucket is None:
+            bucket = self._buckets[pair] = TokenBucket(rate, now)
+        return bucket.take(now, reserve * bucket.burst)
--- a/chivespoke/callers/tests/builders.py
+++ b/chivespoke/callers/tests/builders.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from chivespoke import application
 from chivespoke import backend_servers
 from chivespoke import clock
 from chivespoke import daemons
@@ -21,6 +22,7 @@
 POLL = 0.01
 # Seconds after which a condition that should come true is given up.
 PATIENCE = 15.0
+NO_HEADERS: collections.abc.Mapping[str, str] = {}
 OUTCOME = 'Chivespoke-Outcome'
 
 
@@ -52,6 +54,7 @@
         self.sidecars: list[daemons.Sidecar] = []
         self.servers: list[standins.CountingServer] = []
         self.clock = clock.SystemClock()
+        self._stopped: list[application.Application] = []
         self._sidecar_settings = sidecar_settings
         self._session: aiohttp.ClientSession | None = None
 
@@ -66,12 +69,18 @@
         trace: types.TracebackType | None,
     ) -> None:
         for each in (*self.sidecars, *self.entries):
-            await each.stop()
+            await self.stop(each)
         for server in self.servers:
             await server.stop()
         if self._session is not None:
             await self._session.close()
 
+    async def stop(self, stopping: application.Application) -> None:
+        """Stop an entry or a sidecar gracefully, at most once."""
+        if stopping not in self._stopped:
+            self._stopped.append(stopping)
+            await stopping.stop()
+
     async def add_entry(
         self,
         address: settings.Address = ANY_ADDRESS,
@@ -131,8 +140,7 @@
         """Wait until every entry knows so many servers that take work."""
 
         def is_open(entry: daemons.Entry) -> bool:
-            found = entry.context.registry.list_servers(SERVICE)
-            return sum(server.is_open() for server in found) >= count
+            return entry.context.registry.count_open(SERVICE) >= count
 
         await wait_until(lambda: all(map(is_open, self.entries)))
 
@@ -142,7 +150,8 @@
         method: str = 'GET',
         entry: int = 0,
         body: bytes = b'',
-        **headers: str,
+        headers: collections.abc.Mapping[str, str] = NO_HEADERS,
+        **more_headers: str,
     ) -> Answer:
         """Send a request to a service; headers without their prefix."""
         assert self._session is not None
@@ -153,7 +162,7 @@
             data=body or None,
             headers={
                 'Chivespoke-' + name.replace('_', '-'): text
-                for name, text in headers.items()
+                for name, text in {**headers, **more_headers}.items()
             },
         ) as response:
             return Answer(
--- /dev/null
+++ b/chivespoke/callers/tests/test_shutdown.py
@@ -0,0 +1,79 @@
+"""Tests of graceful shutdown, in any order, under load."""
+
+import asyncio
+import unittest
+
+from chivespoke.callers.tests import builders
+
+CALLERS = 8
+ORDERS = (
+    ('entry', 'sidecar', 'server'),
+    ('sidecar', 'server', 'entry'),
+    ('server', 'entry', 'sidecar'),
+)
+
+
+class Load:
+    """Call through every entry that is healthy until told to stop."""
+
+    def __init__(self, path: builders.Path) -> None:
+        self.path = path
+        self.answers: list[builders.Answer] = []
+        self.open_entries = [0, 1]
+        self._stopping = False
+        self._tasks = [
+            asyncio.create_task(self._call(number))
+            for number in range(CALLERS)
+        ]
+
+    async def _call(self, number: int) -> None:
+        while not self._stopping:
+            entry = self.open_entries[number % len(self.open_entries)]
+            answer = await self.path.call('/x?ms=20', 'POST', entry=entry)
+            self.answers.append(answer)
+
+    async def stop(self) -> None:
+        """Let every caller finish; raise what any of them met."""
+        self._stopping = True
+        await asyncio.gather(*self._tasks)
+
+
+class ShutdownTest(unittest.IsolatedAsyncioTestCase):
+    """Stop one of two of each kind while requests are in flight."""
+
+    async def stop_one(self, load: Load, kind: str) -> None:
+        path = load.path
+        if kind == 'entry':
+            # The balancer has seen the failing health check by then.
+            load.open_entries = [1]
+            await path.stop(path.entries[0])
+        elif kind == 'sidecar':
+            await path.stop(path.sidecars[0])
+        else:
+            server = path.servers[-1]
+            await server.drain()
+            held = path.sidecars[-1].executor
+            await builders.wait_until(
+                lambda: bool(held.refusing) and not held.outstanding
+            )
+            before = sum(server.runs.values())
+            await asyncio.sleep(0.2)
+            self.assertEqual(before, sum(server.runs.values()))
+
+    async def test_every_order_cuts_nothing(self) -> None:
+        for order in ORDERS:
+            with self.subTest(order=order):
+                async with builders.run_path(entries=2, servers=3) as path:
+                    load = Load(path)
+                    for kind in order:
+                        await asyncio.sleep(0.1)
+                        await self.stop_one(load, kind)
+                    await asyncio.sleep(0.1)
+                    await load.stop()
+                outcomes = {each.outcome for each in load.answers}
+                self.assertEqual({'answered'}, outcomes)
+                self.assertEqual(len(load.answers), path.count_runs())
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/chivespoke/cli/_bench.py
+++ b/chivespoke/cli/_bench.py
@@ -43,3 +43,13 @@
     name='placement',
     help='Measure placement decisions and what they lead to.',
 )
+BENCH.command(
+    'chivespoke.cli._bench_routing:show_requests',
+    name='requests',
+    help='Run requests under random faults and check invariants.',
+)
+BENCH.command(
+    'chivespoke.cli._bench_routing:show_routing',
+    name='routing',
+    help='Measure the request path beside naive routing.',
+)
--- a/chivespoke/cli/_standins.py
+++ b/chivespoke/cli/_standins.py
@@ -32,12 +32,20 @@
 
 
 @STANDINS.command(name='backend-server')
-def run_backend_server(*, port: int = 0, count: Count = 1) -> None:
-    """Run fake backend servers on consecutive ports."""
-    ports = [port + index if port else 0 for index in range(count)]
-    _run(
-        standins.CountingServer(settings.Address(port=each)) for each in ports
-    )
+def run_backend_server(
+    *,
+    port: int = 0,
+    ports: tuple[int, ...] = (),
+    slow_first: float = 1.0,
+) -> None:
+    """Run fake backend servers, the first one slower by a factor."""
+    logs.configure_logs(logs.LogFormat.HUMAN, 'INFO')
+    servers = [
+        standins.CountingServer(settings.Address(port=each))
+        for each in ports or (port,)
+    ]
+    servers[0].slowness = slow_first
+    asyncio.run(application.Application(servers).run())
 
 
 @STANDINS.command(name='log')
--- a/chivespoke/daemons.py
+++ b/chivespoke/daemons.py
@@ -36,6 +36,7 @@
         'messages',
         'control',
         'scheduling',
+        'homes',
     )
 
     def __init__(
@@ -43,6 +44,7 @@
         entry: settings.EntrySettings,
         time: clock.Clock,
         policy: backend_servers.RoutingPolicy | None = None,
+        home_limits: backend_servers.HomeLimits | None = None,
     ) -> None:
         self.settings = entry
         self.clock = time
@@ -73,14 +75,39 @@
         self.registry = backend_servers.Registry(
             self.handlers, self.directory, self.telemetry, time
         )
-        dispatcher = callers.Dispatcher(
+        self.registry.ejects = entry.routing == 'choice-of-two'
+        self.homes = backend_servers.HomeKeeper(
+            self.control.log,
+            self.control.committer,
             self.registry,
-            policy or backend_servers.ChoiceOfTwo(time),
-            callers.RetryBudget(DEFAULT_RETRY_SHARE),
-            self.telemetry,
+            self.handlers,
             time,
+            home_limits or backend_servers.HomeLimits(),
+        )
+        self.gateway = self._make_gateway(
+            policy or backend_servers.make_policy(entry.routing, time)
+        )
+
+    def _make_gateway(
+        self, policy: backend_servers.RoutingPolicy
+    ) -> callers.Gateway:
+        attempts = callers.Attempts(self.registry, self.clock)
+        return callers.Gateway(
+            callers.Dispatcher(
+                attempts,
+                self.registry,
+                policy,
+                callers.RetryBudget(DEFAULT_RETRY_SHARE),
+                self.telemetry,
+                self.clock,
+            ),
+            callers.KeyedDispatcher(
+                attempts, self.homes, self.registry, self.clock
+            ),
+            callers.RequestLimits(self.clock),
+            self.telemetry,
+            self.clock,
         )
-        self.gateway = callers.Gateway(dispatcher, self.telemetry, time)
 
 
 def _make_scheduling(context: EntryContext) -> scheduling.Scheduling:
@@ -149,14 +176,16 @@
         time: clock.Clock,
         policy: backend_servers.RoutingPolicy | None = None,
         balancer_notice: float = BALANCER_NOTICE,
+        home_limits: backend_servers.HomeLimits | None = None,
     ) -> None:
-        self.context = EntryContext(entry, time, policy)
+        self.context = EntryContext(entry, time, policy, home_limits)
         health = web.Health(balancer_notice)
         context = self.context
         parts: list[Part] = [context.telemetry, context.directory]
         parts += [context.messages, _OwnAddress(context), context.registry]
         parts += context.control.list_parts()
         parts += [context.scheduling, context.scheduling.routes]
+        parts += [context.homes]
         parts += [part for make in PART_MAKERS for part in make(context)]
         parts += [context.gateway, health]
         self.http = web.HttpServer(
@@ -191,6 +220,7 @@
         self.executor = backend_servers.Executor(
             backend_server,
             backend_servers.Slots(sidecar.slots, sidecar.queue_limit),
+            backend_servers.KeyTable(),
             handlers,
             self.telemetry,
             time,
@@ -206,8 +236,11 @@
         )
         health = web.Health(0.0)
         self.http = web.HttpServer(sidecar.http, (self.telemetry, health))
-        # Drained from the end: leave first, then finish what runs. The
-        # announcer holds the connections, so it is stopped after that.
+        # Drained from the end: leave, finish what runs, say farewell.
+        departure = backend_servers.Departure(announcer)
         super().__init__(
-            (backend_server, self.http, self.executor, announcer, health)
+            (
+                *(backend_server, self.http, departure),
+                *(self.executor, announcer, health),
+            )
         )
--- a/chivespoke/demo/_cluster.py
+++ b/chivespoke/demo/_cluster.py
@@ -87,8 +87,7 @@
 
     def _count_servers(self, entry: daemons.Entry) -> int:
         service = self._settings.service.name
-        found = entry.context.registry.list_servers(service)
-        return sum(server.is_open() for server in found)
+        return entry.context.registry.count_open(service)
 
     async def _start(
         self, component: application.Component | application.Application
--- a/chivespoke/entries/_transport.py
+++ b/chivespoke/entries/_transport.py
@@ -301,6 +301,11 @@
         opened.connect(self.endpoint)
         self._tasks.spawn(self._receive(opened))
 
+    def is_alive(self, limit: float) -> bool:
+        """Tell whether the peer was heard of within the seconds."""
+        silence = self._clock.read_monotonic() - self.heard_at
+        return bool(self.peer.incarnation) and silence < limit
+
     async def _receive(self, opened: zmq.asyncio.Socket) -> None:
         while True:
             frames = await opened.recv_multipart()
--- a/chivespoke/settings.py
+++ b/chivespoke/settings.py
@@ -66,6 +66,10 @@
     platform_log: Address
     # Seconds for which the log keeps a record.
     platform_log_retention: Positive = 86400.0
+    # How backend servers are chosen; the others are for comparison.
+    routing: typing.Literal['choice-of-two', 'round-robin', 'random'] = (
+        'choice-of-two'
+    )
     # Worker groups whose tasks this entry may schedule.
     shards: tuple[str, ...] = ()
     log: LogSettings = LogSettings()
--- a/chivespoke/standins/_backend_server.py
+++ b/chivespoke/standins/_backend_server.py
@@ -37,7 +37,7 @@
         # Factor on every run time.
         self.slowness = 1.0
         self.healthy = True
-        self._server = chivespoke_web.HttpServer(address, (self,))
+        self._server = chivespoke_web.HttpServer(address, (self,), 0.1)
 
     @property
     def address(self) -> settings.Address:
@@ -47,6 +47,7 @@
     def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
         return (
             web.get('/health', self._answer_health),
+            web.put('/slowness', self._set_slowness),
             web.route('*', '/{path:.*}', self._answer),
         )
 
@@ -65,6 +66,10 @@
     async def _answer_health(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self.healthy else 503)
 
+    async def _set_slowness(self, request: web.Request) -> web.Response:
+        self.slowness = float(request.query['factor'])
+        return web.Response()
+
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         self.runs[request.path] += 1
         self.running += 1
--- a/chivespoke/telemetry.py
+++ b/chivespoke/telemetry.py
@@ -31,6 +31,7 @@
         'requests',
         'retries',
         'dropped_messages',
+        'expired_in_queue',
         'refusals',
     )
 
@@ -84,6 +85,10 @@
         self.refusals = self.meter.create_counter(
             'chivespoke_refusals', description='Refused requests, by cause'
         )
+        self.expired_in_queue = self.meter.create_counter(
+            'chivespoke_expired_in_queue',
+            description='Accepted requests whose deadline passed in a queue',
+        )
         self.dropped_messages = self.meter.create_counter(
             'chivespoke_dropped_messages',
             description='Messages dropped, by cause',
--- a/chivespoke/web.py
+++ b/chivespoke/web.py
@@ -27,13 +27,21 @@
 class HttpServer(application.Component):
     """Serve the routes of every provider on one address."""
 
-    __slots__ = ('_configured', '_providers', '_runner', '_bound')
+    __slots__ = (
+        '_configured',
+        '_providers',
+        '_runner',
+        '_bound',
+        '_shutdown_seconds',
+    )
 
     def __init__(
         self,
         address: settings.Address,
         providers: collections.abc.Iterable[RouteProvider],
+        shutdown_seconds: float = SHUTDOWN_SECONDS,
     ) -> None:
+        self._shutdown_seconds = shutdown_seconds
         self._configured = address
         self._providers = tuple(providers)
         self._runner: web.AppRunner | None = None
@@ -53,7 +61,7 @@
         for provider in self._providers:
             server.add_routes(provider.list_routes())
         runner = web.AppRunner(
-            server, access_log=None, shutdown_timeout=SHUTDOWN_SECONDS
+            server, access_log=None, shutdown_timeout=self._shutdown_seconds
         )
         await runner.setup()
         site = web.TCPSite(
