Stop a connection before it is forgotten

Cause: a landing hung for minutes with a test process inside a poll of the message library. Stopping membership could cancel the closing of a connection half way; its context was then collected with a socket open, which blocks for ever. A connection is forgotten only once it has stopped. Conclusion: likely the cause, not shown to be the only one.

--- a/chivespoke/entries/_membership_links.py
+++ b/chivespoke/entries/_membership_links.py
@@ -37,6 +37,7 @@
         '_telemetry',
         '_clock',
         '_clients',
+        '_passing',
         '_pending',
         '_number',
     )
@@ -53,6 +54,8 @@
         self._clients: dict[
             identifiers.Incarnation, _transport.MessageClient
         ] = {}
+        # Connections for one question each.
+        self._passing: set[_transport.MessageClient] = set()
         self._pending: dict[int, asyncio.Future[Reply]] = {}
         self._number = 0
         self._handlers = _handlers.Handlers()
@@ -64,9 +67,10 @@
         return None
 
     async def stop(self) -> None:
-        for client in tuple(self._clients.values()):
+        for client in (*self._clients.values(), *self._passing):
             await client.stop()
         self._clients.clear()
+        self._passing.clear()
 
     async def adjust(
         self, wanted: collections.abc.Iterable[_messages.EntryAddress]
@@ -74,7 +78,10 @@
         """Keep connections to exactly the given entries."""
         addresses = {address.incarnation: address for address in wanted}
         for incarnation in self._clients.keys() - addresses.keys():
-            await self._clients.pop(incarnation).stop()
+            # Forgotten only when it has stopped: if this is cancelled in
+            # between, a socket left open would block the process later.
+            await self._clients[incarnation].stop()
+            del self._clients[incarnation]
         for incarnation in addresses.keys() - self._clients.keys():
             self._clients[incarnation] = await self._connect(
                 addresses[incarnation]
@@ -118,13 +125,17 @@
         self, address: _messages.EntryAddress, seconds: float
     ) -> tuple[operators.ProcessReport, ...] | None:
         """Return an entry's reports, None when it does not answer."""
-        held = self._clients.get(address.incarnation)
-        client = held or await self._connect(address)
-        try:
+        client = self._clients.get(address.incarnation)
+        if client is not None:
             reply = await self._ask(client, messages.RollQuestion, seconds)
-        finally:
-            if held is None:
+        else:
+            client = await self._connect(address)
+            self._passing.add(client)
+            try:
+                reply = await self._ask(client, messages.RollQuestion, seconds)
+            finally:
                 await client.stop()
+                self._passing.discard(client)
         return reply.reports if isinstance(reply, messages.RollReply) else None
 
     async def _connect(
