Throttle in one step, look ahead at rising loads, test the policies

Cause: the guard throttled the largest harm one task at a time; placement saw the load of now only, though tasks run on into the peak; a wait of half an hour doubled the accepted log slowdown.

Conclusion: wait early, throttle late, look 300 s ahead.

--- a/chivespoke/bench/_policy_life.py
+++ b/chivespoke/bench/_policy_life.py
@@ -38,6 +38,7 @@
     __slots__ = (
         'evictions',
         'moves',
+        'journal',
         'clock',
         'world',
         '_scenario',
@@ -59,6 +60,8 @@
     ) -> None:
         self.evictions = 0
         self.moves = 0
+        # Every decision of the policies, in order.
+        self.journal: list[str] = []
         self.clock = clock
         self.world = world
         self._scenario = scenario
@@ -78,13 +81,20 @@
         self._out: str | None = None
         self._ticks = 0
 
-    def run(self) -> None:
-        """Run the whole scenario."""
-        while self._ticks * _policy_scenario.TICK < _policy_scenario.HORIZON:
+    def run(self, horizon: float = _policy_scenario.HORIZON) -> None:
+        """Run the scenario up to a horizon in seconds."""
+        while self._ticks * _policy_scenario.TICK < horizon:
+            if self._ticks * _policy_scenario.TICK == horizon / 2:
+                self._replace_process()
             self._run_tick(self._ticks * _policy_scenario.TICK)
             self._ticks += 1
             self.clock.advance(_policy_scenario.TICK)
 
+    def _replace_process(self) -> None:
+        suite = self._suite
+        if suite.successor is not None and suite.knowledge is not None:
+            self._suite = suite.successor(suite.knowledge)
+
     def _run_tick(self, now: float) -> None:
         self._admit(now)
         self._change_data_centre(now)
@@ -183,6 +193,7 @@
         chosen = self._suite.placement.choose_worker(demand, candidates)
         if chosen is None:
             return False
+        self.journal.append(f'{now} {demand.task_id} {chosen.worker_id}')
         chosen.tasks[demand.task_id] = scheduling.PlacedTask(
             demand=demand, attempt=task.attempt, placed_at=now
         )
@@ -247,6 +258,7 @@
         return [view]
 
     def _apply(self, action: scheduling.GuardAction) -> None:
+        self.journal.append(f'{action.task_id} {action.kind.value}')
         view = self._views[action.worker_id]
         placed = view.tasks.get(action.task_id)
         if placed is None or placed.attempt != action.attempt:
--- a/chivespoke/bench/_policy_runner.py
+++ b/chivespoke/bench/_policy_runner.py
@@ -61,7 +61,8 @@
     scenario = _policy_scenario.make_scenario(shape, seed)
     world = _policy_model.ModelWorld(scenario)
     clock = clocks.ManualClock(0.0)
-    suite = _policy_suites.MAKERS[policy](
+    makers = {**_policy_suites.MAKERS, **_policy_suites.VARIANTS}
+    suite = makers[policy](
         _policy_suites.Inputs(seed, shape.weights, clock, world)
     )
     life = _policy_life.LifeCycle(scenario, world, suite, clock)
@@ -87,7 +88,7 @@
     comparisons = tuple(
         compare(shape.name, runs)
         for shape in _policy_scenario.SHAPES
-        if set(names) == set(_policy_suites.MAKERS)
+        if set(names) >= set(_policy_suites.MAKERS)
     )
     return Outcome(runs=runs, comparisons=comparisons)
 
--- a/chivespoke/bench/_policy_suites.py
+++ b/chivespoke/bench/_policy_suites.py
@@ -23,6 +23,8 @@
     sizes: policies.SizePolicy
     routing: policies.RoutingPolicy
     knowledge: policies.Knowledge | None = None
+    # Makes the suite of the process that takes over in mid-run.
+    successor: typing.Callable[[policies.Knowledge], 'Suite'] | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -178,13 +180,91 @@
     )
 
 
+def _make_knowledge(
+    options: policies.FitOptions = policies.DEFAULT_OPTIONS,
+) -> policies.Knowledge:
+    return policies.Knowledge(
+        policies.PairwiseModel(options), policies.LearntSizes()
+    )
+
+
 def _make_full(inputs: Inputs) -> Suite:
+    return make_learnt(inputs, _make_knowledge())
+
+
+def _make_variant(
+    options: policies.FitOptions,
+) -> typing.Callable[[Inputs], Suite]:
+    return lambda inputs: make_learnt(inputs, _make_knowledge(options))
+
+
+def _make_pair_averages(inputs: Inputs) -> Suite:
     knowledge = policies.Knowledge(
-        policies.PairwiseModel(), policies.LearntSizes()
+        policies.PairAverages(), policies.LearntSizes()
     )
     return make_learnt(inputs, knowledge)
 
 
+def _make_blaming_arrivals(inputs: Inputs) -> Suite:
+    knowledge = policies.Knowledge(
+        policies.PairwiseModel(),
+        policies.LearntSizes(),
+        matches_arrival=True,
+    )
+    return make_learnt(inputs, knowledge)
+
+
+def _make_unguarded(inputs: Inputs) -> Suite:
+    return make_learnt(inputs, _make_knowledge(), guard=policies.NoGuard())
+
+
+def _make_evicting(inputs: Inputs) -> Suite:
+    suite = make_learnt(inputs, _make_knowledge())
+    guard = policies.EvictAtOnce()
+    return dataclasses.replace(
+        suite,
+        guard=guard,
+        observer=_BothObservers(suite.observer, guard),
+    )
+
+
+def _make_even_routing(inputs: Inputs) -> Suite:
+    return make_learnt(
+        inputs, _make_knowledge(), routing=policies.EvenRouting()
+    )
+
+
+def _make_replaced(inputs: Inputs, passes_state: bool) -> Suite:
+    """Replace the process in mid-run, with its state or without."""
+
+    def succeed(old: policies.Knowledge) -> Suite:
+        fresh = _make_knowledge()
+        if passes_state:
+            policies.decode_state(policies.encode_state(old), fresh)
+        return make_learnt(inputs, fresh)
+
+    suite = make_learnt(inputs, _make_knowledge())
+    return dataclasses.replace(suite, successor=succeed)
+
+
+class _BothObservers(scheduling.ReportObserver):
+    """Pass reports on to two observers."""
+
+    __slots__ = ('_observers',)
+
+    def __init__(self, *observers: scheduling.ReportObserver) -> None:
+        self._observers = observers
+
+    def observe_report(
+        self,
+        now: float,
+        report: workers.UsageReport,
+        worker: scheduling.WorkerView,
+    ) -> None:
+        for observer in self._observers:
+            observer.observe_report(now, report, worker)
+
+
 LEARNT = 'learnt'
 ORACLE = 'oracle'
 EVICT_AT_ONCE = 'evict-at-once'
@@ -205,3 +285,16 @@
 }
 
 POLICY_NAMES = tuple(MAKERS)
+
+# Ways that were tried; they run only when they are named.
+VARIANTS: dict[str, typing.Callable[[Inputs], Suite]] = {
+    'pair-averages': _make_pair_averages,
+    'no-load': _make_variant(policies.FitOptions(learns_gains=False)),
+    'no-pooling': _make_variant(policies.FitOptions(pools_families=False)),
+    'blame-arrivals': _make_blaming_arrivals,
+    'no-guard': _make_unguarded,
+    'evicting-guard': _make_evicting,
+    'even-routing': _make_even_routing,
+    'state-lost': lambda inputs: _make_replaced(inputs, False),
+    'state-passed': lambda inputs: _make_replaced(inputs, True),
+}
--- a/chivespoke/scheduling/policies/__init__.py
+++ b/chivespoke/scheduling/policies/__init__.py
@@ -1,8 +1,10 @@
 """Policies: placement, guards, sizes, routing, and their naive twins."""
 
+from chivespoke.scheduling.policies._averages import PairAverages
 from chivespoke.scheduling.policies._guard import SteppedGuard
 from chivespoke.scheduling.policies._interference import add_shares
 from chivespoke.scheduling.policies._interference import InterferenceModel
+from chivespoke.scheduling.policies._interference import LearningModel
 from chivespoke.scheduling.policies._interference import make_share
 from chivespoke.scheduling.policies._interference import NoInterference
 from chivespoke.scheduling.policies._interference import PairwiseModel
@@ -10,6 +12,8 @@
 from chivespoke.scheduling.policies._interference import Share
 from chivespoke.scheduling.policies._knowledge import Knowledge
 from chivespoke.scheduling.policies._knowledge import ReplicaState
+from chivespoke.scheduling.policies._moments import DEFAULT_OPTIONS
+from chivespoke.scheduling.policies._moments import FitOptions
 from chivespoke.scheduling.policies._naive import EvictAtOnce
 from chivespoke.scheduling.policies._naive import FirstFit
 from chivespoke.scheduling.policies._naive import IgnoreReports
@@ -30,24 +34,32 @@
 from chivespoke.scheduling.policies._sizes import DeclaredSizes
 from chivespoke.scheduling.policies._sizes import LearntSizes
 from chivespoke.scheduling.policies._sizes import observe_sizes
+from chivespoke.scheduling.policies._sizes import read_quantile
 from chivespoke.scheduling.policies._sizes import SizePolicy
+from chivespoke.scheduling.policies._sizes import Sketches
+from chivespoke.scheduling.policies._state import decode_state
+from chivespoke.scheduling.policies._state import encode_state
 
 __all__ = [
     'CorrectedSize',
+    'DEFAULT_OPTIONS',
     'DeclaredSizes',
     'DisturbanceRouting',
     'EvenRouting',
     'EvictAtOnce',
     'FirstFit',
+    'FitOptions',
     'IgnoreReports',
     'InterferenceModel',
     'Knowledge',
+    'LearningModel',
     'LearntSizes',
     'LeastLoaded',
     'MatchedReport',
     'NoGuard',
     'NoInterference',
     'Observation',
+    'PairAverages',
     'PairwiseModel',
     'Prediction',
     'RandomChoice',
@@ -57,11 +69,15 @@
     'RoutingPolicy',
     'Share',
     'SizePolicy',
+    'Sketches',
     'SteppedGuard',
     'Tuning',
     'WeighedPlacement',
     'add_shares',
+    'decode_state',
+    'encode_state',
     'make_share',
     'make_tuning',
     'observe_sizes',
+    'read_quantile',
 ]
--- a/chivespoke/scheduling/policies/_guard.py
+++ b/chivespoke/scheduling/policies/_guard.py
@@ -13,8 +13,9 @@
 
 # Release only when the prediction lies this far under the limit (log).
 HYSTERESIS = 0.2
-# Intervals that must have been measured after an action before the next.
-SETTLED = 2
+# Log slowdown of a task that is not worth an action.
+LEAST_HARM = 0.02
+MOST_THROTTLES = 4
 # Seconds a throttle lasts at least, doubled each time it comes back.
 LEAST_THROTTLE = 60.0
 LONGEST_THROTTLE = 960.0
@@ -73,20 +74,19 @@
         if worst is None:
             return ()
         replica, measured, expected, measured_from = worst
-        limit = self._tuning.guard_limit
         pending = self._finish_checkpoint(now, worker, guard, measured)
         if pending is not None:
-            return self._act(now, worker, guard, *pending)
-        shown = measured_from >= guard.shown_from
-        if max(measured, expected) > limit and shown:
-            chosen = self._choose_victim(now, worker, replica, guard)
-        elif max(measured, expected) < limit - HYSTERESIS and shown:
-            chosen = self._choose_release(now, worker, replica, guard)
-        else:
-            chosen = None
-        if chosen is None:
+            return (self._act(now, worker, guard, *pending),)
+        if measured_from < guard.shown_from:
             return ()
-        return self._act(now, worker, guard, *chosen)
+        excess = max(measured, expected) - self._tuning.guard_limit
+        if excess > 0.0:
+            return self._restrain(now, worker, replica, guard, excess)
+        if excess < -HYSTERESIS:
+            chosen = self._choose_release(now, worker, replica, guard)
+            if chosen is not None:
+                return (self._act(now, worker, guard, *chosen),)
+        return ()
 
     def _find_worst(
         self, worker: scheduling.WorkerView
@@ -109,39 +109,71 @@
                 worst = found
         return worst
 
-    def _choose_victim(
+    def _restrain(
         self,
         now: float,
         worker: scheduling.WorkerView,
         replica: scheduling.PlacedTask,
         guard: _WorkerGuard,
-    ) -> tuple[scheduling.PlacedTask, scheduling.GuardActionKind] | None:
-        """Blame by the model: most harm for the least that is lost."""
+        excess: float,
+    ) -> tuple[scheduling.GuardAction, ...]:
+        """Throttle what is blamed until the excess is made up for."""
         load = self._knowledge.get_replica(worker, replica).load
-        best: scheduling.PlacedTask | None = None
-        best_worth = 0.0
-        stuck: scheduling.PlacedTask | None = None
+        blamed: list[tuple[float, float, scheduling.PlacedTask]] = []
         for placed in worker.tasks.values():
             if placed.demand.kind is not workers.TaskKind.BATCH:
                 continue
             if placed.throttled:
-                since = guard.throttled_at.get(placed.demand.task_id, now)
-                if now - since > THROTTLE_TRIAL:
-                    stuck = stuck or placed
                 continue
             harm = self._knowledge.predict_harm(
                 replica.demand.family, placed.demand, worker, load
-            )
-            worth = harm.mean / (1.0 + self._count_recent(now, placed))
-            if worth > best_worth:
-                best, best_worth = placed, worth
-        if best is not None and best_worth > 0.02:
-            return best, scheduling.GuardActionKind.THROTTLE
-        if stuck is not None and guard.budget >= 1.0:
-            if stuck.demand.checkpointing:
-                return stuck, scheduling.GuardActionKind.CHECKPOINT
-            return stuck, scheduling.GuardActionKind.EVICT
-        return None
+            ).mean
+            if harm > LEAST_HARM:
+                worth = self._weigh_victim(now, placed, harm)
+                blamed.append((worth, harm, placed))
+        blamed.sort(key=lambda entry: -entry[0])
+        actions = []
+        for _, harm, placed in blamed[:MOST_THROTTLES]:
+            if excess <= 0.0:
+                break
+            excess -= harm * (1.0 - _knowledge.THROTTLED_SHARE)
+            kind = scheduling.GuardActionKind.THROTTLE
+            actions.append(self._act(now, worker, guard, placed, kind))
+        if actions:
+            return tuple(actions)
+        return self._remove_stuck(now, worker, guard)
+
+    def _weigh_victim(
+        self, now: float, placed: scheduling.PlacedTask, harm: float
+    ) -> float:
+        """Return the harm saved for each part of the work that slows."""
+        use = self._knowledge.sizes.estimate_use(placed.demand).millicores
+        return harm / (use + 1.0) / (1.0 + self._count_recent(now, placed))
+
+    def _remove_stuck(
+        self,
+        now: float,
+        worker: scheduling.WorkerView,
+        guard: _WorkerGuard,
+    ) -> tuple[scheduling.GuardAction, ...]:
+        """Checkpoint or evict what throttling did not make harmless."""
+        if guard.budget < 1.0:
+            return ()
+        stuck = [
+            placed
+            for task_id, placed in worker.tasks.items()
+            if placed.throttled
+            and now - guard.throttled_at.get(task_id, now) > THROTTLE_TRIAL
+        ]
+        if not stuck:
+            return ()
+        victim = min(stuck, key=_count_lost)
+        kind = scheduling.GuardActionKind.EVICT
+        if victim.demand.checkpointing:
+            if victim.demand.task_id in guard.checkpointed_at:
+                return ()
+            kind = scheduling.GuardActionKind.CHECKPOINT
+        return (self._act(now, worker, guard, victim, kind),)
 
     def _choose_release(
         self,
@@ -198,7 +230,7 @@
         guard: _WorkerGuard,
         placed: scheduling.PlacedTask,
         kind: scheduling.GuardActionKind,
-    ) -> tuple[scheduling.GuardAction, ...]:
+    ) -> scheduling.GuardAction:
         task_id = placed.demand.task_id
         clock = self._knowledge.matcher.estimate_worker_clock(
             now, worker.worker_id
@@ -214,14 +246,12 @@
         elif kind is scheduling.GuardActionKind.EVICT:
             guard.budget -= 1.0
         self._forget_gone(worker, guard)
-        return (
-            scheduling.GuardAction(
-                worker_id=worker.worker_id,
-                task_id=task_id,
-                attempt=placed.attempt,
-                kind=kind,
-                reason=f'{kind.value} of {placed.demand.family}',
-            ),
+        return scheduling.GuardAction(
+            worker_id=worker.worker_id,
+            task_id=task_id,
+            attempt=placed.attempt,
+            kind=kind,
+            reason=f'{kind.value} of {placed.demand.family}',
         )
 
     def _refill(self, now: float, guard: _WorkerGuard) -> None:
@@ -249,3 +279,7 @@
         for known in (guard.throttled_at, guard.throttle_time):
             for task_id in [t for t in known if t not in worker.tasks]:
                 del known[task_id]
+
+
+def _count_lost(placed: scheduling.PlacedTask) -> float:
+    return 0.0 if placed.demand.checkpointing else placed.unsaved_seconds
--- a/chivespoke/scheduling/policies/_interference.py
+++ b/chivespoke/scheduling/policies/_interference.py
@@ -60,17 +60,10 @@
         return None
 
 
-class PairwiseModel(InterferenceModel):
-    """Learn harm per pair and load, shrunk towards the family's mean."""
-
-    __slots__ = ('_fits', '_families', '_family_means', '_cache')
-
-    def __init__(self) -> None:
-        self._fits: dict[str, _moments.ServiceFit] = {}
-        self._families: dict[str, int] = {}
-        self._family_means = numpy.zeros(0)
-        self._cache: dict[tuple[str, str, Share, int], Prediction] = {}
+class LearningModel(InterferenceModel):
+    """Learn from matched measurements."""
 
+    @abc.abstractmethod
     def observe_latency(
         self,
         service: str,
@@ -83,17 +76,40 @@
 
         The surprise is the innovation in standard deviations of the noise.
         """
+
+
+class PairwiseModel(LearningModel):
+    """Learn harm per pair and load, shrunk towards the family's mean."""
+
+    __slots__ = ('fits', 'families', '_options', '_cache')
+
+    def __init__(
+        self, options: _moments.FitOptions = _moments.DEFAULT_OPTIONS
+    ) -> None:
+        self._options = options
+        self.fits: dict[str, _moments.ServiceFit] = {}
+        self.families: dict[str, int] = {}
+        self._cache: dict[tuple[str, str, Share, int], Prediction] = {}
+
+    def observe_latency(
+        self,
+        service: str,
+        load: float,
+        latency: float,
+        shares: dict[str, Share],
+        weight: float,
+    ) -> float:
         for family in shares:
-            self._families.setdefault(family, len(self._families))
-        features = numpy.zeros(_moments.KINDS * len(self._families))
+            self.families.setdefault(family, len(self.families))
+        features = numpy.zeros(_moments.KINDS * len(self.families))
         for family, share in shares.items():
-            start = _moments.KINDS * self._families[family]
+            start = _moments.KINDS * self.families[family]
             features[start] = share.processors
             features[start + 1] = share.memory
             features[start + 2] = share.accelerators
-        fit = self._fits.get(service)
+        fit = self.fits.get(service)
         if fit is None:
-            fit = self._fits[service] = _moments.ServiceFit()
+            fit = self.fits[service] = _moments.ServiceFit(self._options)
         surprise = fit.observe(load, math.log(latency), features, weight)
         if fit.is_due:
             self._refit()
@@ -111,19 +127,31 @@
         return found
 
     def estimate_alone(self, service: str, load: float) -> float | None:
-        fit = self._fits.get(service)
+        fit = self.fits.get(service)
         if fit is None or not fit.is_ready:
             return None
         return math.exp(fit.get_intercept(load))
 
+    def restore(
+        self, families: list[str], fits: dict[str, _moments.ServiceFit]
+    ) -> None:
+        """Take over what a predecessor learnt."""
+        self.families = {family: n for n, family in enumerate(families)}
+        self.fits = fits
+        for fit in fits.values():
+            fit.options = self._options
+        # The second fit pulls towards means over the services of the first.
+        self._refit()
+        self._refit()
+
     def _compute_harm(
         self, service: str, family: str, share: Share, load: float
     ) -> Prediction:
         vector = numpy.array(
             [share.processors, share.memory, share.accelerators]
         )
-        index = self._families.get(family)
-        fit = self._fits.get(service)
+        index = self.families.get(family)
+        fit = self.fits.get(service)
         if fit is None or index is None or not fit.is_ready:
             size = max(float(vector[0]), float(vector[1]))
             return Prediction(PRIOR_HARM * size, PRIOR_DEVIATION * size)
@@ -132,9 +160,11 @@
     def _refit(self) -> None:
         """Fit every service anew, towards the means over the services."""
         self._cache.clear()
-        dimension = _moments.KINDS * len(self._families)
-        means = _moments.pool_means(list(self._fits.values()), dimension)
-        for fit in self._fits.values():
+        dimension = _moments.KINDS * len(self.families)
+        means = _moments.pool_means(
+            list(self.fits.values()), dimension, self._options
+        )
+        for fit in self.fits.values():
             fit.refit(means)
 
 
--- a/chivespoke/scheduling/policies/_knowledge.py
+++ b/chivespoke/scheduling/policies/_knowledge.py
@@ -19,6 +19,8 @@
 
 # Share of the newest measurement in a replica's filtered values.
 FILTER = 0.35
+# The same for the trend of its load.
+TREND_FILTER = 0.05
 # Decay of the highest rate that a replica of a service has shown.
 PEAK_DECAY = 0.9997
 # Share of a throttled task's use that remains.
@@ -33,6 +35,8 @@
     """Hold what the reports say of one replica of a service."""
 
     load: float = DEFAULT_LOAD
+    # Change of the load a second, filtered.
+    trend: float = 0.0
     # Filtered log slowdown, and its excess over the model's expectation.
     slowdown: float = 0.0
     residual: float = 0.0
@@ -50,7 +54,8 @@
         'model',
         'sizes',
         'replicas',
-        '_peaks',
+        '_matches_arrival',
+        'peaks',
         '_distrust',
     )
 
@@ -58,12 +63,15 @@
         self,
         model: _interference.InterferenceModel,
         sizes: _sizes.SizePolicy,
+        matches_arrival: bool = False,
     ) -> None:
         self.matcher = _reports.ReportMatcher()
         self.model = model
+        # A variant for the bench: blame what is there on arrival.
+        self._matches_arrival = matches_arrival
         self.sizes = sizes
         self.replicas: dict[ReplicaKey, ReplicaState] = {}
-        self._peaks: dict[str, dict[identifiers.WorkerId, float]] = {}
+        self.peaks: dict[str, dict[identifiers.WorkerId, float]] = {}
         self._distrust: collections.defaultdict[
             identifiers.WorkerId, float
         ] = collections.defaultdict(lambda: 1.0)
@@ -86,24 +94,25 @@
                     each.demand,
                     each.usage.use,
                 )
+        if self._matches_arrival:
+            matched = _blame_arrivals(matched, worker)
         self._observe_services(matched)
 
     def predict_replica(
         self,
         worker: scheduling.WorkerView,
         replica: scheduling.PlacedTask,
-        without: identifiers.TaskId | None = None,
+        load: float | None = None,
     ) -> _interference.Prediction:
         """Return a replica's log slowdown by the tasks placed beside it."""
         service = replica.demand.family
-        load = self.get_replica(worker, replica).load
+        if load is None:
+            load = self.get_replica(worker, replica).load
         mean = variance = 0.0
         for placed in worker.tasks.values():
             demand = placed.demand
             if demand.kind is not workers.TaskKind.BATCH:
                 continue
-            if demand.task_id == without:
-                continue
             scale = THROTTLED_SHARE if placed.throttled else 1.0
             harm = self.predict_harm(service, demand, worker, load)
             mean += scale * harm.mean
@@ -164,8 +173,7 @@
             observation.usage.attempt,
         )
         state = self.replicas.setdefault(key, ReplicaState())
-        state.measured_from = matched.measured_from
-        state.load += FILTER * (load - state.load)
+        self._follow_load(state, load, matched.measured_from)
         alone = self.model.estimate_alone(service, load)
         if alone is None:
             return
@@ -178,6 +186,20 @@
         excess = state.newest - expected
         state.residual += FILTER * (excess - state.residual)
 
+    def _follow_load(
+        self, state: ReplicaState, load: float, measured_from: float
+    ) -> None:
+        elapsed = measured_from - state.measured_from
+        state.measured_from = measured_from
+        if not math.isfinite(elapsed):
+            state.load = load
+            return
+        expected = state.load + state.trend * elapsed
+        level = expected + FILTER * (load - expected)
+        slope = (level - state.load) / elapsed
+        state.trend += TREND_FILTER * (slope - state.trend)
+        state.load = level
+
     def _learn(
         self,
         matched: _reports.MatchedReport,
@@ -186,7 +208,7 @@
         latency: float,
         shares: dict[str, _interference.Share],
     ) -> None:
-        if not isinstance(self.model, _interference.PairwiseModel):
+        if not isinstance(self.model, _interference.LearningModel):
             return
         distrust = self._distrust[matched.worker_id]
         weight = 1.0 if distrust < TRUST_LIMIT else (1.0 / distrust) ** 2
@@ -202,8 +224,34 @@
         self, service: str, worker_id: identifiers.WorkerId, rate: float
     ) -> float:
         """Return a rate as a share of the median worker's peak."""
-        peaks = self._peaks.setdefault(service, {})
+        peaks = self.peaks.setdefault(service, {})
         peaks[worker_id] = max(rate, PEAK_DECAY * peaks.get(worker_id, 0.0))
         ordered = sorted(peaks.values())
         peak = ordered[len(ordered) // 2]
         return rate / peak if peak > 0.0 else 0.0
+
+
+def _blame_arrivals(
+    matched: _reports.MatchedReport, worker: scheduling.WorkerView
+) -> _reports.MatchedReport:
+    """Put what shares the worker now in place of what was measured."""
+    replicas = [
+        each
+        for each in matched.observations
+        if each.demand.kind is workers.TaskKind.LATENCY_CRITICAL
+    ]
+    present = [
+        _reports.Observation(
+            usage=workers.TaskUsage(
+                task_id=placed.demand.task_id,
+                attempt=placed.attempt,
+                use=placed.demand.size,
+            ),
+            demand=placed.demand,
+        )
+        for placed in worker.tasks.values()
+        if placed.demand.kind is workers.TaskKind.BATCH
+    ]
+    return msgspec.structs.replace(
+        matched, observations=(*replicas, *present), is_steady=True
+    )
--- a/chivespoke/scheduling/policies/_moments.py
+++ b/chivespoke/scheduling/policies/_moments.py
@@ -9,6 +9,7 @@
 
 import typing
 
+import msgspec
 import numpy
 from numpy import typing as numpy_typing
 
@@ -29,8 +30,7 @@
 INITIAL_NOISE = 0.3
 NOISE_RATE = 0.01
 LEAST_NOISE = 0.05
-# Variance of a pair's harm around its family's mean, and of the gains.
-PAIR_VARIANCE = 1.0
+# Variance of a family's harm around the mean of all, and of the gains.
 FAMILY_VARIANCE = 2.0
 GAIN_VARIANCE = 0.5
 PRIOR_HARM = 0.5
@@ -45,10 +45,24 @@
     return bucket
 
 
+class FitOptions(msgspec.Struct, frozen=True):
+    """Hold what a fit assumes; variants are compared by the bench."""
+
+    learns_gains: bool = True
+    # Variance of a pair's harm around its family's mean.
+    pair_variance: float = 1.0
+    # Whether pairs are shrunk towards their family's mean over services.
+    pools_families: bool = True
+
+
+DEFAULT_OPTIONS = FitOptions()
+
+
 class ServiceFit:
     """Keep one service's moments and its current fit."""
 
     __slots__ = (
+        'options',
         'moments',
         'harm',
         'covariance',
@@ -59,7 +73,8 @@
         'fitted_count',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, options: FitOptions = DEFAULT_OPTIONS) -> None:
+        self.options = options
         # For each bucket, the moments of (1, features..., log latency).
         self.moments: Vector = numpy.zeros((BUCKETS, 2, 2))
         self.harm: Vector = numpy.zeros(0)
@@ -105,7 +120,8 @@
         gains = self.gains.copy()
         for _ in range(ROUNDS):
             self._fit_harm(means, gains)
-            gains = self._fit_gains()
+            if self.options.learns_gains:
+                gains = self._fit_gains()
         self.gains = gains
         self.fitted_count = self.count
 
@@ -162,9 +178,9 @@
         information /= self.noise**2
         evidence /= self.noise**2
         diagonal = numpy.full(size, 1e-6)
-        diagonal[:dimension] = 1.0 / PAIR_VARIANCE
+        diagonal[:dimension] = 1.0 / self.options.pair_variance
         information[numpy.arange(size), numpy.arange(size)] += diagonal
-        evidence[:dimension] += means / PAIR_VARIANCE
+        evidence[:dimension] += means / self.options.pair_variance
         covariance = numpy.linalg.inv(information)
         solution = covariance @ evidence
         # Sharing never speeds a service up: negative harm is noise.
@@ -221,17 +237,19 @@
         return numpy.clip(gains, 0.05, 5.0)
 
 
-def pool_means(fits: list[ServiceFit], dimension: int) -> Vector:
+def pool_means(
+    fits: list[ServiceFit], dimension: int, options: FitOptions
+) -> Vector:
     """Return each family's mean harm, shrunk towards the mean of all."""
     overall = numpy.tile(numpy.full(KINDS, PRIOR_HARM), dimension // KINDS)
     known = [fit for fit in fits if fit.is_ready and len(fit.harm)]
-    if not known:
+    if not known or not options.pools_families:
         return overall
     totals = numpy.zeros(dimension)
     weights = numpy.zeros(dimension)
     for fit in known:
         size = len(fit.harm)
-        precision = 1.0 / (PAIR_VARIANCE + numpy.diag(fit.covariance))
+        precision = 1.0 / (options.pair_variance + numpy.diag(fit.covariance))
         totals[:size] += precision * fit.harm
         weights[:size] += precision
     prior = 1.0 / FAMILY_VARIANCE
--- a/chivespoke/scheduling/policies/_naive.py
+++ b/chivespoke/scheduling/policies/_naive.py
@@ -7,7 +7,7 @@
 from chivespoke import workers
 
 # Slowdown over the quietest latency seen at which a service counts as hurt.
-NAIVE_LIMIT = 1.5
+NAIVE_LIMIT = 8.0
 
 
 class FirstFit(scheduling.PlacementPolicy):
--- a/chivespoke/scheduling/policies/_placement.py
+++ b/chivespoke/scheduling/policies/_placement.py
@@ -15,8 +15,11 @@
 CAUTION = 0.5
 # Deviations taken off for what is little known, while budget is left.
 CURIOSITY = 0.3
-# Seconds of waiting after which a task accepts twice the slowdown.
-PATIENCE = 1800.0
+# Seconds of waiting after which a task accepts twice the log slowdown.
+PATIENCE = 18000.0
+# Seconds ahead at which a rising load is looked up.
+FORESIGHT = 300.0
+HIGHEST_LOAD = 1.1
 PACKING_COST = 0.05
 SPREAD_COST = 0.05
 PRESSURE_COST = 2.0
@@ -50,8 +53,8 @@
     )
     mean = others / 4.0 if others > 0.0 else 1.0
     return Tuning(
-        place_limit=math.log(2.0 + 2.0 * (1.0 - tail)),
-        guard_limit=math.log(2.5 + 2.5 * (1.0 - tail)),
+        place_limit=math.log(2.8 + 0.6 * (1.0 - tail)),
+        guard_limit=math.log(4.8 + 0.8 * (1.0 - tail)),
         tail_weight=2.0 * tail,
         spread_weight=weights.data_centre_work / mean,
         eviction_weight=weights.evictions / mean,
@@ -137,9 +140,11 @@
     ) -> float:
         knowledge = self._knowledge
         state = knowledge.get_replica(worker, replica)
-        before = knowledge.predict_replica(worker, replica)
+        load = state.load + max(state.trend, 0.0) * FORESIGHT
+        load = max(min(load, HIGHEST_LOAD), state.load)
+        before = knowledge.predict_replica(worker, replica, load)
         harm = knowledge.predict_harm(
-            replica.demand.family, demand, worker, state.load
+            replica.demand.family, demand, worker, load
         )
         base = before.mean + max(state.residual, 0.0)
         deviation = math.hypot(before.deviation, harm.deviation)
--- a/chivespoke/scheduling/policies/_routing.py
+++ b/chivespoke/scheduling/policies/_routing.py
@@ -7,7 +7,7 @@
 from chivespoke.scheduling.policies import _knowledge
 
 # A server never loses more than this share, so that it keeps being measured.
-LEAST_WEIGHT = 0.4
+LEAST_WEIGHT = 0.7
 # Log slowdown that is noise and costs no weight.
 DEAD_BAND = 0.1
 
--- a/chivespoke/scheduling/policies/_sizes.py
+++ b/chivespoke/scheduling/policies/_sizes.py
@@ -67,7 +67,7 @@
         return demand.size
 
 
-class _Sketches:
+class Sketches:
     """Hold the sketches of one family on one worker."""
 
     __slots__ = ('millicores', 'memory_mib', 'count')
@@ -84,11 +84,11 @@
     The median keeps one worker that lies from steering the others.
     """
 
-    __slots__ = ('_families', '_run_times', '_cache')
+    __slots__ = ('families', '_run_times', '_cache')
 
     def __init__(self) -> None:
-        self._families: dict[
-            str, collections.OrderedDict[identifiers.WorkerId, _Sketches]
+        self.families: dict[
+            str, collections.OrderedDict[identifiers.WorkerId, Sketches]
         ] = {}
         self._run_times: dict[str, ddsketch.DDSketch] = {}
         self._cache: dict[tuple[str, float], tuple[int, int] | None] = {}
@@ -100,12 +100,12 @@
         use: resources.Resources,
     ) -> None:
         """Take in one checked measurement of an unthrottled task."""
-        by_worker = self._families.setdefault(
+        by_worker = self.families.setdefault(
             demand.family, collections.OrderedDict()
         )
         sketches = by_worker.get(worker_id)
         if sketches is None:
-            sketches = by_worker[worker_id] = _Sketches()
+            sketches = by_worker[worker_id] = Sketches()
             if len(by_worker) > WORKERS_KEPT:
                 by_worker.popitem(last=False)
         sketches.millicores.add(float(use.millicores))
@@ -115,6 +115,17 @@
             for quantile in (MEMORY_QUANTILE, TYPICAL_QUANTILE):
                 self._cache.pop((demand.family, quantile), None)
 
+    def restore(
+        self,
+        family: str,
+        worker_id: identifiers.WorkerId,
+        sketches: Sketches,
+    ) -> None:
+        """Take over what a predecessor saw of a family on one worker."""
+        by_worker = self.families.setdefault(family, collections.OrderedDict())
+        by_worker.setdefault(worker_id, sketches)
+        self._cache.clear()
+
     def observe_run_time(self, family: str, seconds: float) -> None:
         """Take in the run time of a task that completed."""
         sketch = self._run_times.get(family)
@@ -128,7 +139,7 @@
         sketch = self._run_times.get(family)
         if sketch is None or sketch.count < LEAST_COUNT:
             return declared
-        return _read_quantile(sketch, TYPICAL_QUANTILE)
+        return read_quantile(sketch, TYPICAL_QUANTILE)
 
     def correct_size(
         self, family: str, declared: resources.Resources
@@ -172,17 +183,17 @@
     ) -> tuple[int, int] | None:
         known = [
             sketches
-            for sketches in self._families.get(family, {}).values()
+            for sketches in self.families.get(family, {}).values()
             if sketches.count >= LEAST_COUNT
         ]
         if len(known) < LEAST_WORKERS:
             return None
         return (
             _take_median(
-                [_read_quantile(s.millicores, quantile) for s in known]
+                [read_quantile(s.millicores, quantile) for s in known]
             ),
             _take_median(
-                [_read_quantile(s.memory_mib, quantile) for s in known]
+                [read_quantile(s.memory_mib, quantile) for s in known]
             ),
         )
 
@@ -209,7 +220,8 @@
     return max(wanted, 1)
 
 
-def _read_quantile(sketch: ddsketch.DDSketch, quantile: float) -> float:
+def read_quantile(sketch: ddsketch.DDSketch, quantile: float) -> float:
+    """Return a quantile, or 0 of an empty sketch."""
     return float(sketch.get_quantile_value(quantile) or 0.0)
 
 
--- /dev/null
+++ b/chivespoke/scheduling/policies/_state.py
@@ -0,0 +1,144 @@
+"""Compact state of what was learnt, for a process that takes over."""
+
+import msgspec
+import numpy
+
+from chivespoke import errors
+from chivespoke import identifiers
+from chivespoke.scheduling.policies import _interference
+from chivespoke.scheduling.policies import _knowledge
+from chivespoke.scheduling.policies import _moments
+from chivespoke.scheduling.policies import _sizes
+
+STEP = 'decode learnt state'
+PEER = 'predecessor'
+# Quantiles that stand for a sketch; each bears an equal share of its count.
+QUANTILES = (0.05, 0.25, 0.5, 0.75, 0.95)
+# A sketch weighs at most this much after a hand-over: old use fades.
+COUNT_LIMIT = 500
+NUMBER = numpy.dtype('<f4')
+
+
+class _FitState(msgspec.Struct, frozen=True, array_like=True):
+    dimension: int
+    noise: float
+    count: int
+    gains: list[float]
+    # The upper triangles of the moments, one after the other.
+    moments: bytes
+
+
+class _SketchState(msgspec.Struct, frozen=True, array_like=True):
+    count: int
+    millicores: list[int]
+    memory_mib: list[int]
+
+
+class _State(msgspec.Struct, frozen=True, array_like=True):
+    families: list[str]
+    fits: dict[str, _FitState]
+    sketches: dict[str, dict[str, _SketchState]]
+    peaks: dict[str, dict[str, float]]
+
+
+def encode_state(knowledge: _knowledge.Knowledge) -> bytes:
+    """Return what was learnt; what is true of the moment is left out."""
+    families: list[str] = []
+    fits: dict[str, _FitState] = {}
+    sketches: dict[str, dict[str, _SketchState]] = {}
+    if isinstance(knowledge.model, _interference.PairwiseModel):
+        families = list(knowledge.model.families)
+        for service, fit in knowledge.model.fits.items():
+            fits[service] = _encode_fit(fit)
+    if isinstance(knowledge.sizes, _sizes.LearntSizes):
+        for family, by_worker in knowledge.sizes.families.items():
+            sketches[family] = {
+                worker_id: _encode_sketches(each)
+                for worker_id, each in by_worker.items()
+            }
+    peaks: dict[str, dict[str, float]] = {
+        service: {w: peak for w, peak in by_worker.items()}
+        for service, by_worker in knowledge.peaks.items()
+    }
+    state = _State(families, fits, sketches, peaks)
+    return msgspec.msgpack.encode(state)
+
+
+def decode_state(data: bytes, knowledge: _knowledge.Knowledge) -> None:
+    """Give a fresh knowledge what was learnt; raise RefusedError."""
+    try:
+        state = msgspec.msgpack.decode(data, type=_State)
+        fits = {name: _decode_fit(fit) for name, fit in state.fits.items()}
+    except (msgspec.DecodeError, ValueError) as error:
+        raise errors.RefusedError(STEP, PEER, str(error)) from error
+    if isinstance(knowledge.model, _interference.PairwiseModel):
+        knowledge.model.restore(state.families, fits)
+    if isinstance(knowledge.sizes, _sizes.LearntSizes):
+        for family, by_worker in state.sketches.items():
+            for worker_id, sketches in by_worker.items():
+                _restore_sketches(knowledge.sizes, family, worker_id, sketches)
+    for service, peaks in state.peaks.items():
+        knowledge.peaks[service] = {
+            identifiers.WorkerId(w): peak for w, peak in peaks.items()
+        }
+
+
+def _encode_fit(fit: _moments.ServiceFit) -> _FitState:
+    size = fit.moments.shape[1]
+    rows, columns = numpy.triu_indices(size)
+    return _FitState(
+        size - 2,
+        fit.noise,
+        fit.count,
+        [float(gain) for gain in fit.gains],
+        fit.moments[:, rows, columns].astype(NUMBER).tobytes(),
+    )
+
+
+def _decode_fit(state: _FitState) -> _moments.ServiceFit:
+    size = state.dimension + 2
+    rows, columns = numpy.triu_indices(size)
+    flat = numpy.frombuffer(state.moments, NUMBER).astype(numpy.float64)
+    if not numpy.isfinite(flat).all() or not state.noise > 0.0:
+        raise ValueError('moments are not finite')
+    moments = numpy.zeros((_moments.BUCKETS, size, size))
+    moments[:, rows, columns] = flat.reshape(_moments.BUCKETS, -1)
+    moments[:, columns, rows] = moments[:, rows, columns]
+    if len(state.gains) != _moments.BUCKETS:
+        raise ValueError('gains do not match the load buckets')
+    fit = _moments.ServiceFit()
+    fit.moments = moments
+    fit.gains = numpy.array(state.gains)
+    fit.noise = state.noise
+    fit.count = state.count
+    return fit
+
+
+def _encode_sketches(sketches: _sizes.Sketches) -> _SketchState:
+    return _SketchState(
+        sketches.count,
+        [
+            round(_sizes.read_quantile(sketches.millicores, q))
+            for q in QUANTILES
+        ],
+        [
+            round(_sizes.read_quantile(sketches.memory_mib, q))
+            for q in QUANTILES
+        ],
+    )
+
+
+def _restore_sketches(
+    sizes: _sizes.LearntSizes,
+    family: str,
+    worker_id: str,
+    state: _SketchState,
+) -> None:
+    weight = min(state.count, COUNT_LIMIT) / len(QUANTILES)
+    sketches = _sizes.Sketches()
+    sketches.count = min(state.count, COUNT_LIMIT)
+    for value in state.millicores:
+        sketches.millicores.add(float(value), weight)
+    for value in state.memory_mib:
+        sketches.memory_mib.add(float(value), weight)
+    sizes.restore(family, identifiers.WorkerId(worker_id), sketches)
