--- a/chivespoke/capacity/_model.py
+++ b/chivespoke/capacity/_model.py
@@ -17,7 +17,7 @@
     # What an idle daemon spends, and what each driver adds.
     base: float
     parts: dict[_slopes.Driver, float]
-    budget: float | None
+    budget: float
     # The largest stretch of a slope beyond its measured sizes.
     stretch: float
 
@@ -27,9 +27,9 @@
         return self.base + sum(self.parts.values())
 
     @property
-    def ratio(self) -> float | None:
+    def ratio(self) -> float:
         """Return the total over the budget."""
-        return self.total / self.budget if self.budget else None
+        return self.total / self.budget
 
     def find_driver(self) -> _slopes.Driver | None:
         """Return the driver that adds most."""
@@ -65,6 +65,20 @@
     }
 
 
+def predict(
+    measurements: _slopes.Measurements,
+    measure: _slopes.Measure,
+    loads: dict[_slopes.Driver, float],
+) -> tuple[float, _slopes.Slope] | None:
+    """Return the largest value on the lines of a measure, and its line."""
+    found = [
+        (slope.intercept + slope.per_unit * loads[slope.driver], slope)
+        for slope in measurements.slopes
+        if slope.measure is measure and slope.driver in loads
+    ]
+    return max(found, key=lambda pair: pair[0], default=None)
+
+
 def estimate_roles(
     size: _size.FleetSize, measurements: _slopes.Measurements
 ) -> list[Estimate]:
@@ -77,23 +91,21 @@
     }
     found = []
     for role in _slopes.Role:
-        for measure in _slopes.Measure:
+        for measure in budgets:
             slopes = [
                 slope
                 for slope in measurements.slopes
                 if slope.role is role and slope.measure is measure
             ]
             if slopes:
-                found.append(
-                    _estimate(slopes, loads[role], budgets.get(measure))
-                )
+                found.append(_estimate(slopes, loads[role], budgets[measure]))
     return found
 
 
 def _estimate(
     slopes: list[_slopes.Slope],
     loads: dict[_slopes.Driver, float],
-    budget: float | None,
+    budget: float,
 ) -> Estimate:
     relevant = [slope for slope in slopes if slope.driver in loads]
     return Estimate(
--- a/chivespoke/capacity/_plot.py
+++ b/chivespoke/capacity/_plot.py
@@ -17,16 +17,15 @@
     # Imported here: it takes longer than every other command does.
     from matplotlib import figure
 
-    shown = [estimate for estimate in estimates if estimate.budget]
     drawing = figure.Figure(figsize=SIZE, dpi=RESOLUTION, layout='tight')
     axes = drawing.subplots()
     labels = [
         f'{estimate.role.value}: {estimate.measure.value}'
-        for estimate in shown
+        for estimate in estimates
     ]
-    starts = [0.0] * len(shown)
+    starts = [0.0] * len(estimates)
     for part in (None, *_slopes.Driver):
-        widths = [_find_share(estimate, part) for estimate in shown]
+        widths = [_find_share(estimate, part) for estimate in estimates]
         if any(widths):
             name = part.value if part is not None else 'idle daemon'
             axes.barh(labels, widths, left=starts, label=name)
@@ -37,7 +36,10 @@
     for index, total in enumerate(starts):
         axes.text(total, index, f' {total:.2f}', va='center')
     axes.set_xlabel('share of the budget of one daemon')
-    axes.set_xlim(0, max([1.0, *starts]) * 1.12)
+    # Roles lie far apart: within the budget the scale is even, then by
+    # powers of ten.
+    axes.set_xscale('symlog', linthresh=1.0)
+    axes.set_xlim(0, max([1.0, *starts]) * 4)
     axes.invert_yaxis()
     axes.legend(loc='best')
     axes.set_title('Control cost of each role at the size of the fleet')
@@ -47,7 +49,5 @@
 def _find_share(
     estimate: _model.Estimate, part: _slopes.Driver | None
 ) -> float:
-    if not estimate.budget:
-        return 0.0
     amount = estimate.base if part is None else estimate.parts.get(part, 0.0)
     return amount / estimate.budget
--- a/chivespoke/capacity/_requirements.py
+++ b/chivespoke/capacity/_requirements.py
@@ -40,6 +40,8 @@
     return [
         *(_check_budget(size, estimate) for estimate in estimates),
         _check_appends(size, measurements),
+        _check_starts(size, measurements),
+        _check_changes(size, measurements),
         _check_failures(size),
         _check_data_centre(size),
     ]
@@ -52,13 +54,9 @@
     ratio = estimate.ratio
     largest = driver.value if driver is not None else 'the idle daemon'
     worked_out = format_amount(estimate.measure, estimate.total)
-    if ratio is None:
-        verdict = Verdict.NOT_MEASURED
-        text = worked_out
-    else:
-        verdict = Verdict.MET if ratio <= 1 else Verdict.NOT_MET
-        text = f'{worked_out}, {ratio:.2f} of the budget'
-        text += _count_owners(size, estimate)
+    verdict = Verdict.MET if ratio <= 1 else Verdict.NOT_MET
+    text = f'{worked_out}, {ratio:.2f} of the budget'
+    text += _count_owners(size, estimate)
     return Requirement(
         line=f'{estimate.role.value}: {estimate.measure.value}',
         carried_by=CARRIERS[estimate.role],
@@ -72,9 +70,9 @@
 
 
 CARRIERS = {
-    Role.ENTRY: 'subsets of sidecars, one heartbeat for all slots',
+    Role.ENTRY: 'one heartbeat for all slots of a backend server',
     Role.SHARD_OWNER: 'sharding, one lease renewal for a whole worker',
-    Role.SIDECAR: 'a subset of entries, deltas',
+    Role.SIDECAR: 'one heartbeat to each entry',
     Role.COMMAND_LINE: 'one request, nothing kept',
     Role.LOG: 'group commit, spacing of appends in each stream',
     Role.AGENT: 'one heartbeat for all tasks of a worker',
@@ -83,12 +81,9 @@
 
 def _count_owners(size: _size.FleetSize, estimate: _model.Estimate) -> str:
     """Say how many owners would meet the budget, if these don't."""
-    if estimate.role is not Role.SHARD_OWNER or estimate.budget is None:
+    if estimate.role is not Role.SHARD_OWNER or estimate.ratio <= 1:
         return ''
-    ratio = estimate.ratio
     room = estimate.budget - estimate.base
-    if ratio is None or ratio <= 1:
-        return ''
     if room <= 0:
         return '; no number of owners meets it, the idle daemon is over'
     needed = math.ceil(
@@ -131,6 +126,72 @@
     return 'not measured'
 
 
+def _check_starts(
+    size: _size.FleetSize, measurements: _slopes.Measurements
+) -> Requirement:
+    per_owner = size.peak_starts / size.layout.owners
+    found = _model.predict(
+        measurements, Measure.START_DELAY, {_slopes.Driver.STARTS: per_owner}
+    )
+    return _make_delay(
+        line=(
+            f'{size.peak_starts:.0f} starts a second, urgent ones within '
+            f'{size.urgent_start_seconds:g} s'
+        ),
+        carried_by='sharding, group commit of 0.25 s, permits',
+        found=found,
+        limit=size.urgent_start_seconds,
+        load=f'{per_owner:.0f} starts a second of one owner',
+    )
+
+
+def _check_changes(
+    size: _size.FleetSize, measurements: _slopes.Measurements
+) -> Requirement:
+    rate = size.changes_per_day / _size.SECONDS_PER_DAY
+    found = _model.predict(
+        measurements, Measure.CHANGE_DELAY, {_slopes.Driver.CHANGES: rate}
+    )
+    return _make_delay(
+        line=(
+            f'{size.changes_per_day:.0f} changes a day, in force within '
+            f'{size.change_seconds:g} s'
+        ),
+        carried_by='one stream that every entry polls; notices to sidecars',
+        found=found,
+        limit=size.change_seconds,
+        load=f'{rate:.2f} changes a second',
+    )
+
+
+def _make_delay(
+    line: str,
+    carried_by: str,
+    found: tuple[float, _slopes.Slope] | None,
+    limit: float,
+    load: str,
+) -> Requirement:
+    if found is None:
+        return Requirement(
+            line=line,
+            carried_by=carried_by,
+            measured='not measured',
+            worked_out=load,
+            verdict=Verdict.NOT_MEASURED,
+        )
+    seconds, slope = found
+    return Requirement(
+        line=line,
+        carried_by=carried_by,
+        measured=(
+            f'up to {max(slope.values):.2f} s at {max(slope.sizes):g} '
+            f'{slope.driver.value}, on one machine'
+        ),
+        worked_out=f'{seconds:.2f} s at {load}',
+        verdict=Verdict.MET if seconds <= limit else Verdict.NOT_MET,
+    )
+
+
 def _check_failures(size: _size.FleetSize) -> Requirement:
     failures = size.failures
     day = _size.SECONDS_PER_DAY
--- a/chivespoke/capacity/_size.py
+++ b/chivespoke/capacity/_size.py
@@ -52,7 +52,7 @@
     # Processes that may own shards: entries, or sidecars as well.
     owners: Count = 76
     # Entries that one sidecar keeps a connection to.
-    entries_per_sidecar: Count = 3
+    entries_per_sidecar: Count = 36
     # Other entries that one entry hears from.
     peers_per_entry: Count = 35
     workers_per_rack: Count = 3
--- a/chivespoke/capacity/tests/test_capacity.py
+++ b/chivespoke/capacity/tests/test_capacity.py
@@ -60,7 +60,7 @@
         self.assertAlmostEqual(100, found.base)
         self.assertAlmostEqual(20 * 250, found.parts[Driver.WORKERS])
         self.assertAlmostEqual(10 * 25, found.parts[Driver.STARTS])
-        self.assertAlmostEqual(5350 / 3000, found.ratio or 0)
+        self.assertAlmostEqual(5350 / 3000, found.ratio)
         self.assertAlmostEqual(250 / 8, found.stretch)
         self.assertIs(Driver.WORKERS, found.find_driver())
 
@@ -87,6 +87,27 @@
                 self.assertIs(verdict, first.verdict)
                 self.assertIn(words, first.worked_out)
 
+    def test_delays_are_held_against_their_limits(self) -> None:
+        for per_unit, verdict in (
+            (0.02, capacity.Verdict.MET),
+            (0.05, capacity.Verdict.NOT_MET),
+        ):
+            with self.subTest(per_unit=per_unit):
+                measurements = builders.make_measurements(
+                    builders.make_slope(
+                        Role.SHARD_OWNER,
+                        Driver.STARTS,
+                        Measure.START_DELAY,
+                        0.5,
+                        per_unit,
+                    )
+                )
+                found = capacity.list_requirements(self.size, measurements, [])
+                starts = [each for each in found if 'urgent' in each.line]
+                self.assertIs(verdict, starts[0].verdict)
+                worked_out = 0.5 + 25 * per_unit
+                self.assertIn(f'{worked_out:.2f} s', starts[0].worked_out)
+
     def test_plot_is_written(self) -> None:
         measurements = builders.make_measurements(
             builders.make_slope(
--- a/chivespoke/workers/_client.py
+++ b/chivespoke/workers/_client.py
@@ -14,6 +14,10 @@
 # Seconds for one whole exchange with a worker.
 EXCHANGE_LIMIT = 5.0
 OK = 200
+# Longer than the pause between two renewals, so that a connection lasts.
+KEEP_SECONDS = 45.0
+# A third of a short exchange; an agent does not read them.
+NEEDLESS_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent')
 
 Answer = typing.TypeVar('Answer')
 
@@ -80,7 +84,9 @@
 
     async def start(self) -> None:
         self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=EXCHANGE_LIMIT)
+            timeout=aiohttp.ClientTimeout(total=EXCHANGE_LIMIT),
+            connector=aiohttp.TCPConnector(keepalive_timeout=KEEP_SECONDS),
+            skip_auto_headers=NEEDLESS_HEADERS,
         )
 
     async def stop(self) -> None:
--- a/chivespoke/workers/_messages.py
+++ b/chivespoke/workers/_messages.py
@@ -1,7 +1,9 @@
 """Messages between a scheduler and the platform's agent on a worker.
 
 Times in messages are readings of the worker's own monotonic clock, in
-seconds, so that no two machines' clocks are ever compared.
+seconds, so that no two machines' clocks are ever compared. Messages that
+recur travel as arrays, without the names of their fields: a daemon has few
+bytes a second.
 """
 
 import enum
@@ -19,7 +21,7 @@
     BATCH = 'batch'
 
 
-class TaskUsage(msgspec.Struct, frozen=True, kw_only=True):
+class TaskUsage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Report one task's use over the measured interval."""
 
     task_id: identifiers.TaskId
@@ -33,7 +35,7 @@
     latency_p99: float | None = None
 
 
-class UsageReport(msgspec.Struct, frozen=True, kw_only=True):
+class UsageReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Report a worker's tasks over an interval; arrives with a lag."""
 
     worker_id: identifiers.WorkerId
@@ -58,7 +60,7 @@
     address: str = ''
 
 
-class StartCommand(msgspec.Struct, frozen=True, kw_only=True):
+class StartCommand(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Ask a worker to start one attempt of a task."""
 
     task_id: identifiers.TaskId
@@ -78,7 +80,7 @@
     checkpoint: str = ''
 
 
-class LeaseRenewal(msgspec.Struct, frozen=True, kw_only=True):
+class LeaseRenewal(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Extend the leases of all tasks of a worker in one message."""
 
     worker_id: identifiers.WorkerId
@@ -94,7 +96,7 @@
     ] = ()
 
 
-class StopCommand(msgspec.Struct, frozen=True, kw_only=True):
+class StopCommand(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Ask a worker to stop an attempt, after a checkpoint if wanted."""
 
     task_id: identifiers.TaskId
@@ -104,7 +106,9 @@
     checkpoint: bool = False
 
 
-class CheckpointCommand(msgspec.Struct, frozen=True, kw_only=True):
+class CheckpointCommand(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """Ask a worker to save an attempt's progress while it runs on."""
 
     task_id: identifiers.TaskId
@@ -112,7 +116,9 @@
     epoch: int
 
 
-class ThrottleCommand(msgspec.Struct, frozen=True, kw_only=True):
+class ThrottleCommand(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """Ask a worker to slow an attempt down, or to release it."""
 
     task_id: identifiers.TaskId
@@ -132,7 +138,7 @@
     NOT_STARTED = 'not-started'
 
 
-class TaskStatus(msgspec.Struct, frozen=True, kw_only=True):
+class TaskStatus(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Report the phase of one attempt; terminal phases are final."""
 
     task_id: identifiers.TaskId
@@ -145,7 +151,7 @@
     detail: str = ''
 
 
-class Heartbeat(msgspec.Struct, frozen=True, kw_only=True):
+class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Report a worker's clock, and every attempt that it knows of."""
 
     worker_id: identifiers.WorkerId
