--- a/chivespoke/scheduling/policies/__init__.py
+++ b/chivespoke/scheduling/policies/__init__.py
@@ -1,9 +1,9 @@
 """Policies: placement, guards, sizes, routing, and their naive twins."""
 
+from chivespoke.scheduling.policies._averages import PairAverages
 from chivespoke.scheduling.policies._followed import FollowedGuard
 from chivespoke.scheduling.policies._followed import FollowedPlacement
 from chivespoke.scheduling.policies._followed import make_owner_policies
-from chivespoke.scheduling.policies._averages import PairAverages
 from chivespoke.scheduling.policies._guard import SteppedGuard
 from chivespoke.scheduling.policies._interference import add_shares
 from chivespoke.scheduling.policies._interference import InterferenceModel
