--- a/chivespoke/tests/processes.py
+++ b/chivespoke/tests/processes.py
@@ -13,8 +13,10 @@
 from chivespoke import bench
 from chivespoke import clock
 from chivespoke import identifiers
+from chivespoke import resources
 from chivespoke import settings
 from chivespoke import standins
+from chivespoke import workers
 
 SERVICE = identifiers.ServiceName('counting')
 DATA_CENTRE = identifiers.DataCentreName('colombo-1')
@@ -22,6 +24,7 @@
 PATIENCE = 40.0
 POLL = 0.1
 HEARTBEAT_INTERVAL = 0.25
+WORKER_CAPACITY = resources.Resources(8000, 8192, 0)
 PATCH_TYPE = 'application/json-patch+json'
 
 Json = typing.Any
@@ -36,6 +39,7 @@
         )
         self.balancer = standins.Balancer()
         self.servers: list[standins.CountingServer] = []
+        self.workers: list[standins.WorkerServer] = []
         self.entries: dict[str, settings.Address] = {}
         self.daemons: dict[str, bench.Daemon] = {}
         self._folder = tempfile.TemporaryDirectory()
@@ -63,6 +67,8 @@
         """Kill what still runs and release everything."""
         for name in tuple(self.daemons):
             await self.kill(name)
+        for worker in self.workers:
+            await worker.stop()
         for server in self.servers:
             await server.stop()
         await self.balancer.stop()
@@ -102,6 +108,27 @@
             },
         )
 
+    async def start_worker(
+        self, name: str, data_centre: identifiers.DataCentreName
+    ) -> standins.WorkerServer:
+        """Start a worker of this process; its clock is this machine's."""
+        worker = standins.WorkerServer(
+            workers.Registration(
+                worker_id=identifiers.WorkerId(name),
+                incarnation=identifiers.make_incarnation(),
+                data_centre=data_centre,
+                rack=identifiers.RackName(f'{data_centre}-rack'),
+                capacity=WORKER_CAPACITY,
+            ),
+            settings.Address(),
+            self.balancer.address,
+            clock.SystemClock(),
+        )
+        await worker.start()
+        self.workers.append(worker)
+        await asyncio.wait_for(worker.registered.wait(), PATIENCE)
+        return worker
+
     async def _start_daemon(
         self, command: str, name: str, tree: dict[str, Json]
     ) -> bench.Daemon:
@@ -206,6 +233,18 @@
         )
         raise AssertionError(f'never: {what}\n{logs}')
 
+    async def submit(self, entry: str, job: Json) -> Json:
+        """Submit one job; return the answer."""
+        url = f'{self.entries[entry].format_http()}/v1/jobs'
+        async with self.session.post(url, json={'jobs': [job]}) as response:
+            return await response.json()
+
+    async def show_job(self, entry: str, job: str) -> Json:
+        """Return the report of a job."""
+        url = f'{self.entries[entry].format_http()}/v1/jobs/{job}'
+        async with self.session.get(url) as response:
+            return await response.json()
+
     async def get_version(self, entry: str) -> int:
         """Return the version of the configuration at an entry."""
         url = f'{self.entries[entry].format_http()}/configuration'
