--- a/chivespoke/tests/processes.py
+++ b/chivespoke/tests/processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import secrets
 import signal
 import tempfile
 import typing
@@ -208,8 +209,12 @@
         await self.wait_for(lambda: self._is_served(entry), 'served')
 
     async def _is_served(self, entry: str) -> bool:
-        _, outcome, _ = await self.request(entry, 'GET', '/probe')
-        return outcome == 'answered'
+        """Tell whether plain requests and those with a key are answered."""
+        outcomes = [
+            (await self.request(entry, 'POST', '/probe', key))[1]
+            for key in ('', f'probe-{secrets.token_hex(4)}')
+        ]
+        return outcomes == ['answered', 'answered']
 
     async def wait_for(
         self,
