--- /dev/null
+++ b/chivespoke/entries/tests/test_versions.py
@@ -0,0 +1,80 @@
+"""Tests of the versions that sidecars are told and act on."""
+
+import unittest
+
+from chivespoke import clock as clocks
+from chivespoke.entries import _handlers
+from chivespoke.entries import _membership_links as links
+from chivespoke.entries import _membership_messages as messages
+from chivespoke.entries import _membership_versions as versions
+from chivespoke.entries import _messages
+from chivespoke import identifiers
+from chivespoke import telemetry
+
+HOME = identifiers.DataCentreName('colombo-1')
+# Notices in the order of arrival, and what is acted on after each.
+NOTICE_CASES = (
+    ((1, 'a'), (1, 'a')),
+    ((3, 'c'), (3, 'c')),
+    # An entry that lags never takes a version back.
+    ((2, 'b'), (3, 'c')),
+    ((4, 'd'), (4, 'd')),
+)
+
+
+class RecordingPeer(_handlers.Peer):
+    """Keep what it is sent."""
+
+    def __init__(self) -> None:
+        super().__init__('entry-1', identifiers.Incarnation('e1'))
+        self.sent: list[_messages.Message] = []
+
+    def send(self, message: _messages.Message) -> None:
+        self.sent.append(message)
+
+
+class VersionHolderTest(unittest.IsolatedAsyncioTestCase):
+    """Tell a sidecar versions in any order."""
+
+    async def test_versions_only_rise_and_are_confirmed(self) -> None:
+        handlers = _handlers.Handlers()
+        holder = versions.VersionHolder(HOME, handlers)
+        peer = RecordingPeer()
+        for (version, digest), expected in NOTICE_CASES:
+            with self.subTest(version=version):
+                await handlers.handle(
+                    peer,
+                    messages.VersionNotice(
+                        identifiers.Version(version), digest
+                    ),
+                )
+                self.assertEqual(expected, (holder.version, holder.digest))
+                noted = peer.sent[-1]
+                assert isinstance(noted, messages.VersionNoted)
+                self.assertEqual(expected, (noted.version, noted.digest))
+
+
+class LinksTest(unittest.IsolatedAsyncioTestCase):
+    """Close connections also when closing is cancelled."""
+
+    async def test_unanswered_question_leaves_no_connection(self) -> None:
+        identity = _messages.Identity(
+            'entry-1', identifiers.Incarnation('e1'), HOME
+        )
+        found = links.Links(
+            identity, telemetry.Telemetry(), clocks.SystemClock()
+        )
+        absent = _messages.EntryAddress(
+            'entry-2', identifiers.Incarnation('e2'), HOME, 'tcp://127.0.0.1:1'
+        )
+        self.assertIsNone(await found.ask_reports(absent, 0.05))
+        await found.adjust((absent,))
+        self.assertIsNone(
+            await found.ask_any('s', identifiers.Offset(0), False)
+        )
+        await found.adjust(())
+        await found.stop()
+
+
+if __name__ == '__main__':
+    unittest.main()
