--- a/chivespoke/scheduling/policies/_placement.py
+++ b/chivespoke/scheduling/policies/_placement.py
@@ -53,8 +53,8 @@
     )
     mean = others / 4.0 if others > 0.0 else 1.0
     return Tuning(
-        place_limit=math.log(2.8 + 0.6 * (1.0 - tail)),
-        guard_limit=math.log(4.8 + 0.8 * (1.0 - tail)),
+        place_limit=math.log(2.6 + 0.53 * (1.0 - tail)),
+        guard_limit=math.log(4.2),
         tail_weight=2.0 * tail,
         spread_weight=weights.data_centre_work / mean,
         eviction_weight=weights.evictions / mean,
