Wait for a key's first home list, hand over keys, test the races

Cause: a key that came before the service's first home list was told "unknown" at once, so the system test of a killed entry never began its run; it now waits for that list, at most 5 s and half of its deadline. A home that had said farewell was still asked, and its other keys were unknown. Operators' limits (rate, body, retries) are applied at every entry.

--- a/chivespoke/backend_servers/_estimate.py
+++ b/chivespoke/backend_servers/_estimate.py
@@ -28,6 +28,11 @@
         self.deviation += GAIN * (abs(seconds - self.mean) - self.deviation)
         self.mean += GAIN * (seconds - self.mean)
 
+    @property
+    def careful(self) -> float:
+        """Return a run time that few runs exceed."""
+        return self.mean + CAREFUL_DEVIATIONS * self.deviation
+
     def predict_wait(
         self,
         ahead: int,
@@ -37,5 +42,4 @@
         """Predict carefully the wait behind others, given running times."""
         # Runs that already took longer than usual tell of a slow server.
         slowest = sum(elapsed) / len(elapsed) if elapsed else 0.0
-        careful = self.mean + CAREFUL_DEVIATIONS * self.deviation
-        return max(careful, slowest) * (ahead + 1) / slots
+        return max(self.careful, slowest) * (ahead + 1) / slots
--- a/chivespoke/backend_servers/_home_keeper.py
+++ b/chivespoke/backend_servers/_home_keeper.py
@@ -23,6 +23,8 @@
 BLIND_LIMIT = 600.0
 # Seconds of silence after which a home is taken off the list.
 LOST_SECONDS = 10.0
+# Seconds for which a farewell is kept; by then its home is forgotten.
+DEPARTED_SECONDS = 3600.0
 # Seconds for which one entry's clock may run ahead of another's.
 MARGIN = 5.0
 LONGEST_DEADLINE = 60.0
@@ -34,7 +36,7 @@
     window: float = _keys.KEY_WINDOW
     blind: float = BLIND_LIMIT
     lost: float = LOST_SECONDS
-    tick: float = 1.0
+    tick: float = 0.5
     longest_deadline: float = LONGEST_DEADLINE
     margin: float = MARGIN
 
@@ -106,7 +108,7 @@
         self._services: dict[identifiers.ServiceName, _Service] = {}
         # Keys that a sidecar had run when it said farewell, and until when.
         self._inherited: dict[identifiers.Incarnation, dict[str, float]] = {}
-        self._departed: set[identifiers.Incarnation] = set()
+        self._departed: dict[identifiers.Incarnation, float] = {}
         self._tasks = application.TaskOwner()
         handlers.register(_messages.Farewell, self._handle_farewell)
 
@@ -140,13 +142,21 @@
         held = self._services.get(service)
         return 0 if held is None else held.follower.fold.current.version
 
+    def count_homes(self, service: identifiers.ServiceName) -> int:
+        """Return the number of homes on the newest list known here."""
+        held = self._services.get(service)
+        return 0 if held is None else len(held.follower.fold.current.homes)
+
     def find_inherited(
         self, home: identifiers.Incarnation, key: str
     ) -> bool | None:
-        """Tell whether a gone home had run a key; None if not known."""
-        keys = self._inherited.get(home)
-        if keys is None:
+        """Tell whether a home that left had run a key.
+
+        None if it has not left, or without handing over what it ran.
+        """
+        if home not in self._departed:
             return None
+        keys = self._inherited[home]
         return keys.get(key, 0.0) > self._clock.read_monotonic()
 
     async def _watch(self) -> None:
@@ -212,9 +222,11 @@
             for home in tuple(times):
                 if home not in listed:
                     del times[home]
-        for keys in self._inherited.values():
-            for key in [each for each, end in keys.items() if end <= now]:
-                del keys[key]
+        oldest_departure = now - DEPARTED_SECONDS
+        for home, since in tuple(self._departed.items()):
+            if since < oldest_departure:
+                del self._departed[home]
+                self._inherited.pop(home, None)
 
     def _is_cleared(
         self, service: _Service, home: identifiers.Incarnation, version: int
@@ -278,8 +290,9 @@
         }
         # Whoever hears of few homes is the one that is cut off.
         if len(lost) * 2 > max(len(current.homes), 2):
-            lost &= self._departed
-        gone = leaving | lost | self._departed | self._registry.list_replaced()
+            lost &= self._departed.keys()
+        gone = leaving | lost | self._departed.keys()
+        gone |= self._registry.list_replaced()
         off = gone.intersection(current.homes)
         joining = open_now.difference(current.homes, state.fenced)
         if not off and not joining:
@@ -326,5 +339,5 @@
         for key, seconds in farewell.keys:
             keys[key] = now + seconds
         if farewell.final:
-            self._departed.add(peer.incarnation)
+            self._departed[peer.incarnation] = now
             peer.send(_messages.FarewellNoted())
--- a/chivespoke/backend_servers/_slots.py
+++ b/chivespoke/backend_servers/_slots.py
@@ -10,6 +10,8 @@
 from chivespoke import errors
 
 MEBIBYTE = 1024 * 1024
+# Share of the time left that a prediction may fill.
+USABLE_SHARE = 0.9
 EXPIRED = 'deadline passed in queue'
 QUEUE_BYTES_LIMIT = 64 * MEBIBYTE
 
@@ -144,7 +146,8 @@
 
     def _check_wait(self, dispatch: _messages.Dispatch, now: float) -> None:
         wait = self._predict_wait(dispatch.request_class, now)
-        if wait + self.estimate.mean > dispatch.remaining:
+        usable = dispatch.remaining * USABLE_SHARE
+        if wait + self.estimate.careful > usable:
             raise Refusal('wait would exceed the deadline', wait)
 
     def _predict_wait(self, kind: _messages.RequestClass, now: float) -> float:
--- /dev/null
+++ b/chivespoke/backend_servers/tests/builders.py
@@ -0,0 +1,129 @@
+"""Builders of peers and backend servers that a test moves by hand."""
+
+import asyncio
+
+from chivespoke import backend_servers
+from chivespoke import clock
+from chivespoke import entries
+from chivespoke import identifiers
+from chivespoke import telemetry
+
+SERVICE = identifiers.ServiceName('counting')
+TURNS = 10
+
+
+async def settle() -> None:
+    """Let every task run that can."""
+    for _ in range(TURNS):
+        await asyncio.sleep(0)
+
+
+class ListPeer(entries.Peer):
+    """Keep what is sent to it."""
+
+    def __init__(self, name: str = 'peer', incarnation: str = 'a') -> None:
+        super().__init__(name, identifiers.Incarnation(incarnation))
+        self.sent: list[entries.Message] = []
+
+    def send(self, message: entries.Message) -> None:
+        self.sent.append(message)
+
+    def list_outcomes(self) -> list[backend_servers.Outcome]:
+        """Return the outcomes of the replies that it was sent."""
+        return [
+            message.outcome
+            for message in self.sent
+            if isinstance(message, backend_servers.Reply)
+        ]
+
+
+class HeldServer(backend_servers.BackendServer):
+    """Run until the test lets it end."""
+
+    def __init__(self) -> None:
+        self.runs: list[str] = []
+        self.gate = asyncio.Event()
+
+    async def run(
+        self, dispatch: backend_servers.Dispatch, timeout: float
+    ) -> backend_servers.RunResult:
+        self.runs.append(dispatch.target)
+        await self.gate.wait()
+        return backend_servers.RunResult(
+            backend_servers.Outcome.ANSWERED, status=200
+        )
+
+    async def probe(self) -> backend_servers.ProbeResult:
+        return backend_servers.ProbeResult.HEALTHY
+
+
+class Site:
+    """Hold an executor with a slot or more, and the entry's peer."""
+
+    def __init__(self, slots: int = 1, queue_limit: int = 4) -> None:
+        self.handlers = entries.Handlers()
+        self.server = HeldServer()
+        self.peer = ListPeer()
+        self.executor = backend_servers.Executor(
+            self.server,
+            backend_servers.Slots(slots, queue_limit),
+            backend_servers.KeyTable(),
+            self.handlers,
+            telemetry.Telemetry(),
+            clock.SystemClock(),
+        )
+
+    async def take(self, *messages: entries.Message) -> None:
+        """Have messages of the entry handled."""
+        for message in messages:
+            await self.handlers.handle(self.peer, message)
+        await settle()
+
+
+def build_dispatch(
+    sequence: int, key: str = '', homes_version: int = 0, lookup: bool = False
+) -> backend_servers.Dispatch:
+    """Return a dispatch whose target tells its sequence."""
+    return backend_servers.Dispatch(
+        sequence,
+        sequence,
+        1,
+        'POST',
+        f'/{sequence}',
+        (),
+        b'',
+        5.0,
+        backend_servers.RequestClass.LATENCY_CRITICAL,
+        'shop',
+        key,
+        homes_version,
+        lookup,
+    )
+
+
+def build_registry() -> tuple[
+    backend_servers.Registry, entries.Handlers, telemetry.Telemetry
+]:
+    """Return a registry and the handlers that feed it."""
+    handlers = entries.Handlers()
+    time = clock.SystemClock()
+    instruments = telemetry.Telemetry()
+    directory = entries.EntryDirectory(time)
+    return (
+        backend_servers.Registry(handlers, directory, instruments, time),
+        handlers,
+        instruments,
+    )
+
+
+def build_announcement() -> backend_servers.Announcement:
+    """Return the heartbeat of a healthy backend server."""
+    return backend_servers.Announcement(
+        SERVICE,
+        identifiers.DataCentreName('colombo-1'),
+        8,
+        64,
+        0,
+        True,
+        False,
+    )
--- a/chivespoke/callers/_keyed.py
+++ b/chivespoke/callers/_keyed.py
@@ -10,6 +10,8 @@
 from chivespoke import identifiers
 
 ROUND_LIMIT = 4
+# Seconds for which a request waits for a service's first home list.
+FIRST_LIST_SECONDS = 5.0
 # Seconds between looks for a newer home list.
 REFRESH_POLL = 0.02
 # Seconds after which to ask again about a key whose home is not certain.
@@ -47,7 +49,7 @@
         """Return the end of a request; with lookup start no run."""
         reply = _doubt('home of the key is not certain')
         for round_number in range(1, ROUND_LIMIT + 1):
-            found = self._keeper.resolve(request.service, request.caller.key)
+            found = await self._resolve(request)
             if found is None:
                 return reply
             reply = await self._ask_all(request, found, round_number, lookup)
@@ -57,6 +59,20 @@
             reply = _doubt(reply.cause)
         return reply
 
+    async def _resolve(
+        self, request: _attempts.CallerRequest
+    ) -> backend_servers.Resolution | None:
+        """Resolve a key; wait a little for a service's very first list."""
+        patience = min(FIRST_LIST_SECONDS, request.caller.deadline / 2)
+        begun = request.expires_at - request.caller.deadline
+        while True:
+            found = self._keeper.resolve(request.service, request.caller.key)
+            waited = self._clock.read_monotonic() - begun
+            is_first = self._keeper.read_version(request.service) == 0
+            if found is not None or not is_first or waited > patience:
+                return found
+            await asyncio.sleep(REFRESH_POLL)
+
     async def _ask_all(
         self,
         request: _attempts.CallerRequest,
@@ -88,9 +104,12 @@
         former: identifiers.Incarnation,
         attempt: int,
     ) -> backend_servers.Reply:
+        has_run = self._keeper.find_inherited(former, request.caller.key)
+        if has_run is not None:
+            return _tell_inherited(has_run)
         server = self._registry.find(former)
         if server is None:
-            return self._ask_inherited(request, former)
+            return _doubt('a former home of the key is lost')
         reply = await self._attempts.run(
             request,
             server,
@@ -100,20 +119,6 @@
         )
         return _weigh(reply)
 
-    def _ask_inherited(
-        self,
-        request: _attempts.CallerRequest,
-        former: identifiers.Incarnation,
-    ) -> backend_servers.Reply:
-        has_run = self._keeper.find_inherited(former, request.caller.key)
-        if has_run is None:
-            return _doubt('a former home of the key is lost')
-        if has_run:
-            return _doubt('ran at a backend server that has left')
-        return backend_servers.Reply(
-            0, backend_servers.Outcome.NOT_RUN, backend_servers.KEY_FREE
-        )
-
     async def _refresh(
         self, request: _attempts.CallerRequest, version: int
     ) -> None:
@@ -124,6 +129,14 @@
             await asyncio.sleep(REFRESH_POLL)
 
 
+def _tell_inherited(has_run: bool) -> backend_servers.Reply:
+    if has_run:
+        return _doubt('ran at a backend server that has left')
+    return backend_servers.Reply(
+        0, backend_servers.Outcome.NOT_RUN, backend_servers.KEY_FREE
+    )
+
+
 def _doubt(cause: str) -> backend_servers.Reply:
     return backend_servers.Reply(
         0,
--- a/chivespoke/callers/_limits.py
+++ b/chivespoke/callers/_limits.py
@@ -1,5 +1,7 @@
 """Limits on the requests of each tenant and class."""
 
+import collections.abc
+
 from chivespoke import backend_servers
 from chivespoke import clock
 
@@ -39,10 +41,16 @@
 class RequestLimits:
     """Hold a bucket for each tenant and class that has a limit."""
 
-    __slots__ = ('_clock', '_rates', '_buckets')
+    __slots__ = ('_clock', '_count_entries', '_rates', '_buckets')
 
-    def __init__(self, time: clock.Clock) -> None:
+    def __init__(
+        self,
+        time: clock.Clock,
+        count_entries: collections.abc.Callable[[], int] = lambda: 1,
+    ) -> None:
         self._clock = time
+        # Each entry lets its share pass; the balancer spreads the callers.
+        self._count_entries = count_entries
         self._rates: dict[
             tuple[str, backend_servers.RequestClass | None], float
         ] = {}
@@ -58,7 +66,7 @@
     ) -> None:
         """Limit a tenant, or one of its classes; 0 lifts the limit.
 
-        The rate is in requests a second at this entry.
+        The rate is in requests a second at all entries together.
         """
         pair = (tenant, request_class)
         if self._rates.get(pair, 0.0) == rate:
@@ -86,8 +94,10 @@
         rate = self._rates.get(pair)
         if rate is None:
             return 0.0
+        rate /= max(1, self._count_entries())
         now = self._clock.read_monotonic()
         bucket = self._buckets.get(pair)
         if bucket is None:
             bucket = self._buckets[pair] = TokenBucket(rate, now)
+        bucket.rate = rate
         return bucket.take(now, reserve * bucket.burst)
--- a/chivespoke/callers/_retries.py
+++ b/chivespoke/callers/_retries.py
@@ -7,15 +7,15 @@
 class RetryBudget:
     """Allow a share of retries over first tries, and a small reserve."""
 
-    __slots__ = ('_share', '_tokens')
+    __slots__ = ('share', '_tokens')
 
     def __init__(self, share: float) -> None:
-        self._share = share
+        self.share = share
         self._tokens = RESERVE
 
     def note_request(self) -> None:
         """Count a first try."""
-        self._tokens = min(self._tokens + self._share, RESERVE)
+        self._tokens = min(self._tokens + self.share, RESERVE)
 
     def take(self) -> bool:
         """Spend a retry if there is one."""
--- a/chivespoke/callers/tests/builders.py
+++ b/chivespoke/callers/tests/builders.py
@@ -85,6 +85,7 @@
         self,
         address: settings.Address = ANY_ADDRESS,
         policy: backend_servers.RoutingPolicy | None = None,
+        platform_log: settings.Address = ANY_ADDRESS,
     ) -> daemons.Entry:
         """Start an entry."""
         entry = daemons.Entry(
@@ -92,13 +93,14 @@
                 name=f'entry-{len(self.entries) + 1}',
                 data_centre=DATA_CENTRE,
                 http=address,
-                platform_log=ANY_ADDRESS,
+                platform_log=platform_log,
                 heartbeat_interval=0.1,
                 heartbeat_limit=0.6,
             ),
             self.clock,
             policy,
             balancer_notice=0.05,
+            home_limits=backend_servers.HomeLimits(tick=0.05),
         )
         await entry.start()
         self.entries.append(entry)
@@ -149,6 +151,7 @@
         path: str = '/x',
         method: str = 'GET',
         entry: int = 0,
+        *,
         body: bytes = b'',
         headers: collections.abc.Mapping[str, str] = NO_HEADERS,
         **more_headers: str,
--- /dev/null
+++ b/chivespoke/callers/tests/test_keys.py
@@ -0,0 +1,95 @@
+"""Tests of requests that carry a key, through one entry and another."""
+
+import asyncio
+import unittest
+
+from chivespoke.callers.tests import builders
+from chivespoke import clock
+from chivespoke import settings
+from chivespoke import standins
+
+
+class KeyTest(unittest.IsolatedAsyncioTestCase):
+    """Repeat keys during and after the first run."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = clock.SystemClock()
+        self.log = standins.LogServer(
+            standins.MemoryLog(self.clock), settings.Address()
+        )
+        await self.log.start()
+        self.addAsyncCleanup(self.log.stop)
+
+    async def open_path(self, path: builders.Path) -> None:
+        """Start two entries and three sidecars whose list is in the log."""
+        for _ in range(2):
+            await path.add_entry(platform_log=self.log.address)
+        for _ in range(3):
+            await path.add_sidecar()
+        await path.wait_open(3)
+        await self.wait_homes(path, 3)
+
+    async def wait_homes(self, path: builders.Path, count: int) -> None:
+        """Wait until every entry's list has so many homes."""
+
+        def has_homes() -> bool:
+            return all(
+                entry.context.homes.count_homes(builders.SERVICE) == count
+                for entry in path.entries
+            )
+
+        await builders.wait_until(has_homes)
+
+    async def test_duplicate_key_through_two_entries(self) -> None:
+        async with builders.Path() as path:
+            await self.open_path(path)
+            during = await asyncio.gather(
+                *(
+                    path.call(
+                        '/bill?ms=100', 'POST', entry % 2, Request_Key='k-1'
+                    )
+                    for entry in range(6)
+                )
+            )
+            after = await path.call('/bill', 'POST', 1, Request_Key='k-1')
+            for answer in (*during, after):
+                self.assertEqual('answered', answer.outcome, answer)
+                self.assertEqual(during[0].body, answer.body)
+            self.assertEqual(1, path.count_runs())
+            await path.call('/bill', 'POST', 0, Request_Key='k-2')
+            self.assertEqual(2, path.count_runs())
+
+    async def test_key_after_its_home_has_left(self) -> None:
+        async with builders.Path() as path:
+            await self.open_path(path)
+            keys = [f'key-{number}' for number in range(12)]
+            for key in keys:
+                await path.call('/bill', 'POST', Request_Key=key)
+            await path.stop(path.sidecars[0])
+            await self.wait_homes(path, 2)
+            for entry in range(2):
+                for key in keys:
+                    answer = await path.call(
+                        '/bill', 'POST', entry, Request_Key=key
+                    )
+                    self.assertIn(answer.outcome, ('answered', 'unknown'))
+            self.assertEqual(len(keys), path.count_runs())
+            # What the one that left handed over frees its other keys.
+            fresh = [
+                await path.call('/bill', 'POST', Request_Key=f'new-{number}')
+                for number in range(12)
+            ]
+            self.assertEqual({'answered'}, {each.outcome for each in fresh})
+
+    async def test_key_without_a_list_is_unknown(self) -> None:
+        async with builders.run_path() as path:
+            answer = await path.call(
+                '/bill', 'POST', Request_Key='k-1', Deadline_Ms='200'
+            )
+            self.assertEqual('unknown', answer.outcome)
+            self.assertIn('Retry-After', answer.headers)
+            self.assertEqual(0, path.count_runs())
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/chivespoke/daemons.py
+++ b/chivespoke/daemons.py
@@ -9,6 +9,7 @@
 from chivespoke import control
 from chivespoke import entries
 from chivespoke import identifiers
+from chivespoke import operators
 from chivespoke import scheduling
 from chivespoke.scheduling import policies
 from chivespoke import settings
@@ -93,23 +94,36 @@
         self, policy: backend_servers.RoutingPolicy
     ) -> callers.Gateway:
         attempts = callers.Attempts(self.registry, self.clock)
-        return callers.Gateway(
+        budget = callers.RetryBudget(DEFAULT_RETRY_SHARE)
+        limits = callers.RequestLimits(
+            self.clock, lambda: len(self.directory.list_entries())
+        )
+        gateway = callers.Gateway(
             callers.Dispatcher(
                 attempts,
                 self.registry,
                 policy,
-                callers.RetryBudget(DEFAULT_RETRY_SHARE),
+                budget,
                 self.telemetry,
                 self.clock,
             ),
             callers.KeyedDispatcher(
                 attempts, self.homes, self.registry, self.clock
             ),
-            callers.RequestLimits(self.clock),
+            limits,
             self.telemetry,
             self.clock,
         )
 
+        def apply(document: operators.Document) -> None:
+            gateway.body_limit = document.limits.body_bytes
+            budget.share = document.limits.retry_budget
+            for team, found in document.teams.items():
+                limits.set_rate(team, found.request_rate)
+
+        self.control.configuration.add_listener(apply)
+        return gateway
+
 
 def _make_scheduling(context: EntryContext) -> scheduling.Scheduling:
     control = context.control
