Call no peer silent right after an own pause

Cause: after a process was held up, its watch ran before it had read what its peers sent meanwhile, and took all of them for silent. Seen: types pass; the tests of the path run with a limit of 2 s, as a busy machine held the loop up for more than 0.6 s. Conclusion: a pause costs one round of the watch.

--- a/chivespoke/entries/_transport.py
+++ b/chivespoke/entries/_transport.py
@@ -243,8 +243,14 @@
 
     async def _watch_silence(self) -> None:
         while True:
+            begun = self._clock.read_monotonic()
             await self._clock.sleep(self._limit / 4)
-            oldest = self._clock.read_monotonic() - self._limit
+            now = self._clock.read_monotonic()
+            if now - begun > self._limit / 2:
+                # This process was held up itself: let it read first what
+                # its peers have sent meanwhile.
+                continue
+            oldest = now - self._limit
             for peer in tuple(self._peers.values()):
                 if peer.heard_at < oldest:
                     del self._peers[peer.incarnation]
