Wait for an earlier owner's longer lease after a take-over

A new owner that had reached a worker once judged it by its own leases only, while the last owner's may have run on for longer. Heartbeats tell the lease in force now, and links wait for the longest. The new named test fails without the change and passes with it.

--- a/chivespoke/scheduling/_link.py
+++ b/chivespoke/scheduling/_link.py
@@ -153,6 +153,9 @@
         if heartbeat.incarnation != self.incarnation:
             self._replace_incarnation(heartbeat, epoch)
             return
+        # An earlier owner's lease may run longer than the own ones; it
+        # cannot be extended any more, as the worker knows this epoch.
+        self.lease_sent = max(self.lease_sent, heartbeat.lease_until)
         self.reading = _permits.ClockReading(heartbeat.clock, now)
         self.contacted = True
         self.renewed_at = now
--- a/chivespoke/scheduling/tests/test_what_fails.py
+++ b/chivespoke/scheduling/tests/test_what_fails.py
@@ -107,6 +107,23 @@
         self.assertEqual(first.get_owner().epoch, 0)
         self._check_finished(cluster, 12)
 
+    async def test_a_successor_waits_for_the_longer_earlier_lease(
+        self,
+    ) -> None:
+        """Take over while the last owner's lease outlasts the own ones."""
+        cluster = await self._build(2, 2)
+        await builders.submit(cluster, 8, payload=builders.build_plan(300))
+        cluster.processes['entry-1'].gate.close()
+        await cluster.run(18, STEP)
+        agent = cluster.agents[0]
+        agent.lease_until += 15.0
+        owner = cluster.processes['entry-2'].get_owner()
+        await cluster.run(22, STEP)
+        self.assertGreaterEqual(owner.links[0].lease_sent, agent.lease_until)
+        cluster.set_reachable(False, 0)
+        await cluster.run(110, STEP)
+        self.assertGreater(cluster.get_report().abandoned, 0)
+
     async def test_declared_run_times_are_far_off(self) -> None:
         cluster = await self._build(3)
         await builders.submit(
--- a/chivespoke/standins/_worker.py
+++ b/chivespoke/standins/_worker.py
@@ -110,6 +110,7 @@
             incarnation=self.registration.incarnation,
             clock=self.clock.read_monotonic(),
             statuses=(*running, *ended),
+            lease_until=self.lease_until,
         )
 
     def start(self, command: workers.StartCommand) -> workers.TaskStatus:
--- a/chivespoke/workers/_messages.py
+++ b/chivespoke/workers/_messages.py
@@ -158,5 +158,7 @@
     incarnation: identifiers.Incarnation
     clock: float
     statuses: tuple[TaskStatus, ...] = ()
+    # The clock's reading until which the leases run, whoever renewed them.
+    lease_until: float = float('-inf')
     # The last usage report, measured some time ago.
     report: UsageReport | None = None
