Keep home lists beyond the log's retention

Once their records had expired, a new entry knew no home and answered every keyed request "unknown". Seen first to fail: with the snapshotter and the relay both taken out, the new test times out; with either of them it passes. After: a key that ran before the expiry is answered once more through an entry that started after it, from its one run.

--- a/chivespoke/backend_servers/__init__.py
+++ b/chivespoke/backend_servers/__init__.py
@@ -6,6 +6,7 @@
 from chivespoke.backend_servers._home_keeper import HomeKeeper
 from chivespoke.backend_servers._home_keeper import HomeLimits
 from chivespoke.backend_servers._home_keeper import Resolution
+from chivespoke.backend_servers._home_streams import HomeStreams
 from chivespoke.backend_servers._homes import Change
 from chivespoke.backend_servers._homes import Fence
 from chivespoke.backend_servers._homes import find_chain
@@ -55,6 +56,7 @@
     'HeaderPairs',
     'HomeKeeper',
     'HomeLimits',
+    'HomeStreams',
     'HomesFold',
     'HttpBackendServer',
     'KEY_FREE',
--- a/chivespoke/backend_servers/_home_keeper.py
+++ b/chivespoke/backend_servers/_home_keeper.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from chivespoke import application
+from chivespoke.backend_servers import _home_streams
 from chivespoke.backend_servers import _homes
 from chivespoke.backend_servers import _keys
 from chivespoke.backend_servers import _messages
@@ -46,6 +47,7 @@
 
     __slots__ = (
         'follower',
+        'snapshotter',
         'acknowledged',
         'missing',
         'fenced',
@@ -53,8 +55,13 @@
         'proposals',
     )
 
-    def __init__(self, follower: platform.Follower[_homes.HomesFold]) -> None:
+    def __init__(
+        self,
+        follower: platform.Follower[_homes.HomesFold],
+        snapshotter: platform.Snapshotter,
+    ) -> None:
         self.follower = follower
+        self.snapshotter = snapshotter
         # When a sidecar was first known to know at least a version.
         self.acknowledged: dict[
             tuple[identifiers.Incarnation, int], float
@@ -80,8 +87,7 @@
     """Follow, propose and resolve; the log's order decides."""
 
     __slots__ = (
-        '_log',
-        '_committer',
+        '_streams',
         '_registry',
         '_clock',
         '_limits',
@@ -93,15 +99,13 @@
 
     def __init__(
         self,
-        log: platform.Log,
-        committer: platform.GroupCommitter,
+        streams: _home_streams.HomeStreams,
         registry: _registry.Registry,
         handlers: entries.Handlers,
         time: clock.Clock,
         limits: HomeLimits,
     ) -> None:
-        self._log = log
-        self._committer = committer
+        self._streams = streams
         self._registry = registry
         self._clock = time
         self._limits = limits
@@ -118,6 +122,7 @@
     async def stop(self) -> None:
         await self._tasks.cancel()
         for service in self._services.values():
+            await service.snapshotter.stop()
             await service.follower.stop()
 
     def resolve(
@@ -171,13 +176,7 @@
     async def _open(self, name: identifiers.ServiceName) -> None:
         if name in self._services:
             return
-        replica = platform.Replica(
-            _homes.STREAM_PREFIX + name, _homes.HomesFold()
-        )
-        follower = platform.Follower(self._log, replica, self._clock)
-        self._committer.watch(replica)
-        self._services[name] = _Service(follower)
-        await follower.start()
+        self._services[name] = _Service(*await self._streams.open(name))
 
     def _note(self, name: identifiers.ServiceName, service: _Service) -> None:
         """Note when facts about the homes were first seen."""
@@ -323,11 +322,7 @@
         record: _homes.HomeRecord,
     ) -> None:
         try:
-            service.proposals.append(
-                self._committer.submit(
-                    _homes.STREAM_PREFIX + name, _homes.encode_record(record)
-                )
-            )
+            service.proposals.append(self._streams.submit(name, record))
         except errors.RefusedError as error:
             LOGGER.warning('A change of homes must wait.', error=error)
 
--- a/chivespoke/bench/_request_model.py
+++ b/chivespoke/bench/_request_model.py
@@ -257,7 +257,11 @@
             handlers, entries.EntryDirectory(time), instruments, time
         )
         self.homes = backend_servers.HomeKeeper(
-            log, committer, self.registry, handlers, time, limits
+            backend_servers.HomeStreams(log, committer, time),
+            self.registry,
+            handlers,
+            time,
+            limits,
         )
         attempts = callers.Attempts(self.registry, time)
         self.plain = callers.Dispatcher(
--- a/chivespoke/callers/tests/builders.py
+++ b/chivespoke/callers/tests/builders.py
@@ -86,6 +86,7 @@
         address: settings.Address = ANY_ADDRESS,
         policy: backend_servers.RoutingPolicy | None = None,
         platform_log: settings.Address = ANY_ADDRESS,
+        retention: float = 86400.0,
     ) -> daemons.Entry:
         """Start an entry."""
         entry = daemons.Entry(
@@ -94,6 +95,7 @@
                 data_centre=DATA_CENTRE,
                 http=address,
                 platform_log=platform_log,
+                platform_log_retention=retention,
                 heartbeat_interval=0.1,
                 heartbeat_limit=2.0,
             ),
--- a/chivespoke/callers/tests/test_keys.py
+++ b/chivespoke/callers/tests/test_keys.py
@@ -90,6 +90,28 @@
             self.assertIn('Retry-After', answer.headers)
             self.assertEqual(0, path.count_runs())
 
+    async def test_new_entry_after_the_home_list_has_expired(self) -> None:
+        retention = 3.0
+        log = standins.LogServer(
+            standins.MemoryLog(self.clock, retention), settings.Address()
+        )
+        await log.start()
+        self.addAsyncCleanup(log.stop)
+        async with builders.Path() as path:
+            await path.add_entry(platform_log=log.address, retention=retention)
+            await path.add_sidecar()
+            await path.wait_open(1)
+            await self.wait_homes(path, 1)
+            first = await path.call('/bill', 'POST', 0, Request_Key='k-1')
+            await asyncio.sleep(2 * retention)
+            await path.add_entry(platform_log=log.address, retention=retention)
+            await path.wait_open(1)
+            await self.wait_homes(path, 1)
+            again = await path.call('/bill', 'POST', 1, Request_Key='k-1')
+            self.assertEqual('answered', again.outcome, again)
+            self.assertEqual(first.body, again.body)
+            self.assertEqual(1, path.count_runs())
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/chivespoke/daemons.py
+++ b/chivespoke/daemons.py
@@ -79,8 +79,14 @@
         )
         self.registry.ejects = entry.routing == 'choice-of-two'
         self.homes = backend_servers.HomeKeeper(
-            self.control.log,
-            self.control.committer,
+            backend_servers.HomeStreams(
+                self.control.log,
+                self.control.committer,
+                time,
+                entry.platform_log_retention,
+                entries.LinkRelay(self.control.links),
+                self.control.answerer.serve,
+            ),
             self.registry,
             self.handlers,
             time,
