Explain jobs, tasks and workers, and sum them up in the status

Cause: the hooks for explanations and status stood, and nothing used them: `chivespoke explain task|job|worker` answered that there is no such thing, and `status` did not show one worker or job. A task's name holds a slash, which the route did not take. Before: 404 for all three kinds. Conclusion: explanations say what, why and what would change it.

--- a/chivespoke/daemons.py
+++ b/chivespoke/daemons.py
@@ -149,6 +149,8 @@
     )
     for follower in parts.followers:
         control.answerer.serve(follower)
+    control.routes.add_explainer(scheduling.SchedulingExplainer(parts.desk))
+    control.status.add_contributor(scheduling.SchedulingStatus(parts.desk))
     return parts
 
 
--- a/chivespoke/operators/_routes.py
+++ b/chivespoke/operators/_routes.py
@@ -116,7 +116,7 @@
             web.get('/configuration/in-force', self._guard(self._in_force)),
             web.get('/configuration/patches/{id}', self._guard(self._fate)),
             web.get('/status', self._guard(self._show_status)),
-            web.get('/explain/{kind}/{name}', self._guard(self._explain)),
+            web.get('/explain/{kind}/{name:.+}', self._guard(self._explain)),
         )
 
     def _guard(self, handler: Handler) -> Handler:
--- a/chivespoke/resources.py
+++ b/chivespoke/resources.py
@@ -38,6 +38,13 @@
             and self.accelerators <= room.accelerators
         )
 
+    def describe(self) -> str:
+        """Return the amounts as operators read them."""
+        return (
+            f'{self.millicores / 1000:g} processors, {self.memory_mib} MiB, '
+            f'{self.accelerators} accelerators'
+        )
+
     def is_valid(self) -> bool:
         """Tell whether no kind is negative."""
         return min(self.millicores, self.memory_mib, self.accelerators) >= 0
--- a/chivespoke/scheduling/__init__.py
+++ b/chivespoke/scheduling/__init__.py
@@ -9,6 +9,8 @@
 from chivespoke.scheduling._configuration import FollowedConfiguration
 from chivespoke.scheduling._desk import Desk
 from chivespoke.scheduling._desk import make_registration
+from chivespoke.scheduling._explanation import SchedulingExplainer
+from chivespoke.scheduling._explanation import SchedulingStatus
 from chivespoke.scheduling._first_fit import FirstFit
 from chivespoke.scheduling._fold import ShardFold
 from chivespoke.scheduling._owner import OwnerPolicies
@@ -55,6 +57,8 @@
     'Refusal',
     'ReportObserver',
     'Scheduling',
+    'SchedulingExplainer',
+    'SchedulingStatus',
     'ShardFold',
     'ShardOwner',
     'ShardStream',
--- /dev/null
+++ b/chivespoke/scheduling/_explanation.py
@@ -0,0 +1,198 @@
+"""Explain jobs, tasks and workers, and sum them up for the status."""
+
+import collections
+import collections.abc
+
+from chivespoke import identifiers
+from chivespoke import operators
+from chivespoke.scheduling import _desk
+from chivespoke.scheduling import _requests
+from chivespoke.scheduling import _state
+
+KINDS = frozenset(('job', 'task', 'worker'))
+TASK_SEPARATOR = '/'
+
+
+class SchedulingExplainer(operators.Explainer):
+    """Explain what the shards of a process hold."""
+
+    __slots__ = ('_desk',)
+
+    def __init__(self, desk: _desk.Desk) -> None:
+        self._desk = desk
+
+    @property
+    def kinds(self) -> frozenset[str]:
+        return KINDS
+
+    def list_names(self, kind: str) -> collections.abc.Iterable[str]:
+        if kind == 'worker':
+            return [report.id for report in self._desk.report_workers()]
+        return [report.id for report in self._desk.report_jobs()]
+
+    def explain(self, kind: str, name: str) -> operators.Explanation | None:
+        if kind == 'worker':
+            return self._explain_worker(name)
+        if kind == 'job':
+            return self._explain_job(identifiers.JobId(name))
+        return self._explain_task(name)
+
+    def _explain_worker(self, name: str) -> operators.Explanation | None:
+        for report in self._desk.report_workers():
+            if report.id == name:
+                shard = self._desk.streams[report.shard].fold.shard
+                return _describe_worker(report, shard)
+        return None
+
+    def _explain_job(
+        self, job_id: identifiers.JobId
+    ) -> operators.Explanation | None:
+        report = self._desk.report_job(job_id)
+        return None if report is None else _describe_job(report)
+
+    def _explain_task(self, name: str) -> operators.Explanation | None:
+        job_name, _, index = name.rpartition(TASK_SEPARATOR)
+        job_id = identifiers.JobId(job_name)
+        if not index.isdecimal():
+            return None
+        for stream in self._desk.streams.values():
+            shard = stream.fold.shard
+            number = shard.job_numbers.get(job_id)
+            if number is not None:
+                found = _describe_task(shard, number, int(index), name)
+                if found is not None:
+                    return found
+        return None
+
+
+class SchedulingStatus(operators.StatusContributor):
+    """Sum up workers and jobs, and say which need a hand."""
+
+    __slots__ = ('_desk',)
+
+    def __init__(self, desk: _desk.Desk) -> None:
+        self._desk = desk
+
+    def make_section(self) -> operators.Section:
+        states = collections.Counter(
+            report.state for report in self._desk.report_workers()
+        )
+        jobs = self._desk.report_jobs()
+        stuck = [job for job in jobs if job.waiting and job.reason]
+        lines = {
+            f'workers {state}': str(count)
+            for state, count in sorted(states.items())
+        }
+        lines['tasks running'] = str(sum(job.running for job in jobs))
+        lines['tasks waiting'] = str(sum(job.waiting for job in jobs))
+        return operators.Section(
+            title='scheduling',
+            lines=lines,
+            troubles=tuple(
+                f'job {job.id} cannot run: {job.reason}' for job in stuck
+            ),
+        )
+
+
+def _describe_worker(
+    report: _requests.WorkerReport, shard: _state.Shard
+) -> operators.Explanation:
+    why = []
+    would_change = []
+    if report.state != 'up':
+        why.append('it fell silent, and every lease on it has lapsed')
+        would_change.append('an answer from it, running nothing of old')
+    if report.task_limit >= 0:
+        why.append(
+            f'it is in quarantine, at most {report.task_limit} tasks at once'
+        )
+        would_change.append('tasks that complete there on probation')
+    if report.data_centre in shard.out:
+        why.append(f'{report.data_centre} is out of service')
+        would_change.append(
+            f'chivespoke data-centre return {report.data_centre}'
+        )
+    if not why:
+        why.append('it answers, and its data centre is in service')
+    return operators.Explanation(
+        kind='worker',
+        name=report.id,
+        what=(
+            f'{report.state}, {report.tasks} tasks, '
+            f'in {report.data_centre}/{report.rack}'
+        ),
+        why=tuple(why),
+        since_version=identifiers.Version(shard.version),
+        would_change=tuple(would_change),
+        details={
+            'shard': report.shard,
+            'capacity': report.capacity.describe(),
+            'committed': report.committed.describe(),
+        },
+    )
+
+
+def _describe_job(report: _requests.JobReport) -> operators.Explanation:
+    would_change: tuple[str, ...] = ()
+    if report.waiting:
+        would_change = (
+            'room on a worker that it may run on'
+            if not report.reason
+            else f'a configuration without: {report.reason}',
+        )
+    return operators.Explanation(
+        kind='job',
+        name=report.id,
+        what=(
+            f'{report.state}: {report.completed} of {report.submitted} '
+            f'completed, {report.running} running, {report.waiting} waiting'
+        ),
+        why=(report.reason,) if report.reason else (),
+        would_change=would_change,
+        details={
+            'team': report.team,
+            'attempts': str(report.attempts),
+            'evictions': str(report.evictions),
+            'failed': str(report.failed),
+            'cancelled': str(report.cancelled),
+            'lost seconds': f'{report.lost_seconds:.1f}',
+        },
+    )
+
+
+def _describe_task(
+    shard: _state.Shard, number: int, index: int, name: str
+) -> operators.Explanation | None:
+    job = shard.jobs[number]
+    attempt = job.running.get(index)
+    if attempt is not None:
+        worker = shard.workers[attempt.worker]
+        return operators.Explanation(
+            kind='task',
+            name=name,
+            what=(
+                f'attempt {attempt.number} is placed on {worker.worker_id} '
+                f'in {worker.data_centre}'
+            ),
+            why=(f'placed at offset {attempt.token} of shard {shard.name}',),
+            since_version=identifiers.Version(shard.version),
+            would_change=(
+                f'chivespoke job cancel {job.job_id}',
+                f'chivespoke data-centre take-out {worker.data_centre}',
+            ),
+            details={'checkpoint': attempt.checkpoint or 'none'},
+        )
+    waiting = job.waiting.get(index)
+    fresh = any(first <= index < beyond for first, beyond in job.fresh)
+    if waiting is None and not fresh:
+        return None
+    last = 0 if waiting is None else waiting.last_attempt
+    return operators.Explanation(
+        kind='task',
+        name=name,
+        what=f'waits for attempt {last + 1}',
+        why=(job.flag or 'no worker has room for it yet',),
+        since_version=identifiers.Version(shard.version),
+        would_change=('room on a worker that it may run on',),
+        details={'last attempt': str(last)},
+    )
--- a/chivespoke/scheduling/tests/test_daemon.py
+++ b/chivespoke/scheduling/tests/test_daemon.py
@@ -95,6 +95,39 @@
         report = await self._wait('job-2', 'cancelled')
         self.assertEqual(report.cancelled, 1)
 
+    async def test_jobs_tasks_and_workers_are_explained(self) -> None:
+        endless = scheduling.JobRequest(id='job-1', tasks=20, team='billing')
+        await self._post('/v1/jobs', {'jobs': [endless]})
+        await self._wait('job-1', 'running')
+        # A worker of 16 processors holds 16 of the 20 tasks.
+        cases = (
+            ('worker/worker-1', 'up, 16 tasks, in'),
+            ('job/job-1', '16 running, 4 waiting'),
+            ('task/job-1/0', 'attempt 1 is placed on worker-1'),
+            ('task/job-1/19', 'waits for attempt 1'),
+        )
+        for path, expected in cases:
+            with self.subTest(path=path):
+                await self._wait_explained(path, expected)
+        missing = await self._explain('task/job-1/20')
+        self.assertIn('no task is named', missing['reason'])
+        async with self.session.get(f'{self.url}/status') as answer:
+            status = await answer.json()
+        (section,) = status['sections']
+        self.assertEqual('16', section['lines']['tasks running'])
+
+    async def _explain(self, path: str) -> dict[str, str]:
+        async with self.session.get(f'{self.url}/explain/{path}') as answer:
+            found: dict[str, str] = await answer.json()
+            return found
+
+    async def _wait_explained(self, path: str, expected: str) -> None:
+        found: dict[str, str] = {}
+        async with asyncio.timeout(LIMIT):
+            while expected not in found.get('what', ''):
+                found = await self._explain(path)
+                await asyncio.sleep(0.05)
+
     async def test_refusals_name_the_reason(self) -> None:
         while not self.entry.context.scheduling.desk.report_workers():
             await asyncio.sleep(0.05)
