Tell entries and sidecars only what has changed

Every heartbeat carried a whole announcement and was answered with the whole list of entries, and the balancer was asked every third second. Now an unchanged heartbeat is a pulse, and the list travels when it changed.

--- a/chivespoke/backend_servers/_announcer.py
+++ b/chivespoke/backend_servers/_announcer.py
@@ -23,7 +23,7 @@
 ENTRIES_PATH = '/entries'
 BALANCER_TIMEOUT = 2.0
 # Heartbeats between two questions to the balancer.
-BALANCER_PERIOD = 3
+BALANCER_PERIOD = 15
 # Silent probes after which the backend server counts as unhealthy.
 PROBE_LIMIT = 2
 # Keys in one message of a farewell.
@@ -49,6 +49,7 @@
         '_failed_probes',
         '_leaving',
         '_noted',
+        '_told',
         '_farewelled',
     )
 
@@ -77,7 +78,10 @@
         self._leaving = False
         self._noted: set[identifiers.Incarnation] = set()
         self._farewelled: set[identifiers.Incarnation] = set()
+        # What each entry was last told of the backend server.
+        self._told: dict[identifiers.Incarnation, _messages.Announcement] = {}
         handlers.register(entries.Welcome, self._handle_welcome)
+        handlers.register(entries.Pulse, self._handle_pulse)
         handlers.register(_messages.LeavingNoted, self._handle_noted)
         handlers.register(_messages.FarewellNoted, self._handle_farewell_noted)
         handlers.register(_messages.Goodbye, self._handle_goodbye)
@@ -156,7 +160,7 @@
     async def _beat(self) -> None:
         beats = 0
         while True:
-            if beats % BALANCER_PERIOD == 0 or not self._clients:
+            if beats % BALANCER_PERIOD == 0 or not self._hears_entries():
                 await self._ask_balancer()
             beats += 1
             await self._adjust_clients()
@@ -165,6 +169,10 @@
             share = random.uniform(0.9, 1.1)
             await self._clock.sleep(self._settings.heartbeat_interval * share)
 
+    def _hears_entries(self) -> bool:
+        limit = self._settings.heartbeat_limit
+        return any(client.is_alive(limit) for client in self._clients.values())
+
     async def _ask_balancer(self) -> None:
         if self._session is None:
             return
@@ -205,19 +213,34 @@
             self._leaving,
             self._executor.homes_version,
         )
+        told: dict[identifiers.Incarnation, _messages.Announcement] = {}
         for client in self._clients.values():
+            peer = client.peer
+            unchanged = self._told.get(peer.incarnation) == announcement
+            # A leave is told until everyone has noted it.
+            brief = unchanged and not self._leaving
             try:
-                client.peer.send(announcement)
+                peer.send(entries.Pulse() if brief else announcement)
             except errors.RefusedError:
                 # Not connected, yet or any more; the next beat tries again.
                 continue
+            if peer.incarnation:
+                told[peer.incarnation] = announcement
+        self._told = told
 
     def _is_healthy(self) -> bool:
         return self._failed_probes < PROBE_LIMIT
 
+    async def _handle_pulse(
+        self, peer: entries.Peer, pulse: entries.Pulse
+    ) -> None:
+        self._directory.touch(peer.incarnation)
+
     async def _handle_welcome(
         self, peer: entries.Peer, welcome: entries.Welcome
     ) -> None:
+        # An entry that welcomes may not know the backend server.
+        self._told.pop(peer.incarnation, None)
         for entry in welcome.entries:
             direct = entry.incarnation == peer.incarnation
             self._directory.add(entry, direct)
@@ -236,6 +259,7 @@
         self, peer: entries.Peer, goodbye: _messages.Goodbye
     ) -> None:
         self._directory.remove(peer.incarnation)
+        self._told.pop(peer.incarnation, None)
 
 
 class Departure(application.Component):
--- a/chivespoke/backend_servers/_registry.py
+++ b/chivespoke/backend_servers/_registry.py
@@ -35,6 +35,7 @@
         '_clock',
         '_telemetry',
         '_weights',
+        '_welcomed',
         '_replaced',
         '_ejector',
         'ejects',
@@ -61,7 +62,12 @@
         self._ejector = _ejection.Ejector()
         # Naive routing is compared without ejection.
         self.ejects = True
+        # What each sidecar was last told of the entries.
+        self._welcomed: dict[
+            identifiers.Incarnation, tuple[entries.EntryAddress, ...]
+        ] = {}
         handlers.register(_messages.Announcement, self._handle_announcement)
+        handlers.register(entries.Pulse, self._handle_pulse)
         handlers.register(_messages.Reply, self._handle_reply)
         handlers.register_loss(self._handle_loss)
 
@@ -191,7 +197,27 @@
         if announcement.leaving:
             # Ordered after every dispatch that was sent before.
             _try_send(peer, _messages.LeavingNoted())
-        _try_send(peer, entries.Welcome(self._directory.list_entries()))
+        self._answer_beat(peer)
+
+    async def _handle_pulse(
+        self, peer: entries.Peer, pulse: entries.Pulse
+    ) -> None:
+        server = self._servers.get(peer.incarnation)
+        if server is None:
+            # It was taken for lost; a welcome makes it announce itself.
+            self._welcomed.pop(peer.incarnation, None)
+        else:
+            server.heard_at = self._clock.read_monotonic()
+        self._answer_beat(peer)
+
+    def _answer_beat(self, peer: entries.Peer) -> None:
+        """Tell a sidecar the entries, but only when they have changed."""
+        known = self._directory.list_entries()
+        if self._welcomed.get(peer.incarnation) == known:
+            _try_send(peer, entries.Pulse())
+            return
+        if _try_send(peer, entries.Welcome(known)):
+            self._welcomed[peer.incarnation] = known
 
     def _add(
         self,
@@ -229,12 +255,14 @@
         future.set_result(reply)
 
     def _handle_loss(self, peer: entries.Peer) -> None:
+        self._welcomed.pop(peer.incarnation, None)
         server = self._servers.get(peer.incarnation)
         if server is not None:
             self._remove(server, 'silent')
 
     def _remove(self, server: _routing.ServerView, cause: str) -> None:
         del self._servers[server.peer.incarnation]
+        self._welcomed.pop(server.peer.incarnation, None)
         LOGGER.info(
             'A backend server is lost.', name=server.peer.name, cause=cause
         )
@@ -249,8 +277,11 @@
                 )
 
 
-def _try_send(peer: entries.Peer, message: entries.Message) -> None:
+def _try_send(peer: entries.Peer, message: entries.Message) -> bool:
+    """Send a message; tell whether it was handed over."""
     try:
         peer.send(message)
     except errors.RefusedError:
         LOGGER.debug('A message could not be sent.', peer=peer.name)
+        return False
+    return True
--- a/chivespoke/entries/__init__.py
+++ b/chivespoke/entries/__init__.py
@@ -16,6 +16,7 @@
 from chivespoke.entries._messages import Message
 from chivespoke.entries._messages import Ping
 from chivespoke.entries._messages import PROTOCOL_VERSION
+from chivespoke.entries._messages import Pulse
 from chivespoke.entries._messages import Welcome
 from chivespoke.entries._transport import MessageClient
 from chivespoke.entries._transport import MessageServer
@@ -36,6 +37,7 @@
     'PROTOCOL_VERSION',
     'Peer',
     'Ping',
+    'Pulse',
     'QuestionAnswerer',
     'VersionBoard',
     'VersionHolder',
--- a/chivespoke/entries/_directory.py
+++ b/chivespoke/entries/_directory.py
@@ -57,6 +57,12 @@
         self._entries.pop(entry.incarnation, None)
         self._entries[entry.incarnation] = (entry, now)
 
+    def touch(self, incarnation: identifiers.Incarnation) -> None:
+        """Note that a known entry was heard from directly."""
+        known = self._entries.get(incarnation)
+        if known is not None:
+            self.add(known[0], direct=True)
+
     def remove(self, incarnation: identifiers.Incarnation) -> None:
         """Forget an entry that said goodbye."""
         self._entries.pop(incarnation, None)
--- a/chivespoke/entries/_messages.py
+++ b/chivespoke/entries/_messages.py
@@ -50,3 +50,7 @@
     """Tell a peer which entries there are."""
 
     entries: tuple[EntryAddress, ...]
+
+
+class Pulse(Message, frozen=True):
+    """Say that nothing has changed since what was last told."""
