--- a/chivespoke/bench/_fault_checks.py
+++ b/chivespoke/bench/_fault_checks.py
@@ -3,6 +3,7 @@
 import collections
 
 from chivespoke.bench import _cluster
+from chivespoke.bench import _gates
 from chivespoke import errors
 from chivespoke import identifiers
 from chivespoke import operators
@@ -144,6 +145,6 @@
 def convert(agent: standins.WorkerAgent, reading: float) -> float:
     """Return the common clock's time of an agent's reading."""
     clock = agent.clock
-    if isinstance(clock, _cluster.SkewedClock):
+    if isinstance(clock, _gates.SkewedClock):
         return clock.convert(reading)
     return reading
--- a/chivespoke/bench/_fault_world.py
+++ b/chivespoke/bench/_fault_world.py
@@ -3,18 +3,17 @@
 import collections
 import collections.abc
 import random
-import sys
 import typing
 
 import msgspec
 
 from chivespoke.bench import _cluster
 from chivespoke.bench import _fault_actions
+from chivespoke.bench import _fault_audit
 from chivespoke.bench import _fault_checks
 from chivespoke import errors
 from chivespoke import identifiers
 from chivespoke import operators
-from chivespoke import platform
 from chivespoke import resources
 from chivespoke import scheduling
 from chivespoke.scheduling import _records
@@ -42,6 +41,9 @@
         self.witness = _fault_checks.Witness(self.cluster)
         self.injected: collections.Counter[str] = collections.Counter()
         self.submitted: dict[identifiers.JobId, tuple[typing.Any, int]] = {}
+        self.audit = _fault_audit.FaultAudit(
+            self.cluster, self.witness, self.submitted, PROCESSES[0], SHARDS
+        )
         self._random = source
         self._lives: collections.Counter[str] = collections.Counter()
         self._endings: list[
@@ -352,22 +354,6 @@
 
     # Checks.
 
-    def compare_states(self) -> None:
-        """Check that every process folded the same, as a whole replay."""
-        for shard in SHARDS:
-            states: dict[int, bytes] = {}
-            for process in self.cluster.processes.values():
-                stream = process.desk.streams[shard]
-                if not stream.replica.is_ready:
-                    continue
-                state = stream.replica.encode_state()
-                offset = int(stream.replica.next_offset)
-                known = states.setdefault(offset, state)
-                self.witness.checks['same state at the same offset'] += 1
-                errors.check_invariant(
-                    known == state, 'same state', process.name
-                )
-
     async def heal_and_finish(self) -> None:
         """End every fault, wait for all work, and count it."""
         for _, restore in self._endings:
@@ -390,8 +376,8 @@
         while self.cluster.now() < deadline and not self._is_finished():
             await self.cluster.step(FINISH_STEP)
             self.witness.check()
-        self._check_counts()
-        await self._replay()
+        self.audit.check_counts()
+        await self.audit.replay()
 
     def list_parts(
         self, job_id: identifiers.JobId
@@ -415,77 +401,3 @@
             for stream in desk.streams.values()
             for queue in stream.fold.shard.outbox.values()
         )
-
-    def _check_counts(self) -> None:
-        desk = self.cluster.processes[PROCESSES[0]].desk
-        for job_id, (_, tasks) in self.submitted.items():
-            report = desk.report_job(job_id)
-            done = 0
-            if report is not None:
-                done = report.completed + report.failed + report.cancelled
-            self.witness.checks['nothing lost, nothing twice'] += 1
-            errors.check_invariant(
-                report is not None and done == tasks == report.submitted,
-                'nothing lost, nothing twice',
-                job_id,
-                f'{done} of {tasks}: {report}',
-            )
-
-    async def _replay(self) -> None:
-        """Fold each stream from its beginning and compare."""
-        process = self.cluster.processes[PROCESSES[0]]
-        for name, stream in process.desk.streams.items():
-            replica = platform.Replica(
-                stream.replica.stream, scheduling.ShardFold(name)
-            )
-            page = await self.cluster.log.read(
-                replica.stream, identifiers.Offset(0), sys.maxsize, 0.0
-            )
-            replica.take_page(page)
-            self.witness.checks['whole replay'] += 1
-            if replica.next_offset == stream.replica.next_offset:
-                errors.check_invariant(
-                    replica.encode_state() == stream.replica.encode_state(),
-                    'whole replay',
-                    name,
-                )
-
-    def fill(
-        self,
-        injected: dict[str, int],
-        checked: dict[str, int],
-        refused: dict[str, int],
-    ) -> None:
-        """Tell what was injected, checked and refused."""
-        injected.update(sorted(self.injected.items()))
-        for process in self.cluster.processes.values():
-            for stream in process.desk.streams.values():
-                self.witness.checks['invariants of the fold'] += (
-                    stream.fold.applied
-                )
-                for refusal, count in stream.fold.refused.items():
-                    key = refusal.value
-                    refused[key] = max(refused.get(key, 0), count)
-        checked.update(sorted(self.witness.checks.items()))
-
-    def total(self, report: typing.Any) -> None:
-        """Add up the counts of all jobs."""
-        desk = self.cluster.processes[PROCESSES[0]].desk
-        report.simulated_seconds = round(self.cluster.now() - 1000.0, 1)
-        report.jobs = len(self.submitted)
-        for job_id in self.submitted:
-            found = desk.report_job(job_id)
-            if found is None:
-                continue
-            report.tasks += found.submitted
-            for field in (
-                'completed',
-                'failed',
-                'cancelled',
-                'attempts',
-                'evictions',
-                'abandoned',
-                'lost_seconds',
-            ):
-                total = getattr(report, field) + getattr(found, field)
-                setattr(report, field, total)
--- a/chivespoke/bench/_faults.py
+++ b/chivespoke/bench/_faults.py
@@ -84,8 +84,9 @@
         report.failure = str(error)
     finally:
         loguru.logger.remove(sink)
-        world.fill(report.injected, report.checked, report.refused)
-        world.total(report)
+        report.injected.update(sorted(world.injected.items()))
+        world.audit.fill(report.checked, report.refused)
+        world.audit.total(report)
         await world.stop()
     if failures:
         report.failure = failures[0]
@@ -110,7 +111,7 @@
         if failures:
             return
         if step % COMPARE_INTERVAL == 0:
-            world.compare_states()
+            world.audit.compare_states()
 
 
 def _shrink(
