Stop the process when a task finds an invariant broken

Cause: an InvariantError in a background task ended that task with a log line and the process went on; the group committer even handed one on to those who waited. Seen first to fail: on the application as it was, the new test waits in vain.

--- a/chivespoke/application.py
+++ b/chivespoke/application.py
@@ -5,6 +5,7 @@
 import collections.abc
 import signal
 
+from chivespoke import errors
 from chivespoke import logs
 
 LOGGER = logs.make_logger('application')
@@ -29,7 +30,7 @@
 class Application:
     """Start components in order; drain and stop them in reverse."""
 
-    __slots__ = ('_components', '_started', '_stopping')
+    __slots__ = ('_components', '_started', '_stopping', '_broken')
 
     def __init__(
         self, components: collections.abc.Iterable[Component]
@@ -37,6 +38,8 @@
         self._components = tuple(components)
         self._started: list[Component] = []
         self._stopping = asyncio.Event()
+        # The first invariant that a task found broken.
+        self._broken: errors.InvariantError | None = None
 
     async def start(self) -> None:
         """Start every component; stop the started ones if one fails."""
@@ -59,17 +62,35 @@
         self._stopping.set()
 
     async def run(self) -> None:
-        """Start, wait for SIGTERM, SIGINT or request_stop, then stop."""
+        """Start, wait for SIGTERM, SIGINT or request_stop, then stop.
+
+        Raise InvariantError, undrained, once a task found one broken.
+        """
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._handle_exception)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.request_stop)
         await self.start()
         LOGGER.info('Started.')
         await self._stopping.wait()
+        if self._broken is not None:
+            # What is left of the state is not to be acted on.
+            await self._stop_started()
+            raise self._broken
         LOGGER.info('Draining.')
         await self.stop()
         LOGGER.info('Stopped.')
 
+    def _handle_exception(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, object]
+    ) -> None:
+        error = context.get('exception')
+        if isinstance(error, errors.InvariantError):
+            self._broken = self._broken or error
+            self.request_stop()
+            return
+        loop.default_exception_handler(context)
+
     async def _stop_started(self) -> None:
         while self._started:
             component = self._started.pop()
@@ -105,5 +126,12 @@
 
     def _forget(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            LOGGER.error('A task failed.', error=repr(task.exception()))
+        error = None if task.cancelled() else task.exception()
+        if error is None:
+            return
+        LOGGER.error('A task failed.', error=repr(error))
+        if isinstance(error, errors.InvariantError):
+            # Reaches the application, which stops the process.
+            task.get_loop().call_exception_handler(
+                {'message': 'an invariant is broken', 'exception': error}
+            )
--- a/chivespoke/platform/_committer.py
+++ b/chivespoke/platform/_committer.py
@@ -241,7 +241,7 @@
         stream.applied = applied
         try:
             offset = await self._append_until_known(stream, payload, applied)
-        except errors.ChivespokeError as error:
+        except (errors.RefusedError, errors.UnavailableError) as error:
             for item in items:
                 if not item.committed.done():
                     item.committed.set_exception(error)
