--- a/chivespoke/scheduling/policies/_sizes.py
+++ b/chivespoke/scheduling/policies/_sizes.py
@@ -19,7 +19,7 @@
 OVER_DECLARED = 1.25
 UNDER_DECLARED = 0.9
 # Processors can be shared for a while, so the typical use is committed, and
-# placement bounds the risk that the sum exceeds a worker; memory cannot.
+# the guard acts when the sum exceeds a worker; memory cannot be shared.
 TYPICAL_QUANTILE = 0.5
 MEMORY_QUANTILE = 0.95
 COMMIT_MARGIN = 1.05
