Prolong and start nothing on a worker that is being given up

Cause: between the judgement that a worker's lease has lapsed and the record taking effect in the log lie seconds when the log is slow. A worker that answered in between had its lease prolonged and could be started on, while the log was about to free its tasks for another worker. Ruled out: exchanges that outlast their epoch; links are bound to theirs. Conclusion: a condemned worker is only listened to until the log has decided.

--- a/chivespoke/scheduling/_lapse.py
+++ b/chivespoke/scheduling/_lapse.py
@@ -40,10 +40,14 @@
             if worker.state is _state.WorkerState.UP:
                 reason = self._find_reason(now, owner, worker, link)
                 if reason:
+                    link.condemned = True
                     records.append(
                         _records.WorkerGivenUp(number, owner.epoch, reason)
                     )
-            elif _may_return(link) and not _is_dead(owner, worker):
+                continue
+            # The log has decided.
+            link.condemned = False
+            if _may_return(link) and not _is_dead(owner, worker):
                 records.append(_records.WorkerReturned(number, owner.epoch))
         return records
 
@@ -57,6 +61,8 @@
         """Return why the worker can be running nothing, or nothing."""
         if _is_dead(owner, worker):
             return 'its data centre is declared dead'
+        if link.condemned:
+            return 'it was silent for longer than its lease'
         if not link.failures:
             return ''
         if not link.contacted:
--- a/chivespoke/scheduling/_link.py
+++ b/chivespoke/scheduling/_link.py
@@ -38,6 +38,7 @@
         'book',
         'throttling',
         'saving',
+        'condemned',
         '_owner',
     )
 
@@ -65,6 +66,9 @@
         self.book = _attempts.AttemptBook(owner, number)
         self.throttling: dict[_attempts.AttemptKey, bool] = {}
         self.saving: set[_attempts.AttemptKey] = set()
+        # Whether a record that gives the worker up may be under way: until
+        # the log has decided, nothing there is prolonged or started.
+        self.condemned = False
         self._owner = owner
 
     def move(self, address: str, connector: workers.WorkerConnector) -> None:
@@ -177,7 +181,7 @@
         owner = self._owner
         now = owner.read_clock()
         proof = owner.get_shard_proof()
-        if self.reading is None or proof is None:
+        if self.reading is None or proof is None or self.condemned:
             return self.lease_sent
         if now - proof <= _permits.FRESHNESS_LIMIT:
             lease = _permits.compute_lease(self.reading, proof)
@@ -214,6 +218,8 @@
                 continue
             if attempt.unwanted or key in self.evicting:
                 return True
+            if self.condemned:
+                continue
             if proof is not None and key not in self.running:
                 return True
         return False
@@ -249,6 +255,7 @@
         if (
             proof is None
             or self.reading is None
+            or self.condemned
             or owner.epoch != self.epoch
             or not owner.may_start_in(worker.data_centre)
         ):
--- a/chivespoke/scheduling/tests/test_what_fails.py
+++ b/chivespoke/scheduling/tests/test_what_fails.py
@@ -73,6 +73,34 @@
         self.assertEqual(shard.workers[0].state.name, 'UP')
         self.assertTrue(cluster.agents[0].runs)
 
+    async def test_a_worker_answers_while_it_is_being_given_up(self) -> None:
+        """Prolong and start nothing that is about to be placed elsewhere."""
+        cluster = await self._build(2)
+        await cluster.run(5, STEP)
+        await builders.submit(cluster, 16, payload=builders.build_plan(300))
+        cluster.set_reachable(False, 0)
+        await cluster.run(5, STEP)
+        shard = cluster.processes['entry-1'].desk.streams['default'].fold.shard
+        # Placed before the silence was noticed, and never started.
+        self.assertTrue(shard.workers[0].tasks)
+        link = cluster.processes['entry-1'].get_owner().links[0]
+        while not link.is_lapsed(cluster.now()):
+            await cluster.run(STEP, STEP)
+        # The record that gives it up is under way while it answers again.
+        cluster.log.faults.append_delay = 8.0
+        await cluster.run(2.5, STEP)
+        cluster.set_reachable(True, 0)
+        await cluster.run(3, STEP)
+        agent = cluster.agents[0]
+        self.assertEqual(
+            (0, 'UP'), (link.failures, shard.workers[0].state.name)
+        )
+        self.assertLess(agent.lease_until, agent.clock.read_monotonic())
+        cluster.log.faults.append_delay = 0.0
+        await cluster.run(60, STEP)
+        self.assertEqual(shard.workers[0].state.name, 'UP')
+        self.assertTrue(agent.runs)
+
     async def test_own_processes_die(self) -> None:
         cluster = await self._build(3, 2)
         await builders.submit(cluster, 20, payload=builders.build_plan(20))
