Let no late answer of an earlier life replace a worker's newest

Cause: a link that heard another incarnation proposed it in place of the newest one that the log knew, not of the one that the link was made for. An exchange that hung over two restarts so put an earlier life back: the tasks that ran on the newest were freed, and placed and started again beside it. Conclusion: the fold's check of the replaced incarnation now means something.

--- a/chivespoke/scheduling/_link.py
+++ b/chivespoke/scheduling/_link.py
@@ -204,7 +204,9 @@
                 worker.capacity,
                 worker.address,
                 epoch,
-                worker.incarnation,
+                # Not the newest one that is known: an answer may be older
+                # than that, and must not replace it.
+                self.incarnation,
             )
         )
 
--- a/chivespoke/scheduling/tests/test_what_fails.py
+++ b/chivespoke/scheduling/tests/test_what_fails.py
@@ -9,6 +9,7 @@
 from chivespoke import resources
 from chivespoke.scheduling import _permits
 from chivespoke.scheduling.tests import builders
+from chivespoke import standins
 
 STEP = 0.25
 SERVICE = identifiers.ServiceName('counting')
@@ -101,6 +102,30 @@
         self.assertEqual(shard.workers[0].state.name, 'UP')
         self.assertTrue(agent.runs)
 
+    async def test_a_late_answer_of_an_earlier_life_replaces_nothing(
+        self,
+    ) -> None:
+        """Restart a worker twice while an exchange with it hangs."""
+        cluster = await self._build(1)
+        await builders.submit(cluster, 4, payload=builders.build_plan(300))
+        await cluster.run(5, STEP)
+        owner = cluster.processes['entry-1'].get_owner()
+        hanging = owner.links[0]
+        client = cluster.connector.clients['memory://0']
+        cluster.witness.note_killed(cluster.agents[0])
+        between = cluster.add_worker(0, 2)
+        newest = cluster.add_worker(0, 3)
+        client.agent = newest
+        cluster.connector.clients['memory://0'] = client
+        await cluster.run(30, STEP)
+        self.assertEqual(4, len(newest.runs))
+        hanging.client = standins.MemoryWorkerClient(between)
+        await hanging.exchange(renew=True)
+        await cluster.run(30, STEP)
+        worker = owner.shard.workers[0]
+        self.assertEqual(newest.registration.incarnation, worker.incarnation)
+        self.assertEqual(8, cluster.get_report().attempts)
+
     async def test_own_processes_die(self) -> None:
         cluster = await self._build(3, 2)
         await builders.submit(cluster, 20, payload=builders.build_plan(20))
