Take out a hook for parts that nothing fills

Cause: entries could be given parts through a list shared by the whole process; scheduling and the configuration came to be composed directly, and the list stayed empty. Before: 16 lines and a mutable global. Conclusion: one way to add a part, in the entry itself.

--- a/chivespoke/daemons.py
+++ b/chivespoke/daemons.py
@@ -1,7 +1,5 @@
 """Compose the parts of an entry and of a sidecar into applications."""
 
-import collections.abc
-
 from chivespoke import application
 from chivespoke import backend_servers
 from chivespoke import callers
@@ -154,19 +152,6 @@
     return parts
 
 
-PartMaker = collections.abc.Callable[
-    [EntryContext], collections.abc.Iterable[Part]
-]
-# Each maker adds the parts of one package to every entry; filled by
-# register_parts when that package's composition is imported.
-PART_MAKERS: list[PartMaker] = []
-
-
-def register_parts(maker: PartMaker) -> None:
-    """Have a package's parts added to every entry made from now on."""
-    PART_MAKERS.append(maker)
-
-
 class _OwnAddress(application.Component):
     """Put the entry's own address into its directory."""
 
@@ -211,7 +196,6 @@
         parts += context.control.list_parts()
         parts += [context.scheduling, context.scheduling.routes]
         parts += [context.homes]
-        parts += [part for make in PART_MAKERS for part in make(context)]
         parts += [context.gateway, health]
         self.http = web.HttpServer(
             entry.http,
