--- a/chivespoke/backend_servers/_home_keeper.py
+++ b/chivespoke/backend_servers/_home_keeper.py
@@ -15,7 +15,7 @@
 from chivespoke import errors
 from chivespoke import identifiers
 from chivespoke import logs
-from chivespoke import platform
+from chivespoke import replication
 
 LOGGER = logs.make_logger('homes')
 
@@ -57,8 +57,8 @@
 
     def __init__(
         self,
-        follower: platform.Follower[_homes.HomesFold],
-        snapshotter: platform.Snapshotter,
+        follower: replication.Follower[_homes.HomesFold],
+        snapshotter: replication.Snapshotter,
     ) -> None:
         self.follower = follower
         self.snapshotter = snapshotter
--- a/chivespoke/backend_servers/_home_streams.py
+++ b/chivespoke/backend_servers/_home_streams.py
@@ -7,10 +7,12 @@
 from chivespoke.backend_servers import _homes
 from chivespoke import clock
 from chivespoke import identifiers
-from chivespoke import platform
+from chivespoke import replication
 
 # Lets peers be given what a follower has read.
-ServeFollower = collections.abc.Callable[[platform.Follower[typing.Any]], None]
+ServeFollower = collections.abc.Callable[
+    [replication.Follower[typing.Any]], None
+]
 
 
 class HomeStreams:
@@ -27,11 +29,11 @@
 
     def __init__(
         self,
-        log: platform.Log,
-        committer: platform.GroupCommitter,
+        log: replication.Log,
+        committer: replication.GroupCommitter,
         time: clock.Clock,
         retention: float = float('inf'),
-        relay: platform.Relay | None = None,
+        relay: replication.Relay | None = None,
         serve: ServeFollower | None = None,
     ) -> None:
         self._log = log
@@ -45,20 +47,20 @@
     async def open(
         self, name: identifiers.ServiceName
     ) -> tuple[
-        platform.Follower[_homes.HomesFold],
-        platform.Snapshotter,
+        replication.Follower[_homes.HomesFold],
+        replication.Snapshotter,
     ]:
         """Follow a service's stream, and help to keep a snapshot in it."""
-        replica = platform.Replica(
+        replica = replication.Replica(
             _homes.STREAM_PREFIX + name, _homes.HomesFold()
         )
-        follower = platform.Follower(
+        follower = replication.Follower(
             self._log, replica, self._clock, self._relay
         )
         self._committer.watch(replica)
         if self._serve is not None:
             self._serve(follower)
-        snapshotter = platform.Snapshotter(
+        snapshotter = replication.Snapshotter(
             follower, self._committer, self._clock, self._retention
         )
         await follower.start()
--- a/chivespoke/backend_servers/_homes.py
+++ b/chivespoke/backend_servers/_homes.py
@@ -10,7 +10,7 @@
 import xxhash
 
 from chivespoke import identifiers
-from chivespoke import platform
+from chivespoke import replication
 
 STREAM_PREFIX = 'homes-'
 Homes = tuple[identifiers.Incarnation, ...]
@@ -60,7 +60,7 @@
 STATE_DECODER = msgspec.msgpack.Decoder(HomesState)
 
 
-class HomesFold(platform.Fold[HomeRecord]):
+class HomesFold(replication.Fold[HomeRecord]):
     """Fold the changes of one service's homes."""
 
     __slots__ = ('state',)
@@ -77,11 +77,13 @@
         try:
             return RECORD_DECODER.decode(record)
         except msgspec.MsgspecError as error:
-            raise platform.UnreadableError(
+            raise replication.UnreadableError(
                 'decode homes', STREAM_PREFIX, str(error)
             ) from error
 
-    def apply(self, record: HomeRecord, position: platform.Position) -> None:
+    def apply(
+        self, record: HomeRecord, position: replication.Position
+    ) -> None:
         if isinstance(record, Change):
             self._change(record)
         elif isinstance(record, Fence):
@@ -96,7 +98,7 @@
         try:
             self.state = STATE_DECODER.decode(state)
         except msgspec.MsgspecError as error:
-            raise platform.UnreadableError(
+            raise replication.UnreadableError(
                 'restore homes', STREAM_PREFIX, str(error)
             ) from error
 
--- a/chivespoke/bench/_cluster.py
+++ b/chivespoke/bench/_cluster.py
@@ -7,7 +7,7 @@
 from chivespoke import clock as clocks
 from chivespoke import identifiers
 from chivespoke import operators
-from chivespoke import platform
+from chivespoke import replication
 from chivespoke import resources
 from chivespoke import scheduling
 from chivespoke import standins
@@ -69,7 +69,7 @@
             cluster.connector, clock, self.gate
         )
         self.configuration = PolledConfiguration(cluster.configuration)
-        self.committer = platform.GroupCommitter(
+        self.committer = replication.GroupCommitter(
             self.log,
             clock,
             identifiers.Incarnation(f'{name}:{life}'),
--- a/chivespoke/bench/_config.py
+++ b/chivespoke/bench/_config.py
@@ -16,7 +16,7 @@
 from chivespoke import clock as clocks
 from chivespoke import identifiers
 from chivespoke import operators
-from chivespoke import platform
+from chivespoke import replication
 from chivespoke import settings
 from chivespoke import standins
 
@@ -130,10 +130,10 @@
     server = standins.LogServer(standins.MemoryLog(clock), settings.Address())
     await server.start()
     logs = [
-        platform.HttpLog(server.address.format_http()) for _ in range(peers)
+        replication.HttpLog(server.address.format_http()) for _ in range(peers)
     ]
     committers = [
-        platform.GroupCommitter(log, clock, identifiers.make_incarnation())
+        replication.GroupCommitter(log, clock, identifiers.make_incarnation())
         for log in logs
     ]
     configurations = [
@@ -186,8 +186,8 @@
     clock = clocks.SystemClock()
     server = standins.LogServer(standins.MemoryLog(clock), settings.Address())
     await server.start()
-    log = platform.HttpLog(server.address.format_http())
-    committer = platform.GroupCommitter(
+    log = replication.HttpLog(server.address.format_http())
+    committer = replication.GroupCommitter(
         log, clock, identifiers.make_incarnation()
     )
     configuration = operators.Configuration(log, committer, clock)
@@ -201,7 +201,7 @@
                 make_proposal(0, make_document_operations())
             )
             # As in any stream that is not new; else the entry appends one.
-            snapshotter = platform.Snapshotter(
+            snapshotter = replication.Snapshotter(
                 configuration.follower, committer, clock, SECONDS_A_DAY
             )
             await snapshotter.append_snapshot()
--- a/chivespoke/bench/_fault_audit.py
+++ b/chivespoke/bench/_fault_audit.py
@@ -7,7 +7,7 @@
 from chivespoke.bench import _fault_checks
 from chivespoke import errors
 from chivespoke import identifiers
-from chivespoke import platform
+from chivespoke import replication
 from chivespoke import scheduling
 
 Submitted = dict[identifiers.JobId, tuple[typing.Any, int]]
@@ -69,7 +69,7 @@
         """Fold each stream from its beginning and compare."""
         process = self._cluster.processes[self._first]
         for name, stream in process.desk.streams.items():
-            replica = platform.Replica(
+            replica = replication.Replica(
                 stream.replica.stream, scheduling.ShardFold(name)
             )
             page = await self._cluster.log.read(
--- a/chivespoke/bench/_gates.py
+++ b/chivespoke/bench/_gates.py
@@ -5,7 +5,7 @@
 from chivespoke import clock as clocks
 from chivespoke import errors
 from chivespoke import identifiers
-from chivespoke import platform
+from chivespoke import replication
 from chivespoke import workers
 
 
@@ -84,12 +84,12 @@
         await self._base.sleep(seconds / self._rate)
 
 
-class GatedLog(platform.Log):
+class GatedLog(replication.Log):
     """Reach the log; a pause delays what is sent and what comes back."""
 
     __slots__ = ('_log', '_gate', 'reachable')
 
-    def __init__(self, log: platform.Log, gate: Gate) -> None:
+    def __init__(self, log: replication.Log, gate: Gate) -> None:
         self._log = log
         self._gate = gate
         self.reachable = True
@@ -107,7 +107,7 @@
         start: identifiers.Offset,
         limit: int,
         wait_seconds: float,
-    ) -> platform.LogPage:
+    ) -> replication.LogPage:
         await self._gate.wait()
         self._check()
         page = await self._log.read(stream, start, limit, wait_seconds)
--- a/chivespoke/bench/_log.py
+++ b/chivespoke/bench/_log.py
@@ -9,7 +9,7 @@
 
 from chivespoke import clock as clocks
 from chivespoke import identifiers
-from chivespoke import platform
+from chivespoke import replication
 from chivespoke import standins
 
 STREAM = 'bench'
@@ -40,7 +40,7 @@
 STATE_DECODER = msgspec.msgpack.Decoder(dict[str, tuple[int, int]])
 
 
-class BenchFold(platform.Fold[BenchRecord]):
+class BenchFold(replication.Fold[BenchRecord]):
     """Hold the last value of each key."""
 
     __slots__ = ('values',)
@@ -51,7 +51,9 @@
     def decode(self, record: bytes) -> BenchRecord:
         return RECORD_DECODER.decode(record)
 
-    def apply(self, record: BenchRecord, position: platform.Position) -> None:
+    def apply(
+        self, record: BenchRecord, position: replication.Position
+    ) -> None:
         self.values[record.key] = (record.attempt, record.value)
 
     def encode_state(self) -> bytes:
@@ -112,9 +114,9 @@
 ) -> list[bytes]:
     """Return the payloads of frames that carry some records each."""
     return [
-        platform.encode_frame(
-            platform.Frame(
-                platform.FrameKind.RECORDS,
+        replication.encode_frame(
+            replication.Frame(
+                replication.FrameKind.RECORDS,
                 AUTHOR,
                 sequence,
                 tuple(records[start : start + in_frame]),
@@ -140,14 +142,14 @@
 async def measure_replay(
     payloads: collections.abc.Sequence[bytes],
     records: int,
-    make_fold: collections.abc.Callable[[], platform.Fold[typing.Any]],
+    make_fold: collections.abc.Callable[[], replication.Fold[typing.Any]],
     target: float | None,
 ) -> ReplayTime:
     """Measure replaying payloads and starting from a snapshot."""
     log = standins.MemoryLog(clocks.SystemClock())
     for payload in payloads:
         await log.append(STREAM, payload)
-    replica = platform.Replica(STREAM, make_fold())
+    replica = replication.Replica(STREAM, make_fold())
     began = time.perf_counter()
     done = False
     while not done:
@@ -156,11 +158,11 @@
     replay = time.perf_counter() - began
     began = time.perf_counter()
     encoded = replica.encode_state()
-    parts = platform.cut_snapshot(identifiers.Offset(0), encoded)
+    parts = replication.cut_snapshot(identifiers.Offset(0), encoded)
     snapshot_write = time.perf_counter() - began
     began = time.perf_counter()
-    fresh = platform.Replica(STREAM, make_fold())
-    fresh.take_seed(platform.join_snapshot(parts))
+    fresh = replication.Replica(STREAM, make_fold())
+    fresh.take_seed(replication.join_snapshot(parts))
     snapshot_read = time.perf_counter() - began
     return ReplayTime(
         records,
@@ -177,11 +179,11 @@
     """Measure what one process commits while producers keep it full."""
     clock = clocks.SystemClock()
     log = standins.MemoryLog(clock)
-    committer = platform.GroupCommitter(
+    committer = replication.GroupCommitter(
         log,
         clock,
         AUTHOR,
-        platform.CommitLimits(
+        replication.CommitLimits(
             linger=0.0, spacing=SPACING, appends_at_once=rate
         ),
     )
@@ -210,7 +212,7 @@
     )
 
 
-async def _produce(committer: platform.GroupCommitter, stream: str) -> None:
+async def _produce(committer: replication.GroupCommitter, stream: str) -> None:
     """Keep a stream's queue full; wait for one frame at a time."""
     record = make_record(1)
     while True:
--- a/chivespoke/bench/_request_model.py
+++ b/chivespoke/bench/_request_model.py
@@ -15,7 +15,7 @@
 from chivespoke import entries
 from chivespoke import errors
 from chivespoke import identifiers
-from chivespoke import platform
+from chivespoke import replication
 from chivespoke import telemetry
 
 SERVICE = identifiers.ServiceName('counting')
@@ -245,8 +245,8 @@
     def __init__(
         self,
         process: Process,
-        log: platform.Log,
-        committer: platform.GroupCommitter,
+        log: replication.Log,
+        committer: replication.GroupCommitter,
         time: clock.Clock,
         limits: backend_servers.HomeLimits,
         seed: int,
--- a/chivespoke/bench/_requests.py
+++ b/chivespoke/bench/_requests.py
@@ -13,7 +13,7 @@
 from chivespoke import clock
 from chivespoke import errors
 from chivespoke import identifiers
-from chivespoke import platform
+from chivespoke import replication
 from chivespoke import standins
 
 ENTRIES = 3
@@ -71,7 +71,7 @@
         self.totals: collections.Counter[str] = collections.Counter()
         self.sidecars: dict[str, model.SidecarModel] = {}
         self.entries: dict[str, model.EntryModel] = {}
-        self.committers: dict[str, platform.GroupCommitter] = {}
+        self.committers: dict[str, replication.GroupCommitter] = {}
         self.heard: dict[tuple[str, str], float] = {}
         self.ends: collections.Counter[str] = collections.Counter()
         self.events: collections.Counter[str] = collections.Counter()
@@ -100,7 +100,7 @@
         """Start an entry, perhaps the next life of one."""
         number = self.next_number()
         process = model.Process(name, self.network, number)
-        committer = platform.GroupCommitter(
+        committer = replication.GroupCommitter(
             self.log, self.clock, process.incarnation, seed=number
         )
         entry = model.EntryModel(
--- a/chivespoke/control.py
+++ b/chivespoke/control.py
@@ -8,7 +8,7 @@
 from chivespoke import clock as clocks
 from chivespoke import entries
 from chivespoke import operators
-from chivespoke import platform
+from chivespoke import replication
 from chivespoke import settings
 from chivespoke import telemetry
 from chivespoke import web
@@ -40,8 +40,8 @@
         instruments: telemetry.Telemetry,
         clock: clocks.Clock,
     ) -> None:
-        self.log = platform.HttpLog(entry.platform_log.format_http())
-        self.committer = platform.GroupCommitter(
+        self.log = replication.HttpLog(entry.platform_log.format_http())
+        self.committer = replication.GroupCommitter(
             self.log, clock, identity.incarnation
         )
         self.links = entries.Links(identity, instruments, clock)
@@ -72,7 +72,7 @@
         for follower in followers:
             self.answerer.serve(follower)
         self._snapshotters = tuple(
-            platform.Snapshotter(
+            replication.Snapshotter(
                 follower, self.committer, clock, entry.platform_log_retention
             )
             for follower in followers
--- /dev/null
+++ b/chivespoke/coordination/__init__.py
@@ -0,0 +1,47 @@
+"""Agreement on who leads, the ledger of jobs, and the leader's decisions."""
+
+from chivespoke.coordination._coordinator import Coordinator
+from chivespoke.coordination._engine import Engine
+from chivespoke.coordination._engine import Orders
+from chivespoke.coordination._engine_state import Limits
+from chivespoke.coordination._followers import TopicFold
+from chivespoke.coordination._followers import TopicFollower
+from chivespoke.coordination._links import open_socket
+from chivespoke.coordination._messages import Directive
+from chivespoke.coordination._messages import DIRECTIVE_DECODER
+from chivespoke.coordination._messages import ENCODER
+from chivespoke.coordination._messages import OrderOutcome
+from chivespoke.coordination._messages import Report
+from chivespoke.coordination._messages import StartOrder
+from chivespoke.coordination._messages import StopOrder
+from chivespoke.coordination._messages import WorkerLife
+from chivespoke.coordination._records import encode_cancel
+from chivespoke.coordination._records import encode_job
+from chivespoke.coordination._records import encode_sidecar
+from chivespoke.coordination._records import Entry
+from chivespoke.coordination._records import Ledger
+from chivespoke.coordination._records import SYSTEM_TOPIC
+
+__all__ = [
+    'Coordinator',
+    'DIRECTIVE_DECODER',
+    'Directive',
+    'ENCODER',
+    'Engine',
+    'Entry',
+    'Ledger',
+    'Limits',
+    'OrderOutcome',
+    'Orders',
+    'Report',
+    'SYSTEM_TOPIC',
+    'StartOrder',
+    'StopOrder',
+    'TopicFold',
+    'TopicFollower',
+    'WorkerLife',
+    'encode_cancel',
+    'encode_job',
+    'encode_sidecar',
+    'open_socket',
+]
--- /dev/null
+++ b/chivespoke/coordination/_messages.py
@@ -0,0 +1,91 @@
+"""Messages between the leader and the sidecars."""
+
+import msgspec
+
+from chivespoke import platform
+from chivespoke import workloads
+
+
+class WorkerLife(msgspec.Struct, frozen=True, array_like=True):
+    """Describe one life of a worker."""
+
+    identifier: str
+    born_ms: int
+    service: str
+    data_centre: str
+    labels: tuple[str, ...]
+    capacity: workloads.Room
+
+    @property
+    def key(self) -> str:
+        """Return the name of this life; an identifier may be used again."""
+        return f'{self.identifier}@{self.born_ms}'
+
+
+class OrderOutcome(msgspec.Struct, frozen=True, array_like=True):
+    """Report what came of an order; no refusal means it was taken."""
+
+    task: str
+    run: int
+    refusal: platform.Refusal | None = None
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True):
+    """Tell the leader what a worker runs."""
+
+    sidecar: str
+    # A sidecar that restarts has forgotten its orders.
+    incarnation: str
+    # The highest epoch of a leader that the sidecar has heard of.
+    epoch: int
+    life: WorkerLife | None
+    draining: bool
+    # The worker answered its last look.
+    answering: bool
+    # The leases of all runs have surely lapsed.
+    lapsed: bool
+    # The worker's clock at the look, in milliseconds.
+    clock_ms: int
+    running: tuple[platform.RunningTask, ...]
+    ended: tuple[platform.EndedRun, ...]
+    outcomes: tuple[OrderOutcome, ...]
+
+
+class StartOrder(msgspec.Struct, frozen=True, array_like=True):
+    """Order a run to be started, with what pacing has to know of it."""
+
+    task: str
+    run: int
+    payload: str
+    checkpoint: str
+    image: str
+    target_latency_ms: int
+    filler: bool
+    # Sent before; the earlier order may still be carried out.
+    repeated: bool
+
+
+class StopOrder(msgspec.Struct, frozen=True, array_like=True):
+    """Order a run to be stopped."""
+
+    task: str
+    run: int
+
+
+class Directive(msgspec.Struct, frozen=True, array_like=True):
+    """Give a sidecar its orders and its lease."""
+
+    epoch: int
+    # The worker life that the orders are for; empty before it is known.
+    life: str
+    # Leases may be renewed up to this reading of the worker's clock.
+    lease_until_ms: int
+    # Ends up to this number are recorded.
+    acknowledged: int
+    starts: tuple[StartOrder, ...] = ()
+    stops: tuple[StopOrder, ...] = ()
+
+
+REPORT_DECODER = msgspec.msgpack.Decoder(Report)
+DIRECTIVE_DECODER = msgspec.msgpack.Decoder(Directive)
+ENCODER = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/chivespoke/coordination/_term.py
@@ -0,0 +1,232 @@
+"""One term of a leader: from taking over to stepping down."""
+
+import asyncio
+
+import zmq.asyncio
+
+from chivespoke import application
+from chivespoke import clock
+from chivespoke.coordination import _engine
+from chivespoke.coordination import _engine_state
+from chivespoke.coordination import _fleet
+from chivespoke.coordination import _followers
+from chivespoke.coordination import _links
+from chivespoke.coordination import _messages
+from chivespoke.coordination import _operator_view
+from chivespoke.coordination import _records
+from chivespoke import errors
+from chivespoke import logs
+from chivespoke import platform
+
+LOGGER = logs.make_logger('term')
+
+PRODUCER = 'chivespoke-leader'
+# Changes are gathered for so long before they are written, in seconds: an
+# append takes about 6 ms, so this costs less than half of it again.
+GATHER_SECONDS = 0.008
+# Time is looked at so often, in seconds, when nothing else happens.
+TICK_SECONDS = 0.2
+# Pause before an append without an answer is repeated, in seconds.
+APPEND_RETRY_SECONDS = 0.2
+# An append is waited for so long, in seconds: a slow store takes about 0.3 s.
+APPEND_SECONDS = 1.5
+# Nothing starts on a view of the operator's wishes older than this, in
+# seconds: less than the shortest bound on obeying them.
+VIEW_AGE_LIMIT = 1.8
+# The load is written with other records so often, in seconds.
+LOAD_SECONDS = 1.0
+
+
+class Term(_records.Listener, _links.LinkOwner):
+    """Lead for as long as the store lets this epoch write."""
+
+    __slots__ = (
+        '_epoch',
+        '_store',
+        '_ledger',
+        '_follower',
+        '_operator',
+        '_operator_follower',
+        '_clock',
+        '_engine',
+        '_links',
+        '_context',
+        '_tasks',
+        '_wake',
+        '_sequence',
+        '_load_at',
+        '_lives',
+        '_superseded',
+    )
+
+    def __init__(
+        self,
+        epoch: int,
+        store: platform.Store,
+        ledger: _records.Ledger,
+        follower: _followers.TopicFollower,
+        operator: _operator_view.OperatorView,
+        operator_follower: _followers.TopicFollower,
+        time: clock.Clock,
+        limits: _engine_state.Limits,
+    ) -> None:
+        self._epoch = epoch
+        self._store = store
+        self._ledger = ledger
+        self._follower = follower
+        self._operator = operator
+        self._operator_follower = operator_follower
+        self._clock = time
+        self._engine = _engine.Engine(epoch, limits)
+        self._links: dict[str, _links.Link] = {}
+        self._context = zmq.asyncio.Context()
+        self._tasks = application.TaskOwner()
+        self._wake = asyncio.Event()
+        self._sequence = 0
+        self._load_at = 0.0
+        # The worker that each sidecar spoke of last.
+        self._lives: dict[str, _fleet.Worker] = {}
+        self._superseded = asyncio.Event()
+
+    @property
+    def engine(self) -> _engine.Engine:
+        """Return the engine, for explanations and tests."""
+        return self._engine
+
+    async def run(self) -> str:
+        """Lead until the epoch is superseded; return the cause."""
+        try:
+            await self._take_over()
+            await self._keep_planning()
+        except platform.FencedError as error:
+            return f'fenced: {error}'
+        return 'superseded'
+
+    async def close(self) -> None:
+        """Give up everything that the term holds."""
+        if self._ledger.listener is self:
+            self._ledger.listener = None
+        await self._tasks.cancel()
+        for link in self._links.values():
+            await link.close()
+        self._context.term()
+
+    def take_job(self, entry: _records.Entry) -> None:
+        now = self._clock.read_monotonic()
+        self._engine.take_entry(entry, now, self._clock.read_wall())
+        self._wake.set()
+
+    def take_sidecar(self, name: str, address: str) -> None:
+        old = self._links.pop(name, None)
+        if old is not None:
+            self._tasks.spawn(old.close())
+        self._links[name] = _links.Link(self._context, name, address, self)
+
+    def take_report(self, report: _messages.Report) -> None:
+        if report.epoch > self._epoch:
+            LOGGER.warning(
+                'A sidecar has heard a later leader.',
+                sidecar=report.sidecar,
+                epoch=report.epoch,
+            )
+            self._superseded.set()
+            self._wake.set()
+            return
+        now = self._clock.read_monotonic()
+        wall = self._clock.read_wall()
+        worker = self._engine.take_report(report, now, wall)
+        if worker is not None:
+            self._lives[report.sidecar] = worker
+        if report.ended or report.outcomes or report.lapsed:
+            self._wake.set()
+
+    def make_directive(self, sidecar: str) -> _messages.Directive:
+        worker = self._lives.get(sidecar)
+        if worker is None:
+            return _messages.Directive(self._epoch, '', 0, 0)
+        return self._engine.make_directive(
+            worker, self._clock.read_monotonic()
+        )
+
+    async def _take_over(self) -> None:
+        began = self._clock.read_monotonic()
+        # An append of nothing bars every earlier leader from writing.
+        end = await self._append(b'')
+        await self._follower.wait_until(end)
+        self._ledger.listener = self
+        for entry in self._ledger.entries.values():
+            self.take_job(entry)
+        for name, address in self._ledger.sidecars.items():
+            self.take_sidecar(name, address)
+        LOGGER.info(
+            'Took over.',
+            epoch=self._epoch,
+            offset=end,
+            jobs=len(self._engine.state.jobs),
+            sidecars=len(self._links),
+            seconds=self._clock.read_monotonic() - began,
+        )
+
+    async def _keep_planning(self) -> None:
+        while not self._superseded.is_set():
+            try:
+                await asyncio.wait_for(self._wake.wait(), TICK_SECONDS)
+                await self._clock.sleep(GATHER_SECONDS)
+            except asyncio.TimeoutError:
+                # Nothing new: leases, retries and due times are looked at.
+                pass
+            self._wake.clear()
+            await self._plan()
+
+    async def _plan(self) -> None:
+        now = self._clock.read_monotonic()
+        plan = self._engine.plan(
+            self._read_orders(), now, self._clock.read_wall()
+        )
+        if plan.records:
+            await self._append(b''.join(plan.records) + self._describe(now))
+        self._engine.confirm(plan)
+        for sidecar, worker in self._lives.items():
+            if worker.life.key in plan.ends or self._engine.has_orders(
+                worker, now
+            ):
+                self._links[sidecar].wake()
+
+    def _read_orders(self) -> _engine.Orders | None:
+        if self._operator_follower.measure_age() > VIEW_AGE_LIMIT:
+            return None
+        return _engine.Orders(
+            self._operator.configuration, frozenset(self._operator.evacuating)
+        )
+
+    def _describe(self, now: float) -> bytes:
+        if now < self._load_at + LOAD_SECONDS:
+            return b''
+        self._load_at = now
+        return _records.encode_load(
+            _records.LoadRecord(
+                self._epoch,
+                self._engine.measure_capacity(),
+                int(self._clock.read_wall() * 1000),
+            )
+        )
+
+    async def _append(self, records: bytes) -> int:
+        producer = platform.Producer(PRODUCER, self._epoch, self._sequence)
+        while True:
+            try:
+                end = await self._store.append(
+                    _records.SYSTEM_TOPIC, records, producer, APPEND_SECONDS
+                )
+            except platform.FencedError:
+                raise
+            except errors.ChivespokeError as error:
+                LOGGER.warning(
+                    'The leader cannot write; it tries again.',
+                    sequence=self._sequence,
+                    error=error,
+                )
+                await self._clock.sleep(APPEND_RETRY_SECONDS)
+            else:
+                self._sequence += 1
+                return end
--- /dev/null
+++ b/chivespoke/decisions/__init__.py
@@ -0,0 +1,25 @@
+"""Decisions as plain functions and small states, apart from any I/O."""
+
+from chivespoke.decisions._ordering import Demand
+from chivespoke.decisions._ordering import LATE_FACTOR
+from chivespoke.decisions._ordering import measure_chain
+from chivespoke.decisions._ordering import rank
+from chivespoke.decisions._pacing import PacedRun
+from chivespoke.decisions._pacing import Pacer
+from chivespoke.decisions._placement import can_take
+from chivespoke.decisions._placement import choose_site
+from chivespoke.decisions._placement import Site
+from chivespoke.decisions._quarantine import Conduct
+
+__all__ = [
+    'Conduct',
+    'Demand',
+    'LATE_FACTOR',
+    'PacedRun',
+    'Pacer',
+    'Site',
+    'can_take',
+    'choose_site',
+    'measure_chain',
+    'rank',
+]
--- /dev/null
+++ b/chivespoke/decisions/_ordering.py
@@ -0,0 +1,49 @@
+"""Which waiting work goes first.
+
+Answers a burst that brings more work than fits: jobs that can still meet
+their objective go before those that will be late in any case, and within
+each of these the one that is due first.
+"""
+
+import msgspec
+
+from chivespoke import workloads
+
+# A job earns something until this multiple of its objective has passed.
+LATE_FACTOR = 3.0
+
+
+class Demand(msgspec.Struct, frozen=True):
+    """Hold what is known of a step that waits for room."""
+
+    job: str
+    long_running: bool
+    filler: bool
+    # Seconds since 1970 at which the objective passes.
+    due: float
+    # Seconds of the longest chain of work that is left.
+    left: float
+    # Seconds from acceptance to the objective.
+    objective: float
+
+
+def measure_chain(job: workloads.Job) -> float:
+    """Return the seconds of the longest chain of steps, as estimated."""
+    chains: list[float] = []
+    for step in job.steps:
+        before = max((chains[other] for other in step.depends_on), default=0.0)
+        chains.append(before + step.estimated_ms / 1000)
+    return max(chains, default=0.0)
+
+
+def rank(demand: Demand, now: float) -> tuple[int, float, str]:
+    """Return a key that sorts demands, first things first."""
+    if demand.long_running:
+        # Earns with every second that it runs.
+        return (0, demand.due, demand.job)
+    last = demand.due + (LATE_FACTOR - 1) * demand.objective
+    if now + demand.left <= demand.due:
+        return (1, demand.due, demand.job)
+    if now + demand.left <= last:
+        return (2, demand.due, demand.job)
+    return (3, demand.due, demand.job)
--- a/chivespoke/entries/_membership.py
+++ b/chivespoke/entries/_membership.py
@@ -17,7 +17,7 @@
 from chivespoke import identifiers
 from chivespoke import logs
 from chivespoke import operators
-from chivespoke import platform
+from chivespoke import replication
 
 LOGGER = logs.make_logger('membership')
 # Neighbours that an entry watches; as many watch it.
@@ -65,8 +65,8 @@
 
     def __init__(
         self,
-        log: platform.Log,
-        committer: platform.GroupCommitter,
+        log: replication.Log,
+        committer: replication.GroupCommitter,
         clock: clocks.Clock,
         peers: links.Links,
         directory: _directory.EntryDirectory,
@@ -75,8 +75,8 @@
         heartbeat_interval: float,
         heartbeat_limit: float,
     ) -> None:
-        replica = platform.Replica(folds.STREAM, folds.MembershipFold())
-        self.follower = platform.Follower(
+        replica = replication.Replica(folds.STREAM, folds.MembershipFold())
+        self.follower = replication.Follower(
             log,
             replica,
             clock,
--- a/chivespoke/entries/_membership_fold.py
+++ b/chivespoke/entries/_membership_fold.py
@@ -6,7 +6,7 @@
 
 from chivespoke.entries import _messages
 from chivespoke import identifiers
-from chivespoke import platform
+from chivespoke import replication
 
 STREAM = 'membership'
 # Ended lives that are remembered, so that a late record revives none.
@@ -66,7 +66,7 @@
 STATE_DECODER = msgspec.msgpack.Decoder(_State)
 
 
-class MembershipFold(platform.Fold[AnyRecord]):
+class MembershipFold(replication.Fold[AnyRecord]):
     """Hold the members, and the lives that have ended for good."""
 
     __slots__ = ('members', 'changes', '_ended')
@@ -83,11 +83,11 @@
         try:
             return RECORD_DECODER.decode(record)
         except msgspec.MsgspecError as error:
-            raise platform.UnreadableError(
+            raise replication.UnreadableError(
                 'read a record', STREAM, str(error)
             ) from error
 
-    def apply(self, record: AnyRecord, position: platform.Position) -> None:
+    def apply(self, record: AnyRecord, position: replication.Position) -> None:
         self.changes += 1
         if isinstance(record, Announced):
             self._announce(record)
@@ -112,7 +112,7 @@
         try:
             decoded = STATE_DECODER.decode(state)
         except msgspec.MsgspecError as error:
-            raise platform.UnreadableError(
+            raise replication.UnreadableError(
                 'read a snapshot', STREAM, str(error)
             ) from error
         self.changes += 1
--- a/chivespoke/entries/_membership_links.py
+++ b/chivespoke/entries/_membership_links.py
@@ -14,7 +14,7 @@
 from chivespoke import errors
 from chivespoke import identifiers
 from chivespoke import operators
-from chivespoke import platform
+from chivespoke import replication
 from chivespoke import telemetry
 
 # Seconds that a neighbour has for an answer.
@@ -194,7 +194,7 @@
         return None
 
 
-class LinkRelay(platform.Relay):
+class LinkRelay(replication.Relay):
     """Ask neighbours for records that this process could not read."""
 
     __slots__ = ('_links',)
@@ -204,11 +204,11 @@
 
     async def ask(
         self, stream: str, start: identifiers.Offset, needs_seed: bool
-    ) -> platform.RelayAnswer | None:
+    ) -> replication.RelayAnswer | None:
         reply = await self._links.ask_any(stream, start, needs_seed)
         if reply is None or reply.page is None:
             return None
-        return platform.RelayAnswer(reply.page, reply.proof_age, reply.seed)
+        return replication.RelayAnswer(reply.page, reply.proof_age, reply.seed)
 
 
 class QuestionAnswerer:
@@ -221,12 +221,12 @@
         handlers: _handlers.Handlers,
         reporters: collections.abc.Iterable[operators.LocalReporter],
     ) -> None:
-        self._followers: dict[str, platform.Follower[typing.Any]] = {}
+        self._followers: dict[str, replication.Follower[typing.Any]] = {}
         self._reporters = tuple(reporters)
         handlers.register(messages.RelayQuestion, self._answer_relay)
         handlers.register(messages.RollQuestion, self._answer_roll)
 
-    def serve(self, follower: platform.Follower[typing.Any]) -> None:
+    def serve(self, follower: replication.Follower[typing.Any]) -> None:
         """Pass on the records of a stream that this process follows."""
         self._followers[follower.replica.stream] = follower
 
@@ -244,7 +244,7 @@
         follower = self._followers.get(question.stream)
         answer = None
         if follower is not None:
-            answer = platform.answer_relay(
+            answer = replication.answer_relay(
                 follower, question.start, question.needs_seed
             )
         if answer is None:
--- a/chivespoke/entries/_membership_messages.py
+++ b/chivespoke/entries/_membership_messages.py
@@ -3,7 +3,7 @@
 from chivespoke.entries import _messages
 from chivespoke import identifiers
 from chivespoke import operators
-from chivespoke import platform
+from chivespoke import replication
 
 
 class Beat(_messages.Message, frozen=True):
@@ -29,7 +29,7 @@
     """Pass on records of a stream, or the state when they are gone."""
 
     number: int
-    page: platform.LogPage | None = None
+    page: replication.LogPage | None = None
     # Seconds since the replier's proof, measured at the reply.
     proof_age: float | None = None
     seed: bytes = b''
--- a/chivespoke/entries/tests/test_membership.py
+++ b/chivespoke/entries/tests/test_membership.py
@@ -13,7 +13,7 @@
 from chivespoke import identifiers
 from chivespoke import operators
 from chivespoke.operators.tests import builders
-from chivespoke import platform
+from chivespoke import replication
 from chivespoke import settings
 from chivespoke import standins
 
@@ -77,7 +77,7 @@
                 self.assertEqual(fold.encode_state(), restored.encode_state())
 
     def test_unknown_record_is_an_error(self) -> None:
-        with self.assertRaises(platform.UnreadableError):
+        with self.assertRaises(replication.UnreadableError):
             folds.MembershipFold().decode(b'\x92\xa7Unknown\x01')
 
 
--- a/chivespoke/operators/_configuration.py
+++ b/chivespoke/operators/_configuration.py
@@ -14,7 +14,7 @@
 from chivespoke.operators import _fold
 from chivespoke.operators import _patch
 from chivespoke.operators import _validation
-from chivespoke import platform
+from chivespoke import replication
 
 LOGGER = logs.make_logger('configuration')
 # Seconds after which a proof no longer allows a task to start.
@@ -45,15 +45,15 @@
 
     def __init__(
         self,
-        log: platform.Log,
-        committer: platform.GroupCommitter,
+        log: replication.Log,
+        committer: replication.GroupCommitter,
         clock: clocks.Clock,
-        relay: platform.Relay | None = None,
+        relay: replication.Relay | None = None,
     ) -> None:
-        self.replica = platform.Replica(
+        self.replica = replication.Replica(
             _fold.STREAM, _fold.ConfigurationFold()
         )
-        self.follower = platform.Follower(log, self.replica, clock, relay)
+        self.follower = replication.Follower(log, self.replica, clock, relay)
         self._committer = committer
         self._clock = clock
         # Monotonic times at which versions arrived here.
@@ -228,7 +228,7 @@
         ours = _patch.list_paths(proposal.operations)
         return _patch.find_overlap(ours, theirs) is None
 
-    def _note_frame(self, applied: platform.AppliedFrame) -> None:
+    def _note_frame(self, applied: replication.AppliedFrame) -> None:
         if self.version == self._seen_version:
             return
         errors.check_invariant(
--- a/chivespoke/operators/_fold.py
+++ b/chivespoke/operators/_fold.py
@@ -13,7 +13,7 @@
 from chivespoke.operators import _document
 from chivespoke.operators import _patch
 from chivespoke.operators import _validation
-from chivespoke import platform
+from chivespoke import replication
 
 STREAM = 'configuration'
 # Versions whose patches are kept.
@@ -108,7 +108,7 @@
     return ENCODER.encode(proposal)
 
 
-class ConfigurationFold(platform.Fold[PatchProposed]):
+class ConfigurationFold(replication.Fold[PatchProposed]):
     """Hold the configuration, its history and what became of proposals."""
 
     __slots__ = (
@@ -142,12 +142,12 @@
         try:
             return RECORD_DECODER.decode(record)
         except msgspec.MsgspecError as error:
-            raise platform.UnreadableError(
+            raise replication.UnreadableError(
                 'read a patch', STREAM, str(error)
             ) from error
 
     def apply(
-        self, record: PatchProposed, position: platform.Position
+        self, record: PatchProposed, position: replication.Position
     ) -> None:
         if record.proposal_id in self.decisions:
             return
@@ -176,7 +176,7 @@
             decoded = STATE_DECODER.decode(state)
             document = _validation.validate_tree(decoded.tree)
         except (msgspec.MsgspecError, _validation.InvalidError) as error:
-            raise platform.UnreadableError(
+            raise replication.UnreadableError(
                 'read a snapshot', STREAM, str(error)
             ) from error
         errors.check_invariant(
--- a/chivespoke/operators/tests/builders.py
+++ b/chivespoke/operators/tests/builders.py
@@ -5,7 +5,7 @@
 from chivespoke import clock as clocks
 from chivespoke import identifiers
 from chivespoke import operators
-from chivespoke import platform
+from chivespoke import replication
 
 BASE_TREE: dict[str, typing.Any] = {
     'data_centres': {
@@ -57,9 +57,9 @@
     )
 
 
-def build_position(offset: int = 0) -> platform.Position:
+def build_position(offset: int = 0) -> replication.Position:
     """Return a position in the stream."""
-    return platform.Position(
+    return replication.Position(
         identifiers.Offset(offset), 0, identifiers.Incarnation('one')
     )
 
@@ -75,9 +75,9 @@
     """Hold a configuration and its committer."""
 
     def __init__(
-        self, log: platform.Log, clock: clocks.Clock, name: str
+        self, log: replication.Log, clock: clocks.Clock, name: str
     ) -> None:
-        self.committer = platform.GroupCommitter(
+        self.committer = replication.GroupCommitter(
             log, clock, identifiers.Incarnation(name), seed=1
         )
         self.configuration = operators.Configuration(
--- a/chivespoke/platform/__init__.py
+++ b/chivespoke/platform/__init__.py
@@ -1,56 +1,74 @@
-"""The platform's log: client, group commit, replay, snapshots.
+"""Adapter of the Kandy platform: its names, formats and calls.
 
-To keep state in a stream: write a Fold (decode, apply, encode_state,
-restore_state), put it in a Replica, start a Follower on it and a
-GroupCommitter for the process, and let the committer watch the replica.
-Commit records; the fold decides what they do; ``Follower.wait_until`` waits
-for the effect and ``Follower.measure_age`` tells how fresh the state is.
+Nothing here decides anything, and nothing outside knows the platform's names.
 """
 
-from chivespoke.platform._committer import CommitLimits
-from chivespoke.platform._committer import GroupCommitter
-from chivespoke.platform._fold import Fold
-from chivespoke.platform._fold import Position
-from chivespoke.platform._follower import answer_relay
-from chivespoke.platform._follower import Follower
-from chivespoke.platform._follower import Relay
-from chivespoke.platform._follower import RelayAnswer
-from chivespoke.platform._frame import decode_frame
-from chivespoke.platform._frame import encode_frame
-from chivespoke.platform._frame import Frame
-from chivespoke.platform._frame import FrameKind
-from chivespoke.platform._frame import UnreadableError
-from chivespoke.platform._http_log import HttpLog
-from chivespoke.platform._log import Log
-from chivespoke.platform._log import LogPage
-from chivespoke.platform._log import LogRecord
-from chivespoke.platform._replica import AppliedFrame
-from chivespoke.platform._replica import Replica
-from chivespoke.platform._snapshot import cut_snapshot
-from chivespoke.platform._snapshot import join_snapshot
-from chivespoke.platform._snapshotter import Snapshotter
+from chivespoke.platform._operator import ConfigurationWritten
+from chivespoke.platform._operator import decode_operator_record
+from chivespoke.platform._operator import EvacuationChanged
+from chivespoke.platform._operator import OPERATOR_TOPIC
+from chivespoke.platform._operator import OperatorChange
+from chivespoke.platform._settings import Bounds
+from chivespoke.platform._settings import MachineSettings
+from chivespoke.platform._settings import read_machine_settings
+from chivespoke.platform._store import decode_records
+from chivespoke.platform._store import encode_record
+from chivespoke.platform._store import FencedError
+from chivespoke.platform._store import ForgottenError
+from chivespoke.platform._store import KEYED_PREFIX
+from chivespoke.platform._store import Membership
+from chivespoke.platform._store import MovedError
+from chivespoke.platform._store import Page
+from chivespoke.platform._store import Producer
+from chivespoke.platform._store import Record
+from chivespoke.platform._store import Store
+from chivespoke.platform._submissions import decode_submission
+from chivespoke.platform._submissions import encode_pending
+from chivespoke.platform._submissions import encode_phase
+from chivespoke.platform._submissions import is_job_identifier
+from chivespoke.platform._transport import Transport
+from chivespoke.platform._workers import decode_registration
+from chivespoke.platform._workers import EndCause
+from chivespoke.platform._workers import EndedRun
+from chivespoke.platform._workers import Look
+from chivespoke.platform._workers import OrderRefusedError
+from chivespoke.platform._workers import Refusal
+from chivespoke.platform._workers import Registration
+from chivespoke.platform._workers import RunningTask
+from chivespoke.platform._workers import WorkerClient
 
 __all__ = [
-    'AppliedFrame',
-    'CommitLimits',
-    'Fold',
-    'Follower',
-    'Frame',
-    'FrameKind',
-    'GroupCommitter',
-    'HttpLog',
-    'Log',
-    'LogPage',
-    'LogRecord',
-    'Position',
-    'Relay',
-    'RelayAnswer',
-    'Replica',
-    'Snapshotter',
-    'answer_relay',
-    'UnreadableError',
-    'cut_snapshot',
-    'decode_frame',
-    'encode_frame',
-    'join_snapshot',
+    'Bounds',
+    'ConfigurationWritten',
+    'EndCause',
+    'EndedRun',
+    'EvacuationChanged',
+    'FencedError',
+    'ForgottenError',
+    'KEYED_PREFIX',
+    'Look',
+    'MachineSettings',
+    'Membership',
+    'MovedError',
+    'OPERATOR_TOPIC',
+    'OperatorChange',
+    'OrderRefusedError',
+    'Page',
+    'Producer',
+    'Record',
+    'Refusal',
+    'Registration',
+    'RunningTask',
+    'Store',
+    'Transport',
+    'WorkerClient',
+    'decode_operator_record',
+    'decode_records',
+    'decode_registration',
+    'decode_submission',
+    'encode_phase',
+    'encode_pending',
+    'encode_record',
+    'is_job_identifier',
+    'read_machine_settings',
 ]
--- /dev/null
+++ b/chivespoke/replication/__init__.py
@@ -0,0 +1,56 @@
+"""The platform's log: client, group commit, replay, snapshots.
+
+To keep state in a stream: write a Fold (decode, apply, encode_state,
+restore_state), put it in a Replica, start a Follower on it and a
+GroupCommitter for the process, and let the committer watch the replica.
+Commit records; the fold decides what they do; ``Follower.wait_until`` waits
+for the effect and ``Follower.measure_age`` tells how fresh the state is.
+"""
+
+from chivespoke.replication._committer import CommitLimits
+from chivespoke.replication._committer import GroupCommitter
+from chivespoke.replication._fold import Fold
+from chivespoke.replication._fold import Position
+from chivespoke.replication._follower import answer_relay
+from chivespoke.replication._follower import Follower
+from chivespoke.replication._follower import Relay
+from chivespoke.replication._follower import RelayAnswer
+from chivespoke.replication._frame import decode_frame
+from chivespoke.replication._frame import encode_frame
+from chivespoke.replication._frame import Frame
+from chivespoke.replication._frame import FrameKind
+from chivespoke.replication._frame import UnreadableError
+from chivespoke.replication._http_log import HttpLog
+from chivespoke.replication._log import Log
+from chivespoke.replication._log import LogPage
+from chivespoke.replication._log import LogRecord
+from chivespoke.replication._replica import AppliedFrame
+from chivespoke.replication._replica import Replica
+from chivespoke.replication._snapshot import cut_snapshot
+from chivespoke.replication._snapshot import join_snapshot
+from chivespoke.replication._snapshotter import Snapshotter
+
+__all__ = [
+    'AppliedFrame',
+    'CommitLimits',
+    'Fold',
+    'Follower',
+    'Frame',
+    'FrameKind',
+    'GroupCommitter',
+    'HttpLog',
+    'Log',
+    'LogPage',
+    'LogRecord',
+    'Position',
+    'Relay',
+    'RelayAnswer',
+    'Replica',
+    'Snapshotter',
+    'answer_relay',
+    'UnreadableError',
+    'cut_snapshot',
+    'decode_frame',
+    'encode_frame',
+    'join_snapshot',
+]
--- a/chivespoke/platform/_committer.py
+++ b/chivespoke/replication/_committer.py
@@ -12,9 +12,9 @@
 from chivespoke import errors
 from chivespoke import identifiers
 from chivespoke import logs
-from chivespoke.platform import _frame
-from chivespoke.platform import _log
-from chivespoke.platform import _replica
+from chivespoke.replication import _frame
+from chivespoke.replication import _log
+from chivespoke.replication import _replica
 
 LOGGER = logs.make_logger('committer')
 STEP = 'commit a record'
--- a/chivespoke/platform/_follower.py
+++ b/chivespoke/replication/_follower.py
@@ -10,8 +10,8 @@
 from chivespoke import clock as clocks
 from chivespoke import errors
 from chivespoke import identifiers
-from chivespoke.platform import _log
-from chivespoke.platform import _replica
+from chivespoke.replication import _log
+from chivespoke.replication import _replica
 
 # Records a read asks for.
 PAGE_LIMIT = 512
--- a/chivespoke/platform/_http_log.py
+++ b/chivespoke/replication/_http_log.py
@@ -8,7 +8,7 @@
 from chivespoke import application
 from chivespoke import errors
 from chivespoke import identifiers
-from chivespoke.platform import _log
+from chivespoke.replication import _log
 
 PAGE_DECODER = msgspec.msgpack.Decoder(_log.LogPage)
 OFFSET_DECODER = msgspec.json.Decoder(int)
--- a/chivespoke/platform/_replica.py
+++ b/chivespoke/replication/_replica.py
@@ -9,10 +9,10 @@
 from chivespoke import errors
 from chivespoke import identifiers
 from chivespoke import logs
-from chivespoke.platform import _fold
-from chivespoke.platform import _frame
-from chivespoke.platform import _log
-from chivespoke.platform import _snapshot
+from chivespoke.replication import _fold
+from chivespoke.replication import _frame
+from chivespoke.replication import _log
+from chivespoke.replication import _snapshot
 
 LOGGER = logs.make_logger('replica')
 STEP = 'follow a stream'
--- a/chivespoke/platform/_snapshot.py
+++ b/chivespoke/replication/_snapshot.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from chivespoke import identifiers
-from chivespoke.platform import _frame
+from chivespoke.replication import _frame
 
 PART_BYTES = 256 * 1024
 COMPRESSION_LEVEL = 1
--- a/chivespoke/platform/_snapshotter.py
+++ b/chivespoke/replication/_snapshotter.py
@@ -8,11 +8,11 @@
 from chivespoke import errors
 from chivespoke import identifiers
 from chivespoke import logs
-from chivespoke.platform import _committer
-from chivespoke.platform import _follower
-from chivespoke.platform import _frame
-from chivespoke.platform import _replica
-from chivespoke.platform import _snapshot
+from chivespoke.replication import _committer
+from chivespoke.replication import _follower
+from chivespoke.replication import _frame
+from chivespoke.replication import _replica
+from chivespoke.replication import _snapshot
 
 LOGGER = logs.make_logger('snapshotter')
 # Shares of the retention.
--- a/chivespoke/platform/tests/builders.py
+++ b/chivespoke/replication/tests/builders.py
@@ -7,13 +7,13 @@
 
 from chivespoke import clock as clocks
 from chivespoke import identifiers
-from chivespoke import platform
+from chivespoke import replication
 from chivespoke import standins
 
 STREAM = 'counts'
 
 
-class CountFold(platform.Fold[tuple[str, int]]):
+class CountFold(replication.Fold[tuple[str, int]]):
     """Sum numbers by key; the smallest useful fold."""
 
     def __init__(self) -> None:
@@ -23,13 +23,13 @@
         try:
             key, amount = json.loads(record)
         except ValueError as error:
-            raise platform.UnreadableError(
+            raise replication.UnreadableError(
                 'decode', STREAM, str(error)
             ) from error
         return key, amount
 
     def apply(
-        self, record: tuple[str, int], position: platform.Position
+        self, record: tuple[str, int], position: replication.Position
     ) -> None:
         key, amount = record
         self.sums[key] = self.sums.get(key, 0) + amount
@@ -51,22 +51,22 @@
 
     def __init__(
         self,
-        log: platform.Log,
+        log: replication.Log,
         clock: clocks.Clock,
         name: str = 'process-1',
-        limits: platform.CommitLimits | None = None,
-        relay: platform.Relay | None = None,
+        limits: replication.CommitLimits | None = None,
+        relay: replication.Relay | None = None,
         retention: float = 600.0,
     ) -> None:
-        self.replica = platform.Replica(STREAM, CountFold())
-        self.follower = platform.Follower(
+        self.replica = replication.Replica(STREAM, CountFold())
+        self.follower = replication.Follower(
             log, self.replica, clock, relay, seed=1
         )
-        self.committer = platform.GroupCommitter(
+        self.committer = replication.GroupCommitter(
             log, clock, identifiers.Incarnation(name), limits, seed=1
         )
         self.committer.watch(self.replica)
-        self.snapshotter = platform.Snapshotter(
+        self.snapshotter = replication.Snapshotter(
             self.follower,
             self.committer,
             clock,
--- a/chivespoke/platform/tests/test_histories.py
+++ b/chivespoke/replication/tests/test_histories.py
@@ -10,9 +10,9 @@
 from chivespoke import clock as clocks
 from chivespoke import errors
 from chivespoke import identifiers
-from chivespoke import platform
-from chivespoke.platform.tests import builders
-from chivespoke.platform.tests import test_snapshots
+from chivespoke import replication
+from chivespoke.replication.tests import builders
+from chivespoke.replication.tests import test_snapshots
 from chivespoke import standins
 
 RETENTION = 150.0
@@ -31,10 +31,10 @@
         return super()._store(stream, payload)
 
 
-class CuttableLog(platform.Log):
+class CuttableLog(replication.Log):
     """Reach a log over a path that may be cut for one process."""
 
-    def __init__(self, log: platform.Log) -> None:
+    def __init__(self, log: replication.Log) -> None:
         self.log = log
         self.is_cut = False
 
@@ -49,7 +49,7 @@
         start: identifiers.Offset,
         limit: int,
         wait_seconds: float,
-    ) -> platform.LogPage:
+    ) -> replication.LogPage:
         if self.is_cut:
             raise errors.UnavailableError('read', 'log', 'cut')
         return await self.log.read(stream, start, limit, wait_seconds)
@@ -60,15 +60,15 @@
     fold = builders.CountFold()
     last: dict[str, int] = {}
     for offset, payload in enumerate(history):
-        frame = platform.decode_frame(payload, 'naive')
+        frame = replication.decode_frame(payload, 'naive')
         if frame.sequence <= last.get(frame.author, 0):
             continue
         last[frame.author] = frame.sequence
-        if frame.kind is platform.FrameKind.RECORDS:
+        if frame.kind is replication.FrameKind.RECORDS:
             for record in frame.records:
                 fold.apply(
                     fold.decode(record),
-                    platform.Position(
+                    replication.Position(
                         identifiers.Offset(offset), 0, frame.author
                     ),
                 )
--- a/chivespoke/platform/tests/test_snapshots.py
+++ b/chivespoke/replication/tests/test_snapshots.py
@@ -3,14 +3,14 @@
 import unittest
 
 from chivespoke import identifiers
-from chivespoke import platform
-from chivespoke.platform import _snapshot
-from chivespoke.platform.tests import builders
+from chivespoke import replication
+from chivespoke.replication import _snapshot
+from chivespoke.replication.tests import builders
 
 RETENTION = 600.0
 
 
-class PeerRelay(platform.Relay):
+class PeerRelay(replication.Relay):
     """Answer out of another process's replica."""
 
     def __init__(self, peer: builders.Process) -> None:
@@ -18,8 +18,8 @@
 
     async def ask(
         self, stream: str, start: identifiers.Offset, needs_seed: bool
-    ) -> platform.RelayAnswer | None:
-        return platform.answer_relay(self.peer.follower, start, needs_seed)
+    ) -> replication.RelayAnswer | None:
+        return replication.answer_relay(self.peer.follower, start, needs_seed)
 
 
 class SnapshotTest(unittest.IsolatedAsyncioTestCase):
@@ -29,7 +29,7 @@
         self.log, self.clock = builders.build_log(RETENTION)
 
     def build(
-        self, name: str, relay: platform.Relay | None = None
+        self, name: str, relay: replication.Relay | None = None
     ) -> builders.Process:
         process = builders.Process(
             self.log, self.clock, name, relay=relay, retention=RETENTION
@@ -53,9 +53,9 @@
         await process.follower.read_once()
         await process.follower.read_once()
 
-    def count_frames(self, kind: platform.FrameKind) -> int:
+    def count_frames(self, kind: replication.FrameKind) -> int:
         state = self.log._open(builders.STREAM)
-        frames = [platform.decode_frame(each, '') for each in state.records]
+        frames = [replication.decode_frame(each, '') for each in state.records]
         return sum(frame.kind is kind for frame in frames)
 
     async def test_state_outlives_retention_without_a_storm(self) -> None:
@@ -67,7 +67,7 @@
         for process in processes:
             self.assertEqual({'pages': 3}, process.replica.fold.sums)
         # One each quarter of the retention, at most one more for a draw.
-        self.assertLessEqual(self.count_frames(platform.FrameKind.MARK), 8)
+        self.assertLessEqual(self.count_frames(replication.FrameKind.MARK), 8)
         fresh = self.build('fresh')
         await self.read_all(fresh)
         self.assertGreater(fresh.replica.earliest, 3)
@@ -86,7 +86,7 @@
         mark = await builders.drive(
             self.clock,
             writer.committer.commit(
-                builders.STREAM, b'', platform.FrameKind.MARK
+                builders.STREAM, b'', replication.FrameKind.MARK
             ),
         )
         await builders.advance(self.clock, 2)
@@ -97,7 +97,7 @@
         await builders.drive(
             self.clock,
             writer.committer.commit(
-                builders.STREAM, record, platform.FrameKind.SNAPSHOT
+                builders.STREAM, record, replication.FrameKind.SNAPSHOT
             ),
         )
         for earliest, expected in ((3, True), (4, False)):
@@ -122,7 +122,7 @@
         mark = await builders.drive(
             self.clock,
             stale.committer.commit(
-                builders.STREAM, b'', platform.FrameKind.MARK
+                builders.STREAM, b'', replication.FrameKind.MARK
             ),
         )
         await builders.advance(self.clock, 2)
@@ -135,7 +135,7 @@
             await builders.drive(
                 self.clock,
                 stale.committer.commit(
-                    builders.STREAM, record, platform.FrameKind.SNAPSHOT
+                    builders.STREAM, record, replication.FrameKind.SNAPSHOT
                 ),
             )
         await builders.advance(self.clock, 2)
--- a/chivespoke/platform/tests/test_streams.py
+++ b/chivespoke/replication/tests/test_streams.py
@@ -5,8 +5,8 @@
 
 from chivespoke import errors
 from chivespoke import identifiers
-from chivespoke import platform
-from chivespoke.platform.tests import builders
+from chivespoke import replication
+from chivespoke.replication.tests import builders
 from chivespoke import standins
 
 
@@ -113,17 +113,17 @@
 
     async def test_unknown_version_or_record_stands_still(self) -> None:
         await self.write()
-        unknown = bytes((99,)) + platform.encode_frame(
-            platform.Frame(
-                platform.FrameKind.RECORDS,
+        unknown = bytes((99,)) + replication.encode_frame(
+            replication.Frame(
+                replication.FrameKind.RECORDS,
                 identifiers.Incarnation('newer'),
                 1,
                 (),
             )
         )
-        bad_record = platform.encode_frame(
-            platform.Frame(
-                platform.FrameKind.RECORDS,
+        bad_record = replication.encode_frame(
+            replication.Frame(
+                replication.FrameKind.RECORDS,
                 identifiers.Incarnation('newer'),
                 1,
                 (builders.build_record(), b'?'),
--- a/chivespoke/scheduling/_assembly.py
+++ b/chivespoke/scheduling/_assembly.py
@@ -5,7 +5,7 @@
 from chivespoke import application
 from chivespoke import clock as clocks
 from chivespoke import identifiers
-from chivespoke import platform
+from chivespoke import replication
 from chivespoke.scheduling import _configuration
 from chivespoke.scheduling import _desk
 from chivespoke.scheduling import _drain
@@ -73,14 +73,14 @@
         self,
         name: str,
         shards: collections.abc.Sequence[str],
-        log: platform.Log,
-        committer: platform.GroupCommitter,
+        log: replication.Log,
+        committer: replication.GroupCommitter,
         configuration: _configuration.ConfigurationSource,
         clock: clocks.Clock,
         policies: _owner.OwnerPolicies | None = None,
         connector: workers.WorkerConnector | None = None,
         incarnation: identifiers.Incarnation | None = None,
-        relay: platform.Relay | None = None,
+        relay: replication.Relay | None = None,
         retention: float | None = None,
         plan: PlannerMaker = make_planners,
     ) -> None:
@@ -115,7 +115,7 @@
         snapshotters: tuple[application.Component, ...] = ()
         if retention is not None:
             snapshotters = tuple(
-                platform.Snapshotter(follower, committer, clock, retention)
+                replication.Snapshotter(follower, committer, clock, retention)
                 for follower in self.followers
             )
         self._components: tuple[application.Component, ...] = (
--- a/chivespoke/scheduling/_fold.py
+++ b/chivespoke/scheduling/_fold.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from chivespoke import errors
-from chivespoke import platform
+from chivespoke import replication
 from chivespoke.scheduling import _invariants
 from chivespoke.scheduling import _jobs
 from chivespoke.scheduling import _membership
@@ -52,7 +52,7 @@
 STEP = 'read a shard record'
 
 
-class ShardFold(platform.Fold[_records.Record]):
+class ShardFold(replication.Fold[_records.Record]):
     """Apply records in the order of the stream."""
 
     __slots__ = (
@@ -82,12 +82,12 @@
         try:
             return _records.decode_record(record)
         except msgspec.MsgspecError as error:
-            raise platform.UnreadableError(
+            raise replication.UnreadableError(
                 STEP, self.shard.name, str(error)
             ) from error
 
     def apply(
-        self, record: _records.Record, position: platform.Position
+        self, record: _records.Record, position: replication.Position
     ) -> None:
         self.apply_at(record, position.offset)
 
@@ -116,7 +116,7 @@
         try:
             shard = msgspec.msgpack.decode(state, type=_state.Shard)
         except msgspec.MsgspecError as error:
-            raise platform.UnreadableError(
+            raise replication.UnreadableError(
                 STEP, self.shard.name, str(error)
             ) from error
         _invariants.check_all(shard)
--- a/chivespoke/scheduling/_stream.py
+++ b/chivespoke/scheduling/_stream.py
@@ -5,7 +5,7 @@
 from chivespoke import application
 from chivespoke import clock as clocks
 from chivespoke import identifiers
-from chivespoke import platform
+from chivespoke import replication
 from chivespoke.scheduling import _fold
 from chivespoke.scheduling import _records
 
@@ -20,17 +20,17 @@
     def __init__(
         self,
         name: str,
-        log: platform.Log,
-        committer: platform.GroupCommitter,
+        log: replication.Log,
+        committer: replication.GroupCommitter,
         clock: clocks.Clock,
-        relay: platform.Relay | None = None,
+        relay: replication.Relay | None = None,
     ) -> None:
         self.name = name
         self.clock = clock
         self.committer = committer
         self.fold = _fold.ShardFold(name)
-        self.replica = platform.Replica(STREAM_PREFIX + name, self.fold)
-        self.follower = platform.Follower(log, self.replica, clock, relay)
+        self.replica = replication.Replica(STREAM_PREFIX + name, self.fold)
+        self.follower = replication.Follower(log, self.replica, clock, relay)
         committer.watch(self.replica)
 
     async def start(self) -> None:
--- /dev/null
+++ b/chivespoke/serving/__init__.py
@@ -0,0 +1,6 @@
+"""The daemons that run on the Kandy platform."""
+
+from chivespoke.serving._assembly import make_entry
+from chivespoke.serving._assembly import make_sidecar
+
+__all__ = ['make_entry', 'make_sidecar']
--- /dev/null
+++ b/chivespoke/serving/_assembly.py
@@ -0,0 +1,74 @@
+"""Composing the platform's daemons from their parts."""
+
+from chivespoke import addresses
+from chivespoke import agents
+from chivespoke import application
+from chivespoke import clock
+from chivespoke import coordination
+from chivespoke import identifiers
+from chivespoke import intake
+from chivespoke import platform
+from chivespoke import telemetry
+from chivespoke import web
+
+# Connections to the store for calls, and for reads that wait.
+STORE_CONNECTIONS = 16
+READ_CONNECTIONS = 4
+# Where metrics are served; the deploy file names the same port.
+METRICS_PORT = 9464
+
+
+def make_entry(
+    machine: platform.MachineSettings, time: clock.Clock
+) -> application.Application:
+    """Compose an entry: the callers' door, and a part that may lead."""
+    calls = platform.Transport(machine.store, STORE_CONNECTIONS)
+    reads = platform.Transport(machine.store, READ_CONNECTIONS)
+    store = platform.Store(calls, reads)
+    instruments = telemetry.Telemetry()
+    # A process that restarts is another member: what the store still holds
+    # for the one before lapses by itself.
+    member = f'{machine.name}-{identifiers.make_incarnation()}'
+    coordinator = coordination.Coordinator(store, machine, member, time)
+    desk = intake.JobDesk(coordinator, store, time, instruments)
+    readiness = intake.Readiness(coordinator, desk, time)
+    return application.Application(
+        (
+            calls,
+            reads,
+            web.HttpServer(parse_address(machine.callers), (desk,)),
+            web.HttpServer(parse_address(machine.readiness), (readiness,)),
+            web.HttpServer(
+                addresses.Address(machine.ip, METRICS_PORT), (instruments,)
+            ),
+            readiness,
+            coordinator,
+        )
+    )
+
+
+def make_sidecar(
+    machine: platform.MachineSettings, time: clock.Clock
+) -> application.Application:
+    """Compose the process beside a worker."""
+    calls = platform.Transport(machine.store, STORE_CONNECTIONS)
+    store = platform.Store(calls, calls)
+    instruments = telemetry.Telemetry()
+    agent = agents.Agent(machine, store, time)
+    desk = agents.RegistrationDesk(agent)
+    return application.Application(
+        (
+            calls,
+            agent,
+            web.HttpServer(parse_address(machine.registration), (desk,)),
+            web.HttpServer(
+                addresses.Address(machine.ip, METRICS_PORT), (instruments,)
+            ),
+        )
+    )
+
+
+def parse_address(text: str) -> addresses.Address:
+    """Return an address given as an IP number and a port."""
+    host, _, port = text.rpartition(':')
+    return addresses.Address(host, int(port))
--- a/chivespoke/settings.py
+++ b/chivespoke/settings.py
@@ -1,48 +1,26 @@
 """Settings of the daemons, read from YAML and checked."""
 
-import ipaddress
 import pathlib
 import typing
 
 import msgspec
 
+from chivespoke import addresses
 from chivespoke import identifiers
 from chivespoke import logs
 from chivespoke import yaml_files
 
-Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Address = addresses.Address
 Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
 PositiveCount = typing.Annotated[int, msgspec.Meta(gt=0)]
 
 STEP = 'read settings'
-HOST_ERROR = 'host must be an IP number, as in 10.0.0.7'
 # A peer lapses only after this many heartbeats went missing.
 HEARTBEATS_IN_LIMIT = 2
 # Keys that only a sidecar's file has.
 SIDECAR_KEYS = frozenset({'service', 'backend_server'})
 
 
-class Address(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Hold an IP number and a port; port 0 takes any free one."""
-
-    host: str = '127.0.0.1'
-    port: Port = 0
-
-    def __post_init__(self) -> None:
-        try:
-            ipaddress.ip_address(self.host)
-        except ValueError:
-            raise ValueError(HOST_ERROR) from None
-
-    def format_http(self) -> str:
-        """Return the base URL of an HTTP server there."""
-        return f'http://{self.host}:{self.port}'
-
-    def format_tcp(self) -> str:
-        """Return the endpoint of a message socket there."""
-        return f'tcp://{self.host}:{self.port}'
-
-
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Say how the process writes its own log lines."""
 
--- a/chivespoke/standins/_log.py
+++ b/chivespoke/standins/_log.py
@@ -7,7 +7,7 @@
 from chivespoke import clock as clocks
 from chivespoke import errors
 from chivespoke import identifiers
-from chivespoke import platform
+from chivespoke import replication
 
 PEER = 'memory log'
 
@@ -48,7 +48,7 @@
         self.earliest += count
 
 
-class MemoryLog(platform.Log):
+class MemoryLog(replication.Log):
     """Keep streams in memory for a limited time."""
 
     __slots__ = ('faults', 'appends', 'reads', '_clock', '_streams', '_keep')
@@ -86,7 +86,7 @@
         start: identifiers.Offset,
         limit: int,
         wait_seconds: float,
-    ) -> platform.LogPage:
+    ) -> replication.LogPage:
         self.reads += 1
         if self.faults.read_delay:
             await self._clock.sleep(self.faults.read_delay)
@@ -99,9 +99,11 @@
             self._expire(state)
         first = max(start, state.earliest)
         begin = first - state.earliest
-        return platform.LogPage(
+        return replication.LogPage(
             tuple(
-                platform.LogRecord(identifiers.Offset(first + index), payload)
+                replication.LogRecord(
+                    identifiers.Offset(first + index), payload
+                )
                 for index, payload in enumerate(
                     state.records[begin : begin + limit]
                 )
--- a/chivespoke/standins/tests/test_log_server.py
+++ b/chivespoke/standins/tests/test_log_server.py
@@ -7,7 +7,7 @@
 from chivespoke import clock as clocks
 from chivespoke import errors
 from chivespoke import identifiers
-from chivespoke import platform
+from chivespoke import replication
 from chivespoke import settings
 from chivespoke import standins
 
@@ -22,7 +22,7 @@
         self.server = standins.LogServer(memory, settings.Address())
         await self.server.start()
         self.addAsyncCleanup(self.server.stop)
-        self.log = platform.HttpLog(self.server.address.format_http())
+        self.log = replication.HttpLog(self.server.address.format_http())
         await self.log.start()
         self.addAsyncCleanup(self.log.stop)
 
--- a/chivespoke/standins/tests/test_worker_server.py
+++ b/chivespoke/standins/tests/test_worker_server.py
@@ -10,7 +10,7 @@
 from chivespoke import clock as clocks
 from chivespoke import identifiers
 from chivespoke import operators
-from chivespoke import platform
+from chivespoke import replication
 from chivespoke import resources
 from chivespoke import scheduling
 from chivespoke import settings
@@ -27,7 +27,7 @@
     async def asyncSetUp(self) -> None:
         clock = clocks.SystemClock()
         log = standins.MemoryLog(clock)
-        committer = platform.GroupCommitter(
+        committer = replication.GroupCommitter(
             log, clock, identifiers.make_incarnation()
         )
         configuration = operators.Configuration(log, committer, clock)
--- a/chivespoke/web.py
+++ b/chivespoke/web.py
@@ -6,9 +6,9 @@
 
 from aiohttp import web
 
+from chivespoke import addresses
 from chivespoke import application
 from chivespoke import errors
-from chivespoke import settings
 
 MEBIBYTE = 1024 * 1024
 # Largest body that the server itself lets through, in bytes.
@@ -37,7 +37,7 @@
 
     def __init__(
         self,
-        address: settings.Address,
+        address: addresses.Address,
         providers: collections.abc.Iterable[RouteProvider],
         shutdown_seconds: float = SHUTDOWN_SECONDS,
     ) -> None:
@@ -45,10 +45,10 @@
         self._configured = address
         self._providers = tuple(providers)
         self._runner: web.AppRunner | None = None
-        self._bound: settings.Address | None = None
+        self._bound: addresses.Address | None = None
 
     @property
-    def address(self) -> settings.Address:
+    def address(self) -> addresses.Address:
         """Return the address that the server is bound to."""
         if self._bound is None:
             raise errors.UnavailableError(
@@ -77,7 +77,7 @@
                 str(error),
             ) from error
         host, port = runner.addresses[0][:2]
-        self._bound = settings.Address(host, port)
+        self._bound = addresses.Address(host, port)
         self._runner = runner
 
     async def stop(self) -> None:
--- a/examples/embedding.py
+++ b/examples/embedding.py
@@ -9,7 +9,7 @@
 
 from chivespoke import clock as clocks
 from chivespoke import identifiers
-from chivespoke import platform
+from chivespoke import replication
 from chivespoke import standins
 
 STREAM = 'seats'
@@ -22,7 +22,7 @@
     family: str
 
 
-class SeatFold(platform.Fold[Hold]):
+class SeatFold(replication.Fold[Hold]):
     """Give each seat to whoever stands first in the log."""
 
     def __init__(self) -> None:
@@ -32,11 +32,11 @@
         try:
             return msgspec.msgpack.decode(record, type=Hold)
         except msgspec.MsgspecError as error:
-            raise platform.UnreadableError(
+            raise replication.UnreadableError(
                 'decode a hold', STREAM, str(error)
             ) from error
 
-    def apply(self, record: Hold, position: platform.Position) -> None:
+    def apply(self, record: Hold, position: replication.Position) -> None:
         # A later hold of the same seat is refused, in every reader alike.
         self.seats.setdefault(record.seat, record.family)
 
@@ -52,10 +52,10 @@
 class Desk:
     """Hold seats; one for each process."""
 
-    def __init__(self, log: platform.Log, clock: clocks.Clock) -> None:
-        self.replica = platform.Replica(STREAM, SeatFold())
-        self.follower = platform.Follower(log, self.replica, clock)
-        self.committer = platform.GroupCommitter(
+    def __init__(self, log: replication.Log, clock: clocks.Clock) -> None:
+        self.replica = replication.Replica(STREAM, SeatFold())
+        self.follower = replication.Follower(log, self.replica, clock)
+        self.committer = replication.GroupCommitter(
             log, clock, identifiers.make_incarnation()
         )
         self.committer.watch(self.replica)
