Pace only what differs from the pace that was set

Change: the row's field is named progress, and a session remembers the paces that it set. Fillers may also use half of what serving tasks reserve.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -62,6 +62,7 @@
         '_handling',
         '_orders',
         '_pacer',
+        '_paces',
         '_granted',
     )
 
@@ -96,6 +97,8 @@
         # What pacing has to know of the runs, by task.
         self._orders: dict[str, coordination.StartOrder] = {}
         self._pacer = decisions.Pacer()
+        # Percent of full speed last set, by task; a run starts at full speed.
+        self._paces: dict[str, int] = {}
         self._granted = asyncio.Event()
 
     @property
@@ -132,6 +135,8 @@
         self._acknowledged = max(self._acknowledged, directive.acknowledged)
         for start in directive.starts:
             self._orders[start.task] = start
+            if not start.repeated:
+                self._paces.pop(start.task, None)
             self._handle(start.task, start.run, self._start(start))
         for stop in directive.stops:
             self._handle(stop.task, stop.run, self._stop(stop))
@@ -233,6 +238,7 @@
         for task in tuple(self._orders):
             if task not in listed and task not in busy:
                 del self._orders[task]
+                self._paces.pop(task, None)
 
     def _adjust_pace(self, look: platform.Look) -> None:
         runs = []
@@ -246,7 +252,7 @@
                         order.filler,
                         order.target_latency_ms,
                         row.measure,
-                        row.pace,
+                        self._paces.get(row.task, decisions.FULL_PACE),
                     )
                 )
         for run in self._pacer.adjust(runs, self._clock.read_monotonic()):
@@ -371,6 +377,8 @@
                 percent=percent,
                 error=error,
             )
+        else:
+            self._paces[run.task] = percent
 
     def _is_listed(self, task: str, run: int) -> bool:
         return self._look is not None and any(
--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -68,6 +68,7 @@
         'runs',
         'reserved',
         'filler_millis',
+        'serving_millis',
         'foreign',
         'processed',
         'acknowledged',
@@ -95,6 +96,8 @@
         self.reserved = workloads.Room()
         # Processor time that fillers on it would take.
         self.filler_millis = 0
+        # Part of the reserved time that belongs to tasks that serve.
+        self.serving_millis = 0
         # Runs that it lists and the ledger does not.
         self.foreign: dict[str, int] = {}
         # Highest number of an end that was taken in, and that is recorded.
@@ -123,6 +126,8 @@
         self.reserved = self.reserved.add(need, sign)
         if step.filler:
             self.filler_millis += sign * step.cpu_millis
+        if step.target_latency_ms:
+            self.serving_millis += sign * step.cpu_millis
 
 
 def describe(worker: Worker, same_step: int) -> decisions.Site:
@@ -133,6 +138,8 @@
         rack=worker.rack,
         labels=worker.life.labels,
         free=free,
-        spare_millis=free.cpu_millis - worker.filler_millis,
+        spare_millis=decisions.estimate_spare(
+            free.cpu_millis, worker.serving_millis, worker.filler_millis
+        ),
         same_step=same_step,
     )
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -4,22 +4,26 @@
 from chivespoke.decisions._ordering import LATE_FACTOR
 from chivespoke.decisions._ordering import measure_chain
 from chivespoke.decisions._ordering import rank
+from chivespoke.decisions._pacing import FULL_PACE
 from chivespoke.decisions._pacing import PacedRun
 from chivespoke.decisions._pacing import Pacer
 from chivespoke.decisions._placement import can_take
 from chivespoke.decisions._placement import choose_site
+from chivespoke.decisions._placement import estimate_spare
 from chivespoke.decisions._placement import Site
 from chivespoke.decisions._quarantine import Conduct
 
 __all__ = [
     'Conduct',
     'Demand',
+    'FULL_PACE',
     'LATE_FACTOR',
     'PacedRun',
     'Pacer',
     'Site',
     'can_take',
     'choose_site',
+    'estimate_spare',
     'measure_chain',
     'rank',
 ]
--- a/chivespoke/decisions/_pacing.py
+++ b/chivespoke/decisions/_pacing.py
@@ -36,7 +36,8 @@
     target_latency_ms: int
     # Tail latency of a run that serves, in milliseconds.
     measure: float
-    pace: float
+    # Percent of full speed that was last set.
+    pace: int
 
 
 class Pacer:
@@ -66,9 +67,7 @@
             self._pace = FULL_PACE
         elif now >= self._changed_at + SETTLE_SECONDS:
             self._settle(max(tails), now)
-        return [
-            run for run in runs if run.filler and round(run.pace) != self._pace
-        ]
+        return [run for run in runs if run.filler and run.pace != self._pace]
 
     def _settle(self, tail: float, now: float) -> None:
         pace = self._pace
--- a/chivespoke/decisions/_placement.py
+++ b/chivespoke/decisions/_placement.py
@@ -14,6 +14,9 @@
 # A filler may find this share of its processor time taken by others: it then
 # still ends within its objective, as that allows at least 1.5 times the work.
 FILLER_OVERLAP = 0.1
+# Share of its reserved processor time that a serving task is taken to use:
+# its load swings between a quarter and two thirds of what it reserves.
+SERVING_USE = 0.5
 
 
 class Site(msgspec.Struct, frozen=True):
@@ -29,6 +32,14 @@
     same_step: int = 0
 
 
+def estimate_spare(
+    free_millis: int, serving_millis: int, filler_millis: int
+) -> int:
+    """Return the processor time of a worker that nothing will ask for."""
+    unused = int(serving_millis * (1 - SERVING_USE))
+    return free_millis + unused - filler_millis
+
+
 def can_take(step: workloads.Step, site: Site) -> bool:
     """Tell whether a task of a step may run on a worker now."""
     if not site.free.fits(workloads.measure_need(step)):
--- a/chivespoke/platform/_workers.py
+++ b/chivespoke/platform/_workers.py
@@ -41,7 +41,7 @@
 
 class _Look(msgspec.Struct):
     clock_ms: int
-    # Task, run, checkpoint, percent of full pace, and a measure.
+    # Task, run, checkpoint, percent of the work that is done, a measure.
     running: list[tuple[str, int, str, float, float]] = []
     # Number of the end, task, run, how it ended, checkpoint.
     ended_runs: list[tuple[int, str, int, str, str]] = []
@@ -89,8 +89,8 @@
     task: str
     run: int
     checkpoint: str
-    # Percent of full speed that it is allowed.
-    pace: float
+    # Percent of its work that is done; for one that lasts, of its start-up.
+    progress: float
     # Tail latency in milliseconds of a task that serves, else the processor
     # time in use, in thousandths of a core; over the last half second.
     measure: float
