Learn which images press on which, and place and pace by it

Change: the leader fits the change of log tails to the change of cores used by image, places fillers where they press least, and tells the sidecars.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -63,6 +63,7 @@
         '_orders',
         '_pacer',
         '_paces',
+        '_pressures',
         '_granted',
     )
 
@@ -99,6 +100,7 @@
         self._pacer = decisions.Pacer()
         # Percent of full speed last set, by task; a run starts at full speed.
         self._paces: dict[str, int] = {}
+        self._pressures = decisions.KnownPressures()
         self._granted = asyncio.Event()
 
     @property
@@ -133,6 +135,7 @@
             self._lease_limit_ms, directive.lease_until_ms
         )
         self._acknowledged = max(self._acknowledged, directive.acknowledged)
+        self._pressures = decisions.KnownPressures(directive.pressures)
         for start in directive.starts:
             self._orders[start.task] = start
             if not start.repeated:
@@ -249,14 +252,29 @@
                     decisions.PacedRun(
                         row.task,
                         row.run,
+                        order.image,
                         order.filler,
                         order.target_latency_ms,
                         row.measure,
                         self._paces.get(row.task, decisions.FULL_PACE),
                     )
                 )
-        for run in self._pacer.adjust(runs, self._clock.read_monotonic()):
-            self._handle(run.task, run.run, self._pace(run))
+        paces = self._pacer.adjust(
+            runs, self._pressures, self._clock.read_monotonic()
+        )
+        for pace in paces:
+            self._handle(pace.task, pace.run, self._pace(pace))
+        if paces:
+            LOGGER.info(
+                'Paces change.',
+                worker=self.life.key,
+                paces={pace.task: pace.percent for pace in paces},
+                tails={
+                    run.task: (run.measure, run.target_latency_ms)
+                    for run in runs
+                    if run.target_latency_ms
+                },
+            )
 
     def _handle(
         self,
@@ -366,19 +384,20 @@
                 )
             )
 
-    async def _pace(self, run: decisions.PacedRun) -> None:
-        percent = self._pacer.pace
+    async def _pace(self, order: decisions.PaceOrder) -> None:
         try:
-            await self._client.pace(run.task, run.run, percent, self.epoch)
+            await self._client.pace(
+                order.task, order.run, order.percent, self.epoch
+            )
         except errors.ChivespokeError as error:
             LOGGER.warning(
                 'A pace was not set; the next look tries again.',
-                task=run.task,
-                percent=percent,
+                task=order.task,
+                percent=order.percent,
                 error=error,
             )
         else:
-            self._paces[run.task] = percent
+            self._paces[order.task] = order.percent
 
     def _is_listed(self, task: str, run: int) -> bool:
         return self._look is not None and any(
--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -141,6 +141,21 @@
             acknowledged=worker.acknowledged,
             starts=tuple(starts),
             stops=tuple(stops),
+            pressures=self._list_pressures(worker),
+        )
+
+    def _list_pressures(
+        self, worker: _fleet.Worker
+    ) -> tuple[decisions.Pressure, ...]:
+        steps = [run.step for run in worker.runs.values()]
+        serving = {step.image for step in steps if step.target_latency_ms}
+        fillers = {step.image for step in steps if step.filler}
+        return tuple(
+            decisions.Pressure(
+                image, other, self._state.pressures.find(image, other)
+            )
+            for image in sorted(serving)
+            for other in sorted(fillers)
         )
 
     def has_orders(self, worker: _fleet.Worker, now: float) -> bool:
@@ -195,7 +210,7 @@
         if not demands:
             return
         sites = {
-            worker.life.key: _fleet.describe(worker, 0)
+            worker.life.key: _fleet.describe(worker, self._state.pressures)
             for worker in self._state.workers.values()
             if self._is_open(worker, orders, now)
         }
@@ -278,7 +293,7 @@
                 )
                 for site in found
             ]
-        return decisions.choose_site(step, found)
+        return decisions.choose_site(step, found, self._state.pressures)
 
     def _count_step(self, key: str, name: workloads.TaskName) -> int:
         return sum(
@@ -326,7 +341,7 @@
         run = _fleet.Run(name, number, step, _fleet.RunState.DECIDED)
         worker.add(run)
         self._decided.append(run)
-        sites[site.worker] = _fleet.describe(worker, 0)
+        sites[site.worker] = _fleet.describe(worker, self._state.pressures)
         LOGGER.info(
             'A task is assigned.',
             task=run.text,
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -51,6 +51,7 @@
         'workers',
         'unheard',
         'conducts',
+        'pressures',
         'unrecorded_ends',
     )
 
@@ -60,6 +61,7 @@
         self.workers: dict[str, _fleet.Worker] = {}
         self.unheard: dict[str, Unheard] = {}
         self.conducts: dict[str, decisions.Conduct] = {}
+        self.pressures = decisions.PressureModel()
         # Ends were taken in since the last plan.
         self.unrecorded_ends = False
 
--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -1,12 +1,24 @@
 """What the leader knows of the workers and of the runs on them."""
 
+import collections.abc
 import enum
+import math
 
 from chivespoke.coordination import _messages
 from chivespoke import decisions
 from chivespoke import platform
 from chivespoke import workloads
 
+# A serving run that was not measured yet is taken to have this share of the
+# tail that pacing aims at.
+UNSEEN_TAIL = 0.5
+# Weight of a new look at a tail, at two and a half looks a second: an average
+# over about a second, within which the load hardly swings.
+BASE_WEIGHT = 0.4
+# Tails are compared with those of so many seconds before: longer than the half
+# second that they are measured over, and short beside a swing of load.
+SAMPLE_SECONDS = 0.6
+
 
 class RunState(enum.Enum):
     """Say how far an order has come."""
@@ -31,6 +43,8 @@
         'began_at',
         'listing',
         'repeated',
+        'log_base',
+        'sample',
     )
 
     def __init__(
@@ -49,6 +63,9 @@
         self.sent_at: float | None = None
         self.began_at: float | None = None
         self.listing: platform.RunningTask | None = None
+        # Log of the tail that a serving run would have without fillers.
+        self.log_base: float | None = None
+        self.sample: TailSample | None = None
         # Ordered before, by this leader or an earlier one.
         self.repeated = False
 
@@ -130,9 +147,17 @@
             self.serving_millis += sign * step.cpu_millis
 
 
-def describe(worker: Worker, same_step: int) -> decisions.Site:
+def describe(worker: Worker, pressures: decisions.Pressures) -> decisions.Site:
     """Return what a decision on placement may look at."""
     free = worker.life.capacity.add(worker.reserved, -1)
+    fillers = [run for run in worker.runs.values() if run.step.filler]
+    headrooms = tuple(
+        decisions.Headroom(
+            run.step.image, measure_headroom(run, fillers, pressures)
+        )
+        for run in worker.runs.values()
+        if run.step.target_latency_ms
+    )
     return decisions.Site(
         worker=worker.life.key,
         rack=worker.rack,
@@ -141,5 +166,93 @@
         spare_millis=decisions.estimate_spare(
             free.cpu_millis, worker.serving_millis, worker.filler_millis
         ),
-        same_step=same_step,
+        headrooms=headrooms,
+    )
+
+
+def measure_headroom(
+    serving: Run,
+    fillers: collections.abc.Iterable[Run],
+    pressures: decisions.Pressures,
+) -> float:
+    """Return how much a serving run's log tail may grow, all told."""
+    limit = math.log(decisions.AIM * serving.step.target_latency_ms)
+    base = serving.log_base
+    if base is None:
+        base = limit + math.log(UNSEEN_TAIL)
+    pressed = sum(
+        pressures.find(serving.step.image, run.step.image)
+        * run.step.cpu_millis
+        / 1000
+        for run in fillers
     )
+    return limit - base - pressed
+
+
+class TailSample:
+    """Hold a look at a serving run's tail, to compare a later one with."""
+
+    __slots__ = ('at', 'log_tail', 'uses')
+
+    def __init__(
+        self, at: float, log_tail: float, uses: dict[str, float]
+    ) -> None:
+        self.at = at
+        self.log_tail = log_tail
+        # Cores that fillers used beside it, by image.
+        self.uses = uses
+
+
+def learn_tails(worker: Worker, model: decisions.PressureModel) -> None:
+    """Learn from one look what fillers do to the serving runs beside them."""
+    uses = measure_uses(worker)
+    for run in worker.runs.values():
+        if not run.step.target_latency_ms or run.listing is None:
+            continue
+        tail = run.listing.measure
+        if tail <= 0:
+            # Not at work yet.
+            continue
+        sample = TailSample(worker.heard_at, math.log(max(1.0, tail)), uses)
+        compare_samples(run, sample, model)
+        pressed = sum(
+            model.find(run.step.image, image) * cores
+            for image, cores in uses.items()
+        )
+        base = sample.log_tail - pressed
+        if run.log_base is None:
+            run.log_base = base
+        run.log_base += BASE_WEIGHT * (base - run.log_base)
+
+
+def measure_uses(worker: Worker) -> dict[str, float]:
+    """Return the cores that fillers use on a worker, by image."""
+    uses: dict[str, float] = {}
+    for run in worker.runs.values():
+        if run.step.filler and run.listing is not None:
+            cores = run.listing.measure / 1000
+            uses[run.step.image] = uses.get(run.step.image, 0.0) + cores
+    return uses
+
+
+def compare_samples(
+    run: Run, sample: TailSample, model: decisions.PressureModel
+) -> None:
+    """Teach the model how a tail has changed with the fillers beside it.
+
+    Changes are compared rather than tails: the load of a serving task swings
+    slowly, and pacing slows fillers just when that load is high, so that
+    tails themselves would make fillers look harmless.
+    """
+    before = run.sample
+    if before is not None and sample.at < before.at + SAMPLE_SECONDS:
+        return
+    run.sample = sample
+    if before is None or sample.at > before.at + 2 * SAMPLE_SECONDS:
+        return
+    images = before.uses.keys() | sample.uses.keys()
+    changes = {
+        image: sample.uses.get(image, 0.0) - before.uses.get(image, 0.0)
+        for image in sorted(images)
+    }
+    model.learn(run.step.image, sample.log_tail - before.log_tail, changes)
--- a/chivespoke/coordination/_messages.py
+++ b/chivespoke/coordination/_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from chivespoke import decisions
 from chivespoke import platform
 from chivespoke import workloads
 
@@ -84,6 +85,8 @@
     acknowledged: int
     starts: tuple[StartOrder, ...] = ()
     stops: tuple[StopOrder, ...] = ()
+    # What fillers on the worker do to the serving tasks beside them.
+    pressures: tuple[decisions.Pressure, ...] = ()
 
 
 REPORT_DECODER = msgspec.msgpack.Decoder(Report)
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -46,6 +46,8 @@
         if report.lapsed:
             self._state.release_all(worker, 'lease lapsed')
         self._take_running(worker, report.running)
+        if report.answering:
+            _fleet.learn_tails(worker, self._state.pressures)
         for outcome in report.outcomes:
             self._take_outcome(worker, outcome, now)
         return worker
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -4,22 +4,36 @@
 from chivespoke.decisions._ordering import LATE_FACTOR
 from chivespoke.decisions._ordering import measure_chain
 from chivespoke.decisions._ordering import rank
+from chivespoke.decisions._pacing import AIM
 from chivespoke.decisions._pacing import FULL_PACE
 from chivespoke.decisions._pacing import PacedRun
+from chivespoke.decisions._pacing import PaceOrder
 from chivespoke.decisions._pacing import Pacer
 from chivespoke.decisions._placement import can_take
 from chivespoke.decisions._placement import choose_site
 from chivespoke.decisions._placement import estimate_spare
+from chivespoke.decisions._placement import Headroom
 from chivespoke.decisions._placement import Site
+from chivespoke.decisions._pressure import KnownPressures
+from chivespoke.decisions._pressure import Pressure
+from chivespoke.decisions._pressure import PressureModel
+from chivespoke.decisions._pressure import Pressures
 from chivespoke.decisions._quarantine import Conduct
 
 __all__ = [
+    'AIM',
     'Conduct',
     'Demand',
     'FULL_PACE',
+    'Headroom',
+    'KnownPressures',
     'LATE_FACTOR',
+    'PaceOrder',
     'PacedRun',
     'Pacer',
+    'Pressure',
+    'PressureModel',
+    'Pressures',
     'Site',
     'can_take',
     'choose_site',
--- a/chivespoke/decisions/_pacing.py
+++ b/chivespoke/decisions/_pacing.py
@@ -1,29 +1,35 @@
 """How fast fillers may work beside tasks that serve.
 
-Answers fillers that press on a serving task's tail latency: the worker's
-fillers are slowed together before the tail is over its target for long, and
-let go in small steps, so that a change of load does not set off a swing.
+Answers fillers that press on a serving task's tail latency while its own load
+swings: the fillers that press most on the task in trouble are slowed first,
+and only as much as the model says is needed; a tail that stays over its target
+whatever the model says slows all of them.
 """
 
 import collections.abc
+import math
 
 import msgspec
 
-# Tail as a share of its target above which fillers are slowed, and well above
-# which they are slowed harder.
-SLOW_ABOVE = 0.85
-HURRY_ABOVE = 1.1
-# Below this share fillers are let go again; the gap is the hysteresis.
-RELEASE_BELOW = 0.65
-SLOW_FACTOR = 0.6
-HURRY_FACTOR = 0.3
-RELEASE_STEP = 20
+from chivespoke.decisions import _pressure
+
+FULL_PACE = 100
+# Tail as a share of its target that pacing aims at, and below which fillers
+# are let go again; the gap is the hysteresis.
+AIM = 0.8
+RELEASE = 0.7
 # The tail is measured over half a second, and a pace acts within 0.1 s: a
 # change shows after this many seconds.
 SETTLE_SECONDS = 0.6
-# Below this a filler makes no progress worth its pressure.
-LEAST_PACE = 5
-FULL_PACE = 100
+# A tail over its target for so long, in seconds, is beyond the model; a
+# worker may be over for four seconds at most.
+PATIENCE_SECONDS = 1.5
+DISTRUST_FACTOR = 0.5
+# Share of the headroom that is given back at once, and the most in percent.
+RELEASE_SHARE = 0.5
+RELEASE_STEP = 30
+# A coefficient below this is no pressure: it is within the model's error.
+NO_PRESSURE = 0.03
 
 
 class PacedRun(msgspec.Struct, frozen=True):
@@ -31,54 +37,136 @@
 
     task: str
     run: int
+    image: str
     filler: bool
     # 0 if it serves nobody.
     target_latency_ms: int
-    # Tail latency of a run that serves, in milliseconds.
+    # Tail latency in milliseconds of a run that serves, else the thousandths
+    # of a core in use.
     measure: float
     # Percent of full speed that was last set.
     pace: int
 
 
+class PaceOrder(msgspec.Struct, frozen=True):
+    """Tell the pace that a run is to have."""
+
+    task: str
+    run: int
+    percent: int
+
+
 class Pacer:
     """Keep the pace of the fillers of one worker."""
 
-    __slots__ = ('_pace', '_changed_at')
+    __slots__ = ('_changed_at', '_over_since')
 
     def __init__(self) -> None:
-        self._pace = FULL_PACE
         self._changed_at = float('-inf')
-
-    @property
-    def pace(self) -> int:
-        """Return the percent of full speed that fillers may have."""
-        return self._pace
+        # Since when a task has been over its target, by task.
+        self._over_since: dict[str, float] = {}
 
     def adjust(
-        self, runs: collections.abc.Sequence[PacedRun], now: float
-    ) -> list[PacedRun]:
-        """Settle the pace; return the runs that have another."""
-        tails = [
-            run.measure / run.target_latency_ms
-            for run in runs
-            if run.target_latency_ms
+        self,
+        runs: collections.abc.Sequence[PacedRun],
+        pressures: _pressure.Pressures,
+        now: float,
+    ) -> list[PaceOrder]:
+        """Return the runs that are to have another pace."""
+        serving = [
+            run for run in runs if run.target_latency_ms and run.measure > 0
+        ]
+        fillers = [run for run in runs if run.filler]
+        self._note_over(serving, now)
+        if now < self._changed_at + SETTLE_SECONDS:
+            return []
+        paces = self._choose(serving, fillers, pressures, now)
+        orders = [
+            PaceOrder(run.task, run.run, paces[run.task])
+            for run in fillers
+            if paces[run.task] != run.pace
         ]
-        if not tails:
-            self._pace = FULL_PACE
-        elif now >= self._changed_at + SETTLE_SECONDS:
-            self._settle(max(tails), now)
-        return [run for run in runs if run.filler and run.pace != self._pace]
-
-    def _settle(self, tail: float, now: float) -> None:
-        pace = self._pace
-        if tail > HURRY_ABOVE:
-            pace = int(pace * HURRY_FACTOR)
-        elif tail > SLOW_ABOVE:
-            pace = int(pace * SLOW_FACTOR)
-        elif tail < RELEASE_BELOW:
-            pace = min(FULL_PACE, pace + RELEASE_STEP)
-        if pace < LEAST_PACE:
-            pace = 0
-        if pace != self._pace:
-            self._pace = pace
+        if orders:
             self._changed_at = now
+        return orders
+
+    def _note_over(
+        self, serving: collections.abc.Sequence[PacedRun], now: float
+    ) -> None:
+        over = {
+            run.task for run in serving if run.measure > run.target_latency_ms
+        }
+        for task in tuple(self._over_since):
+            if task not in over:
+                del self._over_since[task]
+        for task in over:
+            self._over_since.setdefault(task, now)
+
+    def _choose(
+        self,
+        serving: collections.abc.Sequence[PacedRun],
+        fillers: collections.abc.Sequence[PacedRun],
+        pressures: _pressure.Pressures,
+        now: float,
+    ) -> dict[str, int]:
+        paces = {run.task: run.pace for run in fillers}
+        for run in serving:
+            gap = math.log(run.measure / (AIM * run.target_latency_ms))
+            since = self._over_since.get(run.task)
+            if since is not None and now - since > PATIENCE_SECONDS:
+                for task in paces:
+                    paces[task] = int(paces[task] * DISTRUST_FACTOR)
+            elif gap > 0:
+                slow(run, fillers, pressures, gap, paces)
+        for filler in fillers:
+            if paces[filler.task] == filler.pace < FULL_PACE:
+                paces[filler.task] = release(filler, serving, pressures)
+        return paces
+
+
+def slow(
+    serving: PacedRun,
+    fillers: collections.abc.Sequence[PacedRun],
+    pressures: _pressure.Pressures,
+    gap: float,
+    paces: dict[str, int],
+) -> None:
+    """Slow the fillers that press most until a gap of the log tail closes."""
+    ranked = sorted(
+        fillers,
+        key=lambda run: pressures.find(serving.image, run.image),
+        reverse=True,
+    )
+    for run in ranked:
+        coefficient = pressures.find(serving.image, run.image)
+        pressed = coefficient * run.measure / 1000
+        if gap <= 0 or coefficient < NO_PRESSURE:
+            return
+        if pressed <= 0:
+            continue
+        share = min(1.0, gap / pressed)
+        paces[run.task] = min(paces[run.task], int(run.pace * (1 - share)))
+        gap -= share * pressed
+
+
+def release(
+    filler: PacedRun,
+    serving: collections.abc.Sequence[PacedRun],
+    pressures: _pressure.Pressures,
+) -> int:
+    """Return the pace that a slowed filler may have again."""
+    step = float(RELEASE_STEP)
+    # At a pace of zero nothing tells its appetite; a core is a fair guess.
+    cores = 1.0
+    if filler.pace and filler.measure:
+        cores = filler.measure / 1000 / (filler.pace / FULL_PACE)
+    for run in serving:
+        coefficient = pressures.find(run.image, filler.image)
+        if coefficient < NO_PRESSURE:
+            continue
+        headroom = math.log(RELEASE * run.target_latency_ms / run.measure)
+        if headroom <= 0:
+            return filler.pace
+        allowed = RELEASE_SHARE * headroom / (coefficient * cores)
+        step = min(step, FULL_PACE * allowed)
+    return min(FULL_PACE, filler.pace + int(step))
--- a/chivespoke/decisions/_placement.py
+++ b/chivespoke/decisions/_placement.py
@@ -1,7 +1,8 @@
 """Where a task is to run.
 
 Answers a load of wide steps on workers of uneven size: tasks that reserve
-processor time are spread to where most is free, and fillers wait rather than
+processor time are spread to where most is free. Fillers go to where they run
+fastest without pushing a serving task over its target, and wait rather than
 share a worker so thinly that all of them miss their objective.
 """
 
@@ -9,14 +10,25 @@
 
 import msgspec
 
+from chivespoke.decisions import _pressure
 from chivespoke import workloads
 
-# A filler may find this share of its processor time taken by others: it then
-# still ends within its objective, as that allows at least 1.5 times the work.
-FILLER_OVERLAP = 0.1
+# A filler that would run slower than this share of full speed waits: an
+# objective allows 1.5 to 2 times the work, and a wait costs less than a
+# place beside which others suffer.
+LEAST_SPEED = 0.6
 # Share of its reserved processor time that a serving task is taken to use:
 # its load swings between a quarter and two thirds of what it reserves.
 SERVING_USE = 0.5
+MILLIS = 1000
+
+
+class Headroom(msgspec.Struct, frozen=True):
+    """Hold how much the log tail of a serving task may still grow."""
+
+    image: str
+    # Natural logarithm; negative once it is over what pacing aims at.
+    log_room: float
 
 
 class Site(msgspec.Struct, frozen=True):
@@ -30,6 +42,7 @@
     spare_millis: int
     # Tasks of the same step and occurrence that it already has.
     same_step: int = 0
+    headrooms: tuple[Headroom, ...] = ()
 
 
 def estimate_spare(
@@ -40,24 +53,41 @@
     return free_millis + unused - filler_millis
 
 
+def estimate_speed(
+    step: workloads.Step, site: Site, pressures: _pressure.Pressures
+) -> float:
+    """Return the share of full speed that a filler would have."""
+    if not step.cpu_millis:
+        return 1.0
+    speed = min(1.0, max(0.0, site.spare_millis / step.cpu_millis))
+    cores = step.cpu_millis / MILLIS
+    for headroom in site.headrooms:
+        pressed = pressures.find(headroom.image, step.image) * cores
+        if pressed > 0:
+            speed = min(speed, max(0.0, headroom.log_room / pressed))
+    return speed
+
+
 def can_take(step: workloads.Step, site: Site) -> bool:
-    """Tell whether a task of a step may run on a worker now."""
+    """Tell whether a worker has room and right for a task of a step."""
     if not site.free.fits(workloads.measure_need(step)):
         return False
     if step.required_label and step.required_label not in site.labels:
         return False
-    if 0 < step.max_per_worker <= site.same_step:
-        return False
-    needed = int(step.cpu_millis * (1 - FILLER_OVERLAP))
-    return not step.filler or site.spare_millis >= needed
+    return not 0 < step.max_per_worker <= site.same_step
 
 
 def choose_site(
-    step: workloads.Step, sites: collections.abc.Iterable[Site]
+    step: workloads.Step,
+    sites: collections.abc.Iterable[Site],
+    pressures: _pressure.Pressures,
 ) -> Site | None:
     """Return the worker that a task does best on, None if it must wait."""
+    fitting = [site for site in sites if can_take(step, site)]
+    if step.filler:
+        return _choose_for_filler(step, fitting, pressures)
     return max(
-        (site for site in sites if can_take(step, site)),
+        fitting,
         key=lambda site: (
             step.preferred_rack == site.rack,
             -site.same_step if step.long_running else 0,
@@ -66,3 +96,19 @@
         ),
         default=None,
     )
+
+
+def _choose_for_filler(
+    step: workloads.Step,
+    sites: collections.abc.Sequence[Site],
+    pressures: _pressure.Pressures,
+) -> Site | None:
+    best = None
+    best_key = (False, 0.0, 0)
+    for site in sites:
+        speed = estimate_speed(step, site, pressures)
+        near = step.preferred_rack == site.rack
+        key = (near, speed, site.spare_millis)
+        if speed >= LEAST_SPEED and (best is None or key > best_key):
+            best, best_key = site, key
+    return best
