Let serving tasks of one image share workers; aim pacing lower

Change: serving tasks go where their image is; pacing aims at 0.7 of a target; a run is forgotten only after 15 looks without it.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -25,6 +25,9 @@
 LOOK_RETRY_SECONDS = 0.2
 # The worker's clock may be slow by this share, and more for rounding.
 CLOCK_DRIFT = 0.03
+# An order is kept until so many looks in a row did not list its run: a start
+# may take three tries.
+LOOKS_KEPT = 15
 START_ATTEMPTS = 3
 START_RETRY_SECONDS = 0.2
 STOP_RETRY_SECONDS = 0.3
@@ -61,6 +64,7 @@
         '_outcomes',
         '_handling',
         '_orders',
+        '_unlisted',
         '_pacer',
         '_paces',
         '_pressures',
@@ -97,6 +101,8 @@
         self._handling: set[tuple[str, int]] = set()
         # What pacing has to know of the runs, by task.
         self._orders: dict[str, coordination.StartOrder] = {}
+        # Looks in a row that did not list them.
+        self._unlisted: dict[str, int] = {}
         self._pacer = decisions.Pacer()
         # Percent of full speed last set, by task; a run starts at full speed.
         self._paces: dict[str, int] = {}
@@ -138,6 +144,7 @@
         self._pressures = decisions.KnownPressures(directive.pressures)
         for start in directive.starts:
             self._orders[start.task] = start
+            self._unlisted[start.task] = 0
             if not start.repeated:
                 self._paces.pop(start.task, None)
             self._handle(start.task, start.run, self._start(start))
@@ -237,10 +244,13 @@
 
     def _forget_orders(self, look: platform.Look) -> None:
         listed = {row.task for row in look.running}
-        busy = {task for task, _ in self._handling}
         for task in tuple(self._orders):
-            if task not in listed and task not in busy:
+            # A look that was on its way when the run began does not list it.
+            unlisted = self._unlisted.get(task, 0) + 1
+            self._unlisted[task] = 0 if task in listed else unlisted
+            if self._unlisted[task] > LOOKS_KEPT:
                 del self._orders[task]
+                del self._unlisted[task]
                 self._paces.pop(task, None)
 
     def _adjust_pace(self, look: platform.Look) -> None:
--- a/chivespoke/decisions/_pacing.py
+++ b/chivespoke/decisions/_pacing.py
@@ -16,15 +16,15 @@
 FULL_PACE = 100
 # Tail as a share of its target that pacing aims at, and below which fillers
 # are let go again; the gap is the hysteresis.
-AIM = 0.8
-RELEASE = 0.7
+AIM = 0.7
+RELEASE = 0.6
 # The tail is measured over half a second, and a pace acts within 0.1 s: a
 # change shows after this many seconds.
 SETTLE_SECONDS = 0.6
 # A tail over its target for so long, in seconds, is beyond the model; a
 # worker may be over for four seconds at most.
 PATIENCE_SECONDS = 1.5
-DISTRUST_FACTOR = 0.5
+DISTRUST_FACTOR = 0.3
 # Share of the headroom that is given back at once, and the most in percent.
 RELEASE_SHARE = 0.5
 RELEASE_STEP = 30
@@ -110,13 +110,17 @@
         now: float,
     ) -> dict[str, int]:
         paces = {run.task: run.pace for run in fillers}
+        if any(
+            now - since > PATIENCE_SECONDS
+            for since in self._over_since.values()
+        ):
+            return {
+                task: int(pace * DISTRUST_FACTOR)
+                for task, pace in paces.items()
+            }
         for run in serving:
             gap = math.log(run.measure / (AIM * run.target_latency_ms))
-            since = self._over_since.get(run.task)
-            if since is not None and now - since > PATIENCE_SECONDS:
-                for task in paces:
-                    paces[task] = int(paces[task] * DISTRUST_FACTOR)
-            elif gap > 0:
+            if gap > 0:
                 slow(run, fillers, pressures, gap, paces)
         for filler in fillers:
             if paces[filler.task] == filler.pace < FULL_PACE:
--- a/chivespoke/decisions/_placement.py
+++ b/chivespoke/decisions/_placement.py
@@ -90,7 +90,7 @@
         fitting,
         key=lambda site: (
             step.preferred_rack == site.rack,
-            -site.same_step if step.long_running else 0,
+            measure_company(step, site),
             site.spare_millis,
             site.worker,
         ),
@@ -98,6 +98,18 @@
     )
 
 
+def measure_company(step: workloads.Step, site: Site) -> int:
+    """Return how well a serving task suits those that a worker has.
+
+    Serving tasks of one image share workers, so that fillers which press on
+    it find workers without it.
+    """
+    if not step.target_latency_ms:
+        return 0
+    same = sum(room.image == step.image for room in site.headrooms)
+    return 2 * same - len(site.headrooms)
+
+
 def _choose_for_filler(
     step: workloads.Step,
     sites: collections.abc.Sequence[Site],
