Take a later life on a machine as the end of the earlier one

Cause: after all power was off the workers came back as new lives, but a new leader knew the runs of the old ones only by the worker's name, and waited 18 s for leases that no one could hold; also SIGHUP ended the daemons. Change: a worker's name begins with its sidecar's, which has one worker at a time; the settings file is read again on SIGHUP and each second.

--- a/chivespoke/agents/_agent.py
+++ b/chivespoke/agents/_agent.py
@@ -34,6 +34,7 @@
     """Keep a session with the worker and a link with the leader."""
 
     __slots__ = (
+        '_holder',
         '_machine',
         '_store',
         '_clock',
@@ -50,11 +51,13 @@
 
     def __init__(
         self,
-        machine: platform.MachineSettings,
+        holder: platform.MachineHolder,
         store: platform.Store,
         time: clock.Clock,
     ) -> None:
-        self._machine = machine
+        self._holder = holder
+        # Its name and addresses, which hold for the life of the process.
+        self._machine = holder.machine
         self._store = store
         self._clock = time
         self._incarnation = identifiers.make_incarnation()
@@ -132,11 +135,12 @@
         await transport.start()
         self._transport = transport
         self._session = _session.Session(
+            self._machine.name,
             found,
             platform.WorkerClient(transport, found.identifier),
             self,
             self._clock,
-            self._machine.bounds.lease_limit,
+            self._holder.machine.bounds.lease_limit,
             self._epoch,
         )
         self._session.start()
@@ -221,9 +225,7 @@
                 (),
             )
         else:
-            report = self._session.make_report(
-                self._machine.name, self._incarnation
-            )
+            report = self._session.make_report(self._incarnation)
         await socket.send_multipart(
             [peer, coordination.ENCODER.encode(report)]
         )
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -48,6 +48,7 @@
         'registration',
         'epoch',
         'departing',
+        '_sidecar',
         '_client',
         '_owner',
         '_clock',
@@ -73,6 +74,7 @@
 
     def __init__(
         self,
+        sidecar: str,
         registration: platform.Registration,
         client: platform.WorkerClient,
         owner: SessionOwner,
@@ -84,6 +86,7 @@
         # The leader that orders are taken from, as a fencing token.
         self.epoch = epoch
         self.departing = False
+        self._sidecar = sidecar
         self._client = client
         self._owner = owner
         self._clock = time
@@ -114,6 +117,7 @@
         """Return the description of this life."""
         found = self.registration
         return coordination.WorkerLife(
+            self._sidecar,
             found.identifier,
             found.born_ms,
             found.service,
@@ -151,15 +155,13 @@
         for stop in directive.stops:
             self._handle(stop.task, stop.run, self._stop(stop))
 
-    def make_report(
-        self, sidecar: str, incarnation: str
-    ) -> coordination.Report:
+    def make_report(self, incarnation: str) -> coordination.Report:
         """Return what the leader has to know, and forget told outcomes."""
         outcomes = tuple(self._outcomes)
         self._outcomes.clear()
         look = self._look or platform.Look(0, (), ())
         return coordination.Report(
-            sidecar=sidecar,
+            sidecar=self._sidecar,
             incarnation=incarnation,
             epoch=self.epoch,
             life=self.life if self._look else None,
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -4,6 +4,7 @@
 
 from chivespoke.coordination import _fleet
 from chivespoke.coordination import _jobs
+from chivespoke.coordination import _messages
 from chivespoke.coordination import _records
 from chivespoke import decisions
 from chivespoke import logs
@@ -117,6 +118,9 @@
     def add_worker(self, worker: _fleet.Worker) -> None:
         """Take in a new worker, with the runs recorded for it."""
         self.workers[worker.life.key] = worker
+        for key in tuple(self.unheard):
+            if _messages.is_earlier_life(key, worker.life):
+                self._release_unheard(key, 'a later life began')
         known = self.unheard.pop(worker.life.key, None)
         for run in known.runs if known else ():
             worker.add(run)
@@ -163,16 +167,19 @@
                 self.release_all(worker, 'not heard until its leases ran out')
                 worker.answering = False
         for key, unheard in tuple(self.unheard.items()):
-            if now < unheard.bound:
-                continue
-            LOGGER.warning(
-                'A worker was never heard; its leases have run out.',
-                worker=key,
-                runs=len(unheard.runs),
-            )
-            del self.unheard[key]
-            for run in unheard.runs:
-                self._release(run)
+            if now >= unheard.bound:
+                self._release_unheard(key, 'never heard; its leases ran out')
+
+    def _release_unheard(self, key: str, cause: str) -> None:
+        unheard = self.unheard.pop(key)
+        LOGGER.warning(
+            'The runs of a worker are over.',
+            worker=key,
+            cause=cause,
+            runs=len(unheard.runs),
+        )
+        for run in unheard.runs:
+            self._release(run)
 
     def _release(self, run: _fleet.Run) -> None:
         state = self.jobs.get(run.name.job)
--- a/chivespoke/coordination/_messages.py
+++ b/chivespoke/coordination/_messages.py
@@ -10,6 +10,8 @@
 class WorkerLife(msgspec.Struct, frozen=True, array_like=True):
     """Describe one life of a worker."""
 
+    # The sidecar of its machine, which has one worker at a time.
+    sidecar: str
     identifier: str
     born_ms: int
     service: str
@@ -20,7 +22,18 @@
     @property
     def key(self) -> str:
         """Return the name of this life; an identifier may be used again."""
-        return f'{self.identifier}@{self.born_ms}'
+        return f'{self.sidecar}/{self.identifier}@{self.born_ms}'
+
+
+def is_earlier_life(key: str, life: WorkerLife) -> bool:
+    """Tell whether a name is that of an earlier life on the same machine."""
+    sidecar, _, rest = key.partition('/')
+    _, _, born = rest.rpartition('@')
+    return (
+        sidecar == life.sidecar
+        and born.isdecimal()
+        and int(born) < life.born_ms
+    )
 
 
 class OrderOutcome(msgspec.Struct, frozen=True, array_like=True):
--- a/chivespoke/platform/__init__.py
+++ b/chivespoke/platform/__init__.py
@@ -9,8 +9,10 @@
 from chivespoke.platform._operator import OPERATOR_TOPIC
 from chivespoke.platform._operator import OperatorChange
 from chivespoke.platform._settings import Bounds
+from chivespoke.platform._settings import MachineHolder
 from chivespoke.platform._settings import MachineSettings
 from chivespoke.platform._settings import read_machine_settings
+from chivespoke.platform._settings import replace_bounds
 from chivespoke.platform._store import decode_records
 from chivespoke.platform._store import encode_record
 from chivespoke.platform._store import FencedError
@@ -47,6 +49,7 @@
     'ForgottenError',
     'KEYED_PREFIX',
     'Look',
+    'MachineHolder',
     'MachineSettings',
     'Membership',
     'MovedError',
@@ -71,4 +74,5 @@
     'encode_record',
     'is_job_identifier',
     'read_machine_settings',
+    'replace_bounds',
 ]
--- a/chivespoke/platform/_settings.py
+++ b/chivespoke/platform/_settings.py
@@ -97,6 +97,22 @@
     bounds: Bounds
 
 
+class MachineHolder:
+    """Hold the settings in force; a reload replaces them."""
+
+    __slots__ = ('machine',)
+
+    def __init__(self, machine: MachineSettings) -> None:
+        self.machine = machine
+
+
+def replace_bounds(
+    machine: MachineSettings, bounds: Bounds
+) -> MachineSettings:
+    """Return settings with other bounds."""
+    return msgspec.structs.replace(machine, bounds=bounds)
+
+
 def read_machine_settings(path: pathlib.Path) -> MachineSettings:
     """Read and check the platform's file; raise SettingsError."""
     try:
--- a/chivespoke/serving/__main__.py
+++ b/chivespoke/serving/__main__.py
@@ -10,13 +10,12 @@
 from chivespoke import clock
 from chivespoke import errors
 from chivespoke import logs
-from chivespoke import platform
 from chivespoke import serving
 
 SETTINGS_VARIABLE = 'CHIVESPOKE_CONFIG'
 BAD_ARGUMENTS = 2
 Maker = collections.abc.Callable[
-    [platform.MachineSettings, clock.Clock], application.Application
+    [pathlib.Path, clock.Clock], application.Application
 ]
 MAKERS: dict[str, Maker] = {
     'entry': serving.make_entry,
@@ -34,17 +33,16 @@
         return BAD_ARGUMENTS
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ''))
     try:
-        machine = platform.read_machine_settings(path)
+        asyncio.run(_run(make, path))
     except errors.SettingsError as error:
         sys.stderr.write(f'{error}\n')
         return BAD_ARGUMENTS
-    asyncio.run(_run(make, machine))
     return 0
 
 
-async def _run(make: Maker, machine: platform.MachineSettings) -> None:
+async def _run(make: Maker, path: pathlib.Path) -> None:
     # Made within the loop, since parts make events when they are made.
-    await make(machine, clock.SystemClock()).run()
+    await make(path, clock.SystemClock()).run()
 
 
 if __name__ == '__main__':
--- a/chivespoke/serving/_assembly.py
+++ b/chivespoke/serving/_assembly.py
@@ -1,5 +1,7 @@
 """Composing the platform's daemons from their parts."""
 
+import pathlib
+
 from chivespoke import addresses
 from chivespoke import agents
 from chivespoke import application
@@ -8,6 +10,7 @@
 from chivespoke import identifiers
 from chivespoke import intake
 from chivespoke import platform
+from chivespoke.serving import _watcher
 from chivespoke import telemetry
 from chivespoke import web
 
@@ -19,9 +22,14 @@
 
 
 def make_entry(
-    machine: platform.MachineSettings, time: clock.Clock
+    path: pathlib.Path, time: clock.Clock
 ) -> application.Application:
-    """Compose an entry: the callers' door, and a part that may lead."""
+    """Compose an entry: the callers' door, and a part that may lead.
+
+    Raise SettingsError if the settings cannot be used.
+    """
+    machine = platform.read_machine_settings(path)
+    holder = platform.MachineHolder(machine)
     calls = platform.Transport(machine.store, STORE_CONNECTIONS)
     reads = platform.Transport(machine.store, READ_CONNECTIONS)
     store = platform.Store(calls, reads)
@@ -34,6 +42,7 @@
     readiness = intake.Readiness(coordinator, desk, time)
     return application.Application(
         (
+            _watcher.SettingsWatcher(path, holder),
             calls,
             reads,
             web.HttpServer(parse_address(machine.callers), (desk,)),
@@ -48,16 +57,19 @@
 
 
 def make_sidecar(
-    machine: platform.MachineSettings, time: clock.Clock
+    path: pathlib.Path, time: clock.Clock
 ) -> application.Application:
-    """Compose the process beside a worker."""
+    """Compose the process beside a worker; raise SettingsError."""
+    machine = platform.read_machine_settings(path)
+    holder = platform.MachineHolder(machine)
     calls = platform.Transport(machine.store, STORE_CONNECTIONS)
     store = platform.Store(calls, calls)
     instruments = telemetry.Telemetry()
-    agent = agents.Agent(machine, store, time)
+    agent = agents.Agent(holder, store, time)
     desk = agents.RegistrationDesk(agent)
     return application.Application(
         (
+            _watcher.SettingsWatcher(path, holder),
             calls,
             agent,
             web.HttpServer(parse_address(machine.registration), (desk,)),
