--- a/chivespoke/application.py
+++ b/chivespoke/application.py
@@ -41,6 +41,11 @@
         # The first invariant that a task found broken.
         self._broken: errors.InvariantError | None = None
 
+    @property
+    def components(self) -> tuple[Component, ...]:
+        """Return every component, in the order in which they start."""
+        return self._components
+
     async def start(self) -> None:
         """Start every component; stop the started ones if one fails."""
         for component in self._components:
@@ -57,6 +62,10 @@
             await component.drain()
         await self._stop_started()
 
+    async def abort(self) -> None:
+        """Stop every component without draining it."""
+        await self._stop_started()
+
     def request_stop(self) -> None:
         """Make run return after a graceful shutdown."""
         self._stopping.set()
--- a/chivespoke/serving/_assembly.py
+++ b/chivespoke/serving/_assembly.py
@@ -80,6 +80,15 @@
     )
 
 
+def is_leading(entry: application.Application) -> bool:
+    """Tell whether an entry leads."""
+    return any(
+        isinstance(component, coordination.Coordinator)
+        and component.term is not None
+        for component in entry.components
+    )
+
+
 def parse_address(text: str) -> addresses.Address:
     """Return an address given as an IP number and a port."""
     host, _, port = text.rpartition(':')
--- /dev/null
+++ b/chivespoke/serving/tests/builders.py
@@ -0,0 +1,214 @@
+"""Builders of a small platform with our daemons on it."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import tempfile
+import typing
+
+import aiohttp
+import msgspec
+
+from chivespoke import application
+from chivespoke import clock
+from chivespoke import serving
+from chivespoke import standins
+from chivespoke import web
+
+SERVICE = 'service-1'
+HOST = 'queue.example'
+PREFIX = '/jobs/'
+TASK_SECONDS = 0.3
+FIRST_PORT = 7000
+# Loopback addresses of this process: each test process has its own block.
+BLOCK = (100 + os.getpid() // 62500 % 100, os.getpid() // 250 % 250)
+TEMPLATE = """\
+node_name = "{name}"
+machine_class = "{kind}"
+ip = "{ip}"
+zone = "zone-1"
+internal_port_range = [{port}, {port}]
+app = "{worker}"
+[listen_addresses]
+frontend = "{ip}:8161"
+readiness = "{ip}:8167"
+control = "{ip}:8166"
+[bounds]
+max_hold_ms = 10000
+[platform]
+address = "{store}"
+min_ttl_ms = 1000
+"""
+
+
+def make_configuration(version: int = 1, **route: object) -> bytes:
+    """Return the operator's configuration with one queue."""
+    return msgspec.json.encode(
+        {
+            'version': version,
+            'routes': [
+                {
+                    'name': 'queue-1',
+                    'host': HOST,
+                    'path_prefix': PREFIX,
+                    'service': SERVICE,
+                    'max_attempts': 2,
+                    'stretch': 2.0,
+                    'target_completion_ms': 250,
+                    **route,
+                }
+            ],
+            'services': [{'name': SERVICE, 'enforces_capacity': True}],
+        }
+    )
+
+
+class Daemon:
+    """Run one daemon of a small platform, and start it again."""
+
+    def __init__(self, kind: str, path: pathlib.Path, ip: str) -> None:
+        self.kind = kind
+        self.path = path
+        self.ip = ip
+        self.application: application.Application | None = None
+
+    async def start(self) -> None:
+        """Start the daemon."""
+        make = {'edge': serving.make_entry, 'side': serving.make_sidecar}
+        self.application = make[self.kind](self.path, clock.SystemClock())
+        await self.application.start()
+
+    async def kill(self) -> None:
+        """End the daemon without any notice."""
+        if self.application is not None:
+            await self.application.abort()
+            self.application = None
+
+
+class Platform:
+    """Hold a store, workers, and the daemons."""
+
+    def __init__(self) -> None:
+        self.store = standins.PlatformStore()
+        self.ledger = standins.RunLedger()
+        self.runners: list[standins.PlatformRunner] = []
+        self.entries: list[Daemon] = []
+        self.sidecars: list[Daemon] = []
+        self._servers: list[web.HttpServer] = []
+        self._folder = tempfile.TemporaryDirectory()
+        self._stack = contextlib.AsyncExitStack()
+        self._addresses = 0
+        self.session: aiohttp.ClientSession | None = None
+
+    async def start(self, entries: int, workers: int) -> None:
+        """Start everything, and return once an entry is ready."""
+        store = await self._serve(self.store.make_server())
+        await self.store.put('keyed.op', 'config', make_configuration())
+        self.session = await self._stack.enter_async_context(
+            aiohttp.ClientSession()
+        )
+        for number in range(entries):
+            self.entries.append(
+                self._make_daemon('edge', f'entry-{number}', store, '')
+            )
+        for number in range(workers):
+            runner = standins.PlatformRunner(
+                f'i-{number}', SERVICE, 'zone-1', TASK_SECONDS, self.ledger
+            )
+            runner.address = await self._serve(runner.make_server())
+            await runner.start()
+            self.runners.append(runner)
+            sidecar = self._make_daemon(
+                'side', f'sidecar-{number}', store, runner.address
+            )
+            self.sidecars.append(sidecar)
+            runner.register_at(f'{sidecar.ip}:8166')
+        for daemon in (*self.entries, *self.sidecars):
+            await daemon.start()
+        for daemon in self.entries:
+            await self.wait_ready(daemon)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for daemon in (*self.entries, *self.sidecars):
+            await daemon.kill()
+        for runner in self.runners:
+            await runner.stop()
+        await self._stack.aclose()
+        for server in self._servers:
+            await server.stop()
+        self._folder.cleanup()
+
+    async def wait_ready(self, daemon: Daemon) -> None:
+        """Return once the balancer would send to an entry."""
+        assert self.session is not None
+        while True:
+            url = f'http://{daemon.ip}:8167/ready'
+            async with self.session.get(url) as response:
+                if response.status == 200:
+                    return
+            await asyncio.sleep(0.02)
+
+    async def ask(
+        self,
+        method: str,
+        identifier: str,
+        body: object = None,
+        entry: int = 0,
+    ) -> tuple[int, typing.Any]:
+        """Make a caller's request; return the status and what it says."""
+        assert self.session is not None
+        url = f'http://{self.entries[entry].ip}:8161{PREFIX}{identifier}'
+        async with self.session.request(
+            method, url, json=body, headers={'Host': HOST}
+        ) as response:
+            return response.status, msgspec.json.decode(await response.read())
+
+    async def wait_state(
+        self, identifier: str, state: str, entry: int = 0
+    ) -> None:
+        """Return once an entry tells that a job is in a state."""
+        while True:
+            status, found = await self.ask('GET', identifier, entry=entry)
+            if status == 200 and found['state'] == state:
+                return
+            await asyncio.sleep(0.05)
+
+    def list_began(self) -> list[standins.Ran]:
+        """Return every run that began on any worker."""
+        return [ran for runner in self.runners for ran in runner.began]
+
+    def list_leaders(self) -> list[int]:
+        """Return the entries that lead."""
+        return [
+            number
+            for number, daemon in enumerate(self.entries)
+            if daemon.application is not None
+            and serving.is_leading(daemon.application)
+        ]
+
+    async def _serve(self, server: web.HttpServer) -> str:
+        await server.start()
+        self._servers.append(server)
+        return f'{server.address.host}:{server.address.port}'
+
+    def _make_daemon(
+        self, kind: str, name: str, store: str, worker: str
+    ) -> Daemon:
+        self._addresses += 1
+        last = os.getpid() % 250
+        ip = f'127.{BLOCK[0]}.{(BLOCK[1] + self._addresses) % 256}.{last + 1}'
+        path = pathlib.Path(self._folder.name, f'{name}.toml')
+        path.write_text(
+            TEMPLATE.format(
+                name=name,
+                kind=kind,
+                ip=ip,
+                port=FIRST_PORT,
+                worker=worker,
+                store=store,
+            ),
+            encoding='utf-8',
+        )
+        return Daemon(kind, path, ip)
--- a/chivespoke/standins/__init__.py
+++ b/chivespoke/standins/__init__.py
@@ -5,6 +5,12 @@
 from chivespoke.standins._log import LogFaults
 from chivespoke.standins._log import MemoryLog
 from chivespoke.standins._log_server import LogServer
+from chivespoke.standins._runner import PlatformRunner
+from chivespoke.standins._runner import Ran
+from chivespoke.standins._runner import RunLedger
+from chivespoke.standins._runner import RunnerFaults
+from chivespoke.standins._store import PlatformStore
+from chivespoke.standins._store import StoreFaults
 from chivespoke.standins._worker import Run
 from chivespoke.standins._worker import TaskPlan
 from chivespoke.standins._worker import WorkerAgent
@@ -22,7 +28,13 @@
     'MemoryLog',
     'MemoryWorkerClient',
     'MemoryWorkerConnector',
+    'PlatformRunner',
+    'PlatformStore',
+    'Ran',
     'Run',
+    'RunLedger',
+    'RunnerFaults',
+    'StoreFaults',
     'TaskPlan',
     'WorkerAgent',
     'WORKERS_PER_RACK',
