Wait for the store as its answers teach; record checkpoints; leave stalled runs

Change: an entry takes the ledger's word for a job, and gives up after 1 s; the leader's wait follows the answers seen (RFC 6298); new checkpoints are recorded each second; a run without progress is stopped and its worker left out.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -23,6 +23,8 @@
 # brings the figures that pacing needs.
 LOOK_SECONDS = 0.3
 LOOK_RETRY_SECONDS = 0.2
+# Pause while ends wait to be recorded, in seconds: about the time it takes.
+ENDED_SECONDS = 0.02
 # The worker's clock may be slow by this share, and more for rounding.
 CLOCK_DRIFT = 0.03
 # An order is kept until so many looks in a row did not list its run: a start
@@ -229,6 +231,9 @@
             self._owner.wake()
         self._forget_orders(look)
         self._adjust_pace(look)
+        if look.ended:
+            # Ends that are not acknowledged yet make a look return at once.
+            await self._clock.sleep(ENDED_SECONDS)
 
     def _note_answering(self, answering: bool, detail: str) -> None:
         if answering == self._answering:
--- a/chivespoke/coordination/__init__.py
+++ b/chivespoke/coordination/__init__.py
@@ -15,20 +15,24 @@
 from chivespoke.coordination._messages import StartOrder
 from chivespoke.coordination._messages import StopOrder
 from chivespoke.coordination._messages import WorkerLife
+from chivespoke.coordination._records import CANCEL_PREFIX
 from chivespoke.coordination._records import encode_cancel
 from chivespoke.coordination._records import encode_job
 from chivespoke.coordination._records import encode_sidecar
 from chivespoke.coordination._records import Entry
+from chivespoke.coordination._records import JOB_PREFIX
 from chivespoke.coordination._records import Ledger
 from chivespoke.coordination._records import SYSTEM_TOPIC
 
 __all__ = [
+    'CANCEL_PREFIX',
     'Coordinator',
     'DIRECTIVE_DECODER',
     'Directive',
     'ENCODER',
     'Engine',
     'Entry',
+    'JOB_PREFIX',
     'Ledger',
     'Limits',
     'OrderOutcome',
--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -23,6 +23,9 @@
 # A worker gets nothing new once its sidecar was silent for so many seconds:
 # two heartbeats and a half.
 SILENCE_SECONDS = 1.0
+# New checkpoints are recorded so often, in seconds, for the case that all
+# workers are lost at once: work between two checkpoints takes as long.
+CHECKPOINT_SECONDS = 1.0
 
 
 class Orders(msgspec.Struct, frozen=True):
@@ -44,13 +47,14 @@
 class Engine:
     """Decide what runs where, and keep account of it."""
 
-    __slots__ = ('_state', '_intake', '_epoch', '_decided')
+    __slots__ = ('_state', '_intake', '_epoch', '_decided', '_checkpoints_at')
 
     def __init__(self, epoch: int, limits: _engine_state.Limits) -> None:
         self._epoch = epoch
         self._state = _engine_state.State(limits)
         self._intake = _reports.Intake(self._state)
         self._decided: list[_fleet.Run] = []
+        self._checkpoints_at = 0.0
 
     @property
     def state(self) -> _engine_state.State:
@@ -83,9 +87,11 @@
             self._update_terms(orders.configuration)
             self._place(orders, now, wall)
         records: list[bytes] = []
+        self._mark_checkpoints(now)
         for state in tuple(self._state.jobs.values()):
             if state.dirty:
                 state.dirty = False
+                state.has_new_checkpoint = False
                 records.append(
                     _records.encode_progress(
                         state.job.identifier, state.progress
@@ -104,6 +110,14 @@
         }
         return Plan(tuple(records), decided, ends)
 
+    def _mark_checkpoints(self, now: float) -> None:
+        if now < self._checkpoints_at + CHECKPOINT_SECONDS:
+            return
+        self._checkpoints_at = now
+        for state in self._state.jobs.values():
+            if state.has_new_checkpoint and not state.final:
+                state.dirty = True
+
     def confirm(self, plan: Plan) -> None:
         """Let the orders of a plan leave: its records are in the store."""
         for run in plan.decided:
--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -45,6 +45,7 @@
         'repeated',
         'log_base',
         'sample',
+        'watch',
     )
 
     def __init__(
@@ -66,6 +67,7 @@
         # Log of the tail that a serving run would have without fillers.
         self.log_base: float | None = None
         self.sample: TailSample | None = None
+        self.watch: decisions.ProgressWatch | None = None
         # Ordered before, by this leader or an earlier one.
         self.repeated = False
 
--- a/chivespoke/coordination/_jobs.py
+++ b/chivespoke/coordination/_jobs.py
@@ -19,6 +19,7 @@
         'progress',
         'terms',
         'dirty',
+        'has_new_checkpoint',
         'due',
         'objective',
         'chain',
@@ -33,6 +34,8 @@
         self.terms = job.terms
         # Differs from what the store holds.
         self.dirty = progress is None
+        # A task has a later checkpoint than the store knows.
+        self.has_new_checkpoint = False
         self.chain = decisions.measure_chain(job)
         self.objective = max(
             SHORTEST_OBJECTIVE,
--- a/chivespoke/coordination/_records.py
+++ b/chivespoke/coordination/_records.py
@@ -1,6 +1,7 @@
 """Records of the system's own topic, and the fold over them."""
 
 import abc
+import asyncio
 
 import msgspec
 
@@ -133,16 +134,21 @@
 class Ledger(_followers.TopicFold):
     """Fold the system's topic into jobs, sidecars and the load."""
 
-    __slots__ = ('entries', 'sidecars', 'load', 'listener')
+    __slots__ = ('entries', 'sidecars', 'load', 'listener', '_awaited')
 
     def __init__(self) -> None:
         self.entries: dict[str, Entry] = {}
         self.sidecars: dict[str, str] = {}
         self.load: LoadRecord | None = None
         self.listener: Listener | None = None
+        # By key.
+        self._awaited: dict[str, asyncio.Event] = {}
 
     def apply(self, record: platform.Record) -> None:
         """Apply one record; a record that cannot be read is passed over."""
+        awaited = self._awaited.get(record.key)
+        if awaited is not None:
+            awaited.set()
         try:
             self._apply(record)
         except msgspec.MsgspecError as error:
@@ -153,6 +159,14 @@
                 error=str(error),
             )
 
+    async def wait_for(self, key: str) -> None:
+        """Return once a record under a key is applied."""
+        event = self._awaited.setdefault(key, asyncio.Event())
+        try:
+            await event.wait()
+        finally:
+            self._awaited.pop(key, None)
+
     def retain(self, keys: frozenset[str]) -> None:
         """Forget what is not under these keys, after a whole reading."""
         for identifier in tuple(self.entries):
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -3,6 +3,7 @@
 from chivespoke.coordination import _engine_state
 from chivespoke.coordination import _fleet
 from chivespoke.coordination import _messages
+from chivespoke import decisions
 from chivespoke import logs
 from chivespoke import platform
 from chivespoke import workloads
@@ -191,8 +192,36 @@
             run.state = _fleet.RunState.RUNNING
         state = self._state.jobs.get(run.name.job)
         task = state.find(run.name) if state else None
-        if task is not None and row.checkpoint:
+        if state is None or task is None:
+            return
+        if row.checkpoint and row.checkpoint != task.checkpoint:
             task.checkpoint = row.checkpoint
+            state.has_new_checkpoint = True
+        if self._stands_still(run, row, worker.heard_at):
+            self._stop_stalled(worker, run)
+
+    def _stands_still(
+        self, run: _fleet.Run, row: platform.RunningTask, now: float
+    ) -> bool:
+        if run.state is not _fleet.RunState.RUNNING or run.step.long_running:
+            return False
+        if run.watch is None:
+            run.watch = decisions.ProgressWatch(now)
+        use = min(1.0, row.measure / max(1, run.step.cpu_millis))
+        estimated = run.step.estimated_ms / 1000
+        return run.watch.note(row.progress, use, estimated, now)
+
+    def _stop_stalled(self, worker: _fleet.Worker, run: _fleet.Run) -> None:
+        LOGGER.warning(
+            'A run stands still; its task begins elsewhere.',
+            task=run.text,
+            run=run.number,
+            worker=worker.life.key,
+            progress=run.listing.progress if run.listing else 0,
+        )
+        self._state.find_conduct(worker).note_stall(worker.heard_at)
+        run.state = _fleet.RunState.STOPPING
+        run.sent_at = None
 
     def _take_outcome(
         self,
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -14,6 +14,7 @@
 from chivespoke.coordination import _messages
 from chivespoke.coordination import _operator_view
 from chivespoke.coordination import _records
+from chivespoke import decisions
 from chivespoke import errors
 from chivespoke import logs
 from chivespoke import platform
@@ -27,9 +28,7 @@
 # Time is looked at so often, in seconds, when nothing else happens.
 TICK_SECONDS = 0.2
 # Pause before an append without an answer is repeated, in seconds.
-APPEND_RETRY_SECONDS = 0.2
-# An append is waited for so long, in seconds: a slow store takes about 0.3 s.
-APPEND_SECONDS = 1.5
+APPEND_RETRY_SECONDS = 0.1
 # Nothing starts on a view of the operator's wishes older than this, in
 # seconds: less than the shortest bound on obeying them.
 VIEW_AGE_LIMIT = 1.8
@@ -57,6 +56,7 @@
         '_load_at',
         '_lives',
         '_superseded',
+        '_patience',
     )
 
     def __init__(
@@ -87,6 +87,7 @@
         # The worker that each sidecar spoke of last.
         self._lives: dict[str, _fleet.Worker] = {}
         self._superseded = asyncio.Event()
+        self._patience = decisions.Patience()
 
     @property
     def engine(self) -> _engine.Engine:
@@ -214,19 +215,30 @@
     async def _append(self, records: bytes) -> int:
         producer = platform.Producer(PRODUCER, self._epoch, self._sequence)
         while True:
+            asked = self._clock.read_monotonic()
             try:
                 end = await self._store.append(
-                    _records.SYSTEM_TOPIC, records, producer, APPEND_SECONDS
+                    _records.SYSTEM_TOPIC,
+                    records,
+                    producer,
+                    self._patience.seconds,
                 )
             except platform.FencedError:
                 raise
             except errors.ChivespokeError as error:
+                # The store takes a repeated sequence number only once.
+                if isinstance(error, errors.UnavailableError):
+                    self._patience.note_silence()
                 LOGGER.warning(
                     'The leader cannot write; it tries again.',
                     sequence=self._sequence,
+                    next_wait=self._patience.seconds,
                     error=error,
                 )
                 await self._clock.sleep(APPEND_RETRY_SECONDS)
             else:
+                self._patience.note_answer(
+                    self._clock.read_monotonic() - asked
+                )
                 self._sequence += 1
                 return end
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -9,6 +9,7 @@
 from chivespoke.decisions._pacing import PacedRun
 from chivespoke.decisions._pacing import PaceOrder
 from chivespoke.decisions._pacing import Pacer
+from chivespoke.decisions._patience import Patience
 from chivespoke.decisions._placement import can_take
 from chivespoke.decisions._placement import choose_site
 from chivespoke.decisions._placement import estimate_spare
@@ -19,6 +20,7 @@
 from chivespoke.decisions._pressure import PressureModel
 from chivespoke.decisions._pressure import Pressures
 from chivespoke.decisions._quarantine import Conduct
+from chivespoke.decisions._stalls import ProgressWatch
 
 __all__ = [
     'AIM',
@@ -31,9 +33,11 @@
     'PaceOrder',
     'PacedRun',
     'Pacer',
+    'Patience',
     'Pressure',
     'PressureModel',
     'Pressures',
+    'ProgressWatch',
     'Site',
     'can_take',
     'choose_site',
--- a/chivespoke/decisions/_quarantine.py
+++ b/chivespoke/decisions/_quarantine.py
@@ -1,8 +1,8 @@
 """Which workers fail what they are given.
 
-Answers workers that report themselves healthy and fail every task: after a
-few failures with no success between them a worker is left out, and is tried
-with one task at a time when its probation begins.
+Answers workers that report themselves healthy and fail every task, or on which
+tasks stand still: after a few failures with no success between them a worker
+is left out, and is tried with one task at a time when its probation begins.
 """
 
 # Failures in a row that mark a worker: a sound one, at one failure in twenty,
@@ -34,6 +34,11 @@
         self._paused_until = now + PAUSE_SECONDS
         return True
 
+    def note_stall(self, now: float) -> None:
+        """Mark the worker: runs stand still on it."""
+        self._failures = max(self._failures, FAILURES)
+        self._paused_until = now + PAUSE_SECONDS
+
     def allows(self, now: float, running: int) -> bool:
         """Tell whether the worker may be given another task."""
         if self._failures < FAILURES:
--- a/chivespoke/intake/_desk.py
+++ b/chivespoke/intake/_desk.py
@@ -1,5 +1,6 @@
 """Taking jobs in, cancelling them, and telling how far they are."""
 
+import asyncio
 import collections.abc
 import time
 
@@ -17,17 +18,12 @@
 
 LOGGER = logs.make_logger('intake')
 
-DEADLINE_HEADER = 'Chivespoke-Deadline-Ms'
-# Used where a caller does not say how long it waits, in seconds.
-DEFAULT_DEADLINE = 3.0
-# Kept back from a caller's time for the way of the answer, in seconds.
-ANSWER_MARGIN = 0.2
 # An entry that has not heard from the store for so long cannot tell which
 # jobs exist, in seconds: a read waits for one second at most.
 FRESH_SECONDS = 2.0
-# One try of an append, in seconds: sixty times the store's usual 6 ms.
-APPEND_SECONDS = 0.4
-APPEND_RETRY_SECONDS = 0.05
+# An append is waited for so long, in seconds: a slow store takes about 0.4 s,
+# and a caller that hears nothing by then does better at another entry.
+APPEND_SECONDS = 1.0
 
 
 class JobDesk(chivespoke_web.RouteProvider):
@@ -94,7 +90,7 @@
         if request.method == 'GET':
             return self._tell_phase(identifier)
         if request.method == 'DELETE':
-            return await self._cancel(request, identifier)
+            return await self._cancel(identifier)
         if request.method == 'POST':
             return await self._submit(
                 request, configuration, queue, identifier
@@ -125,12 +121,12 @@
                 identifier, _answers.Outcome.INVALID, str(error)
             )
         record = coordination.encode_job(job)
-        outcome, detail = await self._append(request, identifier, record)
+        outcome, detail = await self._append(
+            coordination.JOB_PREFIX + identifier, record
+        )
         return self._settle(identifier, outcome, detail)
 
-    async def _cancel(
-        self, request: web.Request, identifier: str
-    ) -> web.Response:
+    async def _cancel(self, identifier: str) -> web.Response:
         entry = self._find(identifier)
         if entry is None:
             return self._refuse_unknown(identifier)
@@ -139,37 +135,46 @@
         record = coordination.encode_cancel(
             identifier, int(self._clock.read_wall() * 1000)
         )
-        outcome, detail = await self._append(request, identifier, record)
+        outcome, detail = await self._append(
+            coordination.CANCEL_PREFIX + identifier, record
+        )
         return self._settle(identifier, outcome, f'cancel {detail}')
 
     async def _append(
-        self, request: web.Request, identifier: str, record: bytes
+        self, key: str, record: bytes
     ) -> tuple[_answers.Outcome, str]:
-        """Append until it is known to be done, or time is up."""
-        until = self._clock.read_monotonic() + read_deadline(request)
-        uncertain = False
-        while True:
-            try:
-                end = await self._store.append(
-                    coordination.SYSTEM_TOPIC,
-                    record,
-                    limit_seconds=APPEND_SECONDS,
-                )
-            except errors.RefusedError as error:
-                if not uncertain:
-                    return _answers.Outcome.UNAVAILABLE, str(error)
-                detail = str(error)
-            except errors.UnavailableError as error:
-                uncertain = True
-                detail = str(error)
-            else:
-                # What this process knows first, it need not read first.
-                for found in platform.decode_records(record, end - 1):
-                    self._coordinator.ledger.apply(found)
-                return _answers.Outcome.ACCEPTED, f'offset {end - 1}'
-            if self._clock.read_monotonic() > until:
-                return _answers.Outcome.UNCERTAIN, detail
-            await self._clock.sleep(APPEND_RETRY_SECONDS)
+        """Append, and take the ledger's word for it if no answer comes."""
+        ledger = self._coordinator.ledger
+        append = asyncio.ensure_future(
+            self._store.append(
+                coordination.SYSTEM_TOPIC,
+                record,
+                limit_seconds=APPEND_SECONDS,
+            )
+        )
+        seen = asyncio.ensure_future(ledger.wait_for(key))
+        try:
+            await asyncio.wait(
+                (append, seen), return_when=asyncio.FIRST_COMPLETED
+            )
+            if seen.done():
+                return _answers.Outcome.ACCEPTED, 'seen in the ledger'
+            end = await append
+        except errors.RefusedError as error:
+            return _answers.Outcome.UNAVAILABLE, str(error)
+        except errors.UnavailableError as error:
+            # The caller asks again, with the same identifier.
+            return _answers.Outcome.UNCERTAIN, str(error)
+        finally:
+            append.cancel()
+            seen.cancel()
+            if append.done() and not append.cancelled():
+                # Taken note of, if the ledger was faster.
+                append.exception()
+        # What this process knows first, it need not read first.
+        for found in platform.decode_records(record, end - 1):
+            ledger.apply(found)
+        return _answers.Outcome.ACCEPTED, f'offset {end - 1}'
 
     def _tell_phase(self, identifier: str) -> web.Response:
         entry = self._find(identifier)
@@ -228,10 +233,3 @@
 
     def _refuse(self, outcome: _answers.Outcome) -> web.Response:
         return _answers.make_answer(outcome, closing=self.closing)
-
-
-def read_deadline(request: web.Request) -> float:
-    """Return for how many seconds the caller can still be answered."""
-    text = request.headers.get(DEADLINE_HEADER, '')
-    whole = float(text) / 1000 if text.isdecimal() else DEFAULT_DEADLINE
-    return max(0.0, whole - ANSWER_MARGIN)
