--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -70,7 +70,7 @@
         """Take in a job from the ledger, with the runs that it may have."""
         if entry.job is None:
             return
-        state = _jobs.JobState(entry.job, entry.progress)
+        state = _jobs.JobState(entry.job, entry.copy_progress())
         self.jobs[entry.job.identifier] = state
         bound = now + self.limits.predecessor + self.limits.lease_bound
         for name, task in state.list_assigned():
--- a/chivespoke/coordination/_records.py
+++ b/chivespoke/coordination/_records.py
@@ -109,6 +109,15 @@
             self._progress = PROGRESS_DECODER.decode(self._encoded)
         return self._progress
 
+    def copy_progress(self) -> workloads.JobProgress | None:
+        """Return the recorded progress for a leader to change.
+
+        What a leader changes is not recorded yet, and may never be.
+        """
+        if not self._encoded:
+            return None
+        return PROGRESS_DECODER.decode(self._encoded)
+
     @property
     def phase(self) -> workloads.JobPhase:
         """Return the phase that callers are told."""
--- /dev/null
+++ b/chivespoke/coordination/tests/builders.py
@@ -0,0 +1,165 @@
+"""Builders of jobs, reports and engines."""
+
+from chivespoke import coordination
+from chivespoke.coordination import _records
+from chivespoke import platform
+from chivespoke import workloads
+
+JOB = '00000000000000a1'
+QUEUE = 'q1'
+SERVICE = 's1'
+NOW = 1000.0
+WALL = 1.7e9
+EPOCH = 7
+TERMS = workloads.Terms(service=SERVICE, max_attempts=2, stretch=2.0)
+STEP = workloads.Step(count=2, cpu_millis=1000, estimated_ms=1000)
+
+
+def make_job(
+    *steps: workloads.Step, identifier: str = JOB, **fields: int
+) -> workloads.Job:
+    """Return an accepted job."""
+    return workloads.Job(
+        identifier=identifier,
+        queue=QUEUE,
+        terms=TERMS,
+        payload='work',
+        steps=steps or (STEP,),
+        accepted_ms=int(WALL * 1000),
+        **fields,
+    )
+
+
+def make_entry(job: workloads.Job, cancelled: bool = False) -> _records.Entry:
+    """Return what the ledger holds of a new job."""
+    entry = _records.Entry()
+    entry.job = job
+    entry.cancelled = cancelled
+    return entry
+
+
+def make_orders(*evacuating: str) -> coordination.Orders:
+    """Return what the operator has in force."""
+    queue = workloads.Queue(QUEUE, 'host', '/q/', TERMS)
+    service = workloads.Service(SERVICE)
+    return coordination.Orders(
+        workloads.Configuration(1, (queue,), (service,)),
+        frozenset(evacuating),
+    )
+
+
+def make_life(
+    sidecar: str = 'side-1', born_ms: int = 1
+) -> coordination.WorkerLife:
+    """Return one life of a worker with room for eight tasks."""
+    return coordination.WorkerLife(
+        sidecar,
+        f'i-{sidecar}',
+        born_ms,
+        SERVICE,
+        'zone-1',
+        ('a', 'r1'),
+        workloads.Room(8000, 32000),
+    )
+
+
+def make_report(
+    sidecar: str = 'side-1',
+    born_ms: int = 1,
+    running: tuple[platform.RunningTask, ...] = (),
+    ended: tuple[platform.EndedRun, ...] = (),
+    outcomes: tuple[coordination.OrderOutcome, ...] = (),
+    incarnation: str = 'a',
+    draining: bool = False,
+    lapsed: bool = False,
+) -> coordination.Report:
+    """Return a sidecar's report."""
+    return coordination.Report(
+        sidecar=sidecar,
+        incarnation=incarnation,
+        epoch=EPOCH,
+        life=make_life(sidecar, born_ms),
+        draining=draining,
+        answering=True,
+        lapsed=lapsed,
+        clock_ms=1000,
+        running=running,
+        ended=ended,
+        outcomes=outcomes,
+    )
+
+
+def make_running(task: str, run: int = 1) -> platform.RunningTask:
+    """Return a run that a worker lists."""
+    return platform.RunningTask(task, run, '', 10.0, 1000.0)
+
+
+def make_end(
+    number: int,
+    task: str,
+    cause: platform.EndCause = platform.EndCause.DONE,
+    run: int = 1,
+    checkpoint: str = '',
+) -> platform.EndedRun:
+    """Return the end of a run that a worker lists."""
+    return platform.EndedRun(number, task, run, cause, checkpoint)
+
+
+class Leader:
+    """Drive an engine through plans, as a term does."""
+
+    def __init__(
+        self, ledger: _records.Ledger | None = None, epoch: int = EPOCH
+    ) -> None:
+        self.ledger = ledger or _records.Ledger()
+        self.engine = coordination.Engine(epoch, coordination.Limits())
+        self.now = NOW
+        self.orders: coordination.Orders | None = make_orders()
+        for entry in self.ledger.entries.values():
+            self.engine.take_entry(entry, self.now, WALL)
+
+    def submit(self, job: workloads.Job) -> None:
+        """Take in a job, through its record."""
+        self.write(coordination.encode_job(job))
+        entry = self.ledger.entries[job.identifier]
+        self.engine.take_entry(entry, self.now, self.wall)
+
+    def cancel(self, identifier: str = JOB) -> None:
+        """Cancel a job, through its record."""
+        self.write(coordination.encode_cancel(identifier, 1))
+        entry = self.ledger.entries[identifier]
+        self.engine.take_entry(entry, self.now, self.wall)
+
+    def report(self, report: coordination.Report) -> None:
+        """Take in a report."""
+        self.engine.take_report(report, self.now, self.wall)
+
+    def plan(self) -> None:
+        """Plan, write the records, and let the orders leave."""
+        plan = self.engine.plan(self.orders, self.now, self.wall)
+        self.write(b''.join(plan.records))
+        self.engine.confirm(plan)
+
+    def direct(self, sidecar: str = 'side-1') -> coordination.Directive:
+        """Return what the newest life on a machine is told."""
+        lives = [
+            worker
+            for worker in self.engine.state.workers.values()
+            if worker.sidecar == sidecar
+        ]
+        newest = max(lives, key=lambda worker: worker.life.born_ms)
+        return self.engine.make_directive(newest, self.now)
+
+    def find_phase(self, identifier: str = JOB) -> workloads.JobPhase:
+        """Return the phase that callers are told."""
+        return self.ledger.entries[identifier].phase
+
+    @property
+    def wall(self) -> float:
+        """Return the wall clock."""
+        return WALL + self.now - NOW
+
+    def write(self, records: bytes) -> None:
+        """Apply encoded records to the ledger."""
+        for record in platform.decode_records(records, 0):
+            self.ledger.apply(record)
--- /dev/null
+++ b/chivespoke/decisions/tests/builders.py
@@ -0,0 +1,76 @@
+"""Builders of what decisions look at."""
+
+from chivespoke import decisions
+from chivespoke import workloads
+
+
+def make_site(
+    worker: str = 'w1',
+    spare_millis: int = 8000,
+    headrooms: tuple[decisions.Headroom, ...] = (),
+    **fields: object,
+) -> decisions.Site:
+    """Return a worker with room for a few tasks."""
+    values: dict[str, object] = {
+        'rack': 'r1',
+        'labels': ('a', 'r1'),
+        'free': workloads.Room(8000, 32000, 0),
+        **fields,
+    }
+    return decisions.Site(
+        worker=worker,
+        spare_millis=spare_millis,
+        headrooms=headrooms,
+        **values,  # type: ignore[arg-type]
+    )
+
+
+def make_filler(image: str = 'f1', cpu_millis: int = 1000) -> workloads.Step:
+    """Return a step of fillers."""
+    return workloads.Step(
+        count=1, cpu_millis=cpu_millis, image=image, filler=True
+    )
+
+
+def make_serving(image: str = 's1') -> workloads.Step:
+    """Return a step of tasks that serve."""
+    return workloads.Step(
+        count=1,
+        cpu_millis=1000,
+        image=image,
+        long_running=True,
+        target_latency_ms=18,
+    )
+
+
+def make_demand(
+    job: str, due: float, left: float = 2.0, objective: float = 10.0
+) -> decisions.Demand:
+    """Return a step that waits for room."""
+    return decisions.Demand(
+        job=job,
+        long_running=False,
+        filler=True,
+        due=due,
+        left=left,
+        objective=objective,
+    )
+
+
+def make_paced(
+    task: str,
+    image: str,
+    measure: float,
+    target: int = 0,
+    pace: int = 100,
+) -> decisions.PacedRun:
+    """Return a run as pacing sees it; one with a target serves."""
+    return decisions.PacedRun(
+        task=task,
+        run=1,
+        image=image,
+        filler=not target,
+        target_latency_ms=target,
+        measure=measure,
+        pace=pace,
+    )
--- /dev/null
+++ b/chivespoke/decisions/tests/test_placement.py
@@ -0,0 +1,146 @@
+"""Where tasks run, and which go first."""
+
+import typing
+import unittest
+
+from chivespoke import decisions
+from chivespoke.decisions.tests import builders
+from chivespoke import workloads
+
+NO_PRESSURE = decisions.KnownPressures(
+    [decisions.Pressure('s1', 'f1', 0.0), decisions.Pressure('s2', 'f1', 0.0)]
+)
+PRESSURE = decisions.KnownPressures(
+    [decisions.Pressure('s1', 'f1', 1.0), decisions.Pressure('s2', 'f1', 0.0)]
+)
+
+
+def choose(
+    step: workloads.Step,
+    *sites: decisions.Site,
+    pressures: decisions.Pressures = NO_PRESSURE,
+) -> str:
+    found = decisions.choose_site(step, sites, pressures)
+    return found.worker if found else ''
+
+
+class RoomTest(unittest.TestCase):
+    def test_only_fitting_workers_are_chosen(self) -> None:
+        step = workloads.Step(count=1, cpu_millis=1000, memory_mb=100)
+        narrow = workloads.Room(999, 32000)
+        cases: dict[str, typing.Any] = {
+            'room': (step, {}, 'w1'),
+            'no processor': (step, {'free': narrow}, ''),
+            'no memory': (step, {'free': workloads.Room(8000, 99)}, ''),
+            'label': (
+                workloads.Step(count=1, required_label='a'),
+                {},
+                'w1',
+            ),
+            'no label': (workloads.Step(count=1, required_label='b'), {}, ''),
+            'too many beside it': (
+                workloads.Step(count=3, max_per_worker=2),
+                {'same_step': 2},
+                '',
+            ),
+            'one more beside it': (
+                workloads.Step(count=3, max_per_worker=2),
+                {'same_step': 1},
+                'w1',
+            ),
+        }
+        for name, (wanted, fields, expected) in cases.items():
+            with self.subTest(name):
+                site = builders.make_site(**fields)
+                self.assertEqual(expected, choose(wanted, site))
+
+    def test_the_rack_of_the_data_comes_before_free_room(self) -> None:
+        step = workloads.Step(count=1, cpu_millis=100, preferred_rack='r2')
+        near = builders.make_site('near', 500, rack='r2')
+        self.assertEqual('near', choose(step, builders.make_site(), near))
+
+
+class FillerTest(unittest.TestCase):
+    def test_filler_waits_rather_than_share_too_thinly(self) -> None:
+        filler = builders.make_filler()
+        for spare, expected in ((1000, 'w1'), (600, 'w1'), (599, '')):
+            with self.subTest(spare=spare):
+                site = builders.make_site(spare_millis=spare)
+                self.assertEqual(expected, choose(filler, site))
+
+    def test_filler_avoids_the_image_that_it_presses_on(self) -> None:
+        filler = builders.make_filler()
+        tight = decisions.Headroom('s1', 0.3)
+        other = decisions.Headroom('s2', 0.3)
+        pressed = builders.make_site('pressed', 8000, (tight,))
+        calm = builders.make_site('calm', 2000, (other,))
+        found = choose(filler, pressed, calm, pressures=PRESSURE)
+        self.assertEqual('calm', found)
+        self.assertEqual('', choose(filler, pressed, pressures=PRESSURE))
+
+    def test_serving_tasks_join_their_own_image(self) -> None:
+        same = builders.make_site('same', 2000, (decisions.Headroom('s1', 1),))
+        other = builders.make_site(
+            'other', 8000, (decisions.Headroom('s2', 1),)
+        )
+        self.assertEqual(
+            'same', choose(builders.make_serving('s1'), same, other)
+        )
+
+
+class OrderTest(unittest.TestCase):
+    """A burst brings more work than can be done in time."""
+
+    def test_jobs_that_can_be_in_time_go_before_late_ones(self) -> None:
+        demands = [
+            builders.make_demand('hopeless', due=60.0, objective=5.0),
+            builders.make_demand('late', due=99.0),
+            builders.make_demand('soon', due=104.0),
+            builders.make_demand('later', due=110.0),
+        ]
+        ranked = sorted(demands, key=lambda one: decisions.rank(one, 100.0))
+        self.assertEqual(
+            ['soon', 'later', 'late', 'hopeless'],
+            [demand.job for demand in ranked],
+        )
+
+    def test_chain_is_the_longest_path(self) -> None:
+        job = workloads.Job(
+            identifier='j',
+            queue='q',
+            terms=workloads.Terms(service='s'),
+            payload='',
+            steps=(
+                workloads.Step(count=1, estimated_ms=1000),
+                workloads.Step(count=1, estimated_ms=3000),
+                workloads.Step(count=1, estimated_ms=500, depends_on=(0, 1)),
+            ),
+            accepted_ms=0,
+        )
+        self.assertEqual(3.5, decisions.measure_chain(job))
+
+
+class ConductTest(unittest.TestCase):
+    def test_worker_that_fails_everything_is_left_out_for_a_while(
+        self,
+    ) -> None:
+        conduct = decisions.Conduct()
+        self.assertFalse(conduct.note_failure(1.0))
+        self.assertFalse(conduct.note_failure(1.0))
+        self.assertTrue(conduct.allows(1.0, 5))
+        self.assertTrue(conduct.note_failure(1.0))
+        self.assertFalse(conduct.allows(1.5, 0))
+        self.assertTrue(conduct.allows(5.0, 0))
+        self.assertFalse(conduct.allows(5.0, 1), 'probation: one at a time')
+        conduct.note_success()
+        self.assertTrue(conduct.allows(5.0, 9))
+
+    def test_failures_between_successes_mark_nobody(self) -> None:
+        conduct = decisions.Conduct()
+        for _ in range(20):
+            self.assertFalse(conduct.note_failure(1.0))
+            conduct.note_success()
+
+
+if __name__ == '__main__':
+    unittest.main()
