--- a/chivespoke/agents/_agent.py
+++ b/chivespoke/agents/_agent.py
@@ -15,6 +15,7 @@
 from chivespoke import identifiers
 from chivespoke import logs
 from chivespoke import platform
+from chivespoke import telemetry
 
 LOGGER = logs.make_logger('agent')
 
@@ -47,6 +48,7 @@
         '_epoch',
         '_leader',
         '_transport',
+        '_telemetry',
     )
 
     def __init__(
@@ -54,7 +56,9 @@
         holder: platform.MachineHolder,
         store: platform.Store,
         time: clock.Clock,
+        instruments: telemetry.Telemetry,
     ) -> None:
+        self._telemetry = instruments
         self._holder = holder
         # Its name and addresses, which hold for the life of the process.
         self._machine = holder.machine
@@ -142,6 +146,7 @@
             self._clock,
             self._holder.machine.bounds.lease_limit,
             self._epoch,
+            self._telemetry,
         )
         self._session.start()
         if self._epoch:
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -11,6 +11,7 @@
 from chivespoke import errors
 from chivespoke import logs
 from chivespoke import platform
+from chivespoke import telemetry
 
 LOGGER = logs.make_logger('session')
 
@@ -72,6 +73,7 @@
         '_paces',
         '_pressures',
         '_granted',
+        '_telemetry',
     )
 
     def __init__(
@@ -83,7 +85,9 @@
         time: clock.Clock,
         longest_lease: float,
         epoch: int,
+        instruments: telemetry.Telemetry,
     ) -> None:
+        self._telemetry = instruments
         self.registration = registration
         # The leader that orders are taken from, as a fencing token.
         self.epoch = epoch
@@ -328,6 +332,9 @@
             refusal=refusal.value if refusal else None,
             epoch=self.epoch,
         )
+        self._telemetry.order_outcomes.add(
+            1, {'outcome': refusal.value if refusal else 'taken'}
+        )
         self._outcomes.append(coordination.OrderOutcome(task, run, refusal))
         self._owner.wake()
 
--- a/chivespoke/cli/__init__.py
+++ b/chivespoke/cli/__init__.py
@@ -67,3 +67,8 @@
     name='status',
     help='Show what calls for a hand, who lags, and by how long.',
 )
+COMMANDS.command(
+    'chivespoke.cli._trace:trace',
+    name='trace',
+    help="Follow a job, task or worker through the platform daemons' logs.",
+)
--- a/chivespoke/coordination/_coordinator.py
+++ b/chivespoke/coordination/_coordinator.py
@@ -10,6 +10,7 @@
 from chivespoke.coordination import _term
 from chivespoke import logs
 from chivespoke import platform
+from chivespoke import telemetry
 
 LOGGER = logs.make_logger('coordinator')
 
@@ -30,6 +31,7 @@
         '_store',
         '_clock',
         '_limits',
+        '_telemetry',
         '_leadership',
         '_term',
         '_tasks',
@@ -41,8 +43,10 @@
         machine: platform.MachineSettings,
         member: str,
         time: clock.Clock,
+        instruments: telemetry.Telemetry,
     ) -> None:
         self._store = store
+        self._telemetry = instruments
         self._clock = time
         self.ledger = _records.Ledger()
         self.operator = _operator_view.OperatorView()
@@ -93,6 +97,7 @@
             self.operator_follower,
             self._clock,
             self._limits,
+            self._telemetry,
         )
         self._term = term
         self._tasks.spawn(self._run(term))
--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -47,7 +47,14 @@
 class Engine:
     """Decide what runs where, and keep account of it."""
 
-    __slots__ = ('_state', '_intake', '_epoch', '_decided', '_checkpoints_at')
+    __slots__ = (
+        '_state',
+        '_intake',
+        '_epoch',
+        '_decided',
+        '_checkpoints_at',
+        '_version',
+    )
 
     def __init__(self, epoch: int, limits: _engine_state.Limits) -> None:
         self._epoch = epoch
@@ -55,6 +62,8 @@
         self._intake = _reports.Intake(self._state)
         self._decided: list[_fleet.Run] = []
         self._checkpoints_at = 0.0
+        # Version of the configuration that decisions are made under.
+        self._version = 0
 
     @property
     def state(self) -> _engine_state.State:
@@ -208,6 +217,7 @@
         )
 
     def _update_terms(self, configuration: workloads.Configuration) -> None:
+        self._version = configuration.version
         terms = {queue.name: queue.terms for queue in configuration.queues}
         for state in self._state.jobs.values():
             state.terms = terms.get(state.job.queue, state.terms)
--- a/chivespoke/coordination/_leadership.py
+++ b/chivespoke/coordination/_leadership.py
@@ -16,8 +16,13 @@
 LEADING_PARTITION = 0
 # Silence after which the store hands leadership on, in seconds: three missed
 # joins, and at least the platform's shortest.
-TTL_SECONDS = 1.5
-JOIN_SECONDS = 0.4
+TTL_SECONDS = 1.0
+JOIN_SECONDS = 0.3
+# After a change of the group, as when all entries start at once, partitions
+# move several times; joins come faster for a while, so that each move is
+# noticed by both sides at once. In seconds.
+HASTY_JOIN_SECONDS = 0.1
+HASTE_SECONDS = 2.0
 # A leader that cannot reach the store goes on renewing leases for so long, in
 # seconds: longer than the store's usual absences, as ending all leases would
 # lose what runs. A successor adds it to its wait for workers it cannot reach.
@@ -53,6 +58,7 @@
         '_epoch',
         '_last_epoch',
         '_confirmed',
+        '_changed_at',
     )
 
     def __init__(
@@ -74,6 +80,7 @@
         self._epoch: int | None = None
         self._last_epoch = 0
         self._confirmed = 0.0
+        self._changed_at = float('-inf')
 
     async def start(self) -> None:
         self._tasks.spawn(self._keep_joining())
@@ -103,9 +110,14 @@
             else:
                 self._confirmed = asked
                 await self._take(membership)
-            await self._clock.sleep(JOIN_SECONDS)
+            hasty = asked < self._changed_at + HASTE_SECONDS
+            await self._clock.sleep(
+                HASTY_JOIN_SECONDS if hasty else JOIN_SECONDS
+            )
 
     async def _take(self, membership: platform.Membership) -> None:
+        if membership.generation != self._generation:
+            self._changed_at = self._clock.read_monotonic()
         self._generation = membership.generation
         leads = LEADING_PARTITION in membership.partitions
         if leads and self._epoch is None:
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -18,6 +18,7 @@
 from chivespoke import errors
 from chivespoke import logs
 from chivespoke import platform
+from chivespoke import telemetry
 
 LOGGER = logs.make_logger('term')
 
@@ -57,6 +58,7 @@
         '_lives',
         '_superseded',
         '_patience',
+        '_telemetry',
     )
 
     def __init__(
@@ -69,6 +71,7 @@
         operator_follower: _followers.TopicFollower,
         time: clock.Clock,
         limits: _engine_state.Limits,
+        instruments: telemetry.Telemetry,
     ) -> None:
         self._epoch = epoch
         self._store = store
@@ -88,6 +91,7 @@
         self._lives: dict[str, _fleet.Worker] = {}
         self._superseded = asyncio.Event()
         self._patience = decisions.Patience()
+        self._telemetry = instruments
 
     @property
     def engine(self) -> _engine.Engine:
@@ -136,6 +140,9 @@
         now = self._clock.read_monotonic()
         wall = self._clock.read_wall()
         worker = self._engine.take_report(report, now, wall)
+        for end in report.ended:
+            if worker is not None and end.number > worker.acknowledged:
+                self._telemetry.run_ends.add(1, {'cause': end.cause.value})
         if worker is not None:
             self._lives[report.sidecar] = worker
         if report.ended or report.outcomes or report.lapsed:
@@ -187,12 +194,23 @@
         if plan.records:
             await self._append(b''.join(plan.records) + self._describe(now))
         self._engine.confirm(plan)
+        self._count_starts(plan)
         for sidecar, worker in self._lives.items():
             if worker.life.key in plan.ends or self._engine.has_orders(
                 worker, now
             ):
                 self._links[sidecar].wake()
 
+    def _count_starts(self, plan: _engine.Plan) -> None:
+        wall = self._clock.read_wall()
+        for run in plan.decided:
+            state = self._engine.state.jobs.get(run.name.job)
+            if state is not None:
+                self._telemetry.start_wait.record(
+                    max(0.0, wall - state.job.accepted_ms / 1000),
+                    {'queue': state.job.queue},
+                )
+
     def _read_orders(self) -> _engine.Orders | None:
         if self._operator_follower.measure_age() > VIEW_AGE_LIMIT:
             return None
@@ -237,8 +255,8 @@
                 )
                 await self._clock.sleep(APPEND_RETRY_SECONDS)
             else:
-                self._patience.note_answer(
-                    self._clock.read_monotonic() - asked
-                )
+                seconds = self._clock.read_monotonic() - asked
+                self._patience.note_answer(seconds)
+                self._telemetry.store_latency.record(seconds)
                 self._sequence += 1
                 return end
--- a/chivespoke/serving/_assembly.py
+++ b/chivespoke/serving/_assembly.py
@@ -37,7 +37,9 @@
     # A process that restarts is another member: what the store still holds
     # for the one before lapses by itself.
     member = f'{machine.name}-{identifiers.make_incarnation()}'
-    coordinator = coordination.Coordinator(store, machine, member, time)
+    coordinator = coordination.Coordinator(
+        store, machine, member, time, instruments
+    )
     desk = intake.JobDesk(coordinator, store, time, instruments)
     readiness = intake.Readiness(coordinator, desk, time)
     return application.Application(
@@ -65,7 +67,7 @@
     calls = platform.Transport(machine.store, STORE_CONNECTIONS)
     store = platform.Store(calls, calls)
     instruments = telemetry.Telemetry()
-    agent = agents.Agent(holder, store, time)
+    agent = agents.Agent(holder, store, time, instruments)
     desk = agents.RegistrationDesk(agent)
     return application.Application(
         (
--- a/chivespoke/serving/tests/test_path.py
+++ b/chivespoke/serving/tests/test_path.py
@@ -132,11 +132,14 @@
         self.assertEqual(200, status)
         await self.within(self.platform.wait_state(JOB, 'cancelled'))
 
+        # Both may run on one worker, if it was known first.
         async def wait_idle() -> None:
-            while any(runner.number < 1 for runner in self.platform.runners):
+            while any(runner.running for runner in self.platform.runners):
                 await asyncio.sleep(0.05)
 
         await self.within(wait_idle())
+        ends = sum(runner.number for runner in self.platform.runners)
+        self.assertEqual(2, ends)
 
     async def test_job_whose_tasks_fail_is_shown_as_failed(self) -> None:
         await self.start(workers=1)
--- a/chivespoke/standins/_runner.py
+++ b/chivespoke/standins/_runner.py
@@ -133,6 +133,11 @@
     async def stop(self) -> None:
         await self._tasks.cancel()
 
+    @property
+    def running(self) -> frozenset[str]:
+        """Return the tasks that run now."""
+        return frozenset(self._running)
+
     def crash(self) -> None:
         """Lose everything and begin a new life under the same identifier."""
         for task, run in tuple(self._running.items()):
--- a/chivespoke/telemetry.py
+++ b/chivespoke/telemetry.py
@@ -33,6 +33,10 @@
         'dropped_messages',
         'expired_in_queue',
         'refusals',
+        'store_latency',
+        'start_wait',
+        'run_ends',
+        'order_outcomes',
     )
 
     def __init__(self) -> None:
@@ -89,6 +93,23 @@
             'chivespoke_expired_in_queue',
             description='Accepted requests whose deadline passed in a queue',
         )
+        self.store_latency = self.meter.create_histogram(
+            'chivespoke_store_latency',
+            unit='s',
+            description='Append of the leader to its answer',
+        )
+        self.start_wait = self.meter.create_histogram(
+            'chivespoke_start_wait',
+            unit='s',
+            description='Acceptance of a job to a run of it, by queue',
+        )
+        self.run_ends = self.meter.create_counter(
+            'chivespoke_run_ends', description='Ends of runs, by cause'
+        )
+        self.order_outcomes = self.meter.create_counter(
+            'chivespoke_order_outcomes',
+            description='Orders to the worker, by what came of them',
+        )
         self.dropped_messages = self.meter.create_counter(
             'chivespoke_dropped_messages',
             description='Messages dropped, by cause',
