Reckon pressure by shares of a worker; suspect all fillers over target

Change: shares of a worker instead of cores; beside a task over its target each filler counts as pressing a little.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -281,7 +281,10 @@
                     )
                 )
         paces = self._pacer.adjust(
-            runs, self._pressures, self._clock.read_monotonic()
+            runs,
+            self._pressures,
+            self.registration.capacity.cpu_millis,
+            self._clock.read_monotonic(),
         )
         for pace in paces:
             self._handle(pace.task, pace.run, self._pace(pace))
--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -155,7 +155,10 @@
     fillers = [run for run in worker.runs.values() if run.step.filler]
     headrooms = tuple(
         decisions.Headroom(
-            run.step.image, measure_headroom(run, fillers, pressures)
+            run.step.image,
+            measure_headroom(
+                run, fillers, pressures, worker.life.capacity.cpu_millis
+            ),
         )
         for run in worker.runs.values()
         if run.step.target_latency_ms
@@ -165,6 +168,7 @@
         rack=worker.rack,
         labels=worker.life.labels,
         free=free,
+        capacity=worker.life.capacity,
         spare_millis=decisions.estimate_spare(
             free.cpu_millis, worker.serving_millis, worker.filler_millis
         ),
@@ -176,6 +180,7 @@
     serving: Run,
     fillers: collections.abc.Iterable[Run],
     pressures: decisions.Pressures,
+    capacity_millis: int,
 ) -> float:
     """Return how much a serving run's log tail may grow, all told."""
     limit = math.log(decisions.AIM * serving.step.target_latency_ms)
@@ -185,7 +190,7 @@
     pressed = sum(
         pressures.find(serving.step.image, run.step.image)
         * run.step.cpu_millis
-        / 1000
+        / max(1, capacity_millis)
         for run in fillers
     )
     return limit - base - pressed
@@ -201,7 +206,7 @@
     ) -> None:
         self.at = at
         self.log_tail = log_tail
-        # Cores that fillers used beside it, by image.
+        # Shares of the worker that fillers used beside it, by image.
         self.uses = uses
 
 
@@ -218,8 +223,8 @@
         sample = TailSample(worker.heard_at, math.log(max(1.0, tail)), uses)
         compare_samples(run, sample, model)
         pressed = sum(
-            model.find(run.step.image, image) * cores
-            for image, cores in uses.items()
+            model.find(run.step.image, image) * share
+            for image, share in uses.items()
         )
         base = sample.log_tail - pressed
         if run.log_base is None:
@@ -228,12 +233,13 @@
 
 
 def measure_uses(worker: Worker) -> dict[str, float]:
-    """Return the cores that fillers use on a worker, by image."""
+    """Return the shares of a worker that fillers use, by image."""
     uses: dict[str, float] = {}
+    capacity = max(1, worker.life.capacity.cpu_millis)
     for run in worker.runs.values():
         if run.step.filler and run.listing is not None:
-            cores = run.listing.measure / 1000
-            uses[run.step.image] = uses.get(run.step.image, 0.0) + cores
+            share = run.listing.measure / capacity
+            uses[run.step.image] = uses.get(run.step.image, 0.0) + share
     return uses
 
 
--- a/chivespoke/decisions/_pacing.py
+++ b/chivespoke/decisions/_pacing.py
@@ -29,7 +29,14 @@
 RELEASE_SHARE = 0.5
 RELEASE_STEP = 30
 # A coefficient below this is no pressure: it is within the model's error.
-NO_PRESSURE = 0.03
+NO_PRESSURE = 0.4
+# Share of a worker that a filler would use at full speed, while its pace of
+# zero leaves nothing to measure.
+UNKNOWN_APPETITE = 0.1
+# Beside a task that is over its target every filler is taken to press at
+# least so much: many fillers that press little press together, and what was
+# learnt of a pair may be wrong.
+LEAST_SUSPICION = 0.8
 
 
 class PacedRun(msgspec.Struct, frozen=True):
@@ -70,6 +77,7 @@
         self,
         runs: collections.abc.Sequence[PacedRun],
         pressures: _pressure.Pressures,
+        capacity_millis: int,
         now: float,
     ) -> list[PaceOrder]:
         """Return the runs that are to have another pace."""
@@ -80,7 +88,9 @@
         self._note_over(serving, now)
         if now < self._changed_at + SETTLE_SECONDS:
             return []
-        paces = self._choose(serving, fillers, pressures, now)
+        paces = self._choose(
+            serving, fillers, pressures, max(1, capacity_millis), now
+        )
         orders = [
             PaceOrder(run.task, run.run, paces[run.task])
             for run in fillers
@@ -107,6 +117,7 @@
         serving: collections.abc.Sequence[PacedRun],
         fillers: collections.abc.Sequence[PacedRun],
         pressures: _pressure.Pressures,
+        capacity_millis: int,
         now: float,
     ) -> dict[str, int]:
         paces = {run.task: run.pace for run in fillers}
@@ -121,10 +132,12 @@
         for run in serving:
             gap = math.log(run.measure / (AIM * run.target_latency_ms))
             if gap > 0:
-                slow(run, fillers, pressures, gap, paces)
+                slow(run, fillers, pressures, capacity_millis, gap, paces)
         for filler in fillers:
             if paces[filler.task] == filler.pace < FULL_PACE:
-                paces[filler.task] = release(filler, serving, pressures)
+                paces[filler.task] = release(
+                    filler, serving, pressures, capacity_millis
+                )
         return paces
 
 
@@ -132,18 +145,21 @@
     serving: PacedRun,
     fillers: collections.abc.Sequence[PacedRun],
     pressures: _pressure.Pressures,
+    capacity_millis: int,
     gap: float,
     paces: dict[str, int],
 ) -> None:
     """Slow the fillers that press most until a gap of the log tail closes."""
+    is_over = serving.measure > serving.target_latency_ms
+    floor = LEAST_SUSPICION if is_over else 0.0
     ranked = sorted(
         fillers,
         key=lambda run: pressures.find(serving.image, run.image),
         reverse=True,
     )
     for run in ranked:
-        coefficient = pressures.find(serving.image, run.image)
-        pressed = coefficient * run.measure / 1000
+        coefficient = max(floor, pressures.find(serving.image, run.image))
+        pressed = coefficient * run.measure / capacity_millis
         if gap <= 0 or coefficient < NO_PRESSURE:
             return
         if pressed <= 0:
@@ -157,13 +173,14 @@
     filler: PacedRun,
     serving: collections.abc.Sequence[PacedRun],
     pressures: _pressure.Pressures,
+    capacity_millis: int,
 ) -> int:
     """Return the pace that a slowed filler may have again."""
     step = float(RELEASE_STEP)
-    # At a pace of zero nothing tells its appetite; a core is a fair guess.
-    cores = 1.0
+    full = UNKNOWN_APPETITE
     if filler.pace and filler.measure:
-        cores = filler.measure / 1000 / (filler.pace / FULL_PACE)
+        used = filler.measure / capacity_millis
+        full = used / (filler.pace / FULL_PACE)
     for run in serving:
         coefficient = pressures.find(run.image, filler.image)
         if coefficient < NO_PRESSURE:
@@ -171,6 +188,6 @@
         headroom = math.log(RELEASE * run.target_latency_ms / run.measure)
         if headroom <= 0:
             return filler.pace
-        allowed = RELEASE_SHARE * headroom / (coefficient * cores)
+        allowed = RELEASE_SHARE * headroom / (coefficient * full)
         step = min(step, FULL_PACE * allowed)
     return min(FULL_PACE, filler.pace + int(step))
--- a/chivespoke/decisions/_placement.py
+++ b/chivespoke/decisions/_placement.py
@@ -20,7 +20,6 @@
 # Share of its reserved processor time that a serving task is taken to use:
 # its load swings between a quarter and two thirds of what it reserves.
 SERVING_USE = 0.5
-MILLIS = 1000
 
 
 class Headroom(msgspec.Struct, frozen=True):
@@ -38,6 +37,7 @@
     rack: str
     labels: tuple[str, ...]
     free: workloads.Room
+    capacity: workloads.Room
     # Processor time that nothing on the worker asks for.
     spare_millis: int
     # Tasks of the same step and occurrence that it already has.
@@ -60,9 +60,9 @@
     if not step.cpu_millis:
         return 1.0
     speed = min(1.0, max(0.0, site.spare_millis / step.cpu_millis))
-    cores = step.cpu_millis / MILLIS
+    share = step.cpu_millis / max(1, site.capacity.cpu_millis)
     for headroom in site.headrooms:
-        pressed = pressures.find(headroom.image, step.image) * cores
+        pressed = pressures.find(headroom.image, step.image) * share
         if pressed > 0:
             speed = min(speed, max(0.0, headroom.log_room / pressed))
     return speed
--- a/chivespoke/decisions/_pressure.py
+++ b/chivespoke/decisions/_pressure.py
@@ -1,9 +1,9 @@
 """What fillers of one image do to the tail latency of another.
 
 Answers fillers that press on some serving tasks and not on others: the log of
-a tail is taken to grow by a coefficient for each core that fillers of an image
-use beside it, and the coefficients are learnt from how tails change on all
-workers.
+a tail is taken to grow by a coefficient for each share of the worker that
+fillers of an image use beside it, and the coefficients are learnt from how
+tails change on all workers.
 """
 
 import abc
@@ -12,10 +12,11 @@
 import msgspec
 
 # Taken for a pair of images of which nothing is known yet: in trials most
-# pairs lay under 0.1 a core, and the worst at 1.1.
-PRIOR = 0.1
-# Weight of the prior, in changes by one core.
-PRIOR_WEIGHT = 4.0
+# pairs lay under 1.6 a whole worker, and the worst at 18.
+PRIOR = 1.6
+# Weight of the prior, in changes by a whole worker, squared: two changes by a
+# tenth of a worker weigh as much.
+PRIOR_WEIGHT = 0.02
 # Weight by which a known sample shrinks with each new one, so that the last
 # few hundred decide: pressure changes within seconds.
 FORGETTING = 0.997
@@ -26,7 +27,7 @@
 
 
 class Pressure(msgspec.Struct, frozen=True, array_like=True):
-    """Hold how much a core of one image adds to the log tail of another."""
+    """Hold what a worker full of one image adds to the log tail of another."""
 
     serving: str
     filler: str
@@ -38,7 +39,7 @@
 
     @abc.abstractmethod
     def find(self, serving: str, filler: str) -> float:
-        """Return what a core of a filler adds to a serving task's log tail."""
+        """Return what a worker full of a filler adds to a log tail."""
 
 
 class KnownPressures(Pressures):
@@ -77,8 +78,8 @@
             self._add_image(image)
         row = [0.0] * len(self._vector)
         row[0] = 1.0
-        for image, cores in changes.items():
-            row[self._images[image]] = cores
+        for image, share in changes.items():
+            row[self._images[image]] = share
         for i, left in enumerate(row):
             self._vector[i] = FORGETTING * self._vector[i] + left * log_change
             line = self._matrix[i]
@@ -128,7 +129,7 @@
         log_change: float,
         changes: collections.abc.Mapping[str, float],
     ) -> None:
-        """Take in a change of a log tail and of cores used, by image."""
+        """Take in a change of a log tail and of shares used, by image."""
         regression = self._regressions.setdefault(serving, _Regression())
         regression.add(changes, log_change)
 
--- a/chivespoke/decisions/tests/builders.py
+++ b/chivespoke/decisions/tests/builders.py
@@ -15,6 +15,7 @@
         'rack': 'r1',
         'labels': ('a', 'r1'),
         'free': workloads.Room(8000, 32000, 0),
+        'capacity': workloads.Room(10000, 32000, 0),
         **fields,
     }
     return decisions.Site(
