Take unknown pressure for higher, and work coefficients out sooner

Cause: five tasks of an image seen for the first time came to one worker at once and held a tail at 185 ms against 18; coefficients were worked out after 40 samples, which took an image with few tasks four seconds.

--- a/chivespoke/decisions/_pressure.py
+++ b/chivespoke/decisions/_pressure.py
@@ -12,8 +12,9 @@
 import msgspec
 
 # Taken for a pair of images of which nothing is known yet: in trials most
-# pairs lay under 1.6 a whole worker, and the worst at 18.
-PRIOR = 1.6
+# pairs lay under 1.6 a whole worker, and the worst at 18. Rather too high, so
+# that a new image comes to a worker one task at a time until it is known.
+PRIOR = 3.0
 # Weight of the prior, in changes by a whole worker, squared: two changes by a
 # tenth of a worker weigh as much.
 PRIOR_WEIGHT = 0.02
@@ -23,7 +24,7 @@
 # The constant part is hardly held back.
 BASE_WEIGHT = 0.01
 # Coefficients are worked out anew after so many samples.
-REFRESH_SAMPLES = 40
+REFRESH_SAMPLES = 8
 
 
 class Pressure(msgspec.Struct, frozen=True, array_like=True):
