--- /dev/null
+++ b/chivespoke/platform/tests/test_messages.py
@@ -0,0 +1,153 @@
+"""What callers, workers and the operator send, and what is unreadable."""
+
+import unittest
+
+import msgspec
+
+from chivespoke import errors
+from chivespoke import platform
+from chivespoke import workloads
+
+QUEUE = workloads.Queue('q', 'host', '/q/', workloads.Terms('s'))
+IDENTIFIER = '5c0e7a21d94b36f8'
+REGISTRATION = {
+    'service': 's',
+    'address': '10.0.0.9:80',
+    'zone': 'z',
+    'state': 'ready',
+    'sequence': 4,
+    'born': 12,
+    'capacity': {'cpu': 16000, 'mem_mb': 100},
+    'labels': ['a', 'r1-3'],
+}
+
+
+def decode_job(body: object) -> workloads.Job:
+    return platform.decode_submission(
+        msgspec.json.encode(body), IDENTIFIER, QUEUE, 7
+    )
+
+
+class SubmissionTest(unittest.TestCase):
+    def test_each_field_is_decoded_once(self) -> None:
+        step = {
+            'count': 4,
+            'cpu': 500,
+            'mem_mb': 256,
+            'gpu': 1,
+            'estimated_ms': 900,
+            'checkpointing': True,
+            'affinity': 'r1-3',
+            'anti_affinity': 2,
+            'requirements': 'a',
+            'allow_duplicates': True,
+            'image': 'i',
+            'fills': True,
+        }
+        job = decode_job({'spec': 'text', 'steps': [step]})
+        self.assertEqual('text', job.payload)
+        self.assertEqual(
+            workloads.Step(
+                count=4,
+                cpu_millis=500,
+                memory_mb=256,
+                accelerators=1,
+                estimated_ms=900,
+                checkpointing=True,
+                preferred_rack='r1-3',
+                max_per_worker=2,
+                required_label='a',
+                allow_copies=True,
+                image='i',
+                filler=True,
+            ),
+            job.steps[0],
+        )
+
+    def test_bad_submissions_are_refused_with_a_reason(self) -> None:
+        cases: dict[str, object] = {
+            'no steps': {'steps': []},
+            'Object missing': {'spec': 'text'},
+            'Expected': {'steps': [{'count': 'four'}]},
+            'no tasks': {'steps': [{'count': 0}]},
+            'not before it': {'steps': [{'count': 1, 'depends_on': [0]}]},
+        }
+        for reason, body in cases.items():
+            with self.subTest(reason):
+                with self.assertRaises(errors.RefusedError) as caught:
+                    decode_job(body)
+                self.assertIn(reason, str(caught.exception))
+
+    def test_identifiers_are_sixteen_hexadecimal_digits(self) -> None:
+        cases = {IDENTIFIER: True, IDENTIFIER[1:]: False, 'x' * 16: False}
+        for text, expected in cases.items():
+            with self.subTest(text):
+                self.assertIs(expected, platform.is_job_identifier(text))
+
+
+class RegistrationTest(unittest.TestCase):
+    def test_reading(self) -> None:
+        found = platform.decode_registration(
+            'i-1', msgspec.json.encode(REGISTRATION)
+        )
+        self.assertEqual(12, found.born_ms)
+        self.assertEqual(workloads.Room(16000, 100, 0), found.capacity)
+        self.assertFalse(found.draining)
+
+    def test_reports_of_another_writer_name_no_worker(self) -> None:
+        cases = {
+            'state': REGISTRATION | {'state': 'resting'},
+            'type': REGISTRATION | {'sequence': 'four'},
+            'missing': {'service': 's'},
+        }
+        for name, body in cases.items():
+            with self.subTest(name), self.assertRaises(errors.RefusedError):
+                platform.decode_registration('i-1', msgspec.json.encode(body))
+        with self.assertRaises(errors.RefusedError):
+            platform.decode_registration('i-1', b'\xff\x00')
+
+
+class OperatorTest(unittest.TestCase):
+    def decode(self, key: str, value: bytes) -> platform.OperatorChange | None:
+        return platform.decode_operator_record(platform.Record(3, key, value))
+
+    def test_configuration_routes_by_host_and_longest_prefix(self) -> None:
+        routes = [
+            {
+                'name': name,
+                'host': 'h',
+                'path_prefix': prefix,
+                'service': 's',
+                'target_completion_ms': 250,
+            }
+            for name, prefix in (('short', '/a/'), ('long', '/a/b/'))
+        ]
+        body = {'version': 7, 'routes': routes, 'services': []}
+        change = self.decode('config', msgspec.json.encode(body))
+        assert isinstance(change, platform.ConfigurationWritten)
+        cases = {
+            ('h', '/a/1'): 'short',
+            ('h', '/a/b/1'): 'long',
+            ('other', '/a/1'): None,
+            ('h', '/b/1'): None,
+        }
+        for (host, path), expected in cases.items():
+            with self.subTest(host=host, path=path):
+                found = change.configuration.find_queue(host, path)
+                self.assertEqual(expected, found.name if found else None)
+
+    def test_evacuation_ends_when_its_record_is_dropped(self) -> None:
+        for value, active in ((b'{}', True), (b'', False)):
+            self.assertEqual(
+                platform.EvacuationChanged('zone-1', active),
+                self.decode('evacuate/zone-1', value),
+            )
+
+    def test_unknown_keys_say_nothing_and_bad_ones_are_refused(self) -> None:
+        self.assertIsNone(self.decode('wave/1', b'{}'))
+        with self.assertRaises(errors.RefusedError):
+            self.decode('config', b'{"version": "x"}')
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/chivespoke/platform/tests/test_store.py
@@ -0,0 +1,124 @@
+"""The store's client against a stand-in that has the store's faults."""
+
+import unittest
+
+from chivespoke import errors
+from chivespoke import platform
+from chivespoke import standins
+
+TOPIC = 'keyed.test'
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.standin = standins.PlatformStore()
+        server = self.standin.make_server()
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        address = f'{server.address.host}:{server.address.port}'
+        self.transport = platform.Transport(address, 8)
+        await self.transport.start()
+        self.addAsyncCleanup(self.transport.stop)
+        self.store = platform.Store(self.transport, self.transport)
+
+    async def append(
+        self, key: str, value: bytes, *producer: int, limit: float = 1.0
+    ) -> int:
+        return await self.store.append(
+            TOPIC,
+            platform.encode_record(key, value),
+            platform.Producer('p', *producer) if producer else None,
+            limit,
+        )
+
+    async def test_records_come_back_as_they_were_written(self) -> None:
+        self.assertEqual(1, await self.append('a', b'1'))
+        self.assertEqual(2, await self.append('b', b''))
+        page = await self.store.read(TOPIC, 0, 0.0)
+        self.assertEqual(2, page.next_offset)
+        self.assertEqual(
+            [(0, 'a', b'1'), (1, 'b', b'')],
+            [(one.offset, one.key, one.value) for one in page.records],
+        )
+
+    async def test_read_waits_and_may_end_empty(self) -> None:
+        page = await self.store.read(TOPIC, 0, 0.05)
+        self.assertEqual(((), 0), (page.records, page.next_offset))
+
+    async def test_newest_is_read_over_all_pages(self) -> None:
+        for number in range(1203):
+            await self.standin.put(TOPIC, f'k{number:04}', b'old')
+        await self.standin.put(TOPIC, 'k0000', b'new')
+        await self.standin.put(TOPIC, 'k0001', b'')
+        page = await self.store.read_newest(TOPIC)
+        found = {one.key: one.value for one in page.records}
+        self.assertEqual(1202, len(found))
+        self.assertEqual(b'new', found['k0000'])
+        self.assertNotIn('k0001', found)
+        self.assertEqual(1205, page.next_offset)
+
+    async def test_forgotten_records_are_told_from_other_refusals(
+        self,
+    ) -> None:
+        await self.append('a', b'1')
+        self.standin.forget_before(TOPIC, 1)
+        with self.assertRaises(platform.ForgottenError):
+            await self.store.read(TOPIC, 0, 0.0)
+
+    async def test_earlier_epoch_is_fenced(self) -> None:
+        await self.store.append(TOPIC, b'', platform.Producer('p', 2, 0))
+        await self.append('a', b'1', 2, 1)
+        with self.assertRaises(platform.FencedError):
+            await self.append('a', b'old', 1, 7)
+        self.assertEqual({'a': b'1'}, self.standin.list_values(TOPIC))
+
+    async def test_repeated_sequence_is_done_once(self) -> None:
+        self.standin.faults.lose_answers = 1
+        with self.assertRaises(errors.UnavailableError):
+            await self.append('a', b'1', 1, 0, limit=0.2)
+        self.assertEqual(1, await self.append('a', b'1', 1, 0))
+        page = await self.store.read(TOPIC, 0, 0.0)
+        self.assertEqual(1, len(page.records))
+
+    async def test_late_copy_of_an_append_changes_nothing(self) -> None:
+        self.standin.faults.late_appends = 1
+        self.standin.faults.late_seconds = 0.4
+        with self.assertRaises(errors.UnavailableError):
+            await self.append('a', b'1', 1, 0, limit=0.2)
+        await self.append('a', b'1', 1, 0)
+        await self.append('a', b'2', 1, 1)
+        page = await self.store.read(TOPIC, 2, 0.5)
+        self.assertEqual((), page.records)
+        self.assertEqual({'a': b'2'}, self.standin.list_values(TOPIC))
+
+    async def test_refusals_say_that_nothing_was_done(self) -> None:
+        for status in (429, 503, 507):
+            with self.subTest(status=status):
+                self.standin.faults.refuse_with = status
+                with self.assertRaises(errors.RefusedError) as caught:
+                    await self.append('a', b'1')
+                self.assertIn(str(status), str(caught.exception))
+        self.standin.faults.refuse_with = 0
+        self.assertEqual({}, self.standin.list_values(TOPIC))
+
+    async def test_unreachable_store_refuses(self) -> None:
+        transport = platform.Transport('127.0.0.1:1', 1)
+        await transport.start()
+        self.addAsyncCleanup(transport.stop)
+        store = platform.Store(transport, transport)
+        with self.assertRaises(errors.RefusedError):
+            await store.append(TOPIC, b'')
+
+    async def test_partitions_go_to_members_until_they_leave(self) -> None:
+        first = await self.store.join('g', 'a', TOPIC, 5.0, 0)
+        self.assertEqual(frozenset(range(12)), first.partitions)
+        second = await self.store.join('g', 'b', TOPIC, 5.0, 0)
+        self.assertGreater(second.generation, first.generation)
+        self.assertEqual(6, len(second.partitions))
+        await self.store.leave('g', 'a')
+        third = await self.store.join('g', 'b', TOPIC, 5.0, 0)
+        self.assertEqual(12, len(third.partitions))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/chivespoke/serving/tests/test_watcher.py
@@ -0,0 +1,59 @@
+"""Reading the settings file again."""
+
+import pathlib
+import tempfile
+import unittest
+
+from chivespoke import errors
+from chivespoke import platform
+from chivespoke.serving import _watcher
+from chivespoke.serving.tests import builders
+
+
+def write_settings(path: pathlib.Path, lease_ms: int, name: str) -> None:
+    text = builders.TEMPLATE.format(
+        name=name,
+        kind='edge',
+        ip='127.0.0.1',
+        port=builders.FIRST_PORT,
+        worker='',
+        store='127.0.0.1:1',
+    )
+    path.write_text(
+        text.replace('max_hold_ms = 10000', f'max_hold_ms = {lease_ms}'),
+        encoding='utf-8',
+    )
+
+
+class WatcherTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name, 'settings.toml')
+        write_settings(self.path, 10000, 'entry-1')
+        self.holder = platform.MachineHolder(
+            platform.read_machine_settings(self.path)
+        )
+        self.watcher = _watcher.SettingsWatcher(self.path, self.holder)
+
+    def test_new_bounds_hold_at_once_and_a_new_name_does_not(self) -> None:
+        write_settings(self.path, 6000, 'entry-2')
+        self.watcher.reload()
+        self.assertEqual(6.0, self.holder.machine.bounds.lease_limit)
+        self.assertEqual('entry-1', self.holder.machine.name)
+
+    def test_unreadable_file_changes_nothing(self) -> None:
+        before = self.holder.machine
+        self.path.write_text('node_name = ', encoding='utf-8')
+        self.watcher.reload()
+        self.assertIs(before, self.holder.machine)
+
+    def test_bad_settings_name_the_file(self) -> None:
+        self.path.write_text('ip = "10.0.0.1"', encoding='utf-8')
+        with self.assertRaises(errors.SettingsError) as caught:
+            platform.read_machine_settings(self.path)
+        self.assertEqual(str(self.path), caught.exception.peer)
+
+
+if __name__ == '__main__':
+    unittest.main()
