Refuse at once while the store is out of reach

Change: after two failed reads in a row an entry refuses jobs and cancels with 503 without a try; the leader logs each tenth failed try only; the paths of the wire that the sidecar and the readiness answer serve come from the adapter.

--- a/chivespoke/agents/_registration.py
+++ b/chivespoke/agents/_registration.py
@@ -39,8 +39,8 @@
 
     def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
         return (
-            web.put('/instances/{identifier}', self._answer_report),
-            web.delete('/instances/{identifier}', self._answer_departure),
+            web.put(platform.REGISTRATION_PATH, self._answer_report),
+            web.delete(platform.REGISTRATION_PATH, self._answer_departure),
         )
 
     async def _answer_report(self, request: web.Request) -> web.Response:
--- a/chivespoke/coordination/_followers.py
+++ b/chivespoke/coordination/_followers.py
@@ -17,6 +17,8 @@
 # Pause after a failed read, in seconds: quick enough for a two-second bound,
 # slow enough that a herd of processes spares a store that is coming back.
 RETRY_SECONDS = 0.25
+# Pause after the first failure, in seconds: one reset connection is nothing.
+FIRST_RETRY_SECONDS = 0.02
 
 
 class TopicFold(abc.ABC):
@@ -44,6 +46,7 @@
         '_next',
         '_confirmed',
         '_reachable',
+        '_failures',
         '_changed',
     )
 
@@ -65,6 +68,8 @@
         self._next: int | None = None
         self._confirmed: float | None = None
         self._reachable = True
+        # Reads in a row that failed.
+        self._failures = 0
         self._changed = asyncio.Event()
 
     @property
@@ -72,6 +77,11 @@
         """Tell whether the topic was read whole once."""
         return self._next is not None
 
+    @property
+    def reachable(self) -> bool:
+        """Tell whether the store answered one of the last two reads."""
+        return self._reachable
+
     def set_gap(self, seconds: float) -> None:
         """Set the pause between reads."""
         self._gap = seconds
@@ -109,9 +119,14 @@
                 )
                 self._next = None
             except errors.ChivespokeError as error:
+                self._failures += 1
+                if self._failures == 1:
+                    await self._clock.sleep(FIRST_RETRY_SECONDS)
+                    continue
                 self._note_reachable(False, str(error))
                 await self._clock.sleep(RETRY_SECONDS)
             else:
+                self._failures = 0
                 self._note_reachable(True, '')
                 self._changed.set()
 
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -30,6 +30,8 @@
 TICK_SECONDS = 0.2
 # Pause before an append without an answer is repeated, in seconds.
 APPEND_RETRY_SECONDS = 0.1
+# Of the tries in a row that fail, each so many is logged.
+LOGGED_TRIES = 10
 # Nothing starts on a view of the operator's wishes older than this, in
 # seconds: less than the shortest bound on obeying them.
 VIEW_AGE_LIMIT = 1.8
@@ -232,6 +234,7 @@
 
     async def _append(self, records: bytes) -> int:
         producer = platform.Producer(PRODUCER, self._epoch, self._sequence)
+        tries = 0
         while True:
             asked = self._clock.read_monotonic()
             try:
@@ -247,12 +250,15 @@
                 # The store takes a repeated sequence number only once.
                 if isinstance(error, errors.UnavailableError):
                     self._patience.note_silence()
-                LOGGER.warning(
-                    'The leader cannot write; it tries again.',
-                    sequence=self._sequence,
-                    next_wait=self._patience.seconds,
-                    error=error,
-                )
+                tries += 1
+                if tries % LOGGED_TRIES == 1:
+                    LOGGER.warning(
+                        'The leader cannot write; it tries again.',
+                        sequence=self._sequence,
+                        tries=tries,
+                        next_wait=self._patience.seconds,
+                        error=error,
+                    )
                 await self._clock.sleep(APPEND_RETRY_SECONDS)
             else:
                 seconds = self._clock.read_monotonic() - asked
--- a/chivespoke/intake/_desk.py
+++ b/chivespoke/intake/_desk.py
@@ -109,9 +109,9 @@
             return self._refuse(_answers.Outcome.TOO_LARGE)
         if self._find(identifier) is not None:
             return self._settle(identifier, _answers.Outcome.ACCEPTED, 'again')
-        if not self._is_fresh():
+        if not self._can_write():
             return self._settle(
-                identifier, _answers.Outcome.UNAVAILABLE, 'ledger too old'
+                identifier, _answers.Outcome.UNAVAILABLE, 'store out of reach'
             )
         now_ms = int(self._clock.read_wall() * 1000)
         try:
@@ -132,6 +132,10 @@
             return self._refuse_unknown(identifier)
         if entry.phase.final:
             return self._settle(identifier, _answers.Outcome.ACCEPTED, 'final')
+        if not self._can_write():
+            return self._settle(
+                identifier, _answers.Outcome.UNAVAILABLE, 'store out of reach'
+            )
         record = coordination.encode_cancel(
             identifier, int(self._clock.read_wall() * 1000)
         )
@@ -209,6 +213,11 @@
         follower = self._coordinator.follower
         return follower.loaded and follower.measure_age() < FRESH_SECONDS
 
+    def _can_write(self) -> bool:
+        # A call that cannot be answered would leave the caller in doubt,
+        # where a refusal now lets it come again.
+        return self._is_fresh() and self._coordinator.follower.reachable
+
     def _refuse_unknown(self, identifier: str) -> web.Response:
         if self._is_fresh():
             return self._settle(
--- a/chivespoke/intake/_readiness.py
+++ b/chivespoke/intake/_readiness.py
@@ -9,6 +9,7 @@
 from chivespoke import coordination
 from chivespoke.intake import _desk
 from chivespoke import logs
+from chivespoke import platform
 from chivespoke import web as chivespoke_web
 
 LOGGER = logs.make_logger('readiness')
@@ -37,7 +38,7 @@
         self._clock = time
 
     def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
-        return (web.get('/ready', self._answer),)
+        return (web.get(platform.READINESS_PATH, self._answer),)
 
     async def start(self) -> None:
         return None
--- a/chivespoke/platform/__init__.py
+++ b/chivespoke/platform/__init__.py
@@ -28,6 +28,7 @@
 from chivespoke.platform._submissions import encode_pending
 from chivespoke.platform._submissions import encode_phase
 from chivespoke.platform._submissions import is_job_identifier
+from chivespoke.platform._submissions import READINESS_PATH
 from chivespoke.platform._transport import Transport
 from chivespoke.platform._workers import decode_registration
 from chivespoke.platform._workers import EndCause
@@ -36,6 +37,7 @@
 from chivespoke.platform._workers import OrderRefusedError
 from chivespoke.platform._workers import Refusal
 from chivespoke.platform._workers import Registration
+from chivespoke.platform._workers import REGISTRATION_PATH
 from chivespoke.platform._workers import RunningTask
 from chivespoke.platform._workers import WorkerClient
 
@@ -58,6 +60,8 @@
     'OrderRefusedError',
     'Page',
     'Producer',
+    'READINESS_PATH',
+    'REGISTRATION_PATH',
     'Record',
     'Refusal',
     'Registration',
--- a/chivespoke/platform/_submissions.py
+++ b/chivespoke/platform/_submissions.py
@@ -5,6 +5,8 @@
 from chivespoke import errors
 from chivespoke import workloads
 
+# Where the balancer asks whether to send connections.
+READINESS_PATH = '/ready'
 IDENTIFIER_LENGTH = 16
 HEXADECIMAL = frozenset('0123456789abcdefABCDEF')
 
--- a/chivespoke/platform/_workers.py
+++ b/chivespoke/platform/_workers.py
@@ -9,6 +9,8 @@
 from chivespoke.platform import _transport
 from chivespoke import workloads
 
+# Where a worker registers; the last part is its identifier.
+REGISTRATION_PATH = '/instances/{identifier}'
 INSTANCE_HEADER = 'Chivespoke-Target-Instance'
 ORDER_SECONDS = 1.0
 
--- a/chivespoke/serving/_assembly.py
+++ b/chivespoke/serving/_assembly.py
@@ -7,6 +7,7 @@
 from chivespoke import application
 from chivespoke import clock
 from chivespoke import coordination
+from chivespoke import errors
 from chivespoke import identifiers
 from chivespoke import intake
 from chivespoke import platform
@@ -82,13 +83,19 @@
     )
 
 
+def find_coordinator(
+    entry: application.Application,
+) -> coordination.Coordinator:
+    """Return the part of an entry that may lead; raise SettingsError."""
+    for component in entry.components:
+        if isinstance(component, coordination.Coordinator):
+            return component
+    raise errors.SettingsError('find coordinator', 'entry', 'not an entry')
+
+
 def is_leading(entry: application.Application) -> bool:
     """Tell whether an entry leads."""
-    return any(
-        isinstance(component, coordination.Coordinator)
-        and component.term is not None
-        for component in entry.components
-    )
+    return find_coordinator(entry).term is not None
 
 
 def parse_address(text: str) -> addresses.Address:
--- a/chivespoke/serving/tests/test_path.py
+++ b/chivespoke/serving/tests/test_path.py
@@ -4,6 +4,7 @@
 import collections.abc
 import unittest
 
+from chivespoke import serving
 from chivespoke.serving.tests import builders
 
 JOB = '00000000000000a1'
@@ -162,6 +163,29 @@
         status, _ = await self.platform.ask('GET', JOB)
         self.assertIn(status, (410, 503))
 
+    async def test_store_out_of_reach_is_not_tried_with_a_callers_job(
+        self,
+    ) -> None:
+        # Found by an incident: resets of a store that was down for four
+        # seconds left callers in doubt (504), who could have been refused.
+        await self.start(workers=0)
+        entry = self.platform.entries[0].application
+        assert entry is not None
+        follower = serving.find_coordinator(entry).follower
+        self.platform.store.faults.refuse_with = 503
+
+        async def wait_noticed() -> None:
+            while follower.reachable:
+                await asyncio.sleep(0.02)
+
+        await self.within(wait_noticed())
+        self.platform.store.faults.refuse_with = 0
+        self.platform.store.faults.delay = 3.0
+        # 504 would show that an append was tried and waited for.
+        status, _ = await self.platform.ask('POST', JOB, STEPS)
+        self.assertEqual(503, status)
+        self.platform.store.faults.delay = 0.0
+
     async def test_lost_answer_of_the_store_still_takes_the_job(self) -> None:
         await self.start()
         self.platform.store.faults.lose_answers = 1
