Bind an order to its own lease; close what a reading of the code found

Besides: two registrations in quick turns left a session behind; an error that nobody foresaw ended a follower or a term for good while the entry went on leading.

--- a/chivespoke/agents/_agent.py
+++ b/chivespoke/agents/_agent.py
@@ -121,7 +121,7 @@
             service=found.service,
             address=found.address,
         )
-        self._tasks.spawn(self._replace_session(found))
+        self._begin_session(found)
 
     def take_departure(self, identifier: str) -> None:
         session = self._session
@@ -131,14 +131,12 @@
         session.departing = True
         self._wake.set()
 
-    async def _replace_session(self, found: platform.Registration) -> None:
+    def _begin_session(self, found: platform.Registration) -> None:
         old, old_transport = self._session, self._transport
         transport = platform.Transport(
             self._machine.worker or found.address, WORKER_CONNECTIONS
         )
-        await transport.start()
-        self._transport = transport
-        self._session = _session.Session(
+        session = _session.Session(
             self._machine.name,
             found,
             platform.WorkerClient(transport, found.identifier),
@@ -148,9 +146,24 @@
             self._epoch,
             self._telemetry,
         )
-        self._session.start()
+        # At once: the next registration must find it.
+        self._transport = transport
+        self._session = session
+        self._tasks.spawn(
+            self._change_sessions(session, transport, old, old_transport)
+        )
+
+    async def _change_sessions(
+        self,
+        session: _session.Session,
+        transport: platform.Transport,
+        old: _session.Session | None,
+        old_transport: platform.Transport | None,
+    ) -> None:
+        await transport.start()
+        session.start()
         if self._epoch:
-            self._session.obey(coordination.Directive(self._epoch, '', 0, 0))
+            session.obey(coordination.Directive(self._epoch, '', 0, 0))
         if old is not None:
             await old.close()
         if old_transport is not None:
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -157,7 +157,11 @@
             self._unlisted[start.task] = 0
             if not start.repeated:
                 self._paces.pop(start.task, None)
-            self._handle(start.task, start.run, self._start(start))
+            self._handle(
+                start.task,
+                start.run,
+                self._start(start, directive.lease_until_ms),
+            )
         for stop in directive.stops:
             self._handle(stop.task, stop.run, self._stop(stop))
 
@@ -341,7 +345,9 @@
         self._outcomes.append(coordination.OrderOutcome(task, run, refusal))
         self._owner.wake()
 
-    async def _start(self, order: coordination.StartOrder) -> None:
+    async def _start(
+        self, order: coordination.StartOrder, lease_until_ms: int
+    ) -> None:
         if self._is_listed(order.task, order.run):
             self._tell(order.task, order.run, None)
             return
@@ -350,7 +356,7 @@
         if not (self.registration.draining or self.departing):
             for _ in range(START_ATTEMPTS):
                 try:
-                    await self._send_start(order)
+                    await self._send_start(order, lease_until_ms)
                 except platform.OrderRefusedError as error:
                     refusal = error.refusal
                     uncertain |= refusal is platform.Refusal.SUPERSEDED
@@ -372,13 +378,18 @@
             await self._bar(order.task, order.run)
         self._tell(order.task, order.run, refusal)
 
-    async def _send_start(self, order: coordination.StartOrder) -> None:
+    async def _send_start(
+        self, order: coordination.StartOrder, lease_until_ms: int
+    ) -> None:
+        # An order may have waited in a connection until the leader gave its
+        # run up: no later lease than its own makes it valid again, and the
+        # worker refuses it as late.
         self._choose_lease()
         await self._client.start(
             order.task,
             order.run,
             order.payload,
-            self._lease_sent_ms,
+            min(self._lease_sent_ms, lease_until_ms),
             self.epoch,
             order.checkpoint,
         )
--- a/chivespoke/coordination/_coordinator.py
+++ b/chivespoke/coordination/_coordinator.py
@@ -8,6 +8,7 @@
 from chivespoke.coordination import _operator_view
 from chivespoke.coordination import _records
 from chivespoke.coordination import _term
+from chivespoke import errors
 from chivespoke import logs
 from chivespoke import platform
 from chivespoke import telemetry
@@ -112,7 +113,13 @@
         await term.close()
 
     async def _run(self, term: _term.Term) -> None:
-        cause = await term.run()
+        try:
+            cause = await term.run()
+        except errors.InvariantError:
+            raise
+        except Exception as error:
+            # A term that cannot go on must not keep others from leading.
+            cause = f'failed: {error!r}'
         LOGGER.warning('A term is over.', cause=cause)
         # On a task of its own: retiring ends this one.
         self._leadership.give_up(cause)
--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -147,6 +147,9 @@
         for run in worker.runs.values():
             if run.sent_at is not None and now < run.sent_at + RESEND_SECONDS:
                 continue
+            if run.state is _fleet.RunState.ORDERED and self._is_over(run):
+                # The rest of a gang of which one member has ended.
+                run.state = _fleet.RunState.STOPPING
             if run.state is _fleet.RunState.ORDERED:
                 starts.append(self._make_start(run))
             elif run.state is _fleet.RunState.STOPPING:
@@ -181,6 +184,13 @@
             for other in sorted(fillers)
         )
 
+    def _is_over(self, run: _fleet.Run) -> bool:
+        state = self._state.jobs.get(run.name.job)
+        task = state.find(run.name) if state else None
+        if state is None or task is None:
+            return True
+        return state.final or task.status is workloads.TaskStatus.DONE
+
     def has_orders(self, worker: _fleet.Worker, now: float) -> bool:
         """Tell whether a worker is to be told something at once."""
         return any(
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -81,6 +81,8 @@
                 _fleet.RunState.ORDERED,
             )
             run.repeated = True
+            if state.final:
+                run.state = _fleet.RunState.STOPPING
             self.unheard.setdefault(task.worker, Unheard(bound)).runs.append(
                 run
             )
--- a/chivespoke/coordination/_followers.py
+++ b/chivespoke/coordination/_followers.py
@@ -125,6 +125,16 @@
                     continue
                 self._note_reachable(False, str(error))
                 await self._clock.sleep(RETRY_SECONDS)
+            except Exception as error:
+                # Whoever takes the records in has failed; they are read
+                # again, which changes nothing for those that were taken in.
+                LOGGER.error(
+                    'Records could not be taken in; reading them again.',
+                    topic=self._topic,
+                    offset=self._next,
+                    error=repr(error),
+                )
+                await self._clock.sleep(RETRY_SECONDS)
             else:
                 self._failures = 0
                 self._note_reachable(True, '')
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -123,8 +123,9 @@
             return
         if task.status is workloads.TaskStatus.DONE:
             return
+        worker = task.worker
         state.finish(name, wall_ms)
-        self._state.stop_run(task.worker, end.task)
+        self._state.stop_run(worker, end.task)
 
     def _apply_end(
         self,
--- a/chivespoke/coordination/tests/test_engine.py
+++ b/chivespoke/coordination/tests/test_engine.py
@@ -263,8 +263,39 @@
         )
         self.assertEqual(1, len(plan.records))
 
+    def test_what_runs_of_a_failed_job_is_stopped_not_begun_again(
+        self,
+    ) -> None:
+        self.begin()
+        for run in (1, 2):
+            end = builders.make_end(run, FIRST, platform.EndCause.FAILED, run)
+            self.leader.report(
+                builders.make_report(
+                    running=(builders.make_running(SECOND),), ended=(end,)
+                )
+            )
+            self.leader.plan()
+        self.assertIs(workloads.JobPhase.FAILED, self.leader.find_phase())
+        self.take_over()
+        self.leader.report(builders.make_report())
+        directive = self.leader.direct()
+        self.assertEqual((), directive.starts)
+        self.assertEqual([SECOND], [stop.task for stop in directive.stops])
+
 
 class EndTest(EngineTest):
+    def test_done_by_an_earlier_run_stops_the_later_one(self) -> None:
+        self.begin(ONE, workloads.Step(count=1, depends_on=(0,)))
+        self.leader.now += 7.0
+        self.leader.report(builders.make_report('side-2'))
+        self.leader.plan()
+        self.assertEqual([FIRST], self.list_starts('side-2'))
+        end = builders.make_end(1, FIRST)
+        self.leader.report(builders.make_report(ended=(end,)))
+        self.leader.plan()
+        stops = self.leader.direct('side-2').stops
+        self.assertEqual([FIRST], [stop.task for stop in stops])
+
     def test_only_own_failures_count_as_attempts(self) -> None:
         cases = {
             platform.EndCause.FAILED: workloads.JobPhase.FAILED,
@@ -364,6 +395,22 @@
         self.leader.plan()
         self.assertIs(workloads.JobPhase.COMPLETED, self.leader.find_phase())
 
+    def test_rest_of_a_gang_is_not_ordered_again_once_one_has_ended(
+        self,
+    ) -> None:
+        self.begin(workloads.Step(count=2, cpu_millis=1000, gang=True))
+        ended = (builders.make_end(1, FIRST),)
+        self.leader.report(builders.make_report(ended=ended))
+        self.leader.plan()
+        self.leader.report(
+            builders.make_report(
+                incarnation='b', running=(builders.make_running(SECOND),)
+            )
+        )
+        directive = self.leader.direct()
+        self.assertEqual((), directive.starts)
+        self.assertEqual([SECOND], [stop.task for stop in directive.stops])
+
     def test_occurrence_begins_when_it_is_due(self) -> None:
         job = builders.make_job(
             ONE,
