Try a marked worker again while other tasks run on it

Change: on probation a worker gets one task at a time whatever runs beside it, and is cleared by a success or by 2 s without a failure; a field of a log line that never said anything is gone. Conclusion: traced and mended, with a test that fails before.

--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -54,6 +54,7 @@
         '_decided',
         '_checkpoints_at',
         '_version',
+        '_planned_at',
     )
 
     def __init__(self, epoch: int, limits: _engine_state.Limits) -> None:
@@ -64,6 +65,7 @@
         self._checkpoints_at = 0.0
         # Version of the configuration that decisions are made under.
         self._version = 0
+        self._planned_at = 0.0
 
     @property
     def state(self) -> _engine_state.State:
@@ -91,6 +93,7 @@
 
     def plan(self, orders: Orders | None, now: float, wall: float) -> Plan:
         """Decide what can be decided; without orders nothing starts."""
+        self._planned_at = now
         self._state.expire(now)
         if orders is not None and orders.configuration is not None:
             self._update_terms(orders.configuration)
@@ -283,7 +286,7 @@
             and worker.life.data_centre not in orders.evacuating
             and now >= worker.blocked_until
             and now < worker.heard_at + SILENCE_SECONDS
-            and (conduct is None or conduct.allows(now, len(worker.runs)))
+            and (conduct is None or conduct.allows(now))
         )
 
     def _place_step(
@@ -376,13 +379,17 @@
         worker.add(run)
         self._decided.append(run)
         sites[site.worker] = _fleet.describe(worker, self._state.pressures)
+        conduct = self._state.conducts.get(site.worker)
+        if conduct is not None and conduct.is_suspect:
+            # On probation, one task at a time.
+            conduct.note_trial(self._planned_at)
+            del sites[site.worker]
         LOGGER.info(
             'A task is assigned.',
             task=run.text,
             run=number,
             worker=site.worker,
             spare_millis=site.spare_millis,
-            late_by=0,
         )
 
 
--- a/chivespoke/decisions/_quarantine.py
+++ b/chivespoke/decisions/_quarantine.py
@@ -13,23 +13,37 @@
 PAUSE_SECONDS = 3.0
 
 
+# A trial that has not failed or stood still for so long, in seconds, shows a
+# sound worker: failures came within 0.1 s, and a stall shows after 1.2 s.
+TRIAL_SECONDS = 2.0
+
+
 class Conduct:
     """Judge one worker by how its runs end."""
 
-    __slots__ = ('_failures', '_paused_until')
+    __slots__ = ('_failures', '_paused_until', '_trial_at')
 
     def __init__(self) -> None:
         self._failures = 0
         self._paused_until = 0.0
+        # When the one task of the probation was given, None if none was.
+        self._trial_at: float | None = None
+
+    @property
+    def is_suspect(self) -> bool:
+        """Tell whether the worker is marked."""
+        return self._failures >= FAILURES
 
     def note_success(self) -> None:
         """Clear the worker."""
         self._failures = 0
+        self._trial_at = None
 
     def note_failure(self, now: float) -> bool:
         """Count a failure, and tell whether it marks the worker."""
         self._failures += 1
-        if self._failures < FAILURES:
+        self._trial_at = None
+        if not self.is_suspect:
             return False
         self._paused_until = now + PAUSE_SECONDS
         return True
@@ -37,10 +51,20 @@
     def note_stall(self, now: float) -> None:
         """Mark the worker: runs stand still on it."""
         self._failures = max(self._failures, FAILURES)
+        self._trial_at = None
         self._paused_until = now + PAUSE_SECONDS
 
-    def allows(self, now: float, running: int) -> bool:
+    def note_trial(self, now: float) -> None:
+        """Note that a marked worker is given a task."""
+        self._trial_at = now
+
+    def allows(self, now: float) -> bool:
         """Tell whether the worker may be given another task."""
-        if self._failures < FAILURES:
+        if not self.is_suspect:
+            return True
+        if self._trial_at is None:
+            return now >= self._paused_until
+        if now >= self._trial_at + TRIAL_SECONDS:
+            self.note_success()
             return True
-        return now >= self._paused_until and running == 0
+        return False
--- a/chivespoke/decisions/tests/test_placement.py
+++ b/chivespoke/decisions/tests/test_placement.py
@@ -127,13 +127,30 @@
         conduct = decisions.Conduct()
         self.assertFalse(conduct.note_failure(1.0))
         self.assertFalse(conduct.note_failure(1.0))
-        self.assertTrue(conduct.allows(1.0, 5))
+        self.assertTrue(conduct.allows(1.0))
         self.assertTrue(conduct.note_failure(1.0))
-        self.assertFalse(conduct.allows(1.5, 0))
-        self.assertTrue(conduct.allows(5.0, 0))
-        self.assertFalse(conduct.allows(5.0, 1), 'probation: one at a time')
+        self.assertFalse(conduct.allows(1.5))
+        self.assertTrue(conduct.allows(5.0))
+        conduct.note_trial(5.0)
+        self.assertFalse(conduct.allows(5.5), 'probation: one at a time')
+        conduct.note_failure(5.5)
+        self.assertFalse(conduct.allows(5.6))
         conduct.note_success()
-        self.assertTrue(conduct.allows(5.0, 9))
+        self.assertTrue(conduct.allows(5.7))
+
+    def test_trial_that_does_not_fail_clears_a_worker_that_runs_others(
+        self,
+    ) -> None:
+        # Found by a hunt (cedarhollow-booking, workers-stand-still, seed
+        # 209492465316): tasks that last ran on beside, so that a worker with
+        # the only room for a task was never idle, and never tried again.
+        conduct = decisions.Conduct()
+        for _ in range(3):
+            conduct.note_failure(1.0)
+        conduct.note_trial(5.0)
+        self.assertFalse(conduct.allows(6.0))
+        self.assertTrue(conduct.allows(7.5))
+        self.assertFalse(conduct.is_suspect)
 
     def test_failures_between_successes_mark_nobody(self) -> None:
         conduct = decisions.Conduct()
