End every task and close every link when a process stops

The path tests, ten at a time, hung in 6 of 50 runs, with two stacks. (a) TaskOwner.cancel waited for a task whose cancellation was lost: asyncio.wait_for of Python 3.11 returns the result if its future is done when the cancellation comes. (b) The transport's term() blocked the loop: a sidecar's record replaced its link, the closing ran as a task, and the end of the term cancelled it before the socket was closed. Both are faults of the daemons: a leader that stepped down could hang for good.

Change: application.wait_for_event on asyncio.timeout, used by all loops; TaskOwner.cancel cancels again after a second, with a warning; a term keeps replaced links until they are closed, and closes sockets that are left. Starts and stops in the path tests are bounded, and a test module that hangs shows its stack and fails.

Ruled out: wait_ready without a limit (no stack showed it).

--- a/chivespoke/agents/_agent.py
+++ b/chivespoke/agents/_agent.py
@@ -93,7 +93,8 @@
         if self._socket is not None:
             self._socket.close()
         if self._context is not None:
-            self._context.term()
+            # Also closes a socket that was left open, which term waits for.
+            self._context.destroy(linger=0)
 
     def wake(self) -> None:
         self._wake.set()
@@ -217,12 +218,9 @@
 
     async def _keep_reporting(self, socket: zmq.asyncio.Socket) -> None:
         while True:
-            try:
-                await asyncio.wait_for(self._wake.wait(), REPORT_SECONDS)
+            # Without news, the heartbeat is due.
+            if await application.wait_for_event(self._wake, REPORT_SECONDS):
                 await self._clock.sleep(GATHER_SECONDS)
-            except asyncio.TimeoutError:
-                # No news: the heartbeat is due.
-                pass
             self._wake.clear()
             if self._leader is not None:
                 await self._send(socket, self._leader)
--- a/chivespoke/application.py
+++ b/chivespoke/application.py
@@ -10,6 +10,10 @@
 
 LOGGER = logs.make_logger('application')
 
+# A task that still runs so long after its cancellation, in seconds, is
+# cancelled again: longer than the clean-up of any task takes.
+CANCEL_AGAIN_SECONDS = 1.0
+
 
 class Component(abc.ABC):
     """Take part in the life cycle of an application."""
@@ -128,10 +132,19 @@
 
     async def cancel(self) -> None:
         """Cancel every task and wait until all have ended."""
-        tasks = tuple(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        while self._tasks:
+            for task in self._tasks:
+                task.cancel()
+            _, alive = await asyncio.wait(
+                self._tasks, timeout=CANCEL_AGAIN_SECONDS
+            )
+            if alive:
+                # A library may lose a cancellation that comes as a call
+                # ends.
+                LOGGER.warning(
+                    'Tasks outlived their cancellation.',
+                    tasks=[repr(task.get_coro()) for task in alive],
+                )
 
     def _forget(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
@@ -144,3 +157,15 @@
             task.get_loop().call_exception_handler(
                 {'message': 'an invariant is broken', 'exception': error}
             )
+
+
+async def wait_for_event(event: asyncio.Event, seconds: float) -> bool:
+    """Return whether an event was set within a time in seconds."""
+    # asyncio.wait_for of Python 3.11 loses a cancellation that comes in the
+    # same turn of the loop as the event.
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
--- a/chivespoke/coordination/_links.py
+++ b/chivespoke/coordination/_links.py
@@ -90,11 +90,8 @@
                 )
             except zmq.Again:
                 LOGGER.debug('A sidecar does not read.', sidecar=self._sidecar)
-            try:
-                await asyncio.wait_for(self._wake.wait(), PULSE_SECONDS)
-            except asyncio.TimeoutError:
-                # Nothing to tell: the pulse is due.
-                continue
+            # With nothing to tell, the pulse is due.
+            await application.wait_for_event(self._wake, PULSE_SECONDS)
             self._wake.clear()
 
     async def _receive(self) -> None:
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -52,6 +52,7 @@
         '_clock',
         '_engine',
         '_links',
+        '_replaced',
         '_context',
         '_tasks',
         '_wake',
@@ -84,6 +85,8 @@
         self._clock = time
         self._engine = _engine.Engine(epoch, limits)
         self._links: dict[str, _links.Link] = {}
+        # Links of earlier lives of sidecars that are not closed yet.
+        self._replaced: set[_links.Link] = set()
         self._context = zmq.asyncio.Context()
         self._tasks = application.TaskOwner()
         self._wake = asyncio.Event()
@@ -114,9 +117,10 @@
         if self._ledger.listener is self:
             self._ledger.listener = None
         await self._tasks.cancel()
-        for link in self._links.values():
+        for link in (*self._links.values(), *self._replaced):
             await link.close()
-        self._context.term()
+        # Also closes a socket that was left open, which term waits for.
+        self._context.destroy(linger=0)
 
     def take_job(self, entry: _records.Entry) -> None:
         now = self._clock.read_monotonic()
@@ -126,7 +130,9 @@
     def take_sidecar(self, name: str, address: str) -> None:
         old = self._links.pop(name, None)
         if old is not None:
-            self._tasks.spawn(old.close())
+            # Kept until it is closed: the term may be closed before.
+            self._replaced.add(old)
+            self._tasks.spawn(self._close_replaced(old))
         self._links[name] = _links.Link(self._context, name, address, self)
 
     def take_report(self, report: _messages.Report) -> None:
@@ -158,6 +164,10 @@
             worker, self._clock.read_monotonic()
         )
 
+    async def _close_replaced(self, link: _links.Link) -> None:
+        await link.close()
+        self._replaced.discard(link)
+
     async def _take_over(self) -> None:
         began = self._clock.read_monotonic()
         # An append of nothing bars every earlier leader from writing.
@@ -179,12 +189,9 @@
 
     async def _keep_planning(self) -> None:
         while not self._superseded.is_set():
-            try:
-                await asyncio.wait_for(self._wake.wait(), TICK_SECONDS)
+            # Without news, leases, retries and due times are looked at.
+            if await application.wait_for_event(self._wake, TICK_SECONDS):
                 await self._clock.sleep(GATHER_SECONDS)
-            except asyncio.TimeoutError:
-                # Nothing new: leases, retries and due times are looked at.
-                pass
             self._wake.clear()
             await self._plan()
 
--- a/chivespoke/serving/_watcher.py
+++ b/chivespoke/serving/_watcher.py
@@ -43,12 +43,8 @@
 
     async def _watch(self) -> None:
         while True:
-            try:
-                await asyncio.wait_for(self._wake.wait(), LOOK_SECONDS)
-            except asyncio.TimeoutError:
-                # No signal: the file may have changed all the same.
-                pass
-            else:
+            # Without a signal, the file may have changed all the same.
+            if await application.wait_for_event(self._wake, LOOK_SECONDS):
                 LOGGER.info('Reload was asked for.', path=str(self._path))
             self._wake.clear()
             self.reload()
--- a/chivespoke/serving/tests/test_path.py
+++ b/chivespoke/serving/tests/test_path.py
@@ -35,10 +35,14 @@
 
     async def asyncSetUp(self) -> None:
         self.platform = builders.Platform()
-        self.addAsyncCleanup(self.platform.stop)
+        self.addAsyncCleanup(self.stop)
 
     async def start(self, entries: int = 1, workers: int = 2) -> None:
-        await self.platform.start(entries, workers)
+        await self.within(self.platform.start(entries, workers))
+
+    async def stop(self) -> None:
+        async with asyncio.timeout(LIMIT_SECONDS):
+            await self.platform.stop()
 
     async def within(
         self, work: collections.abc.Coroutine[object, object, None]
@@ -50,6 +54,10 @@
         while len(self.platform.list_began()) < count:
             await asyncio.sleep(0.02)
 
+    async def wait_led(self) -> None:
+        while not self.platform.list_leaders():
+            await asyncio.sleep(0.02)
+
     async def submit(self, body: object, identifier: str = JOB) -> None:
         status, _ = await self.platform.ask('POST', identifier, body)
         self.assertEqual(200, status)
@@ -82,8 +90,7 @@
         self,
     ) -> None:
         await self.start(entries=2)
-        while not self.platform.list_leaders():
-            await asyncio.sleep(0.02)
+        await self.within(self.wait_led())
         leader = self.platform.list_leaders()[0]
         other = 1 - leader
         await self.submit(STEPS)
--- a/chivespoke/standins/_runner.py
+++ b/chivespoke/standins/_runner.py
@@ -269,13 +269,9 @@
         self._ended = [row for row in self._ended if row[0] > cursor]
         self._changed.clear()
         if not self._ended and body.get('wait_ms', 0):
-            try:
-                await asyncio.wait_for(
-                    self._changed.wait(), body['wait_ms'] / 1000
-                )
-            except asyncio.TimeoutError:
-                # No end within the wait.
-                pass
+            await application.wait_for_event(
+                self._changed, body['wait_ms'] / 1000
+            )
         return self._answer(
             {
                 'running': [
--- a/chivespoke/standins/_store.py
+++ b/chivespoke/standins/_store.py
@@ -218,10 +218,9 @@
         wait = int(query.get('wait_ms', '0')) / 1000
         async with found.changed:
             try:
-                await asyncio.wait_for(
-                    found.changed.wait_for(lambda: found.end > start), wait
-                )
-            except asyncio.TimeoutError:
+                async with asyncio.timeout(wait):
+                    await found.changed.wait_for(lambda: found.end > start)
+            except TimeoutError:
                 # Answered empty, as the wait is over.
                 pass
         body = OFFSETS.pack(found.end, found.first)
--- a/chivespoke/tests/test_application.py
+++ b/chivespoke/tests/test_application.py
@@ -75,5 +75,59 @@
         self.assertEqual(['stop second', 'stop first'], self.steps[2:])
 
 
+class TaskOwnerTest(unittest.IsolatedAsyncioTestCase):
+    """Cancel tasks at moments that lose a cancellation."""
+
+    LIMIT_SECONDS = 10.0
+
+    async def test_cancellation_in_the_turn_of_an_event_is_not_lost(
+        self,
+    ) -> None:
+        # Found by a test run that never ended: the task went on waiting.
+        for turns in range(5):
+            with self.subTest(turns=turns):
+                owner = application.TaskOwner()
+                event = asyncio.Event()
+
+                async def keep_waiting(event: asyncio.Event = event) -> None:
+                    while True:
+                        await application.wait_for_event(event, 60.0)
+                        event.clear()
+
+                task = owner.spawn(keep_waiting())
+                await asyncio.sleep(0)
+                event.set()
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                task.cancel()
+                done, _ = await asyncio.wait(
+                    (task,), timeout=self.LIMIT_SECONDS
+                )
+                self.assertEqual({task}, done)
+
+    async def test_task_that_loses_a_cancellation_is_cancelled_again(
+        self,
+    ) -> None:
+        owner = application.TaskOwner()
+
+        async def lose_one() -> None:
+            try:
+                await asyncio.sleep(60.0)
+            except asyncio.CancelledError:
+                await asyncio.sleep(60.0)
+
+        task = owner.spawn(lose_one())
+        await asyncio.sleep(0)
+        async with asyncio.timeout(self.LIMIT_SECONDS):
+            await owner.cancel()
+        self.assertTrue(task.cancelled())
+
+    async def test_event_and_time_are_told_apart(self) -> None:
+        event = asyncio.Event()
+        self.assertFalse(await application.wait_for_event(event, 0.01))
+        event.set()
+        self.assertTrue(await application.wait_for_event(event, 10.0))
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tools/tests.py
+++ b/tools/tests.py
@@ -3,6 +3,7 @@
 import argparse
 import concurrent.futures
 import dataclasses
+import faulthandler
 import io
 import os
 import pathlib
@@ -17,6 +18,9 @@
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 TEST_PREFIX = 'test: '
 PARALLEL_MODULES = 4
+# A module that runs longer, in seconds, hangs: it shows where and ends. The
+# whole of the checks has ten minutes.
+HANG_SECONDS = 420.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +68,7 @@
     """Run the cases of one module whose identifier holds the pattern."""
     if str(ROOT) not in sys.path:
         sys.path.insert(0, str(ROOT))
+    faulthandler.dump_traceback_later(HANG_SECONDS, exit=True)
     settings.register_profile('ci', derandomize=True, deadline=None)
     settings.load_profile('ci')
     loguru.logger.remove()
