Begin one task of a job that has waited idle

It was a filler.

Change: a job of which nothing is at work waits 1.5 s for a good place, then one of its fillers takes the best there is; pacing protects the serving tasks beside it. Placement moves out of the engine into a module of its own.

The new tests fail without the change.

--- a/chivespoke/coordination/__init__.py
+++ b/chivespoke/coordination/__init__.py
@@ -2,7 +2,6 @@
 
 from chivespoke.coordination._coordinator import Coordinator
 from chivespoke.coordination._engine import Engine
-from chivespoke.coordination._engine import Orders
 from chivespoke.coordination._engine_state import Limits
 from chivespoke.coordination._followers import TopicFold
 from chivespoke.coordination._followers import TopicFollower
@@ -15,6 +14,7 @@
 from chivespoke.coordination._messages import StartOrder
 from chivespoke.coordination._messages import StopOrder
 from chivespoke.coordination._messages import WorkerLife
+from chivespoke.coordination._placer import Orders
 from chivespoke.coordination._records import CANCEL_PREFIX
 from chivespoke.coordination._records import encode_cancel
 from chivespoke.coordination._records import encode_job
--- a/chivespoke/coordination/_jobs.py
+++ b/chivespoke/coordination/_jobs.py
@@ -24,6 +24,8 @@
         'objective',
         'chain',
         '_open',
+        '_assigned',
+        '_idle_since',
     )
 
     def __init__(
@@ -47,6 +49,10 @@
             [sum(not is_done(task) for task in tasks) for tasks in steps]
             for steps in self.progress.tasks
         ]
+        # Number of tasks that a worker has or may have.
+        self._assigned = sum(1 for _ in self.list_assigned())
+        # Since when work of the job waits and none is assigned.
+        self._idle_since: float | None = None
 
     @property
     def final(self) -> bool:
@@ -107,6 +113,17 @@
                             task,
                         )
 
+    def measure_idle(self, now: float) -> float:
+        """Return for how long, in seconds, the job has had only waiting work.
+
+        To be asked whenever work of the job waits for a place.
+        """
+        if self._assigned:
+            return 0.0
+        if self._idle_since is None:
+            self._idle_since = now
+        return now - self._idle_since
+
     def assign(self, name: workloads.TaskName, worker: str, run: int) -> None:
         """Give a waiting task to a worker."""
         task = self._demand(name)
@@ -119,6 +136,8 @@
             run > task.run, 'run numbers rise', name.format()
         )
         task.status = workloads.TaskStatus.ASSIGNED
+        self._assigned += 1
+        self._idle_since = None
         task.run = run
         task.worker = worker
         self.dirty = True
@@ -128,6 +147,8 @@
     def release(self, name: workloads.TaskName, checkpoint: str) -> None:
         """Let an assigned task wait again."""
         task = self._demand(name)
+        if task.status is workloads.TaskStatus.ASSIGNED:
+            self._assigned -= 1
         task.status = workloads.TaskStatus.WAITING
         task.worker = ''
         task.checkpoint = checkpoint or task.checkpoint
@@ -139,6 +160,8 @@
         tasks = self.progress.tasks[name.occurrence][name.step]
         for task in tasks if step.gang else [self._demand(name)]:
             if not is_done(task):
+                if task.status is workloads.TaskStatus.ASSIGNED:
+                    self._assigned -= 1
                 task.status = workloads.TaskStatus.DONE
                 task.worker = ''
                 self._open[name.occurrence][name.step] -= 1
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -13,6 +13,7 @@
 from chivespoke.coordination import _links
 from chivespoke.coordination import _messages
 from chivespoke.coordination import _operator_view
+from chivespoke.coordination import _placer
 from chivespoke.coordination import _records
 from chivespoke import decisions
 from chivespoke import errors
@@ -220,10 +221,10 @@
                     {'queue': state.job.queue},
                 )
 
-    def _read_orders(self) -> _engine.Orders | None:
+    def _read_orders(self) -> _placer.Orders | None:
         if self._operator_follower.measure_age() > VIEW_AGE_LIMIT:
             return None
-        return _engine.Orders(
+        return _placer.Orders(
             self._operator.configuration, frozenset(self._operator.evacuating)
         )
 
--- a/chivespoke/decisions/_placement.py
+++ b/chivespoke/decisions/_placement.py
@@ -3,7 +3,8 @@
 Answers a load of wide steps on workers of uneven size: tasks that reserve
 processor time are spread to where most is free. Fillers go to where they run
 fastest without pushing a serving task over its target, and wait rather than
-share a worker so thinly that all of them miss their objective.
+share a worker so thinly that all of them miss their objective; but no job
+waits for long with nothing at work, as pacing protects the serving tasks.
 """
 
 import collections.abc
@@ -17,6 +18,9 @@
 # objective allows 1.5 to 2 times the work, and a wait costs less than a
 # place beside which others suffer.
 LEAST_SPEED = 0.6
+# A filler whose job has had nothing running for so long, in seconds, takes
+# what there is: work that waits beside free workers counts as lost after 3 s.
+LONGEST_IDLE_SECONDS = 1.5
 # Share of its reserved processor time that a serving task is taken to use:
 # its load swings between a quarter and two thirds of what it reserves.
 SERVING_USE = 0.5
@@ -81,11 +85,17 @@
     step: workloads.Step,
     sites: collections.abc.Iterable[Site],
     pressures: _pressure.Pressures,
+    idle_seconds: float = 0.0,
 ) -> Site | None:
-    """Return the worker that a task does best on, None if it must wait."""
+    """Return the worker that a task does best on, None if it must wait.
+
+    Its job has had nothing at work for so many seconds.
+    """
     fitting = [site for site in sites if can_take(step, site)]
     if step.filler:
-        return _choose_for_filler(step, fitting, pressures)
+        patient = idle_seconds < LONGEST_IDLE_SECONDS
+        least_speed = LEAST_SPEED if patient else 0.0
+        return _choose_for_filler(step, fitting, pressures, least_speed)
     return max(
         fitting,
         key=lambda site: (
@@ -114,6 +124,7 @@
     step: workloads.Step,
     sites: collections.abc.Sequence[Site],
     pressures: _pressure.Pressures,
+    least_speed: float,
 ) -> Site | None:
     best = None
     best_key = (False, 0.0, 0)
@@ -121,6 +132,6 @@
         speed = estimate_speed(step, site, pressures)
         near = step.preferred_rack == site.rack
         key = (near, speed, site.spare_millis)
-        if speed >= LEAST_SPEED and (best is None or key > best_key):
+        if speed >= least_speed and (best is None or key > best_key):
             best, best_key = site, key
     return best
--- a/chivespoke/decisions/tests/test_placement.py
+++ b/chivespoke/decisions/tests/test_placement.py
@@ -78,6 +78,25 @@
         self.assertEqual('calm', found)
         self.assertEqual('', choose(filler, pressed, pressures=PRESSURE))
 
+    def test_filler_of_an_idle_job_does_not_wait_for_long(self) -> None:
+        # Found by a day on which the last task of a job never began.
+        filler = builders.make_filler()
+        worse, bad = (
+            decisions.Headroom('s1', -0.5),
+            decisions.Headroom('s1', 0.1),
+        )
+        sites = (
+            builders.make_site('worse', headrooms=(worse,)),
+            builders.make_site('bad', headrooms=(bad,)),
+        )
+        cases = {0.0: '', 1.0: '', 2.0: 'bad', 60.0: 'bad'}
+        for idle_seconds, expected in cases.items():
+            with self.subTest(idle_seconds=idle_seconds):
+                found = decisions.choose_site(
+                    filler, sites, PRESSURE, idle_seconds
+                )
+                self.assertEqual(expected, found.worker if found else '')
+
     def test_serving_tasks_join_their_own_image(self) -> None:
         same = builders.make_site('same', 2000, (decisions.Headroom('s1', 1),))
         other = builders.make_site(
