Ask the advisor which workers may run a step

Cause: a queue whose policy leaves the choice of workers to an advisor got every start refused for want of a ticket, so that its jobs never ran.

Change: the placer notes what is to be asked for the first step in order that could be placed on workers of which nothing is known; a task of the term asks one question at a time; answers are kept by step and life of a worker. Starts carry the ticket; a refused one is asked for again. The stand-in of the platform has an advisor.

Measured: test_steps_run_where_the_advisor_allows_them (real daemons, one refused question, tickets shorter than the job) passes; without tickets every start is refused.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -331,6 +331,7 @@
             min(self._lease_sent_ms, lease_until_ms),
             self.epoch,
             order.checkpoint,
+            order.ticket,
         )
 
     async def _stop(self, order: coordination.StopOrder) -> None:
--- a/chivespoke/coordination/_coordinator.py
+++ b/chivespoke/coordination/_coordinator.py
@@ -33,6 +33,7 @@
         '_clock',
         '_limits',
         '_telemetry',
+        '_advisor_transport',
         '_leadership',
         '_term',
         '_tasks',
@@ -48,6 +49,8 @@
     ) -> None:
         self._store = store
         self._telemetry = instruments
+        # Without an advisor, calls fail and say so; no queue should need it.
+        self._advisor_transport = platform.Transport(machine.advisor, 1)
         self._clock = time
         self.ledger = _records.Ledger()
         self.operator = _operator_view.OperatorView()
@@ -73,6 +76,7 @@
         return self._term
 
     async def start(self) -> None:
+        await self._advisor_transport.start()
         await self.operator_follower.start()
         await self.follower.start()
         await self._leadership.start()
@@ -86,6 +90,7 @@
         await self._tasks.cancel()
         await self.follower.stop()
         await self.operator_follower.stop()
+        await self._advisor_transport.stop()
 
     async def lead(self, epoch: int) -> None:
         self.follower.set_gap(LEADING_GAP)
@@ -99,6 +104,7 @@
             self._clock,
             self._limits,
             self._telemetry,
+            platform.AdvisorClient(self._advisor_transport),
         )
         self._term = term
         self._tasks.spawn(self._run(term))
--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from chivespoke.coordination import _advising
 from chivespoke.coordination import _engine_state
 from chivespoke.coordination import _fleet
 from chivespoke.coordination import _jobs
@@ -12,6 +13,7 @@
 from chivespoke import decisions
 from chivespoke import errors
 from chivespoke import logs
+from chivespoke import platform
 from chivespoke import workloads
 
 LOGGER = logs.make_logger('leader')
@@ -33,7 +35,7 @@
     ends: dict[str, int]
 
 
-class Engine:
+class Engine(_advising.AdviceTaker):
     """Decide what runs where, and keep account of it."""
 
     __slots__ = (
@@ -42,7 +44,6 @@
         '_epoch',
         '_placer',
         '_checkpoints_at',
-        '_version',
     )
 
     def __init__(self, epoch: int, limits: _engine_state.Limits) -> None:
@@ -51,8 +52,6 @@
         self._intake = _reports.Intake(self._state)
         self._placer = _placer.Placer(self._state)
         self._checkpoints_at = 0.0
-        # Version of the configuration that decisions are made under.
-        self._version = 0
 
     @property
     def state(self) -> _engine_state.State:
@@ -101,6 +100,7 @@
             elif self._is_forgettable(state, wall):
                 records += _records.encode_removal(state.job.identifier)
                 del self._state.jobs[state.job.identifier]
+                self._state.advice.forget(state.job.identifier)
         self._state.unrecorded_ends = False
         ends = {
             worker.life.key: worker.processed
@@ -109,6 +109,20 @@
         }
         return Plan(tuple(records), decided, ends)
 
+    def find_question(self) -> decisions.Question | None:
+        return self._placer.question
+
+    def take_advice(
+        self,
+        question: decisions.Question,
+        advice: platform.Advice,
+        asked_at: float,
+    ) -> None:
+        self._placer.question = None
+        self._state.advice.take(
+            question, advice.tickets, asked_at, advice.valid_seconds
+        )
+
     def _mark_checkpoints(self, now: float) -> None:
         if now < self._checkpoints_at + CHECKPOINT_SECONDS:
             return
@@ -214,10 +228,10 @@
             target_latency_ms=run.step.target_latency_ms,
             filler=run.step.filler,
             repeated=run.repeated,
+            ticket=run.ticket,
         )
 
     def _update_terms(self, configuration: workloads.Configuration) -> None:
-        self._version = configuration.version
         terms = {queue.name: queue.terms for queue in configuration.queues}
         for state in self._state.jobs.values():
             state.terms = terms.get(state.job.queue, state.terms)
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -53,6 +53,7 @@
         'unheard',
         'conducts',
         'pressures',
+        'advice',
         'unrecorded_ends',
     )
 
@@ -63,6 +64,7 @@
         self.unheard: dict[str, Unheard] = {}
         self.conducts: dict[str, decisions.Conduct] = {}
         self.pressures = decisions.PressureModel()
+        self.advice = decisions.AdviceBook()
         # Ends were taken in since the last plan.
         self.unrecorded_ends = False
 
--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -43,6 +43,7 @@
         'began_at',
         'listing',
         'repeated',
+        'ticket',
         'log_base',
         'sample',
         'watch',
@@ -70,6 +71,8 @@
         self.watch: decisions.ProgressWatch | None = None
         # Ordered before, by this leader or an earlier one.
         self.repeated = False
+        # The advisor's leave to start it; empty where none is needed.
+        self.ticket = ''
 
 
 class Worker:
--- a/chivespoke/coordination/_messages.py
+++ b/chivespoke/coordination/_messages.py
@@ -77,6 +77,8 @@
     filler: bool
     # Sent before; the earlier order may still be carried out.
     repeated: bool
+    # The advisor's leave; empty where none is needed.
+    ticket: str = ''
 
 
 class StopOrder(msgspec.Struct, frozen=True, array_like=True):
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -28,12 +28,16 @@
 class Placer:
     """Assign waiting tasks to workers."""
 
-    __slots__ = ('_state', '_decided', '_now')
+    __slots__ = ('question', '_state', '_decided', '_now', '_version')
 
     def __init__(self, state: _engine_state.State) -> None:
+        # What the advisor is to be asked for the first step that lacks it.
+        self.question: decisions.Question | None = None
         self._state = state
         self._decided: list[_fleet.Run] = []
         self._now = 0.0
+        # Version of the configuration that decisions are made under.
+        self._version = 0
 
     def place(
         self, orders: Orders, now: float, wall: float
@@ -41,6 +45,9 @@
         """Assign what can be assigned; return the runs to be ordered."""
         self._now = now
         self._decided = []
+        self.question = None
+        if orders.configuration is not None:
+            self._version = orders.configuration.version
         demands = sorted(
             self._list_demands(wall),
             key=lambda item: decisions.rank(item[0], wall),
@@ -107,6 +114,7 @@
         for name in names:
             site = self._choose(state, step, name, sites)
             if site is None:
+                self._note_question(state, step, name, sites)
                 return
             self._assign(state, step, name, site, sites, 0)
 
@@ -117,12 +125,68 @@
         name: workloads.TaskName,
         sites: dict[str, decisions.Site],
     ) -> decisions.Site | None:
-        service = state.terms.service
-        found = [
+        found = self._list_sites(state, sites)
+        if state.terms.advice is not None:
+            found = [
+                site
+                for site in found
+                if self._find_ticket(name, site.worker) is not None
+            ]
+        return self._choose_among(state, step, name, found)
+
+    def _list_sites(
+        self, state: _jobs.JobState, sites: dict[str, decisions.Site]
+    ) -> list[decisions.Site]:
+        return [
             site
             for key, site in sites.items()
-            if self._state.workers[key].life.service == service
+            if self._state.workers[key].life.service == state.terms.service
         ]
+
+    def _find_ticket(
+        self, name: workloads.TaskName, worker: str
+    ) -> str | None:
+        return self._state.advice.find_ticket(
+            name.format_step(), worker, self._now
+        )
+
+    def _note_question(
+        self,
+        state: _jobs.JobState,
+        step: workloads.Step,
+        name: workloads.TaskName,
+        sites: dict[str, decisions.Site],
+    ) -> None:
+        terms = state.terms.advice
+        if terms is None or self.question is not None:
+            return
+        text = name.format_step()
+        unknown = [
+            site
+            for site in self._list_sites(state, sites)
+            if decisions.can_take(step, site)
+            and self._find_ticket(name, site.worker) is None
+            and not self._state.advice.is_barred(text, site.worker)
+        ]
+        if self._choose_among(state, step, name, unknown) is None:
+            # The step would not be placed on any of them.
+            return
+        unknown.sort(key=lambda site: (-site.spare_millis, site.worker))
+        named = {
+            site.worker: self._state.workers[site.worker].life.identifier
+            for site in unknown[: decisions.QUESTION_SIZE]
+        }
+        self.question = decisions.Question(
+            text, named, terms.measure_answer(len(named))
+        )
+
+    def _choose_among(
+        self,
+        state: _jobs.JobState,
+        step: workloads.Step,
+        name: workloads.TaskName,
+        found: list[decisions.Site],
+    ) -> decisions.Site | None:
         if step.max_per_worker or step.long_running:
             found = [
                 msgspec.structs.replace(
@@ -161,6 +225,7 @@
         for name in names:
             site = self._choose(state, step, name, trial)
             if site is None:
+                self._note_question(state, step, name, trial)
                 return
             chosen.append(site)
             trial[site.worker] = take_room(site, step)
@@ -183,6 +248,8 @@
         worker = self._state.workers[site.worker]
         state.assign(name, site.worker, number)
         run = _fleet.Run(name, number, step, _fleet.RunState.DECIDED)
+        if state.terms.advice is not None:
+            run.ticket = self._find_ticket(name, site.worker) or ''
         worker.add(run)
         self._decided.append(run)
         sites[site.worker] = _fleet.describe(worker, self._state.pressures)
@@ -197,6 +264,7 @@
             run=number,
             worker=site.worker,
             spare_millis=site.spare_millis,
+            version=self._version,
         )
 
 
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -246,6 +246,12 @@
             refusal=outcome.refusal.value,
         )
         pause = ROOM_PAUSE
+        if outcome.refusal is platform.Refusal.BAD_TICKET:
+            # Says nothing of the worker; the advisor is asked again.
+            self._state.advice.drop_ticket(
+                run.name.format_step(), worker.life.key
+            )
+            pause = 0.0
         if outcome.refusal is platform.Refusal.UNHEALTHY:
             pause = UNHEALTHY_PAUSE
         worker.blocked_until = now + pause
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -6,6 +6,7 @@
 
 from chivespoke import application
 from chivespoke import clock
+from chivespoke.coordination import _advising
 from chivespoke.coordination import _engine
 from chivespoke.coordination import _engine_state
 from chivespoke.coordination import _fleet
@@ -63,6 +64,7 @@
         '_superseded',
         '_patience',
         '_telemetry',
+        '_advising',
     )
 
     def __init__(
@@ -76,6 +78,7 @@
         time: clock.Clock,
         limits: _engine_state.Limits,
         instruments: telemetry.Telemetry,
+        advisor: platform.AdvisorClient,
     ) -> None:
         self._epoch = epoch
         self._store = store
@@ -98,6 +101,9 @@
         self._superseded = asyncio.Event()
         self._patience = decisions.Patience()
         self._telemetry = instruments
+        self._advising = _advising.Advising(
+            advisor, self._engine, time, self._wake
+        )
 
     @property
     def engine(self) -> _engine.Engine:
@@ -108,6 +114,7 @@
         """Lead until the epoch is superseded; return the cause."""
         try:
             await self._take_over()
+            self._tasks.spawn(self._advising.run())
             await self._keep_planning()
         except platform.FencedError as error:
             return f'fenced: {error}'
@@ -205,6 +212,8 @@
             await self._append(b''.join(plan.records) + self._describe(now))
         self._engine.confirm(plan)
         self._count_starts(plan)
+        if self._engine.find_question() is not None:
+            self._advising.wake()
         for sidecar, worker in self._lives.items():
             if worker.life.key in plan.ends or self._engine.has_orders(
                 worker, now
--- a/chivespoke/coordination/tests/builders.py
+++ b/chivespoke/coordination/tests/builders.py
@@ -1,5 +1,7 @@
 """Builders of jobs, reports and engines."""
 
+import msgspec
+
 from chivespoke import coordination
 from chivespoke.coordination import _records
 from chivespoke import platform
@@ -38,9 +40,12 @@
     return entry
 
 
-def make_orders(*evacuating: str) -> coordination.Orders:
+def make_orders(
+    *evacuating: str, advice: workloads.AdviceTerms | None = None
+) -> coordination.Orders:
     """Return what the operator has in force."""
-    queue = workloads.Queue(QUEUE, 'host', '/q/', TERMS)
+    terms = msgspec.structs.replace(TERMS, advice=advice)
+    queue = workloads.Queue(QUEUE, 'host', '/q/', terms)
     service = workloads.Service(SERVICE)
     return coordination.Orders(
         workloads.Configuration(1, (queue,), (service,)),
--- a/chivespoke/coordination/tests/test_term.py
+++ b/chivespoke/coordination/tests/test_term.py
@@ -30,6 +30,7 @@
         clock.SystemClock(),
         coordination.Limits(),
         telemetry.Telemetry(),
+        mock.create_autospec(platform.AdvisorClient),
     )
 
 
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -1,5 +1,8 @@
 """Decisions as plain functions and small states, apart from any I/O."""
 
+from chivespoke.decisions._advice import AdviceBook
+from chivespoke.decisions._advice import Question
+from chivespoke.decisions._advice import QUESTION_SIZE
 from chivespoke.decisions._ordering import Demand
 from chivespoke.decisions._ordering import LATE_FACTOR
 from chivespoke.decisions._ordering import measure_chain
@@ -24,6 +27,7 @@
 
 __all__ = [
     'AIM',
+    'AdviceBook',
     'Conduct',
     'Demand',
     'FULL_PACE',
@@ -38,6 +42,8 @@
     'PressureModel',
     'Pressures',
     'ProgressWatch',
+    'QUESTION_SIZE',
+    'Question',
     'Site',
     'can_take',
     'choose_site',
--- a/chivespoke/platform/__init__.py
+++ b/chivespoke/platform/__init__.py
@@ -3,6 +3,8 @@
 Nothing here decides anything, and nothing outside knows the platform's names.
 """
 
+from chivespoke.platform._advisor import Advice
+from chivespoke.platform._advisor import AdvisorClient
 from chivespoke.platform._operator import ConfigurationWritten
 from chivespoke.platform._operator import decode_operator_record
 from chivespoke.platform._operator import EvacuationChanged
@@ -42,6 +44,8 @@
 from chivespoke.platform._workers import WorkerClient
 
 __all__ = [
+    'Advice',
+    'AdvisorClient',
     'Bounds',
     'ConfigurationWritten',
     'EndCause',
--- a/chivespoke/platform/_operator.py
+++ b/chivespoke/platform/_operator.py
@@ -12,6 +12,11 @@
 EVACUATION_PREFIX = 'evacuate/'
 
 
+class _Recommendation(msgspec.Struct):
+    decision_ms: float = 0
+    per_worker_ms: float = 0
+
+
 class _Route(msgspec.Struct):
     name: str
     host: str
@@ -22,6 +27,7 @@
     stretch: float = 1.0
     # Not a bound on an answer: the margin beyond the stretched chain.
     target_completion_ms: float = 0
+    recommendation: _Recommendation | None = None
 
 
 class _Service(msgspec.Struct):
@@ -75,6 +81,16 @@
     return ConfigurationWritten(_convert(found))
 
 
+def _convert_advice(
+    found: _Recommendation | None,
+) -> workloads.AdviceTerms | None:
+    if found is None:
+        return None
+    return workloads.AdviceTerms(
+        found.decision_ms / 1000, found.per_worker_ms / 1000
+    )
+
+
 def _convert(found: _Configuration) -> workloads.Configuration:
     queues = tuple(
         workloads.Queue(
@@ -87,6 +103,7 @@
                 max_attempts=route.max_attempts,
                 stretch=route.stretch,
                 margin_ms=int(route.target_completion_ms),
+                advice=_convert_advice(route.recommendation),
             ),
         )
         for route in found.routes
--- a/chivespoke/platform/_settings.py
+++ b/chivespoke/platform/_settings.py
@@ -57,6 +57,8 @@
     # Address of the worker beside a sidecar.
     app: str = ''
     service: str = ''
+    # Address of the advisor; empty where there is none.
+    recommendation: str = ''
 
 
 class Bounds(msgspec.Struct, frozen=True):
@@ -94,6 +96,8 @@
     store_request_bytes: int
     # Address of this machine's worker; empty where there is none.
     worker: str
+    # Address of the advisor on steps; empty where there is none.
+    advisor: str
     bounds: Bounds
 
 
@@ -133,6 +137,7 @@
         store_shortest_ttl=found.platform.min_ttl_ms / 1000,
         store_request_bytes=found.platform.max_request_bytes,
         worker=found.app,
+        advisor=found.recommendation,
         bounds=Bounds(
             lease_limit=bounds.max_hold_ms / 1000,
             stop_limit=bounds.stop_timeout_ms / 1000,
--- a/chivespoke/platform/_workers.py
+++ b/chivespoke/platform/_workers.py
@@ -190,6 +190,7 @@
         lease_until_ms: int,
         fence: int,
         checkpoint: str,
+        ticket: str,
     ) -> None:
         """Start a run, or find it there already."""
         body: dict[str, object] = {
@@ -201,6 +202,8 @@
         }
         if checkpoint:
             body['checkpoint'] = checkpoint
+        if ticket:
+            body['ticket'] = ticket
         await self._order('start', '/run-start', body, ORDER_SECONDS)
 
     async def stop(self, task: str, run: int, fence: int) -> None:
--- a/chivespoke/platform/tests/test_messages.py
+++ b/chivespoke/platform/tests/test_messages.py
@@ -136,6 +136,26 @@
                 found = change.configuration.find_queue(host, path)
                 self.assertEqual(expected, found.name if found else None)
 
+    def test_terms_say_how_long_advice_takes(self) -> None:
+        route = {'name': 'n', 'host': 'h', 'path_prefix': '/', 'service': 's'}
+        advised = {
+            'decision_ms': 500,
+            'per_worker_ms': 50,
+            'valid_ms': 3000,
+        }
+        cases: dict[str, tuple[dict[str, object], float | None]] = {
+            'without': ({}, None),
+            'with': ({'recommendation': advised}, 1.0),
+        }
+        for name, (fields, expected) in cases.items():
+            with self.subTest(name):
+                body = {'version': 1, 'routes': [{**route, **fields}]}
+                change = self.decode('config', msgspec.json.encode(body))
+                assert isinstance(change, platform.ConfigurationWritten)
+                advice = change.configuration.queues[0].terms.advice
+                found = advice.measure_answer(10) if advice else None
+                self.assertEqual(expected, found)
+
     def test_evacuation_ends_when_its_record_is_dropped(self) -> None:
         for value, active in ((b'{}', True), (b'', False)):
             self.assertEqual(
--- a/chivespoke/serving/tests/builders.py
+++ b/chivespoke/serving/tests/builders.py
@@ -26,6 +26,7 @@
 TEMPLATE = """\
 node_name = "{name}"
 machine_class = "{kind}"
+recommendation = "{advisor}"
 ip = "{ip}"
 zone = "zone-1"
 internal_port_range = [{port}, {port}]
@@ -99,12 +100,19 @@
         self._folder = tempfile.TemporaryDirectory()
         self._stack = contextlib.AsyncExitStack()
         self._addresses = 0
+        # Asked about all steps of the queue, if there is one.
+        self.advisor: standins.PlatformAdvisor | None = None
+        self._advisor_address = ''
         self.session: aiohttp.ClientSession | None = None
 
     async def start(self, entries: int, workers: int) -> None:
         """Start everything, and return once an entry is ready."""
         store = await self._serve(self.store.make_server())
-        await self.store.put('keyed.op', 'config', make_configuration())
+        await self.store.put('keyed.op', 'config', self._configure())
+        if self.advisor is not None:
+            self._advisor_address = await self._serve(
+                self.advisor.make_server()
+            )
         self.session = await self._stack.enter_async_context(
             aiohttp.ClientSession()
         )
@@ -116,6 +124,7 @@
             runner = standins.PlatformRunner(
                 f'i-{number}', SERVICE, 'zone-1', TASK_SECONDS, self.ledger
             )
+            runner.advisor = self.advisor
             runner.address = await self._serve(runner.make_server())
             await runner.start()
             self.runners.append(runner)
@@ -188,6 +197,17 @@
             and serving.is_leading(daemon.application)
         ]
 
+    def _configure(self) -> bytes:
+        if self.advisor is None:
+            return make_configuration()
+        return make_configuration(
+            recommendation={
+                'decision_ms': 20,
+                'per_worker_ms': 0,
+                'valid_ms': int(self.advisor.valid_seconds * 1000),
+            }
+        )
+
     async def _serve(self, server: web.HttpServer) -> str:
         await server.start()
         self._servers.append(server)
@@ -208,6 +228,7 @@
                 port=FIRST_PORT,
                 worker=worker,
                 store=store,
+                advisor=self._advisor_address,
             ),
             encoding='utf-8',
         )
--- a/chivespoke/serving/tests/test_path.py
+++ b/chivespoke/serving/tests/test_path.py
@@ -6,6 +6,7 @@
 
 from chivespoke import serving
 from chivespoke.serving.tests import builders
+from chivespoke import standins
 
 JOB = '00000000000000a1'
 OTHER_JOB = '00000000000000a2'
@@ -216,6 +217,22 @@
         self.platform.store.deal_anew('chivespoke-leader')
         await self.within(self.platform.wait_state(JOB, 'completed'))
 
+    async def test_steps_run_where_the_advisor_allows_them(self) -> None:
+        advisor = standins.PlatformAdvisor('i-1')
+        # Shorter than the job: the second step needs tickets of its own.
+        advisor.valid_seconds = 0.7
+        advisor.refusals = 1
+        self.platform.advisor = advisor
+        await self.start(workers=3)
+        await self.submit(STEPS)
+        await self.within(self.platform.wait_state(JOB, 'completed'))
+        began = [len(runner.began) for runner in self.platform.runners]
+        self.assertEqual([0, 5, 0], began)
+        # Who was turned down for a step is not asked about again.
+        for worker in ('i-0', 'i-2'):
+            named = sum(worker in asked for asked in advisor.asked)
+            self.assertLessEqual(named, len(STEPS['steps']))
+
     async def test_unknown_jobs_and_queues_are_told_apart(self) -> None:
         await self.start(workers=0)
         status, _ = await self.platform.ask('GET', JOB)
--- a/chivespoke/serving/tests/test_watcher.py
+++ b/chivespoke/serving/tests/test_watcher.py
@@ -17,6 +17,7 @@
         ip='127.0.0.1',
         port=builders.FIRST_PORT,
         worker='',
+        advisor='',
         store='127.0.0.1:1',
     )
     path.write_text(
--- a/chivespoke/standins/__init__.py
+++ b/chivespoke/standins/__init__.py
@@ -1,5 +1,6 @@
 """Small fakes of the outside, for tests, benches and the demo."""
 
+from chivespoke.standins._advisor import PlatformAdvisor
 from chivespoke.standins._backend_server import CountingServer
 from chivespoke.standins._balancer import Balancer
 from chivespoke.standins._log import LogFaults
@@ -28,6 +29,7 @@
     'MemoryLog',
     'MemoryWorkerClient',
     'MemoryWorkerConnector',
+    'PlatformAdvisor',
     'PlatformRunner',
     'PlatformStore',
     'Ran',
--- a/chivespoke/standins/_runner.py
+++ b/chivespoke/standins/_runner.py
@@ -10,6 +10,7 @@
 
 from chivespoke import addresses
 from chivespoke import application
+from chivespoke.standins import _advisor
 from chivespoke import web as chivespoke_web
 
 STOP_SECONDS = 0.02
@@ -56,6 +57,7 @@
     __slots__ = (
         'identifier',
         'faults',
+        'advisor',
         'began',
         'paces',
         '_service',
@@ -87,6 +89,8 @@
     ) -> None:
         self.identifier = identifier
         self.faults = RunnerFaults()
+        # Starts need its tickets, if there is one.
+        self.advisor: _advisor.PlatformAdvisor | None = None
         self.began: list[Ran] = []
         # Percent of full speed last set, by task.
         self.paces: dict[str, int] = {}
@@ -213,6 +217,11 @@
             return 'old'
         if body['deadline_ms'] < self._read_clock():
             return 'late'
+        step, _, _ = task.rpartition('.')
+        if self.advisor is not None and not self.advisor.is_valid(
+            step, self.identifier, body.get('ticket', '')
+        ):
+            return 'ticket'
         self._until = max(self._until, body['deadline_ms'])
         checkpoint = body.get('checkpoint', '')
         cause = 'failed' if self.faults.fails_all else 'done'
--- a/chivespoke/workloads/__init__.py
+++ b/chivespoke/workloads/__init__.py
@@ -1,5 +1,6 @@
 """Model of jobs, tasks and the operator's configuration."""
 
+from chivespoke.workloads._model import AdviceTerms
 from chivespoke.workloads._model import Configuration
 from chivespoke.workloads._model import Job
 from chivespoke.workloads._model import JobPhase
@@ -17,6 +18,7 @@
 from chivespoke.workloads._model import Terms
 
 __all__ = [
+    'AdviceTerms',
     'Configuration',
     'Job',
     'JobPhase',
--- a/chivespoke/workloads/_model.py
+++ b/chivespoke/workloads/_model.py
@@ -34,6 +34,18 @@
     max_unavailable: int = 0
 
 
+class AdviceTerms(msgspec.Struct, frozen=True):
+    """Say how long advice on a step takes."""
+
+    # Seconds for any question, and more for each worker that it names.
+    decision_seconds: float
+    worker_seconds: float
+
+    def measure_answer(self, workers: int) -> float:
+        """Return the seconds after which a question is answered."""
+        return self.decision_seconds + workers * self.worker_seconds
+
+
 class Terms(msgspec.Struct, frozen=True, omit_defaults=True):
     """Hold what a queue promises to its jobs."""
 
@@ -44,6 +56,8 @@
     # The objective is the longest chain times this, plus the margin.
     stretch: float = 1.0
     margin_ms: int = 0
+    # Set if an advisor says which workers may run a step.
+    advice: AdviceTerms | None = None
 
 
 class Job(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -85,7 +99,11 @@
 
     def format(self) -> str:
         """Return the name as text."""
-        return f'{self.job}.{self.occurrence}.{self.step}.{self.index}'
+        return f'{self.format_step()}.{self.index}'
+
+    def format_step(self) -> str:
+        """Return the name of the step and occurrence as text."""
+        return f'{self.job}.{self.occurrence}.{self.step}'
 
 
 def parse_task_name(text: str) -> TaskName | None:
