Do not call runs of an unanswering worker standing still

A worker crashed; the sidecar's reports went on to list its last look, in which no run advanced, so that after 1.2 s all its runs were taken to stand still, were stopped (each stop failed and was repeated three times a second) and the worker was marked. Where a worker only answers late, that throws away sound work.

Change: the time in which a worker does not answer is left out of the watch on progress.

Measured: the new engine test fails without the change (a stop is ordered after 1.2 s) and passes with it; coordination tests pass.

--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -198,16 +198,24 @@
         if row.checkpoint and row.checkpoint != task.checkpoint:
             task.checkpoint = row.checkpoint
             state.has_new_checkpoint = True
-        if self._stands_still(run, row, worker.heard_at):
+        if self._stands_still(run, row, worker.heard_at, worker.answering):
             self._stop_stalled(worker, run)
 
     def _stands_still(
-        self, run: _fleet.Run, row: platform.RunningTask, now: float
+        self,
+        run: _fleet.Run,
+        row: platform.RunningTask,
+        now: float,
+        answering: bool,
     ) -> bool:
         if run.state is not _fleet.RunState.RUNNING or run.step.long_running:
             return False
         if run.watch is None:
             run.watch = decisions.ProgressWatch(now)
+        if not answering:
+            # The row is that of an earlier look.
+            run.watch.skip(now)
+            return False
         use = min(1.0, row.measure / max(1, run.step.cpu_millis))
         estimated = run.step.estimated_ms / 1000
         return run.watch.note(row.progress, use, estimated, now)
--- a/chivespoke/coordination/tests/builders.py
+++ b/chivespoke/coordination/tests/builders.py
@@ -77,6 +77,7 @@
     incarnation: str = 'a',
     draining: bool = False,
     lapsed: bool = False,
+    answering: bool = True,
 ) -> coordination.Report:
     """Return a sidecar's report."""
     return coordination.Report(
@@ -85,7 +86,7 @@
         epoch=EPOCH,
         life=make_life(sidecar, born_ms),
         draining=draining,
-        answering=True,
+        answering=answering,
         lapsed=lapsed,
         clock_ms=1000,
         running=running,
--- a/chivespoke/coordination/tests/test_engine.py
+++ b/chivespoke/coordination/tests/test_engine.py
@@ -360,6 +360,21 @@
         stops = self.leader.direct().stops
         self.assertEqual([FIRST], [stop.task for stop in stops])
 
+    def test_worker_that_does_not_answer_has_no_runs_that_stand_still(
+        self,
+    ) -> None:
+        # Found by an incident: reports on a worker that had crashed held its
+        # last look, whose runs were all stopped as standing still.
+        self.begin(ONE)
+        running = (builders.make_running(FIRST),)
+        for answering, seconds in ((False, 4.0), (True, 0.8), (False, 4.0)):
+            for _ in range(int(seconds / 0.4)):
+                self.leader.now += 0.4
+                self.leader.report(
+                    builders.make_report(running=running, answering=answering)
+                )
+        self.assertEqual((), self.leader.direct().stops)
+
 
 class StepTest(EngineTest):
     def test_later_step_waits_for_the_earlier_one(self) -> None:
--- a/chivespoke/decisions/_stalls.py
+++ b/chivespoke/decisions/_stalls.py
@@ -25,6 +25,11 @@
         # Percent that the use since the last progress should have brought.
         self._expected = 0.0
 
+    def skip(self, now: float) -> None:
+        """Leave out the time since the last look: nothing was seen."""
+        self._since += now - self._looked_at
+        self._looked_at = now
+
     def note(
         self, progress: float, use: float, estimated_seconds: float, now: float
     ) -> bool:
