Place the work of urgent queues first

Cause: the order of waiting work did not look at the priority of its queue, which the configuration defines as 0 first.

Change: priority leads the rank; within one, as before.

Measured: the new ordering test fails without the change.

--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -76,6 +76,7 @@
                 begun = state.measure_due(occurrence)
                 demand = decisions.Demand(
                     job=state.job.identifier,
+                    priority=state.terms.priority,
                     long_running=step.long_running,
                     filler=step.filler,
                     due=max(state.due, begun + state.objective),
--- a/chivespoke/decisions/_ordering.py
+++ b/chivespoke/decisions/_ordering.py
@@ -1,8 +1,8 @@
 """Which waiting work goes first.
 
-Answers a burst that brings more work than fits: jobs that can still meet
-their objective go before those that will be late in any case, and within
-each of these the one that is due first.
+Answers a burst that brings more work than fits: more urgent queues go first;
+within one, jobs that can still meet their objective go before those that will
+be late in any case, and within each of these the one that is due first.
 """
 
 import msgspec
@@ -17,6 +17,8 @@
     """Hold what is known of a step that waits for room."""
 
     job: str
+    # That of its queue; 0 is the most urgent.
+    priority: int
     long_running: bool
     filler: bool
     # Seconds since 1970 at which the objective passes.
@@ -36,14 +38,24 @@
     return max(chains, default=0.0)
 
 
-def rank(demand: Demand, now: float) -> tuple[int, float, str]:
+def rank(demand: Demand, now: float) -> tuple[int, int, float, str]:
     """Return a key that sorts demands, first things first."""
+    return (
+        demand.priority,
+        measure_lateness(demand, now),
+        demand.due,
+        demand.job,
+    )
+
+
+def measure_lateness(demand: Demand, now: float) -> int:
+    """Return how much of a demand's worth is lost already, as a class."""
     if demand.long_running:
         # Earns with every second that it runs.
-        return (0, demand.due, demand.job)
+        return 0
     last = demand.due + (LATE_FACTOR - 1) * demand.objective
     if now + demand.left <= demand.due:
-        return (1, demand.due, demand.job)
+        return 1
     if now + demand.left <= last:
-        return (2, demand.due, demand.job)
-    return (3, demand.due, demand.job)
+        return 2
+    return 3
--- a/chivespoke/decisions/tests/builders.py
+++ b/chivespoke/decisions/tests/builders.py
@@ -45,11 +45,16 @@
 
 
 def make_demand(
-    job: str, due: float, left: float = 2.0, objective: float = 10.0
+    job: str,
+    due: float,
+    left: float = 2.0,
+    objective: float = 10.0,
+    priority: int = 0,
 ) -> decisions.Demand:
     """Return a step that waits for room."""
     return decisions.Demand(
         job=job,
+        priority=priority,
         long_running=False,
         filler=True,
         due=due,
--- a/chivespoke/decisions/tests/test_placement.py
+++ b/chivespoke/decisions/tests/test_placement.py
@@ -123,6 +123,17 @@
             [demand.job for demand in ranked],
         )
 
+    def test_urgent_queues_go_first_even_if_their_jobs_are_late(self) -> None:
+        demands = [
+            builders.make_demand('batch', due=104.0, priority=2),
+            builders.make_demand('urgent', due=60.0, priority=0),
+            builders.make_demand('usual', due=101.0, priority=1),
+        ]
+        ranked = sorted(demands, key=lambda one: decisions.rank(one, 100.0))
+        self.assertEqual(
+            ['urgent', 'usual', 'batch'], [demand.job for demand in ranked]
+        )
+
     def test_chain_is_the_longest_path(self) -> None:
         job = workloads.Job(
             identifier='j',
