End a leader's term once a later leader is known

An entry was cut from the store while it led; another took over and the sidecars said so. The earlier term only ended with an answer of the store, so it went on trying to append and warned of the later leader with every report, 25 lines a second.

Change: a failed append of a superseded leader ends its term, and the warning comes once.

Measured: the new test (a store that never answers, three reports of a later epoch) fails without the change, as the term never ends, and passes with it.

--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -41,6 +41,10 @@
 LOAD_SECONDS = 1.0
 
 
+class SupersededError(errors.RefusedError):
+    """Report a leader that stops trying, as a later one leads."""
+
+
 class Term(_records.Listener, _links.LinkOwner):
     """Lead for as long as the store lets this epoch write."""
 
@@ -116,7 +120,7 @@
             await self._take_over()
             self._tasks.spawn(self._advising.run())
             await self._keep_planning()
-        except platform.FencedError as error:
+        except (platform.FencedError, SupersededError) as error:
             return f'fenced: {error}'
         return 'superseded'
 
@@ -145,13 +149,7 @@
 
     def take_report(self, report: _messages.Report) -> None:
         if report.epoch > self._epoch:
-            LOGGER.warning(
-                'A sidecar has heard a later leader.',
-                sidecar=report.sidecar,
-                epoch=report.epoch,
-            )
-            self._superseded.set()
-            self._wake.set()
+            self._note_later_leader(report)
             return
         now = self._clock.read_monotonic()
         wall = self._clock.read_wall()
@@ -164,6 +162,17 @@
         if report.ended or report.outcomes or report.lapsed:
             self._wake.set()
 
+    def _note_later_leader(self, report: _messages.Report) -> None:
+        if self._superseded.is_set():
+            return
+        LOGGER.warning(
+            'A sidecar has heard a later leader.',
+            sidecar=report.sidecar,
+            epoch=report.epoch,
+        )
+        self._superseded.set()
+        self._wake.set()
+
     def make_directive(self, sidecar: str) -> _messages.Directive:
         worker = self._lives.get(sidecar)
         if worker is None:
@@ -268,6 +277,11 @@
                 if isinstance(error, errors.UnavailableError):
                     self._patience.note_silence()
                 tries += 1
+                if self._superseded.is_set():
+                    # The later leader knows what was recorded.
+                    raise SupersededError(
+                        'append', 'store', 'a later leader leads'
+                    ) from error
                 if tries % LOGGED_TRIES == 1:
                     LOGGER.warning(
                         'The leader cannot write; it tries again.',
--- a/chivespoke/coordination/tests/test_term.py
+++ b/chivespoke/coordination/tests/test_term.py
@@ -5,11 +5,15 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from chivespoke import clock
 from chivespoke import coordination
 from chivespoke.coordination import _followers
 from chivespoke.coordination import _operator_view
 from chivespoke.coordination import _term
+from chivespoke.coordination.tests import builders
+from chivespoke import errors
 from chivespoke import platform
 from chivespoke import telemetry
 
@@ -18,11 +22,11 @@
 LIMIT_SECONDS = 10.0
 
 
-def make_term() -> _term.Term:
+def make_term(store: platform.Store | None = None) -> _term.Term:
     """Return a term that has not taken over."""
     return _term.Term(
         1,
-        mock.create_autospec(platform.Store),
+        store or mock.create_autospec(platform.Store),
         coordination.Ledger(),
         mock.create_autospec(_followers.TopicFollower),
         _operator_view.OperatorView(),
@@ -64,6 +68,29 @@
                 thread.join(LIMIT_SECONDS)
                 self.assertFalse(thread.is_alive())
 
+    def test_superseded_leader_without_the_store_gives_up(self) -> None:
+        # Found by an incident: a leader cut from the store went on trying,
+        # and warned of the later leader with every report.
+        store = mock.create_autospec(platform.Store, instance=True)
+        store.append.side_effect = errors.UnavailableError('append', 's', '')
+        report = msgspec.structs.replace(builders.make_report(), epoch=2)
+
+        async def lead() -> str:
+            term = make_term(store)
+            led = asyncio.create_task(term.run())
+            await asyncio.sleep(0)
+            for _ in range(3):
+                term.take_report(report)
+            try:
+                return await asyncio.wait_for(led, LIMIT_SECONDS)
+            finally:
+                await term.close()
+
+        with mock.patch.object(_term, 'LOGGER') as logger:
+            self.assertIn('a later leader', asyncio.run(lead()))
+        said = [call.args[0] for call in logger.warning.call_args_list]
+        self.assertEqual(1, said.count('A sidecar has heard a later leader.'))
+
 
 if __name__ == '__main__':
     unittest.main()
