Leave one caller in doubt rather than all

Change: once an append was given up without an answer, the entry refuses others (503, nothing was done) until it has heard from the store again.

Measured: the new test (a store that answers after three seconds; two submissions) gets 504 twice without the change, 504 and 503 with it, and is served again once the store answers.

--- a/chivespoke/intake/_desk.py
+++ b/chivespoke/intake/_desk.py
@@ -29,7 +29,14 @@
 class JobDesk(chivespoke_web.RouteProvider):
     """Answer the callers of this entry."""
 
-    __slots__ = ('_coordinator', '_store', '_clock', '_telemetry', 'closing')
+    __slots__ = (
+        'closing',
+        '_coordinator',
+        '_store',
+        '_clock',
+        '_telemetry',
+        '_unanswered_at',
+    )
 
     def __init__(
         self,
@@ -44,6 +51,8 @@
         self._telemetry = instruments
         # Connections are to be given up, as this entry is about to end.
         self.closing = False
+        # When an append was last given up without an answer.
+        self._unanswered_at = float('-inf')
 
     def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
         return (web.route('*', '/{path:.*}', self._answer),)
@@ -168,6 +177,7 @@
             return _answers.Outcome.UNAVAILABLE, str(error)
         except errors.UnavailableError as error:
             # The caller asks again, with the same identifier.
+            self._unanswered_at = self._clock.read_monotonic()
             return _answers.Outcome.UNCERTAIN, str(error)
         finally:
             append.cancel()
@@ -216,7 +226,13 @@
     def _can_write(self) -> bool:
         # A call that cannot be answered would leave the caller in doubt,
         # where a refusal now lets it come again.
-        return self._is_fresh() and self._coordinator.follower.reachable
+        follower = self._coordinator.follower
+        heard_at = self._clock.read_monotonic() - follower.measure_age()
+        return (
+            self._is_fresh()
+            and follower.reachable
+            and heard_at > self._unanswered_at
+        )
 
     def _refuse_unknown(self, identifier: str) -> web.Response:
         if self._is_fresh():
--- a/chivespoke/serving/tests/test_path.py
+++ b/chivespoke/serving/tests/test_path.py
@@ -194,6 +194,24 @@
         self.assertEqual(503, status)
         self.platform.store.faults.delay = 0.0
 
+    async def test_one_caller_in_doubt_is_enough(self) -> None:
+        # Found by an incident: an entry that was cut from the store left
+        # callers in doubt for two seconds until its reads failed as well.
+        await self.start(workers=0)
+        self.platform.store.faults.delay = 3.0
+        status, _ = await self.platform.ask('POST', JOB, STEPS)
+        self.assertEqual(504, status)
+        status, _ = await self.platform.ask('POST', OTHER_JOB, STEPS)
+        self.assertEqual(503, status)
+        self.platform.store.faults.delay = 0.0
+
+        async def wait_accepted() -> None:
+            status = 0
+            while status != 200:
+                status, _ = await self.platform.ask('POST', OTHER_JOB, STEPS)
+
+        await self.within(wait_accepted())
+
     async def test_lost_answer_of_the_store_still_takes_the_job(self) -> None:
         await self.start()
         self.platform.store.faults.lose_answers = 1
