Judge progress by new looks only

While orders to workers went unanswered, looks did too: until one was given up after 1.3 s, each heartbeat repeated the look before, in which no run advanced. After 1.2 s all runs of the worker were taken to stand still, stopped, and the worker marked.

Change: a report with the worker's clock reading of the report before is of the same look; it shows no stall and teaches nothing about tails.

--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -37,6 +37,8 @@
         worker.heard_at = now
         worker.draining = report.draining
         worker.answering = report.answering and not report.lapsed
+        # A heartbeat may repeat the look before, which shows nothing new.
+        has_new_look = report.clock_ms != worker.lease_from_ms
         worker.lease_from_ms = report.clock_ms
         worker.lease_bound = now + self._state.limits.lease_bound
         if worker.incarnation != report.incarnation:
@@ -47,7 +49,8 @@
         if report.lapsed:
             self._state.release_all(worker, 'lease lapsed')
         self._take_running(worker, report.running)
-        if report.answering:
+        self._stop_stalled(worker, has_new_look)
+        if report.answering and has_new_look:
             _fleet.learn_tails(worker, self._state.pressures)
         for outcome in report.outcomes:
             self._take_outcome(worker, outcome, now)
@@ -198,29 +201,31 @@
         if row.checkpoint and row.checkpoint != task.checkpoint:
             task.checkpoint = row.checkpoint
             state.has_new_checkpoint = True
-        if self._stands_still(run, row, worker.heard_at, worker.answering):
-            self._stop_stalled(worker, run)
+
+    def _stop_stalled(self, worker: _fleet.Worker, has_new_look: bool) -> None:
+        for run in worker.runs.values():
+            if run.state is not _fleet.RunState.RUNNING:
+                continue
+            if run.listing is None or run.step.long_running:
+                continue
+            if not worker.answering:
+                if run.watch is not None:
+                    run.watch.skip(worker.heard_at)
+            elif has_new_look and self._stands_still(
+                run, run.listing, worker.heard_at
+            ):
+                self._stop_run(worker, run)
 
     def _stands_still(
-        self,
-        run: _fleet.Run,
-        row: platform.RunningTask,
-        now: float,
-        answering: bool,
+        self, run: _fleet.Run, row: platform.RunningTask, now: float
     ) -> bool:
-        if run.state is not _fleet.RunState.RUNNING or run.step.long_running:
-            return False
         if run.watch is None:
             run.watch = decisions.ProgressWatch(now)
-        if not answering:
-            # The row is that of an earlier look.
-            run.watch.skip(now)
-            return False
         use = min(1.0, row.measure / max(1, run.step.cpu_millis))
         estimated = run.step.estimated_ms / 1000
         return run.watch.note(row.progress, use, estimated, now)
 
-    def _stop_stalled(self, worker: _fleet.Worker, run: _fleet.Run) -> None:
+    def _stop_run(self, worker: _fleet.Worker, run: _fleet.Run) -> None:
         LOGGER.warning(
             'A run stands still; its task begins elsewhere.',
             task=run.text,
