Split the tests of the engine

Test module of 472 lines: the ends of runs and the steps after them move to test_runs, what both share to engine_case.

--- a/chivespoke/coordination/tests/test_engine.py
+++ b/chivespoke/coordination/tests/test_engine.py
@@ -1,38 +1,15 @@
-"""The leader's decisions under each fault, without any I/O."""
+"""The leader's records, workers and terms under faults, without any I/O."""
 
 import unittest
 
 from chivespoke import coordination
 from chivespoke.coordination.tests import builders
+from chivespoke.coordination.tests import engine_case
 from chivespoke import platform
 from chivespoke import workloads
 
-FIRST = f'{builders.JOB}.0.0.0'
-SECOND = f'{builders.JOB}.0.0.1'
-ONE = workloads.Step(count=1, cpu_millis=1000, estimated_ms=1000)
 
-
-class EngineTest(unittest.TestCase):
-    def setUp(self) -> None:
-        self.leader = builders.Leader()
-
-    def list_starts(self, sidecar: str = 'side-1') -> list[str]:
-        directive = self.leader.direct(sidecar)
-        return sorted(start.task for start in directive.starts)
-
-    def begin(self, *steps: workloads.Step) -> None:
-        """Have a job's first tasks run on one worker."""
-        self.leader.report(builders.make_report())
-        self.leader.submit(builders.make_job(*steps))
-        self.leader.plan()
-        starts = self.leader.direct().starts
-        running = tuple(
-            builders.make_running(start.task, start.run) for start in starts
-        )
-        self.leader.report(builders.make_report(running=running))
-
-
-class RecordsTest(EngineTest):
+class RecordsTest(engine_case.EngineTest):
     def test_no_order_leaves_before_its_record_is_in_the_store(self) -> None:
         self.leader.report(builders.make_report())
         self.leader.submit(builders.make_job())
@@ -42,12 +19,16 @@
         )
         self.assertEqual([], self.list_starts())
         engine.confirm(plan)
-        self.assertEqual([FIRST, SECOND], self.list_starts())
+        self.assertEqual(
+            [engine_case.FIRST, engine_case.SECOND], self.list_starts()
+        )
 
     def test_end_is_acknowledged_after_its_record_only(self) -> None:
         self.begin()
         self.leader.report(
-            builders.make_report(ended=(builders.make_end(1, FIRST),))
+            builders.make_report(
+                ended=(builders.make_end(1, engine_case.FIRST),)
+            )
         )
         engine = self.leader.engine
         self.assertEqual(0, self.leader.direct().acknowledged)
@@ -67,7 +48,9 @@
             self.leader.orders, self.leader.now, self.leader.wall
         )
         self.leader.report(
-            builders.make_report(ended=(builders.make_end(1, FIRST),))
+            builders.make_report(
+                ended=(builders.make_end(1, engine_case.FIRST),)
+            )
         )
         engine.confirm(plan)
         self.assertEqual(0, self.leader.direct().acknowledged)
@@ -80,7 +63,7 @@
 
     def test_done_job_is_completed_once_all_tasks_are(self) -> None:
         self.begin()
-        for number, task in ((1, FIRST), (2, SECOND)):
+        for number, task in ((1, engine_case.FIRST), (2, engine_case.SECOND)):
             self.assertIs(workloads.JobPhase.RUNNING, self.leader.find_phase())
             self.leader.report(
                 builders.make_report(ended=(builders.make_end(number, task),))
@@ -89,9 +72,11 @@
         self.assertIs(workloads.JobPhase.COMPLETED, self.leader.find_phase())
 
     def test_final_job_is_dropped_when_nobody_asks_any_more(self) -> None:
-        self.begin(ONE)
+        self.begin(engine_case.ONE)
         self.leader.report(
-            builders.make_report(ended=(builders.make_end(1, FIRST),))
+            builders.make_report(
+                ended=(builders.make_end(1, engine_case.FIRST),)
+            )
         )
         self.leader.plan()
         self.leader.now += coordination.Limits().kept + 1
@@ -99,7 +84,7 @@
         self.assertEqual({}, self.leader.ledger.entries)
 
 
-class WorkerTest(EngineTest):
+class WorkerTest(engine_case.EngineTest):
     def test_workers_that_must_get_nothing_get_nothing(self) -> None:
         cases = {
             'draining': builders.make_report(draining=True),
@@ -121,7 +106,9 @@
         self.assertEqual([], self.list_starts())
         self.leader.orders = builders.make_orders()
         self.leader.plan()
-        self.assertEqual([FIRST, SECOND], self.list_starts())
+        self.assertEqual(
+            [engine_case.FIRST, engine_case.SECOND], self.list_starts()
+        )
 
     def test_nothing_starts_on_an_old_view_of_the_operator(self) -> None:
         self.leader.orders = None
@@ -139,20 +126,26 @@
         self.leader.now += 0.5
         self.leader.report(builders.make_report('side-2'))
         self.leader.plan()
-        self.assertEqual([FIRST, SECOND], self.list_starts('side-2'))
+        self.assertEqual(
+            [engine_case.FIRST, engine_case.SECOND], self.list_starts('side-2')
+        )
 
     def test_lapsed_leases_free_the_tasks_at_once(self) -> None:
         self.begin()
         self.leader.report(builders.make_report(lapsed=True))
         self.leader.report(builders.make_report('side-2'))
         self.leader.plan()
-        self.assertEqual([FIRST, SECOND], self.list_starts('side-2'))
+        self.assertEqual(
+            [engine_case.FIRST, engine_case.SECOND], self.list_starts('side-2')
+        )
 
     def test_later_life_ends_the_earlier_one(self) -> None:
         self.begin()
         self.leader.report(builders.make_report(born_ms=2))
         self.leader.plan()
-        self.assertEqual([FIRST, SECOND], self.list_starts())
+        self.assertEqual(
+            [engine_case.FIRST, engine_case.SECOND], self.list_starts()
+        )
         # A report of the earlier life that was delayed changes nothing.
         self.leader.report(builders.make_report(born_ms=1))
         self.assertEqual(1, len(self.leader.engine.state.workers))
@@ -160,26 +153,30 @@
     def test_restarted_sidecar_is_told_its_orders_again(self) -> None:
         self.begin()
         self.assertEqual([], self.list_starts())
-        running = (builders.make_running(FIRST),)
+        running = (builders.make_running(engine_case.FIRST),)
         self.leader.report(
             builders.make_report(incarnation='b', running=running)
         )
         starts = self.leader.direct().starts
         self.assertEqual(
-            {FIRST: True, SECOND: True},
+            {engine_case.FIRST: True, engine_case.SECOND: True},
             {start.task: start.repeated for start in starts},
         )
 
     def test_run_that_nobody_ordered_is_stopped(self) -> None:
         self.leader.report(
-            builders.make_report(running=(builders.make_running(FIRST),))
+            builders.make_report(
+                running=(builders.make_running(engine_case.FIRST),)
+            )
         )
         stops = self.leader.direct().stops
-        self.assertEqual([FIRST], [stop.task for stop in stops])
+        self.assertEqual([engine_case.FIRST], [stop.task for stop in stops])
 
     def test_refused_order_lets_the_task_wait_again(self) -> None:
-        self.begin(ONE)
-        refused = coordination.OrderOutcome(FIRST, 1, platform.Refusal.NO_ROOM)
+        self.begin(engine_case.ONE)
+        refused = coordination.OrderOutcome(
+            engine_case.FIRST, 1, platform.Refusal.NO_ROOM
+        )
         self.leader.report(builders.make_report(outcomes=(refused,)))
         self.leader.plan()
         self.assertEqual([], self.list_starts(), 'asked again too soon')
@@ -187,10 +184,12 @@
         self.leader.report(builders.make_report())
         self.leader.plan()
         starts = self.leader.direct().starts
-        self.assertEqual([(FIRST, 2)], [(one.task, one.run) for one in starts])
+        self.assertEqual(
+            [(engine_case.FIRST, 2)], [(one.task, one.run) for one in starts]
+        )
 
 
-class TakeOverTest(EngineTest):
+class TakeOverTest(engine_case.EngineTest):
     """A new leader knows what the records tell, and no more."""
 
     def take_over(self) -> None:
@@ -200,7 +199,8 @@
         self.begin()
         self.take_over()
         running = tuple(
-            builders.make_running(task) for task in (FIRST, SECOND)
+            builders.make_running(task)
+            for task in (engine_case.FIRST, engine_case.SECOND)
         )
         self.leader.report(builders.make_report(running=running))
         self.leader.plan()
@@ -217,30 +217,35 @@
         self.assertEqual([], self.list_starts('side-2'))
         self.leader.now += 0.2
         self.leader.plan()
-        self.assertEqual([FIRST, SECOND], self.list_starts('side-2'))
+        self.assertEqual(
+            [engine_case.FIRST, engine_case.SECOND], self.list_starts('side-2')
+        )
 
     def test_later_life_of_an_unheard_worker_ends_the_wait(self) -> None:
         self.begin()
         self.take_over()
         self.leader.report(builders.make_report(born_ms=2))
         self.leader.plan()
-        self.assertEqual([FIRST, SECOND], self.list_starts())
+        self.assertEqual(
+            [engine_case.FIRST, engine_case.SECOND], self.list_starts()
+        )
 
     def test_end_that_was_recorded_but_not_acknowledged_counts_once(
         self,
     ) -> None:
         self.begin()
-        end = builders.make_end(1, FIRST)
+        end = builders.make_end(1, engine_case.FIRST)
         self.leader.report(builders.make_report(ended=(end,)))
         self.leader.plan()
         self.take_over()
         self.leader.report(
             builders.make_report(
-                running=(builders.make_running(SECOND),), ended=(end,)
+                running=(builders.make_running(engine_case.SECOND),),
+                ended=(end,),
             )
         )
         self.leader.plan()
-        self.assertNotIn(FIRST, self.list_starts())
+        self.assertNotIn(engine_case.FIRST, self.list_starts())
         self.assertEqual(1, self.leader.direct().acknowledged)
 
     def test_end_that_was_never_recorded_is_recorded_by_the_next_term(
@@ -248,9 +253,11 @@
     ) -> None:
         # Found by a hunt (cedarhollow-booking trouble-1, seed 509450262504):
         # a process that led twice kept what its first term had not written.
-        self.begin(ONE)
+        self.begin(engine_case.ONE)
         self.take_over()
-        report = builders.make_report(ended=(builders.make_end(1, FIRST),))
+        report = builders.make_report(
+            ended=(builders.make_end(1, engine_case.FIRST),)
+        )
         self.leader.report(report)
         self.leader.engine.plan(
             self.leader.orders, self.leader.now, self.leader.wall
@@ -268,10 +275,13 @@
     ) -> None:
         self.begin()
         for run in (1, 2):
-            end = builders.make_end(run, FIRST, platform.EndCause.FAILED, run)
+            end = builders.make_end(
+                run, engine_case.FIRST, platform.EndCause.FAILED, run
+            )
             self.leader.report(
                 builders.make_report(
-                    running=(builders.make_running(SECOND),), ended=(end,)
+                    running=(builders.make_running(engine_case.SECOND),),
+                    ended=(end,),
                 )
             )
             self.leader.plan()
@@ -280,192 +290,9 @@
         self.leader.report(builders.make_report())
         directive = self.leader.direct()
         self.assertEqual((), directive.starts)
-        self.assertEqual([SECOND], [stop.task for stop in directive.stops])
-
-
-class EndTest(EngineTest):
-    def test_done_by_an_earlier_run_stops_the_later_one(self) -> None:
-        self.begin(ONE, workloads.Step(count=1, depends_on=(0,)))
-        self.leader.now += 7.0
-        self.leader.report(builders.make_report('side-2'))
-        self.leader.plan()
-        self.assertEqual([FIRST], self.list_starts('side-2'))
-        end = builders.make_end(1, FIRST)
-        self.leader.report(builders.make_report(ended=(end,)))
-        self.leader.plan()
-        stops = self.leader.direct('side-2').stops
-        self.assertEqual([FIRST], [stop.task for stop in stops])
-
-    def test_only_own_failures_count_as_attempts(self) -> None:
-        cases = {
-            platform.EndCause.FAILED: workloads.JobPhase.FAILED,
-            platform.EndCause.LAPSED: workloads.JobPhase.RUNNING,
-            platform.EndCause.STOPPED: workloads.JobPhase.RUNNING,
-        }
-        for cause, phase in cases.items():
-            with self.subTest(cause):
-                self.leader = builders.Leader()
-                self.begin(ONE)
-                for run in (1, 2):
-                    end = builders.make_end(run, FIRST, cause, run)
-                    self.leader.report(builders.make_report(ended=(end,)))
-                    self.leader.plan()
-                self.assertIs(phase, self.leader.find_phase())
-
-    def test_task_goes_on_from_its_checkpoint(self) -> None:
-        self.begin(ONE)
-        end = builders.make_end(
-            1, FIRST, platform.EndCause.LAPSED, checkpoint='half'
-        )
-        self.leader.report(builders.make_report(ended=(end,)))
-        self.leader.plan()
-        starts = self.leader.direct().starts
-        self.assertEqual(['half'], [start.checkpoint for start in starts])
-
-    def test_lasting_task_begins_again_however_it_ends(self) -> None:
-        self.begin(workloads.Step(count=1, long_running=True))
-        for run in range(1, 6):
-            end = builders.make_end(run, FIRST, platform.EndCause.FAILED, run)
-            self.leader.report(builders.make_report(ended=(end,)))
-            self.leader.now += 5.0
-            self.leader.report(builders.make_report())
-            self.leader.plan()
-            starts = self.leader.direct().starts
-            self.assertEqual([run + 1], [start.run for start in starts])
-
-    def test_cancelled_job_is_stopped_and_starts_nothing(self) -> None:
-        self.begin()
-        self.leader.cancel()
-        self.leader.plan()
-        directive = self.leader.direct()
         self.assertEqual(
-            {FIRST, SECOND}, {stop.task for stop in directive.stops}
-        )
-        ended = tuple(
-            builders.make_end(number, task, platform.EndCause.STOPPED)
-            for number, task in ((1, FIRST), (2, SECOND))
-        )
-        self.leader.report(builders.make_report(ended=ended))
-        self.leader.plan()
-        self.assertEqual([], self.list_starts())
-        self.assertIs(workloads.JobPhase.CANCELLED, self.leader.find_phase())
-
-    def test_run_that_stands_still_is_begun_elsewhere(self) -> None:
-        self.begin(ONE)
-        for number in range(10):
-            self.leader.now += 0.4
-            self.leader.report(
-                builders.make_report(
-                    running=(builders.make_running(FIRST),),
-                    clock_ms=2000 + number,
-                )
-            )
-        stops = self.leader.direct().stops
-        self.assertEqual([FIRST], [stop.task for stop in stops])
-
-    def test_look_that_is_reported_again_shows_no_run_standing_still(
-        self,
-    ) -> None:
-        # Found by an incident: while a look waited for an answer that never
-        # came, heartbeats reported the one before for 1.3 s.
-        self.begin(ONE)
-        for _ in range(10):
-            self.leader.now += 0.4
-            self.leader.report(
-                builders.make_report(running=(builders.make_running(FIRST),))
-            )
-        self.assertEqual((), self.leader.direct().stops)
-
-    def test_worker_that_does_not_answer_has_no_runs_that_stand_still(
-        self,
-    ) -> None:
-        # Found by an incident: reports on a worker that had crashed held its
-        # last look, whose runs were all stopped as standing still.
-        self.begin(ONE)
-        running = (builders.make_running(FIRST),)
-        for answering, seconds in ((False, 4.0), (True, 0.8), (False, 4.0)):
-            for _ in range(int(seconds / 0.4)):
-                self.leader.now += 0.4
-                self.leader.report(
-                    builders.make_report(
-                        running=running,
-                        answering=answering,
-                        clock_ms=int(self.leader.now * 1000),
-                    )
-                )
-        self.assertEqual((), self.leader.direct().stops)
-
-
-class StepTest(EngineTest):
-    def test_later_step_waits_for_the_earlier_one(self) -> None:
-        self.begin(ONE, workloads.Step(count=1, depends_on=(0,)))
-        self.leader.plan()
-        self.assertEqual([], self.list_starts())
-        self.leader.report(
-            builders.make_report(ended=(builders.make_end(1, FIRST),))
-        )
-        self.leader.plan()
-        self.assertEqual([f'{builders.JOB}.0.1.0'], self.list_starts())
-
-    def test_gang_starts_whole_with_one_run_number(self) -> None:
-        gang = workloads.Step(count=9, cpu_millis=1000, gang=True)
-        self.leader.report(builders.make_report())
-        self.leader.submit(builders.make_job(gang))
-        self.leader.plan()
-        self.assertEqual([], self.list_starts(), 'eight fit, not nine')
-        self.leader.report(builders.make_report('side-2'))
-        self.leader.plan()
-        starts = [
-            *self.leader.direct().starts,
-            *self.leader.direct('side-2').starts,
-        ]
-        self.assertEqual(9, len(starts))
-        self.assertEqual({1}, {start.run for start in starts})
-
-    def test_one_end_speaks_for_a_gang(self) -> None:
-        self.begin(workloads.Step(count=3, cpu_millis=1000, gang=True))
-        self.leader.report(
-            builders.make_report(ended=(builders.make_end(1, FIRST),))
+            [engine_case.SECOND], [stop.task for stop in directive.stops]
         )
-        self.leader.plan()
-        self.assertIs(workloads.JobPhase.COMPLETED, self.leader.find_phase())
-
-    def test_rest_of_a_gang_is_not_ordered_again_once_one_has_ended(
-        self,
-    ) -> None:
-        self.begin(workloads.Step(count=2, cpu_millis=1000, gang=True))
-        ended = (builders.make_end(1, FIRST),)
-        self.leader.report(builders.make_report(ended=ended))
-        self.leader.plan()
-        self.leader.report(
-            builders.make_report(
-                incarnation='b', running=(builders.make_running(SECOND),)
-            )
-        )
-        directive = self.leader.direct()
-        self.assertEqual((), directive.starts)
-        self.assertEqual([SECOND], [stop.task for stop in directive.stops])
-
-    def test_occurrence_begins_when_it_is_due(self) -> None:
-        job = builders.make_job(
-            ONE,
-            occurrences=2,
-            first_due_ms=int((builders.WALL + 5) * 1000),
-            interval_ms=3000,
-        )
-        self.leader.report(builders.make_report())
-        self.leader.submit(job)
-        began = []
-        for _ in range(10):
-            self.leader.now += 1.0
-            self.leader.report(builders.make_report())
-            self.leader.plan()
-            began += [
-                (start.task, self.leader.now - builders.NOW)
-                for start in self.leader.direct().starts
-                if not start.repeated
-            ]
-        self.assertEqual([(FIRST, 5.0), (f'{builders.JOB}.1.0.0', 8.0)], began)
 
 
 if __name__ == '__main__':
