Drop what nothing reads in the coordination

Found by reading the whole change again, for names that are written and never read: a record of the load that the leader wrote each second with others for decisions at the door that are not built, and its fold; a mark of unrecorded ends; the chain kept of a job; whether a demand is of fillers; a constant of the stand-in. The missing configuration was looked for in three places: Orders now holds one, and the term gives none without it. The mark of a superseded term was an event that nobody waited for.

Behaviour is unchanged but for the record, which no process used; an older one in the store is passed over as any unknown key.

--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -83,7 +83,7 @@
         """Decide what can be decided; without orders nothing starts."""
         self._state.expire(now)
         decided: tuple[_fleet.Run, ...] = ()
-        if orders is not None and orders.configuration is not None:
+        if orders is not None:
             self._update_terms(orders.configuration)
             decided = self._placer.place(orders, now, wall)
         records: list[bytes] = []
@@ -101,7 +101,6 @@
                 records += _records.encode_removal(state.job.identifier)
                 del self._state.jobs[state.job.identifier]
                 self._state.advice.forget(state.job.identifier)
-        self._state.unrecorded_ends = False
         ends = {
             worker.life.key: worker.processed
             for worker in self._state.workers.values()
@@ -203,14 +202,6 @@
             for run in worker.runs.values()
         )
 
-    def measure_capacity(self) -> int:
-        """Return the processor time of the workers that answer."""
-        return sum(
-            worker.life.capacity.cpu_millis
-            for worker in self._state.workers.values()
-            if worker.answering
-        )
-
     def _make_start(self, run: _fleet.Run) -> _messages.StartOrder:
         state = self._state.jobs[run.name.job]
         task = state.find(run.name)
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -54,7 +54,6 @@
         'conducts',
         'pressures',
         'advice',
-        'unrecorded_ends',
     )
 
     def __init__(self, limits: Limits) -> None:
@@ -65,8 +64,6 @@
         self.conducts: dict[str, decisions.Conduct] = {}
         self.pressures = decisions.PressureModel()
         self.advice = decisions.AdviceBook()
-        # Ends were taken in since the last plan.
-        self.unrecorded_ends = False
 
     def load(self, entry: _records.Entry, now: float, wall_ms: int) -> None:
         """Take in a job from the ledger, with the runs that it may have."""
--- a/chivespoke/coordination/_jobs.py
+++ b/chivespoke/coordination/_jobs.py
@@ -22,7 +22,6 @@
         'has_new_checkpoint',
         'due',
         'objective',
-        'chain',
         '_open',
         '_assigned',
         '_idle_since',
@@ -38,10 +37,10 @@
         self.dirty = progress is None
         # A task has a later checkpoint than the store knows.
         self.has_new_checkpoint = False
-        self.chain = decisions.measure_chain(job)
+        chain = decisions.measure_chain(job)
         self.objective = max(
             SHORTEST_OBJECTIVE,
-            self.chain * job.terms.stretch + job.terms.margin_ms / 1000,
+            chain * job.terms.stretch + job.terms.margin_ms / 1000,
         )
         self.due = job.accepted_ms / 1000 + self.objective
         # Tasks that are not done, by occurrence and step.
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -21,7 +21,7 @@
 class Orders(msgspec.Struct, frozen=True):
     """Hold what the operator has in force."""
 
-    configuration: workloads.Configuration | None
+    configuration: workloads.Configuration
     evacuating: frozenset[str]
 
 
@@ -46,8 +46,7 @@
         self._now = now
         self._decided = []
         self.question = None
-        if orders.configuration is not None:
-            self._version = orders.configuration.version
+        self._version = orders.configuration.version
         demands = sorted(
             self._list_demands(wall),
             key=lambda item: decisions.rank(item[0], wall),
@@ -78,7 +77,6 @@
                     job=state.job.identifier,
                     priority=state.terms.priority,
                     long_running=step.long_running,
-                    filler=step.filler,
                     due=max(state.due, begun + state.objective),
                     left=step.estimated_ms / 1000,
                     objective=state.objective,
--- a/chivespoke/coordination/_records.py
+++ b/chivespoke/coordination/_records.py
@@ -17,7 +17,6 @@
 CANCEL_PREFIX = 'cancel/'
 PROGRESS_PREFIX = 'progress/'
 WORKER_PREFIX = 'worker/'
-LOAD_KEY = 'load'
 
 JOB_DECODER = msgspec.msgpack.Decoder(workloads.Job)
 PROGRESS_DECODER = msgspec.msgpack.Decoder(workloads.JobProgress)
@@ -30,18 +29,7 @@
     address: str
 
 
-class LoadRecord(msgspec.Struct, frozen=True):
-    """Tell what the leader knows of the load, for decisions at the door."""
-
-    epoch: int
-    # Time of all processors of the ready workers, thousandths of a core.
-    cpu_millis: int
-    # Wall clock of the leader, in milliseconds.
-    written_ms: int
-
-
 SIDECAR_DECODER = msgspec.msgpack.Decoder(SidecarRecord)
-LOAD_DECODER = msgspec.msgpack.Decoder(LoadRecord)
 
 
 def encode_job(job: workloads.Job) -> bytes:
@@ -81,11 +69,6 @@
     )
 
 
-def encode_load(load: LoadRecord) -> bytes:
-    """Return the record of the load."""
-    return platform.encode_record(LOAD_KEY, ENCODER.encode(load))
-
-
 class Entry:
     """Hold what the ledger says of one job."""
 
@@ -141,14 +124,13 @@
 
 
 class Ledger(_followers.TopicFold):
-    """Fold the system's topic into jobs, sidecars and the load."""
+    """Fold the system's topic into jobs and sidecars."""
 
-    __slots__ = ('entries', 'sidecars', 'load', 'listener', '_awaited')
+    __slots__ = ('entries', 'sidecars', 'listener', '_awaited')
 
     def __init__(self) -> None:
         self.entries: dict[str, Entry] = {}
         self.sidecars: dict[str, str] = {}
-        self.load: LoadRecord | None = None
         self.listener: Listener | None = None
         # By key.
         self._awaited: dict[str, asyncio.Event] = {}
@@ -192,8 +174,6 @@
             self._apply_cancel(key.removeprefix(CANCEL_PREFIX))
         elif key.startswith(WORKER_PREFIX):
             self._apply_sidecar(key.removeprefix(WORKER_PREFIX), record)
-        elif key == LOAD_KEY and record.value:
-            self.load = LOAD_DECODER.decode(record.value)
 
     def _apply_job(self, identifier: str, record: platform.Record) -> None:
         if not record.value:
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -91,7 +91,6 @@
         if end.number <= worker.processed:
             return
         worker.processed = end.number
-        self._state.unrecorded_ends = True
         worker.foreign.pop(end.task, None)
         run = worker.runs.get(end.task)
         if run is None or run.number != end.run:
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -37,8 +37,6 @@
 # Nothing starts on a view of the operator's wishes older than this, in
 # seconds: less than the shortest bound on obeying them.
 VIEW_AGE_LIMIT = 1.8
-# The load is written with other records so often, in seconds.
-LOAD_SECONDS = 1.0
 
 
 class SupersededError(errors.RefusedError):
@@ -63,7 +61,6 @@
         '_tasks',
         '_wake',
         '_sequence',
-        '_load_at',
         '_lives',
         '_superseded',
         '_patience',
@@ -99,10 +96,10 @@
         self._tasks = application.TaskOwner()
         self._wake = asyncio.Event()
         self._sequence = 0
-        self._load_at = 0.0
         # The worker that each sidecar spoke of last.
         self._lives: dict[str, _fleet.Worker] = {}
-        self._superseded = asyncio.Event()
+        # A sidecar has heard a later leader.
+        self._superseded = False
         self._patience = decisions.Patience()
         self._telemetry = instruments
         self._advising = _advising.Advising(
@@ -163,14 +160,14 @@
             self._wake.set()
 
     def _note_later_leader(self, report: _messages.Report) -> None:
-        if self._superseded.is_set():
+        if self._superseded:
             return
         LOGGER.warning(
             'A sidecar has heard a later leader.',
             sidecar=report.sidecar,
             epoch=report.epoch,
         )
-        self._superseded.set()
+        self._superseded = True
         self._wake.set()
 
     def make_directive(self, sidecar: str) -> _messages.Directive:
@@ -205,7 +202,7 @@
         )
 
     async def _keep_planning(self) -> None:
-        while not self._superseded.is_set():
+        while not self._superseded:
             # Without news, leases, retries and due times are looked at.
             if await application.wait_for_event(self._wake, TICK_SECONDS):
                 await self._clock.sleep(GATHER_SECONDS)
@@ -218,7 +215,7 @@
             self._read_orders(), now, self._clock.read_wall()
         )
         if plan.records:
-            await self._append(b''.join(plan.records) + self._describe(now))
+            await self._append(b''.join(plan.records))
         self._engine.confirm(plan)
         self._count_starts(plan)
         if self._engine.find_question() is not None:
@@ -240,22 +237,12 @@
                 )
 
     def _read_orders(self) -> _placer.Orders | None:
-        if self._operator_follower.measure_age() > VIEW_AGE_LIMIT:
+        configuration = self._operator.configuration
+        age = self._operator_follower.measure_age()
+        if configuration is None or age > VIEW_AGE_LIMIT:
             return None
         return _placer.Orders(
-            self._operator.configuration, frozenset(self._operator.evacuating)
-        )
-
-    def _describe(self, now: float) -> bytes:
-        if now < self._load_at + LOAD_SECONDS:
-            return b''
-        self._load_at = now
-        return _records.encode_load(
-            _records.LoadRecord(
-                self._epoch,
-                self._engine.measure_capacity(),
-                int(self._clock.read_wall() * 1000),
-            )
+            configuration, frozenset(self._operator.evacuating)
         )
 
     async def _append(self, records: bytes) -> int:
@@ -277,7 +264,7 @@
                 if isinstance(error, errors.UnavailableError):
                     self._patience.note_silence()
                 tries += 1
-                if self._superseded.is_set():
+                if self._superseded:
                     # The later leader knows what was recorded.
                     raise SupersededError(
                         'append', 'store', 'a later leader leads'
--- a/chivespoke/decisions/_ordering.py
+++ b/chivespoke/decisions/_ordering.py
@@ -20,7 +20,6 @@
     # That of its queue; 0 is the most urgent.
     priority: int
     long_running: bool
-    filler: bool
     # Seconds since 1970 at which the objective passes.
     due: float
     # Seconds of the longest chain of work that is left.
--- a/chivespoke/decisions/tests/builders.py
+++ b/chivespoke/decisions/tests/builders.py
@@ -56,7 +56,6 @@
         job=job,
         priority=priority,
         long_running=False,
-        filler=True,
         due=due,
         left=left,
         objective=objective,
--- a/chivespoke/standins/_store.py
+++ b/chivespoke/standins/_store.py
@@ -14,7 +14,6 @@
 
 LENGTH = struct.Struct('>I')
 OFFSETS = struct.Struct('>QQ')
-KEYED = 'keyed.'
 PAGE = 500
 REMEMBERED = 5
 SERVED_BYTES = 400 * 1024 * 1024
