Log what a failed read of a topic had received

What callers saw: accepted work was lost after restarts of entries. Cause under investigation; the logs of the incident show that whole reads of a topic time out, but not how much had arrived, whether later tries got further, and what a new leader waits for. Change: errors of calls name the bytes of the answer received, a full read is logged with its size and time, repeated failures every tenth time, and a leader says that it waits for the ledger. No decision changes.

--- a/chivespoke/coordination/_followers.py
+++ b/chivespoke/coordination/_followers.py
@@ -19,6 +19,8 @@
 # of the data, long enough not to overload a recovering store with the retries
 # of all processes.
 RETRY_SECONDS = 0.25
+# A warning is logged once per this many consecutive failed reads.
+READS_PER_WARNING = 10
 # Pause after the first failed read, which may be a single reset connection.
 FIRST_RETRY_SECONDS = 0.02
 
@@ -131,6 +133,14 @@
                     await self._clock.sleep(FIRST_RETRY_SECONDS)
                     continue
                 self._set_reachable(False, str(error))
+                if self._failures % READS_PER_WARNING == 0:
+                    LOGGER.warning(
+                        'Reads from the store still fail; retrying.',
+                        topic=self._topic,
+                        failures=self._failures,
+                        offset=self._next_offset,
+                        error=error,
+                    )
                 await self._clock.sleep(RETRY_SECONDS)
             except Exception as error:
                 # The fold failed on a record. The same records are read
@@ -154,6 +164,15 @@
             page = await self._store.read_newest(self._topic)
             keys = frozenset(record.key for record in page.records)
             self._fold.retain(keys)
+            LOGGER.info(
+                'A topic was read in full.',
+                topic=self._topic,
+                records=len(page.records),
+                value_bytes=sum(len(record.value) for record in page.records),
+                offset=page.next_offset,
+                seconds=self._clock.read_monotonic() - requested_at,
+                failures=self._failures,
+            )
         else:
             page = await self._store.read(
                 self._topic, self._next_offset, READ_WAIT_SECONDS
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -192,6 +192,13 @@
         started_at = self._clock.read_monotonic()
         # An empty append with this epoch fences off all earlier leaders.
         end_offset = await self._append(b'')
+        LOGGER.info(
+            'Waiting for the ledger before taking over.',
+            epoch=self._epoch,
+            offset=end_offset,
+            ledger_loaded=self._follower.loaded,
+            ledger_age=self._follower.measure_age(),
+        )
         await self._follower.wait_until(end_offset)
         self._ledger.listener = self
         for entry in self._ledger.entries.values():
--- a/chivespoke/platform/_transport.py
+++ b/chivespoke/platform/_transport.py
@@ -72,6 +72,7 @@
         timeout = aiohttp.ClientTimeout(
             total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
         )
+        received = bytearray()
         try:
             async with self._session.request(
                 method,
@@ -80,7 +81,9 @@
                 timeout=timeout,
                 headers=headers,
             ) as response:
-                return Response(response.status, await response.read())
+                async for chunk in response.content.iter_any():
+                    received += chunk
+                return Response(response.status, bytes(received))
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -90,5 +93,7 @@
             ) from error
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             raise errors.UnavailableError(
-                step, self._base_url, repr(error)
+                step,
+                self._base_url,
+                f'{error!r} after {len(received)} bytes of the answer',
             ) from error
