Reproduce the loss of accepted work after restarts of entries

Evidence: each full read ends with TimeoutError after 508 to 590 kB of the answer, 40 times in 50 s on each entry; the link carries 0.63 MB/s, the call may take 1 s in all.

--- a/chivespoke/coordination/tests/test_term.py
+++ b/chivespoke/coordination/tests/test_term.py
@@ -15,20 +15,30 @@
 from chivespoke.coordination.tests import builders
 from chivespoke import errors
 from chivespoke import platform
+from chivespoke import standins
 from chivespoke import telemetry
+from chivespoke import workloads
 
+SYSTEM_TOPIC = coordination.SYSTEM_TOPIC
 # Address at which nothing listens.
 ADDRESS = '127.0.0.1:1'
 TIMEOUT_SECONDS = 10.0
+# A link on which the first plan of a new leader takes a second.
+SLOW_LINK_BYTES_PER_SECOND = 300_000
+JOBS = 50
+TASKS = 1000
 
 
-def make_term(store: platform.Store | None = None) -> _term.Term:
+def make_term(
+    store: platform.Store | None = None,
+    follower: _followers.TopicFollower | None = None,
+) -> _term.Term:
     """Return a term that has not taken over."""
     return _term.Term(
         1,
         store or mock.create_autospec(platform.Store),
         coordination.Ledger(),
-        mock.create_autospec(_followers.TopicFollower),
+        follower or mock.create_autospec(_followers.TopicFollower),
         _operator_view.OperatorView(),
         mock.create_autospec(_followers.TopicFollower),
         clock.SystemClock(),
@@ -66,6 +76,56 @@
                 thread.join(TIMEOUT_SECONDS)
                 self.assertFalse(thread.is_alive())
 
+    def test_large_plan_is_stored_over_a_slow_link(self) -> None:
+        # Regression: an append had the same timeout whatever its size, so
+        # that the first plan of a new leader was sent again and again.
+        standin = standins.PlatformStore()
+        step = workloads.Step(count=TASKS, cpu_millis=1000)
+
+        async def run_term() -> None:
+            server = standin.make_server()
+            await server.start()
+            transport = platform.Transport(
+                f'{server.address.host}:{server.address.port}', 4
+            )
+            await transport.start()
+            standin.faults.link_bytes_per_second = SLOW_LINK_BYTES_PER_SECOND
+            term = make_term(platform.Store(transport, transport))
+            for number in range(JOBS):
+                job = builders.make_job(step, identifier=f'{number:016x}')
+                term.handle_job(builders.make_entry(job))
+            running_term = asyncio.create_task(term.run())
+            try:
+                async with asyncio.timeout(TIMEOUT_SECONDS):
+                    while len(standin.list_values(SYSTEM_TOPIC)) < JOBS:
+                        await asyncio.sleep(0.05)
+            finally:
+                running_term.cancel()
+                await term.close()
+                await transport.stop()
+                await server.stop()
+
+        asyncio.run(run_term())
+
+    def test_leader_that_cannot_read_the_ledger_gives_up(self) -> None:
+        # Regression: an entry that could reach the group but not read the
+        # ledger stayed the leader and never took over.
+        store = mock.create_autospec(platform.Store, instance=True)
+        store.append.return_value = 1
+        follower = mock.create_autospec(_followers.TopicFollower)
+        follower.wait_until.side_effect = lambda offset: asyncio.sleep(3600)
+
+        async def run_term() -> None:
+            term = make_term(store, follower)
+            try:
+                async with asyncio.timeout(TIMEOUT_SECONDS):
+                    await term.run()
+            finally:
+                await term.close()
+
+        with self.assertRaises(errors.UnavailableError):
+            asyncio.run(run_term())
+
     def test_superseded_leader_stops_when_the_store_is_unreachable(
         self,
     ) -> None:
--- a/chivespoke/platform/tests/test_store.py
+++ b/chivespoke/platform/tests/test_store.py
@@ -1,5 +1,6 @@
 """Tests of the store client against a stand-in that injects faults."""
 
+import asyncio
 import unittest
 
 from chivespoke import errors
@@ -7,6 +8,11 @@
 from chivespoke import standins
 
 TOPIC = 'keyed.test'
+# A link on which 200 kB take longer than the timeout of a call.
+SLOW_LINK_BYTES_PER_SECOND = 100_000
+VALUE = b'v' * 15_000
+VALUES = 14
+TIMEOUT_SECONDS = 20.0
 
 
 class StoreTest(unittest.IsolatedAsyncioTestCase):
@@ -21,6 +27,11 @@
         self.addAsyncCleanup(self.transport.stop)
         self.store = platform.Store(self.transport, self.transport)
 
+    async def fill(self) -> None:
+        for number in range(VALUES):
+            await self.standin.put(TOPIC, f'k{number:04}', VALUE)
+        self.standin.faults.link_bytes_per_second = SLOW_LINK_BYTES_PER_SECOND
+
     async def append(
         self, key: str, value: bytes, *producer: int, limit: float = 1.0
     ) -> int:
@@ -62,6 +73,27 @@
         self.assertNotIn('k0001', values)
         self.assertEqual(1205, page.next_offset)
 
+    async def test_full_read_over_a_slow_link_is_not_given_up(self) -> None:
+        # Regression: entries gave up whole reads that took more than 1 s, so
+        # that a restarted entry never knew the jobs that had been accepted.
+        await self.fill()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            page = await self.store.read_newest(TOPIC)
+        self.assertEqual(VALUES, len(page.records))
+
+    async def test_read_over_a_slow_link_is_not_given_up(self) -> None:
+        await self.fill()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            page = await self.store.read(TOPIC, 0, 0.0)
+        self.assertEqual(VALUES, len(page.records))
+
+    async def test_read_without_progress_is_given_up(self) -> None:
+        await self.fill()
+        self.standin.faults.link_bytes_per_second = 1
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            with self.assertRaises(errors.UnavailableError):
+                await self.store.read_newest(TOPIC)
+
     async def test_read_of_truncated_records_raises_truncated_error(
         self,
     ) -> None:
--- a/chivespoke/serving/tests/builders.py
+++ b/chivespoke/serving/tests/builders.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import tempfile
+import time
 import typing
 
 import aiohttp
@@ -12,9 +13,12 @@
 
 from chivespoke import application
 from chivespoke import clock
+from chivespoke import coordination
+from chivespoke import platform
 from chivespoke import serving
 from chivespoke import standins
 from chivespoke import web
+from chivespoke import workloads
 
 SERVICE = 'service-1'
 HOST = 'queue.example'
@@ -149,6 +153,27 @@
             await server.stop()
         self._folder.cleanup()
 
+    async def put_cancelled_jobs(self, count: int, payload_bytes: int) -> None:
+        """Store the records of cancelled jobs."""
+        now_ms = int(time.time() * 1000)
+        for number in range(count):
+            job = workloads.Job(
+                identifier=f'f{number:015x}',
+                queue='queue-1',
+                terms=workloads.QueueTerms(service=SERVICE),
+                payload='w' * payload_bytes,
+                steps=(workloads.Step(count=1),),
+                accepted_ms=now_ms,
+            )
+            for record in (
+                coordination.encode_job(job),
+                coordination.encode_cancel(job.identifier, now_ms),
+            ):
+                (decoded,) = platform.decode_records(record, 0)
+                await self.store.put(
+                    coordination.SYSTEM_TOPIC, decoded.key, decoded.value
+                )
+
     async def wait_until_ready(self, daemon: Daemon) -> None:
         """Return once the readiness check of an entry succeeds."""
         assert self.session is not None
--- a/chivespoke/serving/tests/test_end_to_end.py
+++ b/chivespoke/serving/tests/test_end_to_end.py
@@ -27,6 +27,11 @@
     'spec': 'serve',
     'steps': [{'count': 2, 'cpu': 500, 'long_running': True}],
 }
+# A link on which the records of a few cancelled jobs take longer than the
+# timeout of a call.
+SLOW_LINK_BYTES_PER_SECOND = 100_000
+CANCELLED_JOBS = 20
+PAYLOAD_BYTES = 10_000
 # Enough for a change of leader and an expired lease on a loaded machine.
 TIMEOUT_SECONDS = 40.0
 
@@ -91,6 +96,51 @@
             self.platform.wait_for_state(JOB, 'completed')
         )
 
+    async def test_restarted_entries_read_a_large_ledger_over_a_slow_link(
+        self,
+    ) -> None:
+        # Regression: reading all records had to take less than 1 s, so that
+        # no entry knew the accepted jobs after a restart.
+        await self.start(entries=2)
+        await self.platform.put_cancelled_jobs(CANCELLED_JOBS, PAYLOAD_BYTES)
+        await self.submit(TWO_STEP_JOB)
+        for daemon in self.platform.entries:
+            await daemon.kill()
+        faults = self.platform.store.faults
+        faults.link_bytes_per_second = SLOW_LINK_BYTES_PER_SECOND
+        for daemon in self.platform.entries:
+            await daemon.start()
+        await self.run_with_timeout(
+            self.platform.wait_for_state(JOB, 'completed')
+        )
+
+    async def test_restarted_entry_does_not_lead_before_it_has_read_the_ledger(
+        self,
+    ) -> None:
+        # Regression: a restarted entry was elected at once, and nothing was
+        # scheduled until it had read the ledger.
+        await self.start(entries=2)
+        await self.platform.put_cancelled_jobs(CANCELLED_JOBS, PAYLOAD_BYTES)
+        restarted, other = self.platform.entries
+        await restarted.kill()
+        await self.run_with_timeout(self.wait_for_leader())
+        faults = self.platform.store.faults
+        faults.link_bytes_per_second = SLOW_LINK_BYTES_PER_SECOND
+        await restarted.start()
+        assert restarted.application is not None
+        coordinator = serving.find_coordinator(restarted.application)
+
+        async def wait_until_loaded() -> None:
+            while not coordinator.follower.loaded:
+                self.assertEqual([1], self.platform.list_leaders())
+                await asyncio.sleep(0.02)
+
+        await self.run_with_timeout(wait_until_loaded())
+        await self.submit(TWO_STEP_JOB)
+        await self.run_with_timeout(
+            self.platform.wait_for_state(JOB, 'completed')
+        )
+
     async def test_killed_leader_is_replaced_and_nothing_runs_twice(
         self,
     ) -> None:
--- a/chivespoke/standins/_store.py
+++ b/chivespoke/standins/_store.py
@@ -14,7 +14,12 @@
 
 LENGTH = struct.Struct('>I')
 OFFSETS = struct.Struct('>QQ')
+# Limits of one page of newest records, and of one read by default.
 PAGE = 500
+PAGE_BYTES = 1_000_000
+READ_KB = 1024
+# Size of the pieces in which an answer is sent over a slow link.
+SENT_BYTES = 16_384
 REMEMBERED = 5
 SERVED_BYTES = 400 * 1024 * 1024
 
@@ -61,16 +66,32 @@
     late_seconds: float = 0.2
     # Seconds that every answer waits.
     delay: float = 0.0
+    # Bytes a second of the link to each caller; 0 for no limit.
+    link_bytes_per_second: int = 0
+    # Numbers of the answers longer than a piece, counted from 0, that break
+    # off in the middle.
+    broken_answers: frozenset[int] = frozenset()
 
 
 class PlatformStore(chivespoke_web.RouteProvider):
     """Serve topics, groups and keyed topics from memory."""
 
-    __slots__ = ('faults', 'calls', '_partitions', '_groups', '_parts')
+    __slots__ = (
+        'faults',
+        'calls',
+        'asked_after',
+        '_long_answers',
+        '_partitions',
+        '_groups',
+        '_parts',
+    )
 
     def __init__(self, parts: int = 12) -> None:
         self.faults = StoreFaults()
         self.calls = 0
+        # Keys after which pages of newest records were asked for.
+        self.asked_after: list[str] = []
+        self._long_answers = 0
         self._parts = parts
         self._partitions: dict[tuple[str, int], _Partition] = {}
         self._groups: dict[str, _Group] = {}
@@ -121,18 +142,54 @@
             [web.Request], collections.abc.Awaitable[web.Response]
         ],
     ) -> collections.abc.Callable[
-        [web.Request], collections.abc.Awaitable[web.Response]
+        [web.Request], collections.abc.Awaitable[web.StreamResponse]
     ]:
-        async def answer(request: web.Request) -> web.Response:
+        async def answer(request: web.Request) -> web.StreamResponse:
             self.calls += 1
             if self.faults.delay:
                 await asyncio.sleep(self.faults.delay)
             if self.faults.refuse_with:
                 return web.Response(status=self.faults.refuse_with)
-            return await handler(request)
+            if not await self._receive(request):
+                return web.Response(status=503)
+            response = await handler(request)
+            if not self.faults.link_bytes_per_second:
+                return response
+            return await self._send(request, response)
 
         return answer
 
+    async def _receive(self, request: web.Request) -> bool:
+        """Return whether the caller waited until all bytes had arrived."""
+        body = await request.read()
+        if self.faults.link_bytes_per_second:
+            await asyncio.sleep(len(body) / self.faults.link_bytes_per_second)
+        return not _is_closed(request)
+
+    async def _send(
+        self, request: web.Request, response: web.Response
+    ) -> web.StreamResponse:
+        body = response.body
+        assert isinstance(body, bytes)
+        sent = web.StreamResponse(status=response.status)
+        sent.content_length = len(body)
+        sent.content_type = response.content_type
+        await sent.prepare(request)
+        end = len(body)
+        if end > SENT_BYTES:
+            if self._long_answers in self.faults.broken_answers:
+                end //= 2
+            self._long_answers += 1
+        for start in range(0, end, SENT_BYTES):
+            piece = body[start : min(end, start + SENT_BYTES)]
+            await asyncio.sleep(len(piece) / self.faults.link_bytes_per_second)
+            if _is_closed(request):
+                return sent
+            await sent.write(piece)
+        if end < len(body) and request.transport is not None:
+            request.transport.abort()
+        return sent
+
     async def _append(self, request: web.Request) -> web.Response:
         body = await request.read()
         if self.faults.late_appends:
@@ -222,14 +279,18 @@
             except TimeoutError:
                 # Answered empty, as the wait is over.
                 pass
+        limit = int(query.get('max_kb', READ_KB)) * 1024
         body = OFFSETS.pack(found.end, found.first)
         for record in found.records[start:]:
+            if len(body) + len(record) > limit and len(body) > OFFSETS.size:
+                break
             body += LENGTH.pack(len(record)) + record
         return web.Response(body=body)
 
     async def _read_newest(self, request: web.Request) -> web.Response:
         found = self._find(request.query['topic'], int(request.query['part']))
         after = request.query.get('depends_on', '')
+        self.asked_after.append(after)
         newest = self._list_newest(found)
         rows = [
             {
@@ -240,10 +301,11 @@
             for key in sorted(newest)
             if key > after
         ]
+        page = _take_page(rows)
         return _answer(
             {
-                'items': rows[:PAGE],
-                'has_more': len(rows) > PAGE,
+                'items': page,
+                'has_more': len(rows) > len(page),
                 'end_offset': found.end,
             }
         )
@@ -307,6 +369,23 @@
     return records
 
 
+def _is_closed(request: web.Request) -> bool:
+    return request.transport is None or request.transport.is_closing()
+
+
+def _take_page(
+    rows: list[dict[str, typing.Any]],
+) -> list[dict[str, typing.Any]]:
+    page: list[dict[str, typing.Any]] = []
+    size = 0
+    for row in rows[:PAGE]:
+        size += len(row['value'])
+        if page and size > PAGE_BYTES:
+            break
+        page.append(row)
+    return page
+
+
 def _answer(body: object, status: int = 200) -> web.Response:
     return web.Response(
         status=status,
