Give up a read of the store only when no more of it arrives

Cause: a read of the store's newest records, and of its log, had to arrive as a whole within a fixed time (1 s and 2 s). An answer holds up to 1 MB, a slow link carries 0.63 MB/s, and the state grows with the jobs; beyond a size every try failed, so that no restarted entry ever knew the jobs. Evidence: each try ended after 508 to 590 kB, what the link carries in that time; the store had answered every call. Still seen: the leadership moves four times in the 6 s after the restart, and appends of new leaders are given up and repeated.

--- a/chivespoke/platform/_store.py
+++ b/chivespoke/platform/_store.py
@@ -200,6 +200,7 @@
             'GET',
             f'/log-read?{query}',
             timeout_seconds=wait_seconds + CALL_TIMEOUT_SECONDS,
+            idle_timeout=True,
         )
         if response.status != OK:
             self._raise_refusal('read', response)
@@ -229,6 +230,7 @@
                 'GET',
                 f'/log-newest?{urllib.parse.urlencode(query)}',
                 timeout_seconds=CALL_TIMEOUT_SECONDS,
+                idle_timeout=True,
             )
             if response.status != OK:
                 self._raise_refusal('read newest', response)
--- a/chivespoke/platform/_transport.py
+++ b/chivespoke/platform/_transport.py
@@ -59,18 +59,24 @@
         body: bytes = b'',
         timeout_seconds: float = 1.0,
         headers: dict[str, str] | None = None,
+        idle_timeout: bool = False,
     ) -> Response:
         """Return the response with any status.
 
-        Raise RefusedError if the call was not sent, UnavailableError if it
-        may have taken effect.
+        The timeout limits the whole call, or, as an idle timeout, each wait
+        for more of the answer, for answers of unlimited size. Raise
+        RefusedError if the call was not sent, UnavailableError if it may have
+        taken effect.
         """
         if self._session is None:
             raise errors.RefusedError(
                 step, self._base_url, 'the transport is not started'
             )
         timeout = aiohttp.ClientTimeout(
-            total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
+            total=None if idle_timeout else timeout_seconds,
+            connect=timeout_seconds,
+            sock_read=timeout_seconds,
+            sock_connect=CONNECT_TIMEOUT_SECONDS,
         )
         received = bytearray()
         try:
