Count a topic as current only when it was read to its end

What callers would see: an entry that is behind denies jobs that were accepted (410), since it takes itself for up to date. Cause: a read of the log returns 1 MB at most; the follower took every page for the newest records, although the answer names the end of the log. Evidence: found while tracing the loss of work after restarts; the test test_partial_page_does_not_make_the_data_look_current showed ages of 10, 20, 20 and 20 s in place of 10, 20, 30 and 40 s on reads of a log that is never read to its end. Why it works: pages carry the end offset of the log, and the time at which the data was current moves only when a page reaches it.

--- a/chivespoke/coordination/_followers.py
+++ b/chivespoke/coordination/_followers.py
@@ -180,6 +180,8 @@
         for record in page.records:
             self._fold.apply(record)
         self._next_offset = page.next_offset
+        if page.next_offset < page.end_offset:
+            return
         # The store answers without records only at the end of the wait, so
         # the fold was still up to date at that time.
         self._up_to_date_at = (
--- a/chivespoke/platform/_store.py
+++ b/chivespoke/platform/_store.py
@@ -51,10 +51,15 @@
 
 
 class Page(msgspec.Struct, frozen=True):
-    """Hold records in order and the offset at which reading continues."""
+    """Hold records in order and the offset at which reading continues.
+
+    The end offset is that of the partition, which lies beyond the page if the
+    store has more records than it returns at once.
+    """
 
     records: tuple[Record, ...]
     next_offset: int
+    end_offset: int
 
 
 class Producer(msgspec.Struct, frozen=True):
@@ -205,9 +210,10 @@
         if response.status != OK:
             self._raise_refusal('read', response)
         if len(response.body) < READ_HEADER.size:
-            return Page((), start)
+            return Page((), start, start)
+        end_offset, _ = READ_HEADER.unpack_from(response.body)
         records = decode_records(response.body[READ_HEADER.size :], start)
-        return Page(records, start + len(records))
+        return Page(records, start + len(records), end_offset)
 
     async def read_newest(self, topic: str, partition: int = 0) -> Page:
         """Return the newest record of each key.
@@ -241,7 +247,7 @@
                 for item in page.items
             ]
             if not page.has_more or not page.items:
-                return Page(tuple(records), end)
+                return Page(tuple(records), end, end)
             last_key = page.items[-1].key
 
     async def join(
