Continue a full read where it broke off, and follow the log meanwhile

What callers would see: an entry on a slow or unreliable link is not ready, or denies requests, long after it has restarted or the store has dropped history. Cause: a full read of a topic begins again with the first page after each failed call, and follows the log only when all pages are there; by then the store may have dropped that part, and all is read again. Why it works: the follower keeps what it has read over failed calls, reads the log between two pages, and applies a record only if no later one of its key is applied. The check of partial pages counts one more read, as the full read now ends with one of the log; its bound is the same rule.

--- a/chivespoke/coordination/_followers.py
+++ b/chivespoke/coordination/_followers.py
@@ -37,6 +37,45 @@
         """Drop state whose key is not among the keys of a full read."""
 
 
+class FullRead:
+    """Track a full read of a topic, which takes several pages.
+
+    The log is followed from the end of the first page on while the other pages
+    are read, so that a long read does not fall behind the history that the
+    store keeps. A record is applied only if no later one of its key is.
+    """
+
+    __slots__ = (
+        'started_at',
+        'last_key',
+        'pages_complete',
+        'value_bytes',
+        '_offsets',
+    )
+
+    def __init__(self, started_at: float) -> None:
+        self.started_at = started_at
+        # Last key of the pages that were read.
+        self.last_key = ''
+        self.pages_complete = False
+        self.value_bytes = 0
+        # Offset of the last record that was applied, by key.
+        self._offsets: dict[str, int] = {}
+
+    @property
+    def keys(self) -> frozenset[str]:
+        """Return the keys of all records that were read."""
+        return frozenset(self._offsets)
+
+    def admit(self, record: platform.Record) -> bool:
+        """Return whether a record is to be applied."""
+        if record.offset < self._offsets.get(record.key, -1):
+            return False
+        self._offsets[record.key] = record.offset
+        self.value_bytes += len(record.value)
+        return True
+
+
 class TopicFollower(application.Component):
     """Keep a fold up to date and measure the age of its data."""
 
@@ -48,6 +87,7 @@
         '_read_pause_seconds',
         '_tasks',
         '_next_offset',
+        '_full_read',
         '_up_to_date_at',
         '_reachable',
         '_failures',
@@ -71,6 +111,9 @@
         self._read_pause_seconds = read_pause_seconds
         self._tasks = application.TaskOwner()
         self._next_offset: int | None = None
+        # The full read in progress. It outlives failed calls, so that a large
+        # topic can be read over an unreliable connection.
+        self._full_read: FullRead | None = None
         # Monotonic time at which the fold was last known to be up to date.
         self._up_to_date_at: float | None = None
         self._reachable = True
@@ -81,7 +124,7 @@
     @property
     def loaded(self) -> bool:
         """Return whether the topic has been read in full."""
-        return self._next_offset is not None
+        return self._next_offset is not None and self._full_read is None
 
     @property
     def reachable(self) -> bool:
@@ -103,7 +146,11 @@
 
     async def wait_until(self, offset: int) -> None:
         """Wait until all records before an offset are applied."""
-        while self._next_offset is None or self._next_offset < offset:
+        while (
+            self._next_offset is None
+            or self._full_read is not None
+            or self._next_offset < offset
+        ):
             self._changed.clear()
             await self._changed.wait()
 
@@ -158,30 +205,24 @@
                 self._changed.set()
 
     async def _read_next(self) -> None:
-        requested_at = self._clock.read_monotonic()
-        wait_seconds = 0.0 if self._next_offset is None else READ_WAIT_SECONDS
         if self._next_offset is None:
-            page = await self._store.read_newest(self._topic)
-            keys = frozenset(record.key for record in page.records)
-            self._fold.retain(keys)
-            LOGGER.info(
-                'A topic was read in full.',
-                topic=self._topic,
-                records=len(page.records),
-                value_bytes=sum(len(record.value) for record in page.records),
-                offset=page.next_offset,
-                seconds=self._clock.read_monotonic() - requested_at,
-                failures=self._failures,
-            )
-        else:
-            page = await self._store.read(
-                self._topic, self._next_offset, READ_WAIT_SECONDS
-            )
-        for record in page.records:
-            self._fold.apply(record)
+            self._full_read = FullRead(self._clock.read_monotonic())
+        if self._full_read is not None and not self._full_read.pages_complete:
+            await self._read_newest_page(self._full_read)
+        assert self._next_offset is not None
+        requested_at = self._clock.read_monotonic()
+        wait_seconds = READ_WAIT_SECONDS if self._full_read is None else 0.0
+        page = await self._store.read(
+            self._topic, self._next_offset, wait_seconds
+        )
+        self._apply(page.records)
         self._next_offset = page.next_offset
         if page.next_offset < page.end_offset:
             return
+        if self._full_read is not None:
+            if not self._full_read.pages_complete:
+                return
+            self._finish_full_read(self._full_read)
         # The store answers without records only at the end of the wait, so
         # the fold was still up to date at that time.
         self._up_to_date_at = (
@@ -190,6 +231,33 @@
         if page.records and self._read_pause_seconds:
             await self._clock.sleep(self._read_pause_seconds)
 
+    async def _read_newest_page(self, full_read: FullRead) -> None:
+        page = await self._store.read_newest(self._topic, full_read.last_key)
+        self._apply(page.records)
+        if self._next_offset is None:
+            self._next_offset = page.end_offset
+        if page.records:
+            full_read.last_key = page.records[-1].key
+        full_read.pages_complete = page.is_last
+
+    def _finish_full_read(self, full_read: FullRead) -> None:
+        self._fold.retain(full_read.keys)
+        self._full_read = None
+        LOGGER.info(
+            'A topic was read in full.',
+            topic=self._topic,
+            records=len(full_read.keys),
+            value_bytes=full_read.value_bytes,
+            offset=self._next_offset,
+            seconds=self._clock.read_monotonic() - full_read.started_at,
+            failures=self._failures,
+        )
+
+    def _apply(self, records: tuple[platform.Record, ...]) -> None:
+        for record in records:
+            if self._full_read is None or self._full_read.admit(record):
+                self._fold.apply(record)
+
     def _set_reachable(self, reachable: bool, detail: str) -> None:
         if reachable == self._reachable:
             return
--- a/chivespoke/coordination/tests/test_followers.py
+++ b/chivespoke/coordination/tests/test_followers.py
@@ -13,6 +13,11 @@
 # Two values do not fit into one page of the store.
 LARGE_VALUE = b'v' * 600_000
 LARGE_VALUES = 4
+# Fewer records than are written during a full read of the values below, and
+# more than during one page.
+KEPT_RECORDS = 16
+FORGOTTEN_VALUES = 8
+WRITE_INTERVAL_SECONDS = 0.05
 TIMEOUT_SECONDS = 20.0
 READ_SECONDS = 10.0
 
@@ -23,12 +28,16 @@
     def __init__(self) -> None:
         self.keys: list[str] = []
         self.ages: list[float] = []
+        self.values: dict[str, bytes] = {}
+        self.offsets: dict[str, list[int]] = {}
         self.follower: _followers.TopicFollower | None = None
 
     def apply(self, record: platform.Record) -> None:
         assert self.follower is not None
         self.keys.append(record.key)
         self.ages.append(self.follower.measure_age())
+        self.values[record.key] = record.value
+        self.offsets.setdefault(record.key, []).append(record.offset)
 
     def retain(self, keys: frozenset[str]) -> None:
         return None
@@ -75,8 +84,8 @@
         await follower.start()
         self.addAsyncCleanup(follower.stop)
 
-    async def put_large_values(self) -> None:
-        for number in range(LARGE_VALUES):
+    async def put_large_values(self, count: int = LARGE_VALUES) -> None:
+        for number in range(count):
             await self.standin.put(TOPIC, f'k{number}', LARGE_VALUE)
 
     async def wait_for_keys(self, count: int) -> None:
@@ -99,6 +108,50 @@
             ['', 'k0', 'k0', 'k1', 'k1', 'k2'], self.standin.asked_after
         )
 
+    async def test_full_read_ends_while_the_store_forgets_its_history(
+        self,
+    ) -> None:
+        # Regression: a full read that took longer than the store kept its
+        # history had to begin again.
+        await self.put_large_values(FORGOTTEN_VALUES)
+        self.standin.faults.link_bytes_per_second = LINK_BYTES_PER_SECOND
+        self.standin.faults.kept_records = KEPT_RECORDS
+        await self.start_follower(clock.SystemClock())
+        assert self.fold.follower is not None
+        written = 0
+        last_write = None
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while last_write is None or last_write not in self.fold.keys:
+                key = f'w{written}'
+                await self.standin.put(TOPIC, key, b'v')
+                written += 1
+                if last_write is None and self.fold.follower.loaded:
+                    last_write = key
+                await asyncio.sleep(WRITE_INTERVAL_SECONDS)
+        values = [f'k{number}' for number in range(FORGOTTEN_VALUES)]
+        self.assertEqual([], sorted(set(values) - set(self.fold.keys)))
+        self.assertEqual(1, self.standin.asked_after.count(''))
+
+    async def test_later_page_is_not_replaced_by_an_earlier_record(
+        self,
+    ) -> None:
+        # The log is read again from the end of the first page on, so it
+        # repeats records that a later page has already replaced.
+        await self.put_large_values()
+        self.standin.faults.link_bytes_per_second = LINK_BYTES_PER_SECOND
+        await self.start_follower(clock.SystemClock())
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while not self.standin.asked_after:
+                await asyncio.sleep(0.01)
+        await self.standin.put(TOPIC, 'k3', b'earlier')
+        await self.standin.put(TOPIC, 'k3', b'later')
+        await self.wait_for_keys(LARGE_VALUES)
+        await asyncio.sleep(0.5)
+        self.assertEqual(b'later', self.fold.values['k3'])
+        self.assertEqual(
+            sorted(self.fold.offsets['k3']), self.fold.offsets['k3']
+        )
+
     async def test_partial_page_does_not_make_the_data_look_current(
         self,
     ) -> None:
@@ -106,14 +159,15 @@
         # records and denied jobs that had been accepted.
         await self.start_follower(self.store.clock)
         async with asyncio.timeout(TIMEOUT_SECONDS):
-            # The full read, and the read that waits for new records.
-            while self.standin.calls < 2:
+            # Both calls of the full read, and the read that waits for new
+            # records.
+            while self.standin.calls < 3:
                 await asyncio.sleep(0.01)
         await self.put_large_values()
         await self.wait_for_keys(LARGE_VALUES)
-        # No read since the first one has shown the end of the topic.
+        # No read since the full one has shown the end of the topic.
         self.assertEqual(
-            [READ_SECONDS * reads for reads in range(1, LARGE_VALUES + 1)],
+            [READ_SECONDS * reads for reads in range(2, LARGE_VALUES + 2)],
             self.fold.ages,
         )
 
--- a/chivespoke/platform/__init__.py
+++ b/chivespoke/platform/__init__.py
@@ -22,6 +22,7 @@
 from chivespoke.platform._store import FencedError
 from chivespoke.platform._store import KEYED_PREFIX
 from chivespoke.platform._store import Membership
+from chivespoke.platform._store import NewestPage
 from chivespoke.platform._store import Page
 from chivespoke.platform._store import Producer
 from chivespoke.platform._store import Record
@@ -58,6 +59,7 @@
     'MachineSettings',
     'MachineSettingsHolder',
     'Membership',
+    'NewestPage',
     'OPERATOR_TOPIC',
     'OperatorChange',
     'OrderRefusedError',
--- a/chivespoke/platform/_store.py
+++ b/chivespoke/platform/_store.py
@@ -62,6 +62,17 @@
     end_offset: int
 
 
+class NewestPage(msgspec.Struct, frozen=True):
+    """Hold the newest records of some keys, in the order of the keys.
+
+    The end offset is that of the partition at the time of the page.
+    """
+
+    records: tuple[Record, ...]
+    end_offset: int
+    is_last: bool
+
+
 class Producer(msgspec.Struct, frozen=True):
     """Identify a producer and one of its appends.
 
@@ -215,40 +226,34 @@
         records = decode_records(response.body[READ_HEADER.size :], start)
         return Page(records, start + len(records), end_offset)
 
-    async def read_newest(self, topic: str, partition: int = 0) -> Page:
-        """Return the newest record of each key.
+    async def read_newest(
+        self, topic: str, last_key: str = '', partition: int = 0
+    ) -> NewestPage:
+        """Return the newest records of the keys after the last key.
 
-        The pages of the store are not a consistent snapshot. The result
-        continues from the end offset of the first page, so that changes made
-        while the pages were read are replayed.
+        The pages of a topic are not a consistent snapshot of it.
         """
-        records: list[Record] = []
-        end: int | None = None
-        last_key = ''
-        while True:
-            query = {'topic': topic, 'part': str(partition)}
-            if last_key:
-                # Despite its name, this parameter is the key after which the
-                # store continues.
-                query['depends_on'] = last_key
-            response = await self._read_transport.call(
-                'read newest',
-                'GET',
-                f'/log-newest?{urllib.parse.urlencode(query)}',
-                timeout_seconds=CALL_TIMEOUT_SECONDS,
-                idle_timeout=True,
-            )
-            if response.status != OK:
-                self._raise_refusal('read newest', response)
-            page = self._decode(response, _NewestResponse, 'read newest')
-            end = page.end_offset if end is None else end
-            records += [
-                Record(item.offset, item.key, base64.b64decode(item.value))
-                for item in page.items
-            ]
-            if not page.has_more or not page.items:
-                return Page(tuple(records), end, end)
-            last_key = page.items[-1].key
+        query = {'topic': topic, 'part': str(partition)}
+        if last_key:
+            # Despite its name, this parameter is the key after which the
+            # store continues.
+            query['depends_on'] = last_key
+        response = await self._read_transport.call(
+            'read newest',
+            'GET',
+            f'/log-newest?{urllib.parse.urlencode(query)}',
+            timeout_seconds=CALL_TIMEOUT_SECONDS,
+            idle_timeout=True,
+        )
+        if response.status != OK:
+            self._raise_refusal('read newest', response)
+        page = self._decode(response, _NewestResponse, 'read newest')
+        records = tuple(
+            Record(item.offset, item.key, base64.b64decode(item.value))
+            for item in page.items
+        )
+        is_last = not page.has_more or not page.items
+        return NewestPage(records, page.end_offset, is_last)
 
     async def join(
         self,
--- a/chivespoke/platform/tests/test_store.py
+++ b/chivespoke/platform/tests/test_store.py
@@ -66,12 +66,21 @@
             await self.standin.put(TOPIC, f'k{number:04}', b'old')
         await self.standin.put(TOPIC, 'k0000', b'new')
         await self.standin.put(TOPIC, 'k0001', b'')
-        page = await self.store.read_newest(TOPIC)
-        values = {record.key: record.value for record in page.records}
+        values: dict[str, bytes] = {}
+        last_key = ''
+        sizes = []
+        while True:
+            page = await self.store.read_newest(TOPIC, last_key)
+            values |= {record.key: record.value for record in page.records}
+            last_key = page.records[-1].key
+            sizes.append(len(page.records))
+            self.assertEqual(1205, page.end_offset)
+            if page.is_last:
+                break
+        self.assertEqual([500, 500, 202], sizes)
         self.assertEqual(1202, len(values))
         self.assertEqual(b'new', values['k0000'])
         self.assertNotIn('k0001', values)
-        self.assertEqual(1205, page.next_offset)
 
     async def test_full_read_over_a_slow_link_is_not_given_up(self) -> None:
         # Regression: entries gave up whole reads that took more than 1 s, so
--- a/chivespoke/standins/_store.py
+++ b/chivespoke/standins/_store.py
@@ -71,6 +71,8 @@
     # Numbers of the answers longer than a piece, counted from 0, that break
     # off in the middle.
     broken_answers: frozenset[int] = frozenset()
+    # Records of history that each partition keeps; 0 for all.
+    kept_records: int = 0
 
 
 class PlatformStore(chivespoke_web.RouteProvider):
@@ -263,6 +265,9 @@
     ) -> None:
         async with found.changed:
             found.records += records
+            if self.faults.kept_records:
+                kept = found.end - self.faults.kept_records
+                found.first = max(found.first, kept)
             found.changed.notify_all()
 
     async def _read(self, request: web.Request) -> web.Response:
