Stand for election only with the ledger read, and give up a lead without it

Cause: each entry joins the group from which the store elects the leader as soon as it starts, and the store gives the lead to any member. A restarted entry was elected that did not know the jobs yet; it waited for them without end and kept the lead, and the leases of all running tasks expired. Why it works: an entry joins once both topics are read and less than 3 s old. An elected one that still cannot read the records of the earlier terms within 3 s leaves the group, so that the store elects another, and joins again when its data is current. A member whose data ages later stays: with a slow store leaving would only move the lead. test_job_survives_a_reassignment_of_partitions waits for the first leader now, as the group no longer exists the moment entries are ready.

--- a/chivespoke/coordination/_coordinator.py
+++ b/chivespoke/coordination/_coordinator.py
@@ -19,6 +19,9 @@
 # it reads; other processes only answer status requests.
 LEADER_READ_PAUSE_SECONDS = 0.02
 FOLLOWER_READ_PAUSE_SECONDS = 0.1
+# Age of the data above which a process does not stand for election: a read
+# from the store waits for 1 s at most, and a slow store answers within 1 s.
+MAX_CANDIDATE_DATA_AGE_SECONDS = 3.0
 
 
 class Coordinator(_leadership.Candidate, application.Component):
@@ -83,6 +86,14 @@
         """Return the current term, None if this process does not lead."""
         return self._term
 
+    @property
+    def can_lead(self) -> bool:
+        return all(
+            follower.loaded
+            and follower.measure_age() < MAX_CANDIDATE_DATA_AGE_SECONDS
+            for follower in (self.follower, self.operator_follower)
+        )
+
     async def start(self) -> None:
         await self._advisor_transport.start()
         await self.operator_follower.start()
@@ -131,6 +142,10 @@
             cause = await term.run()
         except errors.InvariantError:
             raise
+        except _term.TakeOverError as error:
+            LOGGER.warning('Term ended.', cause=str(error))
+            self._leadership.withdraw(str(error))
+            return
         except Exception as error:
             # A term that failed must not prevent other processes from leading.
             cause = f'failed: {error!r}'
--- a/chivespoke/coordination/_leadership.py
+++ b/chivespoke/coordination/_leadership.py
@@ -38,6 +38,11 @@
 class Candidate(abc.ABC):
     """Handle the outcome of elections."""
 
+    @property
+    @abc.abstractmethod
+    def can_lead(self) -> bool:
+        """Return whether this process is ready to take over at once."""
+
     @abc.abstractmethod
     async def lead(self, epoch: int) -> None:
         """Start to lead with an epoch as the fencing token."""
@@ -48,7 +53,12 @@
 
 
 class Leadership(application.Component):
-    """Keep this process in the group; start and stop its leadership."""
+    """Keep this process in the group; start and stop its leadership.
+
+    The store elects any member, so a process joins only once it can lead. It
+    then stays a member, also while it cannot reach the store or its data ages:
+    when the store is slow, leaving would only move the leadership around.
+    """
 
     __slots__ = (
         '_store',
@@ -57,6 +67,7 @@
         '_clock',
         '_ttl_seconds',
         '_tasks',
+        '_is_member',
         '_generation',
         '_epoch',
         '_last_epoch',
@@ -78,6 +89,8 @@
         self._clock = time
         self._ttl_seconds = max(TTL_SECONDS, min_ttl_seconds)
         self._tasks = application.TaskOwner()
+        # This process has joined, or has at least tried to.
+        self._is_member = False
         self._generation = 0
         # Epoch of the current term, None while this member does not lead.
         self._epoch: int | None = None
@@ -91,20 +104,17 @@
 
     async def drain(self) -> None:
         await self._tasks.cancel()
-        await self._step_down('shutdown')
-        try:
-            await self._store.leave(GROUP, self._member)
-        except errors.ChivespokeError as error:
-            LOGGER.warning(
-                'Could not leave the group; the membership will expire.',
-                error=error,
-            )
+        await self._leave('shutdown')
 
     async def stop(self) -> None:
         await self._tasks.cancel()
 
     async def _join_repeatedly(self) -> None:
         while True:
+            if not self._is_member and not self._candidate.can_lead:
+                await self._clock.sleep(FAST_JOIN_INTERVAL_SECONDS)
+                continue
+            self._is_member = True
             requested_at = self._clock.read_monotonic()
             try:
                 membership = await self._store.join(
@@ -118,7 +128,8 @@
                 await self._check_store_silence(error)
             else:
                 self._last_join_at = requested_at
-                await self._apply_membership(membership)
+                if self._is_member:
+                    await self._apply_membership(membership)
             joins_fast = (
                 requested_at
                 < self._generation_changed_at + FAST_JOIN_PERIOD_SECONDS
@@ -159,6 +170,21 @@
         self._epoch = None
         await self._candidate.step_down(cause)
 
+    async def _leave(self, cause: str) -> None:
+        self._is_member = False
+        await self._step_down(cause)
+        try:
+            await self._store.leave(GROUP, self._member)
+        except errors.ChivespokeError as error:
+            LOGGER.warning(
+                'Could not leave the group; the membership will expire.',
+                error=error,
+            )
+
     def resign(self, cause: str) -> None:
         """Step down in a separate task after the term has ended."""
         self._tasks.spawn(self._step_down(cause))
+
+    def withdraw(self, cause: str) -> None:
+        """Step down and leave the group until this process can lead."""
+        self._tasks.spawn(self._leave(cause))
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -35,6 +35,10 @@
 APPEND_RETRY_SECONDS = 0.1
 # A warning is logged once per this many consecutive failed tries.
 TRIES_PER_WARNING = 10
+# Time within which a new leader must have read the records of the earlier
+# terms. It was up to date when it joined the group, so a longer wait means
+# that it cannot read, and runs end when their leases of 5 s are not renewed.
+TAKE_OVER_TIMEOUT_SECONDS = 3.0
 # No task starts if the last read of the operator's topic is older than this.
 # Less than the shortest time within which an operator's change must take
 # effect.
@@ -45,6 +49,10 @@
     """Report that an append was abandoned because a later leader exists."""
 
 
+class TakeOverError(errors.UnavailableError):
+    """Report that the ledger could not be read up to the term's begin."""
+
+
 class Term(_records.LedgerListener, _links.LinkOwner):
     """Lead until a later epoch takes over.
 
@@ -117,7 +125,11 @@
         return self._engine
 
     async def run(self) -> str:
-        """Lead until the epoch is superseded; return the reason."""
+        """Lead until the epoch is superseded; return the reason.
+
+        Raise TakeOverError if the records of the earlier terms could not be
+        read in time.
+        """
         try:
             await self._take_over()
             self._tasks.spawn(self._advice_requester.run())
@@ -199,7 +211,7 @@
             ledger_loaded=self._follower.loaded,
             ledger_age=self._follower.measure_age(),
         )
-        await self._follower.wait_until(end_offset)
+        await self._wait_for_ledger(end_offset)
         self._ledger.listener = self
         for entry in self._ledger.entries.values():
             self.handle_job(entry)
@@ -214,6 +226,18 @@
             seconds=self._clock.read_monotonic() - started_at,
         )
 
+    async def _wait_for_ledger(self, offset: int) -> None:
+        try:
+            async with asyncio.timeout(TAKE_OVER_TIMEOUT_SECONDS):
+                await self._follower.wait_until(offset)
+        except TimeoutError as error:
+            raise TakeOverError(
+                'take over',
+                'store',
+                f'the records before offset {offset} were not read within '
+                f'{TAKE_OVER_TIMEOUT_SECONDS} s',
+            ) from error
+
     async def _plan_repeatedly(self) -> None:
         while not self._superseded:
             if await application.wait_for_event(
--- a/chivespoke/coordination/tests/test_leadership.py
+++ b/chivespoke/coordination/tests/test_leadership.py
@@ -70,6 +70,24 @@
         self.assertGreater(self.store.join.call_count, joins)
         self.assertEqual([], self.candidate.causes)
 
+    async def test_member_that_withdraws_leaves_until_it_can_lead(
+        self,
+    ) -> None:
+        self.candidate.ready = True
+        await self.leadership.start()
+        self.addAsyncCleanup(self.leadership.stop)
+        await self.wait_for_epochs(1)
+        self.candidate.ready = False
+        self.leadership.withdraw('cannot read')
+        await asyncio.sleep(JOIN_SECONDS)
+        self.store.leave.assert_called_once()
+        self.assertEqual(['cannot read'], self.candidate.causes)
+        joins = self.store.join.call_count
+        await asyncio.sleep(JOIN_SECONDS)
+        self.assertEqual(joins, self.store.join.call_count)
+        self.candidate.ready = True
+        await self.wait_for_epochs(2)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/chivespoke/coordination/tests/test_term.py
+++ b/chivespoke/coordination/tests/test_term.py
@@ -113,7 +113,11 @@
         store = mock.create_autospec(platform.Store, instance=True)
         store.append.return_value = 1
         follower = mock.create_autospec(_followers.TopicFollower)
-        follower.wait_until.side_effect = lambda offset: asyncio.sleep(3600)
+
+        async def wait_forever(offset: int) -> None:
+            await asyncio.Event().wait()
+
+        follower.wait_until.side_effect = wait_forever
 
         async def run_term() -> None:
             term = make_term(store, follower)
--- a/chivespoke/serving/tests/test_end_to_end.py
+++ b/chivespoke/serving/tests/test_end_to_end.py
@@ -305,6 +305,7 @@
     async def test_job_survives_a_reassignment_of_partitions(self) -> None:
         await self.start(entries=2)
         await self.submit(TWO_STEP_JOB)
+        await self.run_with_timeout(self.wait_for_leader())
         self.platform.store.deal_anew('chivespoke-leader')
         await self.run_with_timeout(
             self.platform.wait_for_state(JOB, 'completed')
