Store a large plan in appends of bounded size and with time for their transfer

Cause: a plan is stored in one append, and the timeout of an append follows the reply times of small ones. The first plan of a new leader holds the progress of most jobs; on a slow link it was given up and sent again from the start. The back-off was limited by a number of seconds in place of a factor, so that the timeout was doubled once at most. Why it works: an append holds 64 kB at most, so that little is sent again, other calls find room on the link, and a plan is never over the store's limit; its timeout adds the time that its size takes at 1 Mbit/s; and the back-off reaches the longest timeout. The orders of a plan still leave only when all of its records are stored.

--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -1,6 +1,7 @@
 """One term of a leader, from taking over to stepping down."""
 
 import asyncio
+import collections.abc
 
 import zmq.asyncio
 
@@ -31,6 +32,9 @@
 # Maximum interval between two plans: no event announces that a lease expires,
 # an order is due to be sent again or a start time is reached.
 PLAN_INTERVAL_SECONDS = 0.2
+# Maximum size of one append, unless a single record is larger. A failed append
+# is sent again as a whole, and other calls share the link with it.
+MAX_APPEND_BYTES = 65_536
 # Pause before a failed append is repeated.
 APPEND_RETRY_SECONDS = 0.1
 # A warning is logged once per this many consecutive failed tries.
@@ -45,6 +49,20 @@
 MAX_OPERATOR_VIEW_AGE_SECONDS = 1.8
 
 
+def join_records(
+    records: collections.abc.Iterable[bytes], max_bytes: int
+) -> collections.abc.Iterator[bytes]:
+    """Yield the records in order, joined up to a maximum size."""
+    joined = bytearray()
+    for record in records:
+        if joined and len(joined) + len(record) > max_bytes:
+            yield bytes(joined)
+            joined.clear()
+        joined += record
+    if joined:
+        yield bytes(joined)
+
+
 class SupersededError(errors.RefusedError):
     """Report that an append was abandoned because a later leader exists."""
 
@@ -253,7 +271,8 @@
             self._read_desired_state(), now, self._clock.read_wall()
         )
         if plan.records:
-            await self._append(b''.join(plan.records))
+            for records in join_records(plan.records, MAX_APPEND_BYTES):
+                await self._append(records)
         self._engine.confirm(plan)
         self._record_start_waits(plan)
         if self._engine.find_advice_request() is not None:
@@ -294,7 +313,7 @@
                     _records.SYSTEM_TOPIC,
                     records,
                     producer,
-                    self._append_timeout.seconds,
+                    self._append_timeout.compute_for_request(len(records)),
                 )
             except platform.FencedError:
                 raise
@@ -315,6 +334,7 @@
                         'Append to the store failed; retrying.',
                         sequence=self._sequence,
                         tries=tries,
+                        bytes=len(records),
                         next_wait=self._append_timeout.seconds,
                         error=error,
                     )
--- a/chivespoke/coordination/tests/test_term.py
+++ b/chivespoke/coordination/tests/test_term.py
@@ -107,6 +107,20 @@
 
         asyncio.run(run_term())
 
+    def test_records_are_joined_up_to_the_maximum_size(self) -> None:
+        for sizes, joined_sizes in (
+            ((), []),
+            ((4, 6), [10]),
+            ((4, 7), [4, 7]),
+            ((12, 3, 3), [12, 6]),
+            ((3, 12, 10), [3, 12, 10]),
+        ):
+            with self.subTest(sizes=sizes):
+                records = [bytes((i,)) * n for i, n in enumerate(sizes)]
+                joined = list(_term.join_records(records, 10))
+                self.assertEqual(joined_sizes, [len(part) for part in joined])
+                self.assertEqual(b''.join(records), b''.join(joined))
+
     def test_leader_that_cannot_read_the_ledger_gives_up(self) -> None:
         # Regression: an entry that could reach the group but not read the
         # ledger stayed the leader and never took over.
--- a/chivespoke/decisions/_timeout.py
+++ b/chivespoke/decisions/_timeout.py
@@ -3,13 +3,18 @@
 If the store loses replies, a long timeout blocks all calls queued behind the
 lost one. If the store is slow, a short timeout repeats calls that are still in
 progress. The timeout therefore follows the observed reply times. It is doubled
-when a call times out, until the next reply.
+whenever a call times out, until the next reply. A large request gets the time
+that it takes on a slow link in addition.
 """
 
 MIN_TIMEOUT_SECONDS = 0.15
 MAX_TIMEOUT_SECONDS = 2.0
 # Used until the first reply: about forty times the usual reply time of 6 ms.
 INITIAL_TIMEOUT_SECONDS = 0.25
+# Largest factor by which time-outs in a row extend the timeout.
+MAX_BACKOFF = MAX_TIMEOUT_SECONDS / MIN_TIMEOUT_SECONDS
+# Bandwidth of the slowest link on which a large request still succeeds.
+MIN_BYTES_PER_SECOND = 125_000
 # Weights of a new reply time in the exponential moving averages of the reply
 # time and of its deviation, and the factor of the deviation in the timeout.
 # The values are those of the TCP retransmission timer (RFC 6298).
@@ -40,6 +45,10 @@
         timeout = max(MIN_TIMEOUT_SECONDS, base) * self._backoff
         return min(MAX_TIMEOUT_SECONDS, timeout)
 
+    def compute_for_request(self, size_bytes: int) -> float:
+        """Return the timeout in seconds of a call with a request body."""
+        return self.seconds + size_bytes / MIN_BYTES_PER_SECOND
+
     def record_reply(self, seconds: float) -> None:
         """Update the averages with a reply time and reset the back-off."""
         self._backoff = 1.0
@@ -53,4 +62,4 @@
 
     def record_timeout(self) -> None:
         """Increase the back-off after a call that timed out."""
-        self._backoff = min(MAX_TIMEOUT_SECONDS, self._backoff * 2)
+        self._backoff = min(MAX_BACKOFF, self._backoff * 2)
