--- a/chivespoke/replication/tests/builders.py
+++ b/chivespoke/replication/tests/builders.py
@@ -8,9 +8,11 @@
 from chivespoke import clock as clocks
 from chivespoke import identifiers
 from chivespoke import replication
+from chivespoke import settings
 from chivespoke import standins
 
 STREAM = 'counts'
+CHUNK_BYTES = 16 * 1024
 
 
 class SumFold(replication.Fold[tuple[str, int]]):
@@ -86,6 +88,73 @@
         await self.committer.stop()
 
 
+class SlowLink:
+    """Forward connections to a server, with slow and limited answers."""
+
+    def __init__(
+        self,
+        server: settings.Address,
+        chunk_seconds: float = 0.0,
+        max_answer_bytes: float = float('inf'),
+    ) -> None:
+        self._server = server
+        # Delay of each chunk of CHUNK_BYTES towards the client.
+        self._chunk_seconds = chunk_seconds
+        # A connection is cut once it has forwarded this many bytes.
+        self._max_answer_bytes = max_answer_bytes
+        self._listener: asyncio.Server | None = None
+
+    async def start(self) -> settings.Address:
+        """Listen on a free port of the loopback and return the address."""
+        self._listener = await asyncio.start_server(
+            self._forward, '127.0.0.1', 0
+        )
+        host, port = self._listener.sockets[0].getsockname()
+        return settings.Address(host=host, port=port)
+
+    async def stop(self) -> None:
+        """Accept no further connections."""
+        if self._listener is not None:
+            self._listener.close()
+
+    async def _forward(
+        self,
+        client_reader: asyncio.StreamReader,
+        client_writer: asyncio.StreamWriter,
+    ) -> None:
+        server_reader, server_writer = await asyncio.open_connection(
+            self._server.host, self._server.port
+        )
+        requests = asyncio.ensure_future(
+            self._forward_requests(client_reader, server_writer)
+        )
+        forwarded = 0
+        try:
+            while forwarded < self._max_answer_bytes:
+                chunk = await server_reader.read(CHUNK_BYTES)
+                if not chunk:
+                    break
+                await asyncio.sleep(self._chunk_seconds)
+                client_writer.write(chunk)
+                await client_writer.drain()
+                forwarded += len(chunk)
+        except ConnectionError:
+            # The client gave up; the connection to the server ends too.
+            pass
+        finally:
+            requests.cancel()
+            client_writer.close()
+            server_writer.close()
+
+    async def _forward_requests(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while chunk := await reader.read(CHUNK_BYTES):
+            writer.write(chunk)
+            await writer.drain()
+        writer.close()
+
+
 def build_log(
     retention: float = float('inf'),
 ) -> tuple[standins.MemoryLog, clocks.ManualClock]:
