Read pages of the log by progress and in bounded steps

Cause: a read of a page was given up after 10 s in total, whatever had arrived, and every retry asked for the same 512 frames (up to 128 MiB). Once a page was larger than 10 s of the link (6.3 MB at 0.63 MB/s; 13.4 MB/s are needed for the largest page), no retry could end.

Why the fix works: a read ends after 10 s without a byte, so that a slow page arrives in the time that it needs. The limit on the records of a page begins at 16, doubles after each full page and is halved by each failed read, down to a single frame of at most 256 KiB (or one record of at most 4 MiB), so that a page also arrives over connections that break. Pages that were read are kept, as before; a part of a page is not. An append keeps its limit in total because its size is limited.

--- a/chivespoke/replication/_follower.py
+++ b/chivespoke/replication/_follower.py
@@ -13,6 +13,10 @@
 from chivespoke.replication import _log
 from chivespoke.replication import _replica
 
+# The size of a page in bytes is not known before it is read. The limit on its
+# records doubles after each full page and is halved by each failed read, so
+# that a page arrives over a connection that does not last long.
+FIRST_PAGE_RECORDS = 16
 MAX_PAGE_RECORDS = 512
 # How long a read waits for a first record; it bounds the read age while the
 # log answers.
@@ -57,6 +61,7 @@
         'relay',
         '_log',
         '_poll_wait_seconds',
+        '_page_limit',
         '_clock',
         '_replica_changed',
         '_tasks',
@@ -80,6 +85,7 @@
         self.failed_reads = 0
         self.relay = relay
         self._poll_wait_seconds = poll_wait_seconds
+        self._page_limit = FIRST_PAGE_RECORDS
         self._log = log
         self._clock = clock
         self._replica_changed = asyncio.Event()
@@ -125,12 +131,18 @@
     async def read_once(self, wait_seconds: float = 0.0) -> None:
         """Read and apply one page; raise UnavailableError."""
         started_at = self._clock.read_monotonic()
-        page = await self._log.read(
-            self.replica.stream,
-            self.replica.read_offset,
-            MAX_PAGE_RECORDS,
-            wait_seconds,
-        )
+        try:
+            page = await self._log.read(
+                self.replica.stream,
+                self.replica.read_offset,
+                self._page_limit,
+                wait_seconds,
+            )
+        except errors.UnavailableError:
+            self._page_limit = max(1, self._page_limit // 2)
+            raise
+        if len(page.records) >= self._page_limit:
+            self._page_limit = min(MAX_PAGE_RECORDS, self._page_limit * 2)
         self._apply_page(page, started_at)
 
     async def _run(self) -> None:
--- a/chivespoke/replication/_http_log.py
+++ b/chivespoke/replication/_http_log.py
@@ -12,7 +12,9 @@
 
 PAGE_DECODER = msgspec.msgpack.Decoder(_log.LogPage)
 OFFSET_DECODER = msgspec.json.Decoder(int)
-# A read adds the wait that it requests from the log.
+# Limits an append as a whole, as the size of a payload is limited. The size of
+# a page is not, so a read ends only after this time without progress. A read
+# adds the wait that it requests from the log.
 REQUEST_TIMEOUT_SECONDS = 10.0
 # Polls once a second are most of the traffic of an idle process, so requests
 # are kept small.
@@ -43,8 +45,9 @@
             self._session = None
 
     async def append(self, stream: str, payload: bytes) -> identifiers.Offset:
+        timeout = aiohttp.ClientTimeout(total=self._timeout_seconds)
         body = await self._request(
-            'append', 'POST', f'/streams/{stream}', {}, payload, 0.0
+            'append', 'POST', f'/streams/{stream}', {}, payload, timeout
         )
         return identifiers.Offset(OFFSET_DECODER.decode(body))
 
@@ -60,9 +63,14 @@
             'limit': str(limit),
             'wait': str(wait_seconds),
         }
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=self._timeout_seconds,
+            sock_read=self._timeout_seconds + wait_seconds,
+        )
         try:
             body = await self._request(
-                'read', 'GET', f'/streams/{stream}', query, b'', wait_seconds
+                'read', 'GET', f'/streams/{stream}', query, b'', timeout
             )
             return PAGE_DECODER.decode(body)
         except errors.RefusedError as error:
@@ -81,15 +89,12 @@
         path: str,
         query: dict[str, str],
         payload: bytes,
-        wait_seconds: float,
+        timeout: aiohttp.ClientTimeout,
     ) -> bytes:
         if self._session is None:
             raise errors.RefusedError(
                 step, self._base_url, 'the HTTP client is not started'
             )
-        timeout = aiohttp.ClientTimeout(
-            total=self._timeout_seconds + wait_seconds
-        )
         try:
             async with self._session.request(
                 method,
