Add failing tests of ownership without a loaded configuration

What callers would see: jobs are accepted and nothing of them starts, although another entry has everything that it needs to own the shard. Worse, all services of the shard are stopped, and they stay cancelled after the configuration was loaded.

An entry claims a shard once it has read the shard's stream, whether or not it has read the configuration, and a restarted entry claims at once. As owner it starts no task without a recent read of the configuration, but renews its ownership every 5 s, so nobody else claims the shard. Meanwhile the planners run on the empty document of version 0, which contains no service.

The tests let an entry own, or begin to own, a shard while it does not read the configuration and a second entry does. The bench cluster can withhold the configuration from a process for it; otherwise a process now reads the configuration when it starts, as the real follower does, and not two steps later. All three fail on the current code:

test_process_without_recent_read_loses_ownership AssertionError: 'completed' != 'waiting' test_unloaded_process_does_not_cancel_services AssertionError: 3 != 0 test_unloaded_process_does_not_take_ownership AssertionError: 'completed' != 'waiting' Ran 4 tests in 2.753s FAILED (failures=3)

--- a/chivespoke/bench/_cluster.py
+++ b/chivespoke/bench/_cluster.py
@@ -26,6 +26,7 @@
     """See what operators published as of the last read."""
 
     __slots__ = (
+        'reachable',
         '_published',
         '_version',
         '_document',
@@ -34,6 +35,7 @@
     )
 
     def __init__(self, published: scheduling.FixedConfiguration) -> None:
+        self.reachable = True
         self._published = published
         self._version = identifiers.Version(0)
         self._document = operators.Document()
@@ -56,6 +58,9 @@
 
     def poll(self, now: float) -> None:
         """Take in the read that began a poll ago, and begin another."""
+        if not self.reachable:
+            self._next = None
+            return
         if self._next is not None:
             self._last_read_at, self._version, self._document = self._next
         published = self._published
@@ -172,10 +177,17 @@
         return agent
 
     async def add_process(
-        self, name: str = 'entry-1', life: int = 1
+        self,
+        name: str = 'entry-1',
+        life: int = 1,
+        reads_configuration: bool = True,
     ) -> SchedulerProcess:
         """Start a process, or its next life."""
         process = SchedulerProcess(self, name, life)
+        process.configuration.reachable = reads_configuration
+        # The first read does not wait.
+        process.configuration.poll(self.now())
+        process.configuration.poll(self.now())
         self.processes[name] = process
         await process.start()
         return process
--- a/chivespoke/scheduling/tests/test_owner.py
+++ b/chivespoke/scheduling/tests/test_owner.py
@@ -2,8 +2,12 @@
 
 import unittest
 
+from chivespoke import identifiers
+from chivespoke import operators
 from chivespoke.scheduling.tests import builders
 
+WEB = identifiers.ServiceName('web')
+
 
 class OwnerTest(unittest.IsolatedAsyncioTestCase):
     """Run a job with one owner, a log and workers."""
@@ -21,3 +25,43 @@
             run for agent in cluster.agents.values() for run in agent.history
         ]
         self.assertEqual(len(runs), 30)
+
+
+class LoadTest(unittest.IsolatedAsyncioTestCase):
+    """Own a shard only with a configuration that was read."""
+
+    async def asyncSetUp(self) -> None:
+        self.cluster = await builders.build_cluster(processes=2)
+        self.addAsyncCleanup(self.cluster.stop)
+
+    async def restart_without_configuration(self) -> None:
+        cluster = self.cluster
+        await cluster.processes['entry-1'].die()
+        await cluster.add_process('entry-1', 2, reads_configuration=False)
+
+    async def check_job_completes(self) -> None:
+        await builders.submit(self.cluster, 6)
+        await self.cluster.run(60)
+        self.assertEqual('completed', self.cluster.get_report().state)
+
+    async def test_unloaded_process_does_not_take_ownership(self) -> None:
+        await self.restart_without_configuration()
+        await self.check_job_completes()
+
+    async def test_process_without_recent_read_loses_ownership(self) -> None:
+        self.cluster.processes['entry-1'].configuration.reachable = False
+        await self.cluster.run(5)
+        await self.check_job_completes()
+
+    async def test_unloaded_process_does_not_cancel_services(self) -> None:
+        service = operators.Service(
+            team=builders.TEAM, size=builders.SIZE, replicas=3
+        )
+        self.cluster.publish(builders.build_document(services={WEB: service}))
+        await self.cluster.run(20)
+        report = self.cluster.get_report('service:web@default')
+        self.assertEqual(3, report.running)
+        await self.restart_without_configuration()
+        await self.cluster.run(60)
+        report = self.cluster.get_report('service:web@default')
+        self.assertEqual(3, report.running)
