Claim and renew a shard only while it can be scheduled

Cause: a claim needed a recent read of the shard's stream only, and the owner's heartbeat record needed none. An entry whose configuration does not load, or is no longer read, could take the shard and keep it, and planned with an empty document.

Why the fix works: claims and heartbeats need what placements need, a recent read of both the shard and the configuration. An entry that owns the shard has therefore loaded the configuration, so that no planner sees an empty document. The statement that the earlier epochs of a process have ended still needs the shard only; otherwise the next owner would wait up to two hours before it gives up silent workers (test_unloaded_process_fences_its_earlier_epochs).

--- a/chivespoke/scheduling/_claims.py
+++ b/chivespoke/scheduling/_claims.py
@@ -12,6 +12,7 @@
     shard: _state.Shard,
     identity: identifiers.Incarnation,
     silent_seconds: float,
+    can_schedule: bool,
 ) -> list[_records.Record]:
     """Return the ownership records that a non-owner should propose.
 
@@ -20,7 +21,8 @@
     earlier incarnations. Fencing them saves the next owner from waiting
     until leases renewed without reading the log would have expired.
 
-    silent_seconds is the time since the owner's last claim or heartbeat.
+    silent_seconds is the time since the owner's last claim or heartbeat. A
+    process that cannot schedule proposes fences only.
     """
     own_name = get_process_name(identity)
     records: list[_records.Record] = [
@@ -28,6 +30,8 @@
         for epoch, owner in shard.unfenced.items()
         if get_process_name(owner) == own_name
     ]
+    if not can_schedule:
+        return records
     # A restarted process claims at once: its earlier incarnation is dead.
     was_own = get_process_name(shard.owner) == own_name
     if not shard.epoch or was_own or silent_seconds > TAKEOVER_TIMEOUT_SECONDS:
--- a/chivespoke/scheduling/_owner.py
+++ b/chivespoke/scheduling/_owner.py
@@ -219,7 +219,10 @@
             silent_seconds = self.read_clock() - self._owner_seen_at
             self._submit(
                 _claims.decide_ownership(
-                    self.shard, self.identity, silent_seconds
+                    self.shard,
+                    self.identity,
+                    silent_seconds,
+                    self._can_schedule(),
                 )
             )
         return False
@@ -240,6 +243,14 @@
         self._queued_records = []
         self._repropose_at = {}
 
+    def _can_schedule(self) -> bool:
+        """Return whether the shard and the configuration are up to date.
+
+        Only then is ownership claimed or renewed: an owner that cannot
+        schedule leaves the shard to a process that can.
+        """
+        return self.get_start_read_time() is not None
+
     def _has_recent_read(self) -> bool:
         age = self.stream.measure_read_age()
         return age <= _permits.MAX_READ_AGE_SECONDS
@@ -253,18 +264,19 @@
         if now - self._planned_at >= PLAN_INTERVAL_SECONDS:
             self._planned_at = now
             records.extend(self._plan(now))
-        if self.get_start_read_time() is not None:
-            self._blocked_jobs = set()
-            version = self.shard.version
-            if self.configuration.version == version:
-                self.placer.limit_refill(
-                    now,
-                    self.shard.out_of_service,
-                    self.document.limits.moves_at_once,
-                )
-                records.extend(
-                    self.placer.propose_batch(version, self._blocked_jobs)
-                )
+        if not self._can_schedule():
+            return records
+        self._blocked_jobs = set()
+        version = self.shard.version
+        if self.configuration.version == version:
+            self.placer.limit_refill(
+                now,
+                self.shard.out_of_service,
+                self.document.limits.moves_at_once,
+            )
+            records.extend(
+                self.placer.propose_batch(version, self._blocked_jobs)
+            )
         if now - self._owner_renewed_at >= OWNER_RENEWAL_INTERVAL_SECONDS:
             self._owner_renewed_at = now
             records.append(_records.OwnerRenewed(self.epoch))
--- a/chivespoke/scheduling/tests/test_owner.py
+++ b/chivespoke/scheduling/tests/test_owner.py
@@ -48,6 +48,12 @@
         await self.restart_without_configuration()
         await self.check_job_completes()
 
+    async def test_unloaded_process_fences_its_earlier_epochs(self) -> None:
+        await self.restart_without_configuration()
+        await self.cluster.run(30)
+        shard = self.cluster.processes['entry-2'].get_owner().shard
+        self.assertEqual((2, {}), (shard.epoch, shard.unfenced))
+
     async def test_process_without_recent_read_loses_ownership(self) -> None:
         self.cluster.processes['entry-1'].configuration.reachable = False
         await self.cluster.run(5)
