Limit the start orders on their way, and send no payload for a run that exists

What callers saw: after the loss of power, 10 s passed until work started again; the lead moved six times in 8 s. Cause: a start order carries the payload of its job, up to 4 kB. A new leader ordered every recorded run again, also those that their workers listed, and every waiting task, some 700 at once: 1.7 MB on a link of 0.63 MB/s. What had no outcome after 0.7 s was sent again while the first copy was still queued. The leader's own appends and joins waited behind it and timed out, the store gave the lead to another entry, and that one did the same. Without the change test_orders_wait_for_the_outcomes_of_ earlier_ones finds 256000 bytes at once, and test_adopted_runs_are_sent_without_ their_payload the payload of a running task. Why it works: orders without an outcome hold 128 kB at most, over all workers; outcomes make room, so the rate follows the link, and a lost order makes room after 0.7 s. A worker that has not reported for 1 s takes no room. For a listed run the sidecar gets what pacing needs, in a new last field that older sidecars skip. test_restarted_sidecar_gets_its_orders_again expects the listed run there; it checks as much as before.

--- a/chivespoke/agents/_paces.py
+++ b/chivespoke/agents/_paces.py
@@ -12,20 +12,20 @@
 
 LOGGER = logs.make_logger('paces')
 
-# Consecutive polls that may omit a run before its start order is dropped: a
-# start may take three attempts.
+# Consecutive polls that may omit a run before it is dropped: a start may take
+# three attempts.
 MAX_UNLISTED_POLLS = 15
 
 
 class PaceTracker:
-    """Track start orders and paces, and compute changes of paces."""
+    """Track runs and their paces, and compute changes of paces."""
 
     __slots__ = (
         '_worker',
         '_capacity_millis',
         '_pacer',
         '_interference',
-        '_start_orders',
+        '_runs',
         '_unlisted_polls',
         '_current_paces',
     )
@@ -35,8 +35,8 @@
         self._capacity_millis = capacity_millis
         self._pacer = decisions.Pacer()
         self._interference = decisions.FixedInterferenceModel()
-        # Start orders of the current runs, by task.
-        self._start_orders: dict[str, coordination.StartOrder] = {}
+        # The current runs, by task.
+        self._runs: dict[str, coordination.AdoptedRun] = {}
         # Consecutive polls that did not list the run, by task.
         self._unlisted_polls: dict[str, int] = {}
         # Last pace set, by task; a run starts at full speed.
@@ -52,12 +52,24 @@
         self._interference = decisions.FixedInterferenceModel(interference)
 
     def record_start_order(self, order: coordination.StartOrder) -> None:
-        """Record the order of a run that is starting or is adopted."""
-        self._start_orders[order.task] = order
-        self._unlisted_polls[order.task] = 0
+        """Record the run that an order starts."""
+        self.record_run(
+            coordination.AdoptedRun(
+                order.task,
+                order.run,
+                order.image,
+                order.target_latency_ms,
+                order.filler,
+            )
+        )
         if not order.repeated:
             self._current_paces.pop(order.task, None)
 
+    def record_run(self, run: coordination.AdoptedRun) -> None:
+        """Record a run that the worker has."""
+        self._runs[run.task] = run
+        self._unlisted_polls[run.task] = 0
+
     def record_pace(self, change: decisions.PaceChange) -> None:
         """Record a pace that the worker has accepted."""
         self._current_paces[change.task] = change.percent
@@ -92,16 +104,16 @@
     ) -> list[decisions.PacedRun]:
         runs = []
         for row in status.running:
-            order = self._start_orders.get(row.task)
-            if order is None or order.run != row.run:
+            run = self._runs.get(row.task)
+            if run is None or run.run != row.run:
                 continue
             runs.append(
                 decisions.PacedRun(
                     row.task,
                     row.run,
-                    order.image,
-                    order.filler,
-                    order.target_latency_ms,
+                    run.image,
+                    run.filler,
+                    run.target_latency_ms,
                     row.measure,
                     self._current_paces.get(
                         row.task, decisions.FULL_PACE_PERCENT
@@ -112,7 +124,7 @@
 
     def _drop_unlisted(self, status: platform.WorkerStatus) -> None:
         listed = {row.task for row in status.running}
-        for task in tuple(self._start_orders):
+        for task in tuple(self._runs):
             # A poll sent before a run started does not list it, so that a
             # single omission does not show that the run has ended.
             unlisted_polls = self._unlisted_polls.get(task, 0) + 1
@@ -120,6 +132,6 @@
                 0 if task in listed else unlisted_polls
             )
             if self._unlisted_polls[task] > MAX_UNLISTED_POLLS:
-                del self._start_orders[task]
+                del self._runs[task]
                 del self._unlisted_polls[task]
                 self._current_paces.pop(task, None)
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -155,6 +155,8 @@
             self._acknowledged_end, directive.acknowledged
         )
         self._pace_tracker.update_interference(directive.interference)
+        for run in directive.adopted:
+            self._pace_tracker.record_run(run)
         for start in directive.starts:
             self._pace_tracker.record_start_order(start)
             self._spawn_order(
--- a/chivespoke/coordination/__init__.py
+++ b/chivespoke/coordination/__init__.py
@@ -3,9 +3,12 @@
 from chivespoke.coordination._coordinator import Coordinator
 from chivespoke.coordination._engine import Engine
 from chivespoke.coordination._engine_state import LeaderTimeouts
+from chivespoke.coordination._engine_state import MAX_UNANSWERED_ORDER_BYTES
+from chivespoke.coordination._engine_state import ORDER_RESEND_SECONDS
 from chivespoke.coordination._followers import TopicFold
 from chivespoke.coordination._followers import TopicFollower
 from chivespoke.coordination._links import open_socket
+from chivespoke.coordination._messages import AdoptedRun
 from chivespoke.coordination._messages import Directive
 from chivespoke.coordination._messages import DIRECTIVE_DECODER
 from chivespoke.coordination._messages import ENCODER
@@ -25,6 +28,7 @@
 from chivespoke.coordination._records import SYSTEM_TOPIC
 
 __all__ = [
+    'AdoptedRun',
     'CANCEL_PREFIX',
     'Coordinator',
     'DIRECTIVE_DECODER',
@@ -35,6 +39,8 @@
     'JOB_PREFIX',
     'Ledger',
     'LeaderTimeouts',
+    'MAX_UNANSWERED_ORDER_BYTES',
+    'ORDER_RESEND_SECONDS',
     'OrderOutcome',
     'DesiredState',
     'Report',
--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -18,9 +18,6 @@
 
 LOGGER = logs.make_logger('leader')
 
-# Time after which an order is sent again if no outcome was reported. It is
-# longer than the worker's answer and the next report take together.
-ORDER_RESEND_SECONDS = 0.7
 # Interval at which new checkpoints are stored, so that they survive the loss
 # of all workers. Tasks make checkpoints at about the same interval.
 CHECKPOINT_INTERVAL_SECONDS = 1.0
@@ -154,32 +151,68 @@
             if worker is not None:
                 worker.acknowledged = max(worker.acknowledged, number)
 
+    def select_orders(self, worker: _fleet.Worker, now: float) -> bool:
+        """Select the orders for the next directive to a worker.
+
+        Returns whether there are any.
+        """
+        for run in worker.runs.values():
+            if not run.selected and self._is_order_due(run, now):
+                run.selected = self._may_send_order(worker, run, now)
+        return any(run.selected for run in worker.runs.values())
+
+    def _is_order_due(self, run: _fleet.Run, now: float) -> bool:
+        return run.state in (
+            _fleet.RunState.ORDERED,
+            _fleet.RunState.STOPPING,
+        ) and (
+            run.sent_at is None
+            or now >= run.sent_at + _engine_state.ORDER_RESEND_SECONDS
+        )
+
+    def _may_send_order(
+        self, worker: _fleet.Worker, run: _fleet.Run, now: float
+    ) -> bool:
+        if run.state is _fleet.RunState.ORDERED and self._is_obsolete(run):
+            # The run is obsolete, for example because another member has
+            # completed the gang.
+            run.state = _fleet.RunState.STOPPING
+        if (
+            run.state is _fleet.RunState.STOPPING
+            or run.last_listing is not None
+        ):
+            return True
+        if now >= worker.reported_at + _placer.REPORT_TIMEOUT_SECONDS:
+            # The order may not arrive, and must not hold up the orders for
+            # other workers.
+            return False
+        size = len(self._state.jobs[run.name.job].job.payload)
+        return self._state.order_window.admit(run.order_key, size, now)
+
     def make_directive(
         self, worker: _fleet.Worker, now: float
     ) -> _messages.Directive:
-        """Return the lease and the orders that are due for a worker.
+        """Return the lease and the orders to send to a worker now.
 
         Marks the included orders as sent.
         """
+        self.select_orders(worker, now)
         timeouts = self._state.timeouts
         starts = []
         stops = []
+        adopted = []
         for run in worker.runs.values():
-            if (
-                run.sent_at is not None
-                and now < run.sent_at + ORDER_RESEND_SECONDS
-            ):
+            if not run.selected:
                 continue
-            if run.state is _fleet.RunState.ORDERED and self._is_obsolete(run):
-                # The run is obsolete, for example because another member has
-                # completed the gang.
-                run.state = _fleet.RunState.STOPPING
-            if run.state is _fleet.RunState.ORDERED:
-                starts.append(self._make_start_order(run))
-            elif run.state is _fleet.RunState.STOPPING:
+            run.selected = False
+            if run.state is _fleet.RunState.STOPPING:
                 stops.append(_messages.StopOrder(run.task_id, run.number))
-            else:
+            elif run.state is not _fleet.RunState.ORDERED:
                 continue
+            elif run.last_listing is not None:
+                adopted.append(make_adopted_run(run))
+            else:
+                starts.append(self._make_start_order(run))
             run.sent_at = now
             run.repeated = True
         for task_id, number in worker.unrecorded_runs.items():
@@ -193,6 +226,7 @@
             starts=tuple(starts),
             stops=tuple(stops),
             interference=self._list_interference(worker),
+            adopted=tuple(adopted),
         )
 
     def _list_interference(
@@ -222,17 +256,6 @@
             return True
         return state.final or task.status is workloads.TaskStatus.DONE
 
-    def has_due_orders(self, worker: _fleet.Worker, now: float) -> bool:
-        """Return whether an order for a worker is due to be sent."""
-        return any(
-            run.state in (_fleet.RunState.ORDERED, _fleet.RunState.STOPPING)
-            and (
-                run.sent_at is None
-                or now >= run.sent_at + ORDER_RESEND_SECONDS
-            )
-            for run in worker.runs.values()
-        )
-
     def _make_start_order(self, run: _fleet.Run) -> _messages.StartOrder:
         state = self._state.jobs[run.name.job]
         task = state.find_task(run.name)
@@ -265,3 +288,14 @@
             and wall
             > finished + self._state.timeouts.final_job_retention_seconds
         )
+
+
+def make_adopted_run(run: _fleet.Run) -> _messages.AdoptedRun:
+    """Return what the sidecar needs to know of a run that it lists."""
+    return _messages.AdoptedRun(
+        run.task_id,
+        run.number,
+        run.step.image,
+        run.step.target_latency_ms,
+        run.step.filler,
+    )
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -13,6 +13,15 @@
 LOGGER = logs.make_logger('leader')
 
 
+# Time after which an order is sent again if no outcome was reported. It is
+# longer than the worker's answer and the next report take together.
+ORDER_RESEND_SECONDS = 0.7
+# Maximum size of the start orders without an outcome. A link of 5 Mbit/s
+# carries as much in 0.2 s, so that appends and renewals of the membership of
+# the group, which time out after 0.25 to 1 s, are not held up.
+MAX_UNANSWERED_ORDER_BYTES = 131_072
+
+
 class LeaderTimeouts(msgspec.Struct, frozen=True):
     """Hold the leader's lease and retention times."""
 
@@ -55,6 +64,7 @@
         'quarantines',
         'interference',
         'advice_cache',
+        'order_window',
     )
 
     def __init__(self, timeouts: LeaderTimeouts) -> None:
@@ -65,6 +75,11 @@
         self.quarantines: dict[str, decisions.WorkerQuarantine] = {}
         self.interference = decisions.LearnedInterferenceModel()
         self.advice_cache = decisions.AdviceCache()
+        # Start orders carry the payload of the job, so those of all workers
+        # together may fill the leader's link.
+        self.order_window = decisions.SendWindow(
+            MAX_UNANSWERED_ORDER_BYTES, ORDER_RESEND_SECONDS
+        )
 
     def load_job(
         self, entry: _records.JobEntry, now: float, wall_ms: int
--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -39,6 +39,7 @@
         'number',
         'step',
         'state',
+        'selected',
         'sent_at',
         'started_at',
         'last_listing',
@@ -61,6 +62,8 @@
         self.number = number
         self.step = step
         self.state = state
+        # The next directive includes the order for the run.
+        self.selected = False
         # Time of the last order for the run, None if none was sent or another
         # order is due at once.
         self.sent_at: float | None = None
@@ -76,6 +79,11 @@
         # The advisor's permission to start the run; empty if none is needed.
         self.ticket = ''
 
+    @property
+    def order_key(self) -> str:
+        """Return a unique key of the order to start the run."""
+        return f'{self.task_id}#{self.number}'
+
 
 class Worker:
     """Hold the state of one worker incarnation."""
--- a/chivespoke/coordination/_messages.py
+++ b/chivespoke/coordination/_messages.py
@@ -81,6 +81,16 @@
     ticket: str = ''
 
 
+class AdoptedRun(msgspec.Struct, frozen=True, array_like=True):
+    """Describe a run that the worker has already, for pacing."""
+
+    task: str
+    run: int
+    image: str
+    target_latency_ms: int
+    filler: bool
+
+
 class StopOrder(msgspec.Struct, frozen=True, array_like=True):
     """Order the stop of a run."""
 
@@ -103,6 +113,7 @@
     stops: tuple[StopOrder, ...] = ()
     # Effect of the fillers on the tail latency of the worker's serving tasks.
     interference: tuple[decisions.InterferenceCoefficient, ...] = ()
+    adopted: tuple[AdoptedRun, ...] = ()
 
 
 REPORT_DECODER = msgspec.msgpack.Decoder(Report)
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -261,6 +261,7 @@
         run = worker.runs.get(outcome.task)
         if run is None or run.number != outcome.run:
             return
+        self._state.order_window.release(run.order_key)
         if outcome.refusal is None:
             if run.state is _fleet.RunState.ORDERED:
                 run.state = _fleet.RunState.RUNNING
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -280,7 +280,7 @@
         for sidecar, worker in self._workers_by_sidecar.items():
             if (
                 worker.incarnation.key in plan.recorded_ends
-                or self._engine.has_due_orders(worker, now)
+                or self._engine.select_orders(worker, now)
             ):
                 self._links[sidecar].wake()
 
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -24,6 +24,7 @@
 from chivespoke.decisions._quarantine import WorkerQuarantine
 from chivespoke.decisions._stalls import StallDetector
 from chivespoke.decisions._timeout import AdaptiveTimeout
+from chivespoke.decisions._window import SendWindow
 
 __all__ = [
     'AdaptiveTimeout',
@@ -41,6 +42,7 @@
     'PacedRun',
     'Pacer',
     'PendingStep',
+    'SendWindow',
     'StallDetector',
     'TARGET_TAIL_SHARE',
     'VALUE_CUTOFF_FACTOR',
