Keep a completed task completed when another of its runs ends

Cause: the end of a run returned its task to the queue without regard to what had completed the task meanwhile: an earlier run, given up by its lease and listed as done later, or another member of a gang. The task was then completed a second time, which counted another task of its step as done. Both tests fail on the code before (the completed task is started again; one failure counted). Why it works: ends of other runs of a completed task only free the worker, and returning a completed task to the queue violates an invariant.

--- a/chivespoke/coordination/_jobs.py
+++ b/chivespoke/coordination/_jobs.py
@@ -161,9 +161,13 @@
     def requeue(self, name: workloads.TaskName, checkpoint: str) -> None:
         """Return an assigned task to the queue, with its latest checkpoint.
 
-        An empty checkpoint keeps the known one.
+        An empty checkpoint keeps the known one. Raises InvariantError if the
+        task is done.
         """
         task = self._require(name)
+        errors.check_invariant(
+            not is_done(task), 'a completed task stays done', name.format()
+        )
         if task.status is workloads.TaskStatus.ASSIGNED:
             self._assigned_count -= 1
         task.status = workloads.TaskStatus.WAITING
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -158,6 +158,10 @@
         state = self._state.jobs.get(run.name.job)
         if state is None or state.final:
             return
+        task = state.find_task(run.name)
+        if task is None or task.status is workloads.TaskStatus.DONE:
+            # Another run, or another member of the gang, has completed it.
+            return
         if end.cause is platform.EndCause.DONE and not run.step.long_running:
             state.complete_task(run.name, wall_ms)
         else:
--- a/chivespoke/coordination/tests/test_runs.py
+++ b/chivespoke/coordination/tests/test_runs.py
@@ -25,6 +25,65 @@
             [engine_case.FIRST_TASK], [stop.task for stop in stops]
         )
 
+    def test_step_waits_for_a_task_next_to_one_completed_by_an_earlier_run(
+        self,
+    ) -> None:
+        # Regression: the end of a stopped later run returned a completed task
+        # to the queue. It was completed twice, and the next step started while
+        # another task was still running.
+        self.start_job(
+            workloads.Step(count=2, cpu_millis=1000, estimated_ms=1000),
+            workloads.Step(count=1, depends_on=(0,)),
+        )
+        self.leader.now += 7.0
+        self.leader.report(builders.make_report('side-2'))
+        self.leader.plan()
+        self.assertEqual(2, len(self.list_starts('side-2')))
+        end = builders.make_end(1, engine_case.FIRST_TASK)
+        self.leader.report(builders.make_report(ended=(end,)))
+        self.leader.plan()
+        still_running = builders.make_running(engine_case.SECOND_TASK, 2)
+        stopped = builders.make_end(
+            1, engine_case.FIRST_TASK, platform.EndCause.STOPPED, 2
+        )
+        self.leader.report(
+            builders.make_report(
+                'side-2', running=(still_running,), ended=(stopped,)
+            )
+        )
+        self.leader.plan()
+        sidecars = ('side-1', 'side-2')
+        for sidecar in sidecars:
+            self.assertEqual([], self.list_starts(sidecar))
+        done = builders.make_end(2, engine_case.SECOND_TASK, run=2)
+        self.leader.report(builders.make_report('side-2', ended=(done,)))
+        self.leader.plan()
+        starts = [
+            task for sidecar in sidecars for task in self.list_starts(sidecar)
+        ]
+        self.assertEqual([f'{builders.JOB}.0.1.0'], starts)
+
+    def test_failure_of_a_later_run_does_not_count_for_a_completed_task(
+        self,
+    ) -> None:
+        self.start_job(
+            workloads.Step(count=1, cpu_millis=1000, estimated_ms=1000),
+            workloads.Step(count=1, depends_on=(0,)),
+        )
+        self.leader.now += 7.0
+        self.leader.report(builders.make_report('side-2'))
+        self.leader.plan()
+        self.assertEqual([engine_case.FIRST_TASK], self.list_starts('side-2'))
+        end = builders.make_end(1, engine_case.FIRST_TASK)
+        failed = builders.make_end(
+            1, engine_case.FIRST_TASK, platform.EndCause.FAILED, 2
+        )
+        self.leader.report(builders.make_report(ended=(end,)))
+        self.leader.report(builders.make_report('side-2', ended=(failed,)))
+        self.leader.plan()
+        state = self.leader.engine.state.jobs[builders.JOB]
+        self.assertEqual(0, state.progress.tasks[0][0][0].failures)
+
     def test_only_failures_of_the_task_count_as_attempts(self) -> None:
         cases = {
             platform.EndCause.FAILED: workloads.JobPhase.FAILED,
