Refuse a job whose progress would not fit into a record of the store

What callers would see: after a job with some thousand tasks is accepted, nothing is scheduled for anybody any more. Cause: the progress of a job is one record, about 67 bytes for each task; the store takes 262144 bytes a record and refuses more. The leader repeats an append until it is stored, and so does each of its successors; a job with very many tasks or occurrences would also fill the leader's memory. The stand-in refuses such records now. test_job_with_more_tasks_than_can_be_recorded_is_refused passes. Why it works: an entry refuses such a job at once (413) and names the limit, which follows the store's own (2,621 tasks of all occurrences).

--- a/chivespoke/coordination/__init__.py
+++ b/chivespoke/coordination/__init__.py
@@ -25,6 +25,7 @@
 from chivespoke.coordination._records import JOB_PREFIX
 from chivespoke.coordination._records import JobEntry
 from chivespoke.coordination._records import Ledger
+from chivespoke.coordination._records import MAX_TASK_RECORD_BYTES
 from chivespoke.coordination._records import SYSTEM_TOPIC
 
 __all__ = [
@@ -39,6 +40,7 @@
     'JOB_PREFIX',
     'Ledger',
     'LeaderTimeouts',
+    'MAX_TASK_RECORD_BYTES',
     'MAX_UNANSWERED_ORDER_BYTES',
     'ORDER_RESEND_SECONDS',
     'OrderOutcome',
--- a/chivespoke/coordination/_records.py
+++ b/chivespoke/coordination/_records.py
@@ -18,6 +18,10 @@
 PROGRESS_PREFIX = 'progress/'
 WORKER_PREFIX = 'worker/'
 
+# Maximum size of the record of one task: the names of its worker and of its
+# checkpoint, and small numbers.
+MAX_TASK_RECORD_BYTES = 100
+
 JOB_DECODER = msgspec.msgpack.Decoder(workloads.Job)
 PROGRESS_DECODER = msgspec.msgpack.Decoder(workloads.JobProgress)
 ENCODER = msgspec.msgpack.Encoder()
--- a/chivespoke/intake/_job_routes.py
+++ b/chivespoke/intake/_job_routes.py
@@ -36,6 +36,7 @@
         '_clock',
         '_telemetry',
         '_append_timeout_at',
+        '_max_job_tasks',
     )
 
     def __init__(
@@ -44,11 +45,14 @@
         store: platform.Store,
         time_source: clock.Clock,
         instruments: telemetry.Telemetry,
+        max_job_tasks: int,
     ) -> None:
         self._coordinator = coordinator
         self._store = store
         self._clock = time_source
         self._telemetry = instruments
+        # The progress of a job is one record of the store.
+        self._max_job_tasks = max_job_tasks
         # The entry is draining: responses ask callers to close connections.
         self.closing = False
         # Time at which the store last failed to confirm an append.
@@ -133,6 +137,12 @@
             return self._log_and_respond(
                 identifier, _responses.Outcome.INVALID, str(error)
             )
+        if job.task_count > self._max_job_tasks:
+            return self._log_and_respond(
+                identifier,
+                _responses.Outcome.TOO_LARGE,
+                f'{job.task_count} tasks, at most {self._max_job_tasks}',
+            )
         record = coordination.encode_job(job)
         outcome, detail = await self._append(
             coordination.JOB_PREFIX + identifier, record
--- a/chivespoke/platform/_settings.py
+++ b/chivespoke/platform/_settings.py
@@ -41,7 +41,7 @@
 class _Store(msgspec.Struct):
     address: str
     min_ttl_ms: int = 1000
-    max_request_bytes: int = 2097152
+    max_record_bytes: int = 262144
 
 
 class _SettingsFile(msgspec.Struct):
@@ -94,7 +94,7 @@
     first_port: int
     store_address: str
     store_min_ttl_seconds: float
-    store_max_request_bytes: int
+    store_max_record_bytes: int
     # Address of this machine's worker; empty if there is none.
     worker_address: str
     # Address of the advisor; empty if there is none.
@@ -136,7 +136,7 @@
         first_port=parsed.internal_port_range[0],
         store_address=parsed.platform.address,
         store_min_ttl_seconds=parsed.platform.min_ttl_ms / 1000,
-        store_max_request_bytes=parsed.platform.max_request_bytes,
+        store_max_record_bytes=parsed.platform.max_record_bytes,
         worker_address=parsed.app,
         advisor_address=parsed.recommendation,
         bounds=Bounds(
--- a/chivespoke/serving/_assembly.py
+++ b/chivespoke/serving/_assembly.py
@@ -46,7 +46,13 @@
     coordinator = coordination.Coordinator(
         store, machine, member, time, instruments
     )
-    job_routes = intake.JobRoutes(coordinator, store, time, instruments)
+    job_routes = intake.JobRoutes(
+        coordinator,
+        store,
+        time,
+        instruments,
+        machine.store_max_record_bytes // coordination.MAX_TASK_RECORD_BYTES,
+    )
     readiness = intake.Readiness(coordinator, job_routes, time)
     return application.Application(
         (
--- a/chivespoke/serving/tests/test_end_to_end.py
+++ b/chivespoke/serving/tests/test_end_to_end.py
@@ -330,6 +330,27 @@
             named = sum(worker in asked for asked in advisor.asked)
             self.assertLessEqual(named, len(TWO_STEP_JOB['steps']))
 
+    async def test_job_with_more_tasks_than_can_be_recorded_is_refused(
+        self,
+    ) -> None:
+        # Regression: the leader tried without end to store the progress of
+        # such a job, and scheduled nothing else.
+        await self.start()
+        for count, occurrences in ((100_000, 0), (10**9, 0), (10, 10**6)):
+            with self.subTest(count=count, occurrences=occurrences):
+                job = {
+                    'spec': 'work',
+                    'steps': [{'count': count, 'cpu': 500}],
+                    'repeat_count': occurrences,
+                    'interval_ms': 1000,
+                }
+                status, _ = await self.platform.request('POST', JOB, job)
+                self.assertEqual(413, status)
+        await self.submit(TWO_STEP_JOB, OTHER_JOB)
+        await self.run_with_timeout(
+            self.platform.wait_for_state(OTHER_JOB, 'completed')
+        )
+
     async def test_queue_and_job_requests_return_their_status(self) -> None:
         await self.start(workers=0)
         status, _ = await self.platform.request('GET', JOB)
--- a/chivespoke/standins/_store.py
+++ b/chivespoke/standins/_store.py
@@ -18,6 +18,7 @@
 PAGE = 500
 PAGE_BYTES = 1_000_000
 READ_KB = 1024
+MAX_RECORD_BYTES = 262_144
 # Size of the pieces in which an answer is sent over a slow link.
 SENT_BYTES = 16_384
 REMEMBERED = 5
@@ -219,6 +220,8 @@
         found = self._find(query['topic'], int(query['part']))
         if len(body) > SERVED_BYTES:
             return web.Response(status=507)
+        if any(len(record) > MAX_RECORD_BYTES for record in _split(body)):
+            return web.Response(status=400)
         if 'at' in query and int(query['at']) != found.end:
             return _answer({'end_offset': found.end}, 412)
         if 'producer_id' in query:
--- a/chivespoke/workloads/_model.py
+++ b/chivespoke/workloads/_model.py
@@ -83,6 +83,11 @@
         """Return the number of times that the steps run."""
         return max(1, self.occurrences)
 
+    @property
+    def task_count(self) -> int:
+        """Return the number of tasks of all occurrences."""
+        return self.occurrence_count * sum(step.count for step in self.steps)
+
 
 class TaskName(msgspec.Struct, frozen=True):
     """Identify one task of a job."""
