Let a process without the configuration claim a shard when its owner is gone

What callers would see: while no process can read the configuration and the owner of a shard dies, all running tasks and services end after a minute. Cause: since a claim needs a read of the configuration, but leases need only the shard; with the configuration out of reach nobody claimed, and nobody renewed. Why it works: a process that cannot schedule claims after 30 s of silence, after those that can (15 s). Planners do not run on a configuration older than the shard's, so such an owner cancels nothing.

--- a/chivespoke/scheduling/_claims.py
+++ b/chivespoke/scheduling/_claims.py
@@ -6,6 +6,9 @@
 
 # Time since the owner's last claim or heartbeat until others may claim.
 TAKEOVER_TIMEOUT_SECONDS = 15.0
+# The same for a process that cannot schedule. It renews leases at least, so
+# that running tasks outlive an owner that died; leases last 60 s.
+UNREADY_TAKEOVER_TIMEOUT_SECONDS = 30.0
 
 
 def decide_ownership(
@@ -22,7 +25,7 @@
     until leases renewed without reading the log would have expired.
 
     silent_seconds is the time since the owner's last claim or heartbeat. A
-    process that cannot schedule proposes fences only.
+    process that cannot schedule leaves others the time to claim first.
     """
     own_name = get_process_name(identity)
     records: list[_records.Record] = [
@@ -30,11 +33,19 @@
         for epoch, owner in shard.unfenced.items()
         if get_process_name(owner) == own_name
     ]
-    if not can_schedule:
-        return records
     # A restarted process claims at once: its earlier incarnation is dead.
     was_own = get_process_name(shard.owner) == own_name
-    if not shard.epoch or was_own or silent_seconds > TAKEOVER_TIMEOUT_SECONDS:
+    if can_schedule:
+        claims = (
+            not shard.epoch
+            or was_own
+            or silent_seconds > TAKEOVER_TIMEOUT_SECONDS
+        )
+    else:
+        claims = bool(
+            shard.epoch and silent_seconds > UNREADY_TAKEOVER_TIMEOUT_SECONDS
+        )
+    if claims:
         records.append(_records.OwnerClaimed(shard.epoch + 1, identity))
     return records
 
--- a/chivespoke/scheduling/_owner.py
+++ b/chivespoke/scheduling/_owner.py
@@ -35,6 +35,9 @@
 PLAN_INTERVAL_SECONDS = 1.0
 # Interval of the owner's heartbeat records.
 OWNER_RENEWAL_INTERVAL_SECONDS = 5.0
+# The same for an owner that cannot schedule: longer than a process that can
+# waits until it claims the shard, and shorter than the others wait.
+UNREADY_RENEWAL_INTERVAL_SECONDS = 20.0
 # Time before an equal record may be proposed again.
 REPROPOSAL_DELAY_SECONDS = 5.0
 
@@ -246,8 +249,8 @@
     def _can_schedule(self) -> bool:
         """Return whether the shard and the configuration are up to date.
 
-        Only then is ownership claimed or renewed: an owner that cannot
-        schedule leaves the shard to a process that can.
+        An owner that cannot schedule renews its ownership so late that a
+        process that can schedule claims the shard first.
         """
         return self.get_start_read_time() is not None
 
@@ -264,20 +267,21 @@
         if now - self._planned_at >= PLAN_INTERVAL_SECONDS:
             self._planned_at = now
             records.extend(self._plan(now))
-        if not self._can_schedule():
-            return records
-        self._blocked_jobs = set()
-        version = self.shard.version
-        if self.configuration.version == version:
-            self.placer.limit_refill(
-                now,
-                self.shard.out_of_service,
-                self.document.limits.moves_at_once,
-            )
-            records.extend(
-                self.placer.propose_batch(version, self._blocked_jobs)
-            )
-        if now - self._owner_renewed_at >= OWNER_RENEWAL_INTERVAL_SECONDS:
+        renewal_interval_seconds = UNREADY_RENEWAL_INTERVAL_SECONDS
+        if self._can_schedule():
+            renewal_interval_seconds = OWNER_RENEWAL_INTERVAL_SECONDS
+            self._blocked_jobs = set()
+            version = self.shard.version
+            if self.configuration.version == version:
+                self.placer.limit_refill(
+                    now,
+                    self.shard.out_of_service,
+                    self.document.limits.moves_at_once,
+                )
+                records.extend(
+                    self.placer.propose_batch(version, self._blocked_jobs)
+                )
+        if now - self._owner_renewed_at >= renewal_interval_seconds:
             self._owner_renewed_at = now
             records.append(_records.OwnerRenewed(self.epoch))
         return records
@@ -294,6 +298,9 @@
         if self.configuration.version > self.shard.version:
             records.append(self._make_observation())
         records.extend(self.lease_expiry.plan(now, self))
+        if self.configuration.version < self.shard.version:
+            # Planners would act on an outdated configuration, or an empty one.
+            return records
         for planner in self.planners:
             records.extend(planner.plan(now, self))
         self._apply_guard(now)
--- a/chivespoke/scheduling/tests/test_owner.py
+++ b/chivespoke/scheduling/tests/test_owner.py
@@ -59,12 +59,45 @@
         await self.cluster.run(5)
         await self.check_job_completes()
 
-    async def test_unloaded_process_does_not_cancel_services(self) -> None:
+    async def start_service(self) -> None:
         service = operators.Service(
             team=builders.TEAM, size=builders.SIZE, replicas=3
         )
         self.cluster.publish(builders.build_document(services={WEB: service}))
         await self.cluster.run(20)
+
+    async def check_runs_continue(self, seconds: float) -> None:
+        await self.cluster.run(seconds)
+        runs = [
+            run for agent in self.cluster.agents.values() for run in agent.runs
+        ]
+        self.assertEqual(3, len(runs))
+        report = self.cluster.get_report('service:web@default')
+        self.assertEqual(3, report.running)
+
+    async def test_runs_outlive_their_owner_without_a_configuration(
+        self,
+    ) -> None:
+        # Regression: nobody claimed the shard while the configuration could
+        # not be read, and all leases expired when its owner died.
+        await self.start_service()
+        for process in self.cluster.processes.values():
+            process.configuration.reachable = False
+        await self.cluster.processes['entry-1'].die()
+        await self.check_runs_continue(120)
+
+    async def test_living_owner_stays_owner_without_a_configuration(
+        self,
+    ) -> None:
+        await self.start_service()
+        for process in self.cluster.processes.values():
+            process.configuration.reachable = False
+        await self.check_runs_continue(120)
+        shard = self.cluster.processes['entry-2'].get_owner().shard
+        self.assertEqual(1, shard.epoch)
+
+    async def test_unloaded_process_does_not_cancel_services(self) -> None:
+        await self.start_service()
         report = self.cluster.get_report('service:web@default')
         self.assertEqual(3, report.running)
         await self.restart_without_configuration()
