Find dead connections before leases expire, and store plans in fewer appends

What callers would see: after connections to the store fell silent, a leader needs 6 s and more for one append, and running work is lost. Its appends of 64 kB also took a plan of 302 kB 2 s on a store that answers after 0.4 s. Why it works: the factor is at most 4, which still exceeds the reply time of a slow store; large bodies have time for their transfer in any case. Appends hold 128 kB.

--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -34,7 +34,7 @@
 PLAN_INTERVAL_SECONDS = 0.2
 # Maximum size of one append, unless a single record is larger. A failed append
 # is sent again as a whole, and other calls share the link with it.
-MAX_APPEND_BYTES = 65_536
+MAX_APPEND_BYTES = 131_072
 # Pause before a failed append is repeated.
 APPEND_RETRY_SECONDS = 0.1
 # A warning is logged once per this many consecutive failed tries.
--- a/chivespoke/decisions/_timeout.py
+++ b/chivespoke/decisions/_timeout.py
@@ -11,8 +11,10 @@
 MAX_TIMEOUT_SECONDS = 2.0
 # Used until the first reply: about forty times the usual reply time of 6 ms.
 INITIAL_TIMEOUT_SECONDS = 0.25
-# Largest factor by which time-outs in a row extend the timeout.
-MAX_BACKOFF = MAX_TIMEOUT_SECONDS / MIN_TIMEOUT_SECONDS
+# Largest factor by which time-outs in a row extend the timeout. It extends the
+# minimum beyond the reply time of a slow store, 0.4 s. With a larger one a
+# caller finds out too late which of its idle connections are dead.
+MAX_BACKOFF = 4.0
 # Bandwidth of the slowest link on which a large request still succeeds.
 MIN_BYTES_PER_SECOND = 125_000
 # Weights of a new reply time in the exponential moving averages of the reply
