Report no phase of a job before the ledger was read for the first time

What callers would see: an entry that has just restarted shows a completed job as queued, for as long as it reads the ledger. Why it works: until the first full read is complete the entry answers 503 with Retry-After, as it does for unknown jobs.

--- a/chivespoke/coordination/_followers.py
+++ b/chivespoke/coordination/_followers.py
@@ -126,6 +126,11 @@
         """Return whether the topic has been read in full."""
         return self._next_offset is not None and self._full_read is None
 
+    @property
+    def was_loaded(self) -> bool:
+        """Return whether the topic has ever been read in full."""
+        return self._up_to_date_at is not None
+
     @property
     def reachable(self) -> bool:
         """Return whether the store answered one of the last two reads."""
@@ -174,6 +179,7 @@
                     error=error,
                 )
                 self._next_offset = None
+                await self._clock.sleep(FIRST_RETRY_SECONDS)
             except errors.ChivespokeError as error:
                 self._failures += 1
                 if self._failures == 1:
--- a/chivespoke/intake/_job_routes.py
+++ b/chivespoke/intake/_job_routes.py
@@ -214,7 +214,9 @@
 
     def _report_phase(self, identifier: str) -> web.Response:
         entry = self._find_entry(identifier)
-        if entry is None:
+        if entry is None or not self._coordinator.follower.was_loaded:
+            # While the ledger is read for the first time, the phase of a job
+            # may follow after the job.
             return self._respond_unknown(identifier)
         return _responses.make_response(
             _responses.Outcome.ACCEPTED,
--- a/chivespoke/serving/tests/test_end_to_end.py
+++ b/chivespoke/serving/tests/test_end_to_end.py
@@ -114,6 +114,36 @@
             self.platform.wait_for_state(JOB, 'completed')
         )
 
+    async def test_restarted_entry_reports_no_phase_before_it_is_loaded(
+        self,
+    ) -> None:
+        # Regression: the ledger is applied page by page, and the phase of a
+        # job comes after the job, so that completed jobs were shown as queued.
+        await self.start()
+        await self.submit(TWO_STEP_JOB)
+        await self.run_with_timeout(
+            self.platform.wait_for_state(JOB, 'completed')
+        )
+        await self.platform.put_cancelled_jobs(600, 500)
+        (entry,) = self.platform.entries
+        await entry.kill()
+        faults = self.platform.store.faults
+        faults.link_bytes_per_second = SLOW_LINK_BYTES_PER_SECOND
+        await entry.start()
+        states = set()
+
+        async def wait_until_shown() -> None:
+            while True:
+                status, content = await self.platform.request('GET', JOB)
+                if status == 200:
+                    states.add(content['state'])
+                    if content['state'] == 'completed':
+                        return
+                await asyncio.sleep(0.02)
+
+        await self.run_with_timeout(wait_until_shown())
+        self.assertEqual({'completed'}, states)
+
     async def test_restarted_entry_does_not_lead_before_it_has_read_the_ledger(
         self,
     ) -> None:
--- a/chivespoke/standins/_store.py
+++ b/chivespoke/standins/_store.py
@@ -72,6 +72,8 @@
     # Numbers of the answers longer than a piece, counted from 0, that break
     # off in the middle.
     broken_answers: frozenset[int] = frozenset()
+    # Reads of the log are answered without a body.
+    empty_answers: bool = False
     # Records of history that each partition keeps; 0 for all.
     kept_records: int = 0
 
@@ -287,6 +289,8 @@
             except TimeoutError:
                 # Answered empty, as the wait is over.
                 pass
+        if self.faults.empty_answers:
+            return web.Response(body=b'')
         limit = int(query.get('max_kb', READ_KB)) * 1024
         body = OFFSETS.pack(found.end, found.first)
         for record in found.records[start:]:
