Leave the group when elected with outdated data; name answers without header

What callers would see: with a slow or partly unreachable store a working leader is fenced by an entry that cannot take over, and nothing starts for 3 s. Cause: an elected entry fenced the earlier leader first, and only then waited for the records that it lacked. Besides, an answer to a read without its header counted as 'no new records', and the tombstones of a job could be split over two appends, of which the second may never follow. Evidence: fresh review, by reading; test_outdated_member_leaves_when_it_is_elected and test_answer_without_header_is_an_error fail on the code before. Why it works: an entry whose data is older than 3 s when it is elected leaves the group before it appends anything, and joins again when it is current; an entry that never joined does not leave at its end. An answer without header is an error. The tombstones of a job are one unit of a plan.

--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -109,7 +109,10 @@
                     )
                 )
             elif self._is_retention_over(state, wall):
-                records += _records.encode_removal(state.job.identifier)
+                # Joined, so that one append holds all of them.
+                records.append(
+                    b''.join(_records.encode_removal(state.job.identifier))
+                )
                 del self._state.jobs[state.job.identifier]
                 self._state.advice_cache.forget_job(state.job.identifier)
         recorded_ends = {
--- a/chivespoke/coordination/_leadership.py
+++ b/chivespoke/coordination/_leadership.py
@@ -104,7 +104,8 @@
 
     async def drain(self) -> None:
         await self._tasks.cancel()
-        await self._leave('shutdown')
+        if self._is_member:
+            await self._leave('shutdown')
 
     async def stop(self) -> None:
         await self._tasks.cancel()
@@ -146,6 +147,10 @@
         self._generation = membership.generation
         is_leader = LEADER_PARTITION in membership.partitions
         if is_leader and self._epoch is None:
+            if not self._candidate.can_lead:
+                # Taking over would fence a leader that may still work.
+                await self._leave('elected with outdated data')
+                return
             first_epoch = membership.generation * TERMS_PER_GENERATION
             self._epoch = max(first_epoch, self._last_epoch + 1)
             self._last_epoch = self._epoch
--- a/chivespoke/coordination/tests/test_leadership.py
+++ b/chivespoke/coordination/tests/test_leadership.py
@@ -70,6 +70,22 @@
         self.assertGreater(self.store.join.call_count, joins)
         self.assertEqual([], self.candidate.causes)
 
+    async def test_outdated_member_leaves_when_it_is_elected(self) -> None:
+        # Regression: it fenced the leader before it, and only then waited for
+        # the records that it lacked.
+        self.store.join.return_value = platform.Membership(1, frozenset())
+        self.candidate.ready = True
+        await self.leadership.start()
+        self.addAsyncCleanup(self.leadership.stop)
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while not self.store.join.call_count:
+                await asyncio.sleep(0.01)
+        self.candidate.ready = False
+        self.store.join.return_value = platform.Membership(2, frozenset((0,)))
+        await asyncio.sleep(JOIN_SECONDS)
+        self.store.leave.assert_called_once()
+        self.assertEqual([], self.candidate.epochs)
+
     async def test_member_that_withdraws_leaves_until_it_can_lead(
         self,
     ) -> None:
--- a/chivespoke/platform/_store.py
+++ b/chivespoke/platform/_store.py
@@ -221,7 +221,11 @@
         if response.status != OK:
             self._raise_refusal('read', response)
         if len(response.body) < READ_HEADER.size:
-            return Page((), start, start)
+            raise errors.UnavailableError(
+                'read',
+                self._read_transport.peer,
+                f'the answer has {len(response.body)} bytes and no header',
+            )
         end_offset, _ = READ_HEADER.unpack_from(response.body)
         records = decode_records(response.body[READ_HEADER.size :], start)
         return Page(records, start + len(records), end_offset)
--- a/chivespoke/platform/tests/test_store.py
+++ b/chivespoke/platform/tests/test_store.py
@@ -96,6 +96,11 @@
             page = await self.store.read(TOPIC, 0, 0.0)
         self.assertEqual(VALUES, len(page.records))
 
+    async def test_answer_without_header_is_an_error(self) -> None:
+        self.standin.faults.empty_answers = True
+        with self.assertRaises(errors.UnavailableError):
+            await self.store.read(TOPIC, 0, 0.0)
+
     async def test_read_without_progress_is_given_up(self) -> None:
         await self.fill()
         self.standin.faults.link_bytes_per_second = 1
