--- a/chivespoke/cli/__init__.py
+++ b/chivespoke/cli/__init__.py
@@ -1,12 +1,12 @@
-"""The command line of operators."""
+"""The command-line interface for operators."""
 
 from chivespoke.cli._application import COMMANDS
 from chivespoke.cli._application import main
 
 __all__ = ['COMMANDS', 'main']
 
-# Imported only when they are called: a daemon must not hold what another
-# command needs, such as numpy.
+# Commands are imported when they are called, so that a daemon does not load
+# modules that only another command needs, such as numpy.
 COMMANDS.command(
     'chivespoke.cli._bench:BENCH',
     name='bench',
@@ -15,12 +15,12 @@
 COMMANDS.command(
     'chivespoke.cli._capacity:show_capacity',
     name='capacity',
-    help="Work out what each role costs at a fleet's size.",
+    help='Estimate the resource use of each role for a fleet size.',
 )
 COMMANDS.command(
     'chivespoke.cli._config:CONFIG',
     name='config',
-    help='Show, patch and follow the numbered configuration.',
+    help='Show and patch the configuration and follow its versions.',
 )
 COMMANDS.command(
     'chivespoke.cli._data_centre:DATA_CENTRE',
@@ -30,7 +30,7 @@
 COMMANDS.command(
     'chivespoke.cli._demo:show_demo',
     name='demo',
-    help='Run the whole system in one process and show it work.',
+    help='Demonstrate the whole system in one process.',
 )
 COMMANDS.command(
     'chivespoke.cli._daemons:run_entry',
@@ -40,7 +40,7 @@
 COMMANDS.command(
     'chivespoke.cli._status:explain',
     name='explain',
-    help='Explain what a thing is, why, and what would change it.',
+    help="Explain an object's state, why, and what would change it.",
 )
 COMMANDS.command(
     'chivespoke.cli._job:JOB',
@@ -55,17 +55,17 @@
 COMMANDS.command(
     'chivespoke.cli._daemons:run_sidecar',
     name='sidecar',
-    help='Run the process beside a backend server until told to stop.',
+    help='Run the sidecar of a backend server until it is told to stop.',
 )
 COMMANDS.command(
     'chivespoke.cli._standins:STANDINS',
     name='standin',
-    help='Run a fake of the outside.',
+    help='Run a fake of an external system.',
 )
 COMMANDS.command(
     'chivespoke.cli._status:show_status',
     name='status',
-    help='Show what calls for a hand, who lags, and by how long.',
+    help='Show what needs attention, which processes lag, and how far.',
 )
 COMMANDS.command(
     'chivespoke.cli._trace:trace',
--- a/chivespoke/cli/_application.py
+++ b/chivespoke/cli/_application.py
@@ -1,4 +1,4 @@
-"""The command line's root; each group of commands adds itself here."""
+"""The root command, at which the package registers all others."""
 
 import importlib.metadata
 import sys
@@ -36,7 +36,7 @@
 
 
 def main() -> None:
-    """Run the command that the arguments name, and exit with its code."""
+    """Run the command given by the arguments and exit with its code."""
     sys.exit(run(sys.argv[1:]))
 
 
@@ -45,7 +45,7 @@
     try:
         result: typing.Any = COMMANDS(arguments, result_action='return_value')
     except cyclopts.CycloptsError:
-        # Cyclopts has printed what is wrong.
+        # Cyclopts has already printed the error.
         _output.print_next_step('run the command with --help')
         return _exit_codes.BAD_INPUT
     except errors.ChivespokeError as error:
--- a/chivespoke/cli/_bench.py
+++ b/chivespoke/cli/_bench.py
@@ -1,4 +1,4 @@
-"""The group of commands that measure; each is imported when called."""
+"""The group of benchmark commands, each imported when it is called."""
 
 import cyclopts
 
@@ -21,7 +21,7 @@
 BENCH.command(
     'chivespoke.cli._slopes:show_slopes',
     name='slopes',
-    help='Measure what daemons spend against what drives them.',
+    help='Measure how the resource use of daemons grows with load.',
 )
 BENCH.command(
     'chivespoke.cli._bench_tasks:show_faults',
@@ -31,17 +31,17 @@
 BENCH.command(
     'chivespoke.cli._bench_platform:show_log',
     name='log',
-    help="Measure the log's client: appends, bytes, replay, snapshots.",
+    help='Measure the log client: appends, bytes, replay, snapshots.',
 )
 BENCH.command(
     'chivespoke.cli._bench_platform:show_config',
     name='config',
-    help='Measure the configuration: in force, replay, cost of an entry.',
+    help='Measure the configuration: rollout, replay, cost of an entry.',
 )
 BENCH.command(
     'chivespoke.cli._bench_tasks:show_placement',
     name='placement',
-    help='Measure placement decisions and what they lead to.',
+    help='Measure decision cost, urgent starts and taking out a data centre.',
 )
 BENCH.command(
     'chivespoke.cli._bench_routing:show_requests',
@@ -51,5 +51,5 @@
 BENCH.command(
     'chivespoke.cli._bench_routing:show_routing',
     name='routing',
-    help='Measure the request path beside naive routing.',
+    help='Measure the request path and compare it with naive routing.',
 )
--- a/chivespoke/cli/_bench_platform.py
+++ b/chivespoke/cli/_bench_platform.py
@@ -1,4 +1,4 @@
-"""Commands that measure the log's client and the configuration."""
+"""Commands that measure the log client and the configuration."""
 
 import asyncio
 import collections.abc
@@ -12,12 +12,12 @@
 
 
 def show_log(*, seconds: float = 3.0, json: _output.JsonFlag = False) -> None:
-    """Measure appends, bytes a record, replay and snapshots.
+    """Measure appends, bytes per record, replay and snapshots.
 
     Parameters
     ----------
     seconds
-        Seconds measured at each rate of appends.
+        Seconds of measurement at each append rate.
     """
     logs.configure_logs(logs.LogFormat.HUMAN, 'ERROR')
     report = asyncio.run(_log.measure_log(seconds))
@@ -32,12 +32,12 @@
 def show_config(
     *, seconds: float = 10.0, json: _output.JsonFlag = False
 ) -> None:
-    """Measure replay, time to in force, and what an entry spends.
+    """Measure replay, rollout time and the resource use of an entry.
 
     Parameters
     ----------
     seconds
-        Seconds for which the entry is measured, idle and then busy.
+        Seconds of measurement of an entry, idle and then under load.
     """
     logs.configure_logs(logs.LogFormat.HUMAN, 'ERROR')
     report = asyncio.run(_config.measure_config(seconds))
--- a/chivespoke/cli/_bench_policy.py
+++ b/chivespoke/cli/_bench_policy.py
@@ -1,4 +1,4 @@
-"""Compare the policies on a seeded model of workers."""
+"""The command that compares policies on a seeded model of workers."""
 
 import pathlib
 import statistics
@@ -33,11 +33,11 @@
     ] = (),
     plot: typing.Annotated[
         pathlib.Path | None,
-        cyclopts.Parameter(help='Draw the comparison, PNG.'),
+        cyclopts.Parameter(help='PNG file for a plot of the comparison.'),
     ] = None,
     json: _output.JsonFlag = False,
 ) -> None:
-    """Compare the policies with their naive twins and an oracle.
+    """Compare the policies with naive baselines and an oracle.
 
     Example: chivespoke bench policy --seed 1 --json --plot policy.png
     """
@@ -57,30 +57,30 @@
     for user in dict.fromkeys(run.user for run in outcome.runs):
         rows = [_make_row(outcome, user, name) for name in names]
         _output.print_table(f'{user}: medians', COLUMNS, rows)
-    for each in outcome.comparisons:
+    for comparison in outcome.comparisons:
         _output.print_line(
-            f'{each.user}: p99 slowdown {each.nearer:.0%} nearer to alone '
-            f'than {each.best_naive}; batch work '
-            f'{each.throughput_share:.1%} of {each.ignorant}; evictions '
-            f'{each.eviction_share:.1%} of evict-at-once; '
-            f"{each.oracle_share:.0%} of the oracle's gain; data centre "
-            f'work {each.data_centre_share:.1%} of {each.ignorant}'
+            f'{comparison.user}: p99 slowdown {comparison.nearer:.0%} closer '
+            f'to running alone than {comparison.best_naive}; batch work '
+            f'{comparison.throughput_share:.1%} of {comparison.ignorant}; '
+            f'evictions {comparison.eviction_share:.1%} of evict-at-once; '
+            f"{comparison.oracle_share:.0%} of the oracle's gain; data centre "
+            f'work {comparison.data_centre_share:.1%} of {comparison.ignorant}'
         )
 
 
 def _make_row(
     outcome: bench.PolicyOutcome, user: str, name: str
 ) -> tuple[object, ...]:
-    def pick(measure: str) -> list[float]:
+    def select(measure: str) -> list[float]:
         return bench.select_measure(outcome.runs, user, name, measure)
 
-    tails = pick('p99_slowdown')
+    slowdowns = select('p99_slowdown')
     return (
         name,
-        statistics.median(tails),
-        min(tails),
-        max(tails),
-        statistics.median(pick('batch_work')),
-        statistics.median(pick('evictions')),
-        statistics.median(pick('data_centre_work')),
+        statistics.median(slowdowns),
+        min(slowdowns),
+        max(slowdowns),
+        statistics.median(select('batch_work')),
+        statistics.median(select('evictions')),
+        statistics.median(select('data_centre_work')),
     )
--- a/chivespoke/cli/_bench_tasks.py
+++ b/chivespoke/cli/_bench_tasks.py
@@ -1,4 +1,4 @@
-"""Commands that measure the life cycle of tasks."""
+"""Commands that measure placement and test tasks under faults."""
 
 import sys
 
@@ -15,15 +15,15 @@
 from chivespoke import scheduling
 from chivespoke.scheduling import policies
 
-# Microseconds of processor a decision at 250 workers.
-COST_TARGET = 200.0
-COST_WORKERS = 250
-# The share of a naive twin's lost work that is to be saved.
-SAVED_TARGET = 0.25
+# Target for the CPU time of a placement decision at this number of workers.
+MAX_DECISION_MICROSECONDS = 200.0
+TARGET_WORKERS = 250
+# Target for the share of the work lost by naive planning that must be saved.
+MIN_SAVED_SHARE = 0.25
 
 
 class PlacementReport(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold what placement costs and leads to, and which targets hold."""
+    """Hold the measurements of placement and which targets are met."""
 
     seed: int
     decisions: tuple[_placement.DecisionCost, ...]
@@ -39,16 +39,16 @@
     urgent_seconds: float = 20.0,
     json: _output.JsonFlag = False,
 ) -> int:
-    """Measure placement decisions and what they lead to.
+    """Measure decision cost, urgent starts and taking out a data centre.
 
     Parameters
     ----------
     seed
-        The same seed gives the same work.
+        Seed of the generated work.
     decisions
-        Decisions measured at each number of workers.
+        Number of decisions measured at each number of workers.
     urgent_seconds
-        How long urgent tasks are submitted at the peak rate.
+        Seconds for which urgent tasks are submitted at the peak rate.
     """
     loguru.logger.remove()
     source = scheduling.FixedConfiguration()
@@ -70,33 +70,34 @@
         decisions=costs,
         urgent=urgent,
         data_centre=leave,
-        targets=_judge(costs, urgent, leave),
+        targets=_check_targets(costs, urgent, leave),
     )
     if json:
         _output.print_json(report)
     else:
-        _show_placement(report)
+        _print_placement(report)
     met = all(report.targets.values())
     return _exit_codes.DONE if met else _exit_codes.FAILED
 
 
-def _judge(
+def _check_targets(
     costs: tuple[_placement.DecisionCost, ...],
     urgent: _urgent.UrgentStarts,
     leave: _data_centre_leave.LeaveComparison,
 ) -> dict[str, bool]:
     by_count = {cost.workers: cost.microseconds for cost in costs}
-    least, most = min(by_count), max(by_count)
-    growth = by_count[most] / by_count[least]
+    fewest, most = min(by_count), max(by_count)
+    cost_growth = by_count[most] / by_count[fewest]
     planned, naive = leave.planned, leave.naive
     return {
-        f'at most {COST_TARGET:.0f} us a decision at {COST_WORKERS} workers': (
-            by_count[COST_WORKERS] <= COST_TARGET
+        f'at most {MAX_DECISION_MICROSECONDS:.0f} us a decision at '
+        f'{TARGET_WORKERS} workers': (
+            by_count[TARGET_WORKERS] <= MAX_DECISION_MICROSECONDS
         ),
-        'cost grows slower than the workers': growth < most / least,
+        'cost grows slower than the workers': cost_growth < most / fewest,
         f'urgent p99 within {_urgent.TARGET_P99} s': urgent.met,
-        f'at least {SAVED_TARGET:.0%} less work lost': (
-            leave.saved_share >= SAVED_TARGET
+        f'at least {MIN_SAVED_SHARE:.0%} less work lost': (
+            leave.saved_share >= MIN_SAVED_SHARE
         ),
         'service short for no longer than naive': (
             planned.short_seconds <= naive.short_seconds
@@ -104,7 +105,7 @@
     }
 
 
-def _show_placement(report: PlacementReport) -> None:
+def _print_placement(report: PlacementReport) -> None:
     _output.print_table(
         'Decisions',
         ('workers', 'us each', 'a second', 'bytes/worker', 'bytes/task'),
@@ -146,14 +147,14 @@
 def show_faults(
     *, seed: int = 1, steps: int = 2000, json: _output.JsonFlag = False
 ) -> int:
-    """Run tasks under random faults and check what must always hold.
+    """Run tasks under random faults and check invariants.
 
     Parameters
     ----------
     seed
-        The same seed gives the same run.
+        Seed of the run; it determines the faults and the requests.
     steps
-        Steps of the run; some inject a fault or a request.
+        Number of steps; some inject a fault or a request.
     """
     loguru.logger.remove()
     loguru.logger.add(sys.stderr, level='CRITICAL')
@@ -161,11 +162,11 @@
     if json:
         _output.print_json(report)
     else:
-        _show_report(report)
+        _print_fault_report(report)
     return _exit_codes.BROKEN_INVARIANT if report.failure else 0
 
 
-def _show_report(report: _faults.FaultReport) -> None:
+def _print_fault_report(report: _faults.FaultReport) -> None:
     _output.print_table(
         f'Seed {report.seed}, {report.steps} steps, '
         f'{report.simulated_seconds:.0f} s of simulated time: injected',
@@ -192,7 +193,7 @@
         ],
     )
     if not report.failure:
-        _output.print_line('Nothing was lost, nothing ran twice.')
+        _output.print_line('No task was lost and none ran twice.')
         return
     _output.print_line(f'FAILED: seed {report.seed}: {report.failure}')
     for line in report.history:
--- a/chivespoke/cli/_capacity.py
+++ b/chivespoke/cli/_capacity.py
@@ -1,4 +1,4 @@
-"""Work out what the system costs at the size of a fleet."""
+"""The command that estimates the resource use for a fleet size."""
 
 import pathlib
 import typing
@@ -11,7 +11,7 @@
 
 
 class CapacityReport(msgspec.Struct, frozen=True):
-    """Hold what the command prints as JSON."""
+    """Hold the JSON output of the command."""
 
     estimates: list[capacity.Estimate]
     requirements: list[capacity.Requirement]
@@ -20,22 +20,25 @@
 def show_capacity(
     *,
     settings: typing.Annotated[
-        pathlib.Path, cyclopts.Parameter(help='The size of the fleet, YAML.')
+        pathlib.Path,
+        cyclopts.Parameter(help='YAML file with the size of the fleet.'),
     ],
     slopes: typing.Annotated[
         pathlib.Path | None,
         cyclopts.Parameter(
             help='Slopes measured by "bench slopes --json"; by default '
-            'those that ship with the package.'
+            'those shipped with the package.'
         ),
     ] = None,
     plot: typing.Annotated[
         pathlib.Path | None,
-        cyclopts.Parameter(help='Draw the roles against the budget, PNG.'),
+        cyclopts.Parameter(
+            help='PNG file for a plot of the roles against the budget.'
+        ),
     ] = None,
     json: _output.JsonFlag = False,
 ) -> None:
-    """Work out what each role costs at a fleet's size.
+    """Estimate the resource use of each role for a fleet size.
 
     Example: chivespoke capacity --settings examples/size-letter-1.yaml
     """
@@ -64,13 +67,13 @@
         ('line', 'carried by', 'measured', 'worked out', 'verdict'),
         [
             (
-                found.line,
-                found.carried_by,
-                found.measured,
-                found.worked_out,
-                found.verdict.value,
+                requirement.line,
+                requirement.carried_by,
+                requirement.measured,
+                requirement.worked_out,
+                requirement.verdict.value,
             )
-            for found in requirements
+            for requirement in requirements
         ],
     )
     for note in measurements.notes:
--- a/chivespoke/cli/_config.py
+++ b/chivespoke/cli/_config.py
@@ -1,4 +1,4 @@
-"""Commands on the versioned configuration."""
+"""Commands that read and change the versioned configuration."""
 
 import datetime
 import getpass
@@ -11,9 +11,9 @@
 import ruamel.yaml
 from ruamel.yaml import error as yaml_error
 
-from chivespoke.cli import _entries
 from chivespoke.cli import _entry_client
 from chivespoke.cli import _exit_codes
+from chivespoke.cli import _operator_client
 from chivespoke.cli import _output
 from chivespoke import errors
 from chivespoke import identifiers
@@ -32,23 +32,25 @@
 """
 CONFIG = cyclopts.App(
     name='config',
-    help='Show, patch and follow the numbered configuration.',
+    help='Show and patch the configuration and follow its versions.',
     help_epilogue=EPILOGUE,
 )
-# Characters of a value that a table shows.
-VALUE_WIDTH = 50
+# Longer values are truncated in tables.
+MAX_VALUE_CHARACTERS = 50
 
 
 @CONFIG.command
 def show(
     version: int | None = None,
     *,
-    entry: _entry_client.EntryUrl = _entries.DEFAULT_ADDRESS,
+    entry: _entry_client.EntryUrl = _operator_client.DEFAULT_ADDRESS,
     json: _output.JsonFlag = False,
 ) -> None:
-    """Show the newest version, or an older one that is still kept."""
-    wanted = None if version is None else identifiers.Version(version)
-    answer = _entries.ask_entry(entry, lambda client: client.show(wanted))
+    """Show the newest version, or an older one that is still stored."""
+    requested = None if version is None else identifiers.Version(version)
+    answer = _operator_client.call_entry(
+        entry, lambda client: client.show(requested)
+    )
     if json:
         _output.print_json(answer)
         return
@@ -68,15 +70,15 @@
 def history(
     *,
     limit: int = 20,
-    entry: _entry_client.EntryUrl = _entries.DEFAULT_ADDRESS,
+    entry: _entry_client.EntryUrl = _operator_client.DEFAULT_ADDRESS,
     json: _output.JsonFlag = False,
 ) -> None:
-    """List the newest versions: who made them and what they touched."""
-    found = _entries.ask_entry(
+    """List the newest versions with their authors and changed paths."""
+    patches = _operator_client.call_entry(
         entry, lambda client: client.list_history(limit)
     )
     if json:
-        _output.print_json(found)
+        _output.print_json(patches)
         return
     rows = [
         (
@@ -85,7 +87,7 @@
             accepted.author,
             ', '.join(accepted.describe().paths),
         )
-        for accepted in reversed(found)
+        for accepted in reversed(patches)
     ]
     _output.print_table(
         'history, newest first', ('version', 'proposed', 'by', 'paths'), rows
@@ -97,20 +99,20 @@
     older: int,
     newer: int,
     *,
-    entry: _entry_client.EntryUrl = _entries.DEFAULT_ADDRESS,
+    entry: _entry_client.EntryUrl = _operator_client.DEFAULT_ADDRESS,
     json: _output.JsonFlag = False,
 ) -> None:
     """Show what changed from version OLDER to version NEWER."""
-    found = _entries.ask_entry(
+    difference = _operator_client.call_entry(
         entry,
         lambda client: client.diff(
             identifiers.Version(older), identifiers.Version(newer)
         ),
     )
     if json:
-        _output.print_json(found)
+        _output.print_json(difference)
         return
-    _print_operations(f'version {older} to {newer}', found.operations)
+    _print_operations(f'version {older} to {newer}', difference.operations)
 
 
 @CONFIG.command
@@ -122,7 +124,7 @@
     rebase: bool = False,
     patch_id: str = '',
     author: str = '',
-    entry: _entry_client.EntryUrl = _entries.DEFAULT_ADDRESS,
+    entry: _entry_client.EntryUrl = _operator_client.DEFAULT_ADDRESS,
     json: _output.JsonFlag = False,
 ) -> int:
     """Propose a patch; it becomes the next version or is refused.
@@ -130,34 +132,37 @@
     Parameters
     ----------
     file
-        Operations of RFC 6902, in JSON or YAML.
+        JSON Patch operations (RFC 6902), in JSON or YAML.
     base
-        The version that the patch was written against.
+        The version that the patch is based on.
     dry_run
-        Show what would be stopped, moved or become impossible to place.
+        Change nothing; show what the patch would stop, move or make
+        impossible to place.
     rebase
-        Apply it to a newer version where no path touches another's.
+        Apply the patch to a newer version if its paths do not conflict
+        with the changes since the base.
     patch_id
-        Repeat an earlier patch; its first result is shown.
+        Idempotency key; repeating that of an earlier patch returns the
+        first decision.
     author
-        Who proposes; the user's name if not given.
+        Author of the patch; by default the name of the current user.
     """
     operations = read_operations(file)
     version = identifiers.Version(base)
     if dry_run:
-        trial = _entries.ask_entry(
+        result = _operator_client.call_entry(
             entry, lambda client: client.try_patch(version, operations)
         )
         if json:
-            _output.print_json(trial)
+            _output.print_json(result)
         else:
-            _print_impact(trial.impact)
-            _print_decision(trial.decision, 'would be ')
-        return _find_exit_code(trial.decision)
+            _print_impact(result.impact)
+            _print_decision(result.decision, 'would be ')
+        return _find_exit_code(result.decision)
     proposal_id = identifiers.ProposalId(
         patch_id or identifiers.make_proposal_id()
     )
-    decision = _entries.ask_entry(
+    decision = _operator_client.call_entry(
         entry,
         lambda client: client.patch(
             version, operations, proposal_id, author or _find_user(), rebase
@@ -172,7 +177,7 @@
 
 @CONFIG.command
 def validate(file: pathlib.Path, *, json: _output.JsonFlag = False) -> None:
-    """Check a whole document, in JSON or YAML, without any entry."""
+    """Validate a complete configuration file without an entry."""
     tree = _read_file(file)
     try:
         document = operators.validate_tree(
@@ -197,23 +202,26 @@
     version: int,
     *,
     seconds: int = 16,
-    entry: _entry_client.EntryUrl = _entries.DEFAULT_ADDRESS,
+    entry: _entry_client.EntryUrl = _operator_client.DEFAULT_ADDRESS,
     json: _output.JsonFlag = False,
 ) -> int:
-    """Wait until a version is in force everywhere, or show who lags."""
-    found = _entries.ask_entry(
+    """Wait until every process uses a version, or show those that lag."""
+    rollout = _operator_client.call_entry(
         entry,
         lambda client: client.wait(identifiers.Version(version), seconds),
     )
     if json:
-        _output.print_json(found)
+        _output.print_json(rollout)
     else:
-        print_in_force(found)
-    return _exit_codes.DONE if found.is_complete() else _exit_codes.FAILED
+        print_rollout(rollout)
+    return _exit_codes.DONE if rollout.is_complete() else _exit_codes.FAILED
 
 
 def read_operations(file: pathlib.Path) -> tuple[operators.Operation, ...]:
-    """Read a patch; raise SettingsError."""
+    """Return the operations of a patch file.
+
+    Raise SettingsError if it cannot be read or is not a patch.
+    """
     try:
         return operators.decode_operations(
             json_module.dumps(_read_file(file)).encode()
@@ -224,22 +232,22 @@
         ) from error
 
 
-def print_in_force(found: operators.VersionRollout) -> None:
-    """Print how far a version has come and who lags, by how long."""
+def print_rollout(rollout: operators.VersionRollout) -> None:
+    """Print which processes do not use a version yet and how far they lag."""
     _output.print_line(
-        f'version {found.version}: in force at {found.in_force} of '
-        f'{found.processes} processes'
+        f'version {rollout.version}: in force at {rollout.in_force} of '
+        f'{rollout.processes} processes'
     )
     rows = [
         (
-            laggard.report.name,
-            laggard.report.kind,
-            laggard.report.data_centre,
-            str(laggard.report.version),
-            'long' if laggard.behind is None else f'{laggard.behind:.1f} s',
-            laggard.report.trouble,
+            process.report.name,
+            process.report.kind,
+            process.report.data_centre,
+            str(process.report.version),
+            'long' if process.behind is None else f'{process.behind:.1f} s',
+            process.report.trouble,
         )
-        for laggard in found.laggards
+        for process in rollout.laggards
     ]
     if rows:
         _output.print_table(
@@ -247,16 +255,16 @@
             ('process', 'kind', 'data centre', 'version', 'behind', 'why'),
             rows,
         )
-    for report in found.differing:
-        _output.print_line(f'another history at {report.name}')
-    for name in found.unreachable:
+    for report in rollout.differing:
+        _output.print_line(f'different configuration digest at {report.name}')
+    for name in rollout.unreachable:
         _output.print_line(f'no report from {name}')
 
 
 def _read_file(file: pathlib.Path) -> typing.Any:
     try:
         text = file.read_text(encoding='utf-8')
-        # JSON is read by the same rules.
+        # JSON documents are valid YAML, so one parser reads both.
         return ruamel.yaml.YAML(typ='safe', pure=True).load(text)
     except (OSError, UnicodeDecodeError, yaml_error.YAMLError) as error:
         raise errors.SettingsError(
@@ -264,16 +272,16 @@
         ) from error
 
 
-def _print_decision(decision: operators.Decision, tense: str) -> None:
+def _print_decision(decision: operators.Decision, prefix: str) -> None:
     if decision.accepted:
         _output.print_line(
-            f'patch {decision.proposal_id}: {tense}accepted as version '
+            f'patch {decision.proposal_id}: {prefix}accepted as version '
             f'{decision.version}'
         )
         return
-    where = f' at {decision.path}' if decision.path else ''
+    location = f' at {decision.path}' if decision.path else ''
     _output.print_line(
-        f'patch {decision.proposal_id}: {tense}refused{where}: '
+        f'patch {decision.proposal_id}: {prefix}refused{location}: '
         f'{decision.reason}'
     )
     rows = [
@@ -288,13 +296,13 @@
 
 def _print_impact(impact: operators.Impact) -> None:
     rows = [
-        (kind, line)
-        for kind, lines in (
+        (kind, item)
+        for kind, items in (
             ('stopped', impact.stopped),
             ('moved', impact.moved),
             ('impossible', impact.impossible),
         )
-        for line in lines
+        for item in items
     ]
     _output.print_table('would be', ('what', 'which'), rows or [('-', 'none')])
 
@@ -320,12 +328,16 @@
 
 def _shorten(value: typing.Any) -> str:
     text = json_module.dumps(value)
-    return text if len(text) <= VALUE_WIDTH else text[:VALUE_WIDTH] + '...'
+    return (
+        text
+        if len(text) <= MAX_VALUE_CHARACTERS
+        else text[:MAX_VALUE_CHARACTERS] + '...'
+    )
 
 
 def _format_time(seconds: float) -> str:
-    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
-    return moment.strftime('%Y-%m-%d %H:%M:%SZ')
+    timestamp = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return timestamp.strftime('%Y-%m-%d %H:%M:%SZ')
 
 
 def _find_user() -> str:
--- a/chivespoke/cli/_daemons.py
+++ b/chivespoke/cli/_daemons.py
@@ -21,23 +21,28 @@
 
 def run_entry(*, settings_path: SettingsPath) -> None:
     """Run an entry until it is told to stop."""
-    found = settings.read_settings(settings_path, settings.EntrySettings)
-    logs.configure_logs(found.log.format, found.log.level)
-    asyncio.run(_run(daemons.Entry, found))
+    daemon_settings = settings.read_settings(
+        settings_path, settings.EntrySettings
+    )
+    logs.configure_logs(daemon_settings.log.format, daemon_settings.log.level)
+    asyncio.run(_run_daemon(daemons.Entry, daemon_settings))
 
 
 def run_sidecar(*, settings_path: SettingsPath) -> None:
-    """Run the process beside a backend server until told to stop."""
-    found = settings.read_settings(settings_path, settings.SidecarSettings)
-    logs.configure_logs(found.log.format, found.log.level)
-    asyncio.run(_run(daemons.Sidecar, found))
+    """Run the sidecar of a backend server until it is told to stop."""
+    daemon_settings = settings.read_settings(
+        settings_path, settings.SidecarSettings
+    )
+    logs.configure_logs(daemon_settings.log.format, daemon_settings.log.level)
+    asyncio.run(_run_daemon(daemons.Sidecar, daemon_settings))
 
 
-async def _run(
-    make: collections.abc.Callable[
+async def _run_daemon(
+    make_daemon: collections.abc.Callable[
         [Settings, clock.Clock], application.Application
     ],
-    found: Settings,
+    daemon_settings: Settings,
 ) -> None:
-    # Made within the loop, since parts begin tasks when they are made.
-    await make(found, clock.SystemClock()).run()
+    # Constructed in the running event loop, since components create tasks in
+    # their constructors.
+    await make_daemon(daemon_settings, clock.SystemClock()).run()
--- a/chivespoke/cli/_data_centre.py
+++ b/chivespoke/cli/_data_centre.py
@@ -19,8 +19,8 @@
 DEFAULT_ENTRY = 'http://127.0.0.1:8080'
 
 
-class _Shown(msgspec.Struct):
-    """Hold what is read of an entry's configuration."""
+class _Configuration(msgspec.Struct):
+    """Decode the used fields of the response to GET /configuration."""
 
     version: identifiers.Version
     document: dict[str, typing.Any]
@@ -35,13 +35,13 @@
     entry: _entry_client.EntryUrl = DEFAULT_ENTRY,
     json: _output.JsonFlag = False,
 ) -> None:
-    """Take a data centre out; its work leaves within some seconds.
+    """Take a data centre out; its work leaves within BY_DEADLINE seconds.
 
-    Declare it dead only when every machine there is: its tasks then run
-    elsewhere without waiting for their leases.
+    Declare it dead only if every machine in it has failed: its tasks then
+    run elsewhere without waiting for their leases to expire.
     """
     state = operators.ServiceState.OUT_OF_SERVICE
-    _patch(entry, name, json, state, by_deadline, declare_dead)
+    _set_state(entry, name, json, state, by_deadline, declare_dead)
 
 
 @DATA_CENTRE.command(name='return')
@@ -51,9 +51,9 @@
     entry: _entry_client.EntryUrl = DEFAULT_ENTRY,
     json: _output.JsonFlag = False,
 ) -> None:
-    """Return a data centre; it is refilled gradually."""
+    """Return a data centre to service; its load grows gradually."""
     state = operators.ServiceState.IN_SERVICE
-    _patch(entry, name, json, state, 0.0, False)
+    _set_state(entry, name, json, state, 0.0, False)
 
 
 @DATA_CENTRE.command(name='list')
@@ -63,9 +63,9 @@
     json: _output.JsonFlag = False,
 ) -> None:
     """List the data centres."""
-    found = _fetch(entry)[1]
+    data_centres = _fetch_data_centres(entry)[1]
     if json:
-        _output.print_json(found)
+        _output.print_json(data_centres)
         return
     _output.print_table(
         'Data centres',
@@ -73,17 +73,17 @@
         [
             (
                 name,
-                each.region,
-                each.state.value,
-                each.leave_within,
-                'yes' if each.declared_dead else '',
+                data_centre.region,
+                data_centre.state.value,
+                data_centre.leave_within,
+                'yes' if data_centre.declared_dead else '',
             )
-            for name, each in sorted(found.items())
+            for name, data_centre in sorted(data_centres.items())
         ],
     )
 
 
-def _patch(
+def _set_state(
     entry: str,
     name: str,
     json: bool,
@@ -91,10 +91,12 @@
     leave_within: float,
     declared_dead: bool,
 ) -> None:
-    version, known = _fetch(entry)
+    version, known = _fetch_data_centres(entry)
     if name not in known:
         raise errors.RefusedError(
-            'patch the configuration', name, f'known: {", ".join(known)}'
+            'patch the configuration',
+            name,
+            f'unknown data centre; known: {", ".join(known)}',
         )
     fields = {
         'state': state.value,
@@ -105,7 +107,7 @@
         {'op': 'add', 'path': f'/data_centres/{name}/{key}', 'value': value}
         for key, value in fields.items()
     ]
-    decision = _entry_client.ask(
+    decision = _entry_client.send_request(
         entry,
         'PATCH',
         '/configuration?rebase=true',
@@ -126,14 +128,16 @@
         )
 
 
-def _fetch(
+def _fetch_data_centres(
     entry: str,
 ) -> tuple[
     identifiers.Version, dict[identifiers.DataCentreName, operators.DataCentre]
 ]:
-    shown = _entry_client.ask(entry, 'GET', '/configuration', _Shown)
-    section = shown.document.get('data_centres', {})
-    return shown.version, {
+    configuration = _entry_client.send_request(
+        entry, 'GET', '/configuration', _Configuration
+    )
+    section = configuration.document.get('data_centres', {})
+    return configuration.version, {
         name: msgspec.convert(value, operators.DataCentre)
         for name, value in section.items()
     }
--- a/chivespoke/cli/_demo.py
+++ b/chivespoke/cli/_demo.py
@@ -1,4 +1,4 @@
-"""Run the whole system in one process and show what it does."""
+"""The command that demonstrates the whole system in one process."""
 
 import asyncio
 import contextlib
@@ -14,8 +14,8 @@
 from chivespoke import logs
 
 
-class _Narrator(demo.Reporter):
-    """Print the story for a reader at a terminal."""
+class _ConsoleReporter(demo.Reporter):
+    """Print the steps of the demonstration for a reader at a terminal."""
 
     __slots__ = ('_step',)
 
@@ -30,8 +30,8 @@
         _output.print_line(f'   {sentence}')
 
 
-class _Silent(demo.Reporter):
-    """Say nothing; the figures are printed as JSON."""
+class _SilentReporter(demo.Reporter):
+    """Print no steps, since the results are printed as JSON."""
 
     def begin_step(self, title: str) -> None:
         return None
@@ -45,34 +45,35 @@
     settings: typing.Annotated[
         pathlib.Path | None,
         cyclopts.Parameter(
-            help='Whose sizes to use, such as examples/cedar_hollow.yaml.'
+            help='Sizes of the demonstration, such as '
+            'examples/cedar_hollow.yaml.'
         ),
     ] = None,
     keep: typing.Annotated[
         bool,
         cyclopts.Parameter(
-            negative=(), help='Stay up afterwards, until Ctrl-C.'
+            negative=(), help='Keep running afterwards, until Ctrl-C.'
         ),
     ] = False,
     log_level: typing.Annotated[
-        str, cyclopts.Parameter(help='The least level of log lines shown.')
+        str, cyclopts.Parameter(help='Lowest level of the log messages shown.')
     ] = 'ERROR',
     json: _output.JsonFlag = False,
 ) -> None:
-    """Run the whole system in one process, on loopback, and show it work.
+    """Demonstrate the whole system in one process, on loopback.
 
-    A log, workers and backend servers are stand-ins; everything between
-    them is real and talks over sockets. It ends by itself.
+    The log, workers and backend servers are fakes; the other components
+    are real and communicate over sockets. It ends by itself.
 
     Example: chivespoke demo --settings examples/cedar_hollow.yaml --keep
     """
     logs.configure_logs(logs.LogFormat.HUMAN, log_level)
-    found = (
+    demo_settings = (
         demo.read_demo_settings(settings)
         if settings is not None
         else demo.DEFAULT_SETTINGS
     )
-    measures = asyncio.run(_run(found, keep, json))
+    measures = asyncio.run(_run(demo_settings, keep, json))
     if json:
         _output.print_json(measures)
     else:
@@ -80,47 +81,51 @@
 
 
 async def _run(
-    found: demo.DemoSettings, keep: bool, json: bool
+    demo_settings: demo.DemoSettings, keep: bool, json: bool
 ) -> demo.Measures:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, stop.set)
-    cluster = demo.Cluster(found, clock.SystemClock())
-    reporter = _Silent() if json else _Narrator()
-    story = demo.Story(cluster, found, reporter, clock.SystemClock())
+    for signal_number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(signal_number, stop.set)
+    cluster = demo.Cluster(demo_settings, clock.SystemClock())
+    reporter = _SilentReporter() if json else _ConsoleReporter()
+    story = demo.Story(cluster, demo_settings, reporter, clock.SystemClock())
     await cluster.start()
     try:
-        await _run_until(story, stop)
+        await _run_story(story, stop)
         if keep and not stop.is_set():
-            _print_hints(cluster, found)
+            _print_example_requests(cluster, demo_settings)
             await stop.wait()
     finally:
         await cluster.stop()
     return story.measures
 
 
-async def _run_until(story: demo.Story, stop: asyncio.Event) -> None:
-    """Run the story; give up gracefully when told to stop."""
-    telling = asyncio.ensure_future(story.run())
-    stopping = asyncio.ensure_future(stop.wait())
+async def _run_story(story: demo.Story, stop: asyncio.Event) -> None:
+    """Run the demonstration, or cancel it when the stop event is set."""
+    story_task = asyncio.ensure_future(story.run())
+    stop_task = asyncio.ensure_future(stop.wait())
     await asyncio.wait(
-        (telling, stopping), return_when=asyncio.FIRST_COMPLETED
+        (story_task, stop_task), return_when=asyncio.FIRST_COMPLETED
     )
-    stopping.cancel()
-    if telling.done():
-        telling.result()
+    stop_task.cancel()
+    if story_task.done():
+        story_task.result()
         return
-    telling.cancel()
+    story_task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
-        await telling
+        await story_task
 
 
-def _print_hints(cluster: demo.Cluster, found: demo.DemoSettings) -> None:
+def _print_example_requests(
+    cluster: demo.Cluster, demo_settings: demo.DemoSettings
+) -> None:
     base = cluster.balancer.format_http()
-    _output.print_line('\nIt stays up; Ctrl-C stops it. Try in another shell:')
+    _output.print_line(
+        '\nThe cluster runs until Ctrl-C. Try in another shell:'
+    )
     for path in (
-        f'/services/{found.service.name}/hello',
+        f'/services/{demo_settings.service.name}/hello',
         '/configuration',
         '/v1/jobs',
         '/metrics',
--- a/chivespoke/cli/_entry_client.py
+++ b/chivespoke/cli/_entry_client.py
@@ -1,4 +1,4 @@
-"""Ask an entry over HTTP, for one command."""
+"""Send HTTP requests to an entry."""
 
 import asyncio
 import collections.abc
@@ -10,10 +10,10 @@
 
 from chivespoke import errors
 
-# Seconds for one whole question.
-QUESTION_LIMIT = 30.0
+# Includes reading the whole response.
+REQUEST_TIMEOUT_SECONDS = 30.0
 UNAVAILABLE_STATUSES = (502, 503, 504)
-CLIENT_ERROR = 400
+MIN_ERROR_STATUS = 400
 
 EntryUrl = typing.Annotated[
     str,
@@ -26,45 +26,50 @@
 Answer = typing.TypeVar('Answer')
 
 
-def ask(
+def send_request(
     entry: str,
     method: str,
     path: str,
-    expected: type[Answer],
+    response_type: type[Answer],
     body: object = None,
     headers: collections.abc.Mapping[str, str] | None = None,
 ) -> Answer:
-    """Return an entry's typed answer; raise by the answer's meaning."""
+    """Send a request to an entry and return the decoded response.
+
+    Raise UnavailableError if the entry does not answer, is unavailable or
+    sends a response that cannot be decoded. Raise RefusedError on any other
+    error status.
+    """
     return asyncio.run(
-        _ask(entry, method, path, expected, body, headers or {})
+        _send_request(entry, method, path, response_type, body, headers or {})
     )
 
 
-async def _ask(
+async def _send_request(
     entry: str,
     method: str,
     path: str,
-    expected: type[Answer],
+    response_type: type[Answer],
     body: object,
     headers: collections.abc.Mapping[str, str],
 ) -> Answer:
     step = f'{method} {path}'
     data = None if body is None else msgspec.json.encode(body)
-    timeout = aiohttp.ClientTimeout(total=QUESTION_LIMIT)
+    timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_SECONDS)
     try:
         async with aiohttp.ClientSession(timeout=timeout) as session:
             async with session.request(
                 method, entry.rstrip('/') + path, data=data, headers=headers
             ) as response:
-                answer = await response.read()
+                content = await response.read()
     except (aiohttp.ClientError, asyncio.TimeoutError) as error:
         raise errors.UnavailableError(step, entry, repr(error)) from error
-    text = answer.decode(errors='replace')
+    text = content.decode(errors='replace')
     if response.status in UNAVAILABLE_STATUSES:
         raise errors.UnavailableError(step, entry, text)
-    if response.status >= CLIENT_ERROR:
+    if response.status >= MIN_ERROR_STATUS:
         raise errors.RefusedError(step, entry, text)
     try:
-        return msgspec.json.decode(answer, type=expected)
+        return msgspec.json.decode(content, type=response_type)
     except msgspec.MsgspecError as error:
         raise errors.UnavailableError(step, entry, str(error)) from error
--- a/chivespoke/cli/_exit_codes.py
+++ b/chivespoke/cli/_exit_codes.py
@@ -1,4 +1,4 @@
-"""Exit codes, and what to do next, for each kind of error."""
+"""Exit codes, and the exit code and advice for each class of error."""
 
 from chivespoke import errors
 
@@ -10,8 +10,8 @@
 BROKEN_INVARIANT = 5
 INTERRUPTED = 130
 
-# In this order: the first class that the error is an instance of counts.
-CODES: tuple[tuple[type[errors.ChivespokeError], int, str], ...] = (
+# In order: the first class that the error is an instance of applies.
+ERROR_CODES: tuple[tuple[type[errors.ChivespokeError], int, str], ...] = (
     (
         errors.SettingsError,
         BAD_INPUT,
@@ -20,27 +20,39 @@
     (
         errors.RefusedError,
         REFUSED,
-        'nothing took effect; change what the reason names and try again',
+        'nothing took effect; correct what the reason names and try again',
     ),
     (
         errors.UnavailableError,
         UNKNOWN_EFFECT,
-        'see whether the peer runs and what it shows before you repeat this',
+        'check the state of the peer before you repeat the command',
     ),
     (
         errors.InvariantError,
         BROKEN_INVARIANT,
         'keep the output and report it as a fault of chivespoke',
     ),
-    (errors.ChivespokeError, FAILED, 'read the step and the peer above'),
+    (
+        errors.ChivespokeError,
+        FAILED,
+        'check the step and the peer that are named above',
+    ),
 )
 
 
 def find_exit_code(error: errors.ChivespokeError) -> int:
     """Return the exit code of an error."""
-    return next(code for kind, code, _ in CODES if isinstance(error, kind))
+    return next(
+        code
+        for error_type, code, _ in ERROR_CODES
+        if isinstance(error, error_type)
+    )
 
 
 def find_next_step(error: errors.ChivespokeError) -> str:
-    """Return what a person can do about an error."""
-    return next(step for kind, _, step in CODES if isinstance(error, kind))
+    """Return what the user can do about an error."""
+    return next(
+        advice
+        for error_type, _, advice in ERROR_CODES
+        if isinstance(error, error_type)
+    )
--- a/chivespoke/cli/_job.py
+++ b/chivespoke/cli/_job.py
@@ -1,4 +1,4 @@
-"""Commands about jobs."""
+"""Commands that submit, cancel and show jobs."""
 
 import pathlib
 import time
@@ -17,9 +17,8 @@
 
 JOB = cyclopts.App(name='job', help='Submit, cancel and follow jobs.')
 DEFAULT_ENTRY = 'http://127.0.0.1:8080'
-STEP = 'read jobs'
-# Seconds between two looks at a job.
-POLL_INTERVAL = 0.5
+READ_STEP = 'read jobs'
+POLL_INTERVAL_SECONDS = 0.5
 ENDED_STATES = frozenset(('completed', 'failed', 'cancelled'))
 Answers = list[scheduling.JobAnswer]
 
@@ -31,10 +30,12 @@
     entry: _entry_client.EntryUrl = DEFAULT_ENTRY,
     json: _output.JsonFlag = False,
 ) -> int:
-    """Submit the jobs of a YAML or JSON file; repeat it at will."""
+    """Submit the jobs of a YAML or JSON file; repeating it is safe."""
     request = read_jobs(file)
-    answers = _entry_client.ask(entry, 'POST', '/v1/jobs', Answers, request)
-    return _show_answers('Submitted jobs', answers, json)
+    answers = _entry_client.send_request(
+        entry, 'POST', '/v1/jobs', Answers, request
+    )
+    return _print_answers('Submitted jobs', answers, json)
 
 
 @JOB.command(name='cancel')
@@ -44,10 +45,10 @@
     json: _output.JsonFlag = False,
 ) -> int:
     """Cancel jobs by their ids."""
-    answers = _entry_client.ask(
+    answers = _entry_client.send_request(
         entry, 'POST', '/v1/jobs/cancel', Answers, {'jobs': names}
     )
-    return _show_answers('Cancelled jobs', answers, json)
+    return _print_answers('Cancelled jobs', answers, json)
 
 
 @JOB.command(name='show')
@@ -57,8 +58,8 @@
     entry: _entry_client.EntryUrl = DEFAULT_ENTRY,
     json: _output.JsonFlag = False,
 ) -> None:
-    """Show one job and its exact counts."""
-    report = _fetch(entry, name)
+    """Show one job and the exact counts of its tasks."""
+    report = _fetch_report(entry, name)
     if json:
         _output.print_json(report)
         return
@@ -76,7 +77,7 @@
     json: _output.JsonFlag = False,
 ) -> None:
     """List the jobs."""
-    reports = _entry_client.ask(
+    reports = _entry_client.send_request(
         entry, 'GET', '/v1/jobs', list[scheduling.JobReport]
     )
     if json:
@@ -108,16 +109,18 @@
     timeout: float = 3600.0,
     json: _output.JsonFlag = False,
 ) -> int:
-    """Wait until a job has ended; fail when it did not complete."""
+    """Wait until a job has ended; exit with 1 unless it completed."""
     deadline = time.monotonic() + timeout
-    report = _fetch(entry, name)
+    report = _fetch_report(entry, name)
     while report.state not in ENDED_STATES:
         if time.monotonic() >= deadline:
             raise errors.UnavailableError(
-                'wait for a job', name, f'still {report.state}'
+                'wait for a job',
+                name,
+                f'not ended within {timeout:g} s; the job is {report.state}',
             )
-        time.sleep(POLL_INTERVAL)
-        report = _fetch(entry, name)
+        time.sleep(POLL_INTERVAL_SECONDS)
+        report = _fetch_report(entry, name)
     if json:
         _output.print_json(report)
     else:
@@ -127,15 +130,15 @@
 
 
 def read_jobs(file: pathlib.Path) -> scheduling.JobsRequest:
-    """Return the jobs of a file: one job, or a list under ``jobs``."""
-    if 'jobs' in yaml_files.read_keys(file, STEP):
-        return yaml_files.read_yaml(file, scheduling.JobsRequest, STEP)
-    job = yaml_files.read_yaml(file, scheduling.JobRequest, STEP)
+    """Return the jobs of a file that holds one job or a list ``jobs``."""
+    if 'jobs' in yaml_files.read_keys(file, READ_STEP):
+        return yaml_files.read_yaml(file, scheduling.JobsRequest, READ_STEP)
+    job = yaml_files.read_yaml(file, scheduling.JobRequest, READ_STEP)
     return scheduling.JobsRequest((job,))
 
 
-def _fetch(entry: str, name: str) -> scheduling.JobReport:
-    return _entry_client.ask(
+def _fetch_report(entry: str, name: str) -> scheduling.JobReport:
+    return _entry_client.send_request(
         entry,
         'GET',
         f'/v1/jobs/{identifiers.JobId(name)}',
@@ -143,7 +146,7 @@
     )
 
 
-def _show_answers(title: str, answers: Answers, json: bool) -> int:
+def _print_answers(title: str, answers: Answers, json: bool) -> int:
     if json:
         _output.print_json(answers)
     else:
--- a/chivespoke/cli/_entries.py
+++ b/chivespoke/cli/_operator_client.py
@@ -1,4 +1,4 @@
-"""How commands reach an entry."""
+"""Call an entry with the operators' client from synchronous commands."""
 
 import asyncio
 import collections.abc
@@ -13,17 +13,17 @@
 Result = typing.TypeVar('Result')
 
 
-def ask_entry(
+def call_entry(
     address: str,
-    ask: collections.abc.Callable[
+    call: collections.abc.Callable[
         [operators.OperatorClient], collections.abc.Awaitable[Result]
     ],
 ) -> Result:
-    """Return what a question to an entry gives."""
+    """Run a call with a client of the entry and return its result."""
 
     async def run() -> Result:
         async with aiohttp.ClientSession() as session:
             client = operators.OperatorClient(address.rstrip('/'), session)
-            return await ask(client)
+            return await call(client)
 
     return asyncio.run(run())
--- a/chivespoke/cli/_output.py
+++ b/chivespoke/cli/_output.py
@@ -1,4 +1,4 @@
-"""What commands print: tables for people, JSON for programs."""
+"""Print the output of commands as tables or as JSON."""
 
 import collections.abc
 import sys
@@ -14,9 +14,10 @@
 from chivespoke.cli import _exit_codes
 from chivespoke import errors
 
-# Columns of output that does not go to a terminal.
+# Width in characters when the output is not a terminal.
 PIPE_WIDTH = 100
-LARGE_AMOUNT = 1000
+# Smallest number that is printed without decimals.
+MIN_WHOLE_NUMBER = 1000
 
 JsonFlag = typing.Annotated[
     bool,
@@ -26,9 +27,9 @@
 ]
 
 
-def make_console(to_errors: bool = False) -> rich.console.Console:
+def make_console(to_stderr: bool = False) -> rich.console.Console:
     """Return a console on standard output, or on standard error."""
-    stream = sys.stderr if to_errors else sys.stdout
+    stream = sys.stderr if to_stderr else sys.stdout
     width = None if stream.isatty() else PIPE_WIDTH
     return rich.console.Console(
         file=stream, width=width, highlight=False, soft_wrap=False
@@ -51,7 +52,7 @@
     columns: collections.abc.Sequence[str],
     rows: collections.abc.Iterable[collections.abc.Sequence[object]],
 ) -> None:
-    """Print a table; numbers are set flush right."""
+    """Print a table; columns of numbers are right-aligned."""
     table = rich.table.Table()
     body = [list(row) for row in rows]
     for index, column in enumerate(columns):
@@ -68,20 +69,20 @@
 
 
 def make_progress() -> rich.progress.Progress:
-    """Return a progress display on standard error for long work."""
+    """Return a progress display on standard error for a long command."""
     return rich.progress.Progress(
         rich.progress.TextColumn('{task.description}'),
         rich.progress.BarColumn(),
         rich.progress.MofNCompleteColumn(),
         rich.progress.TimeElapsedColumn(),
-        console=make_console(to_errors=True),
+        console=make_console(to_stderr=True),
         transient=True,
     )
 
 
 def print_error(error: errors.ChivespokeError) -> None:
-    """Print what failed, at which peer, and what to do next."""
-    console = make_console(to_errors=True)
+    """Print the failed step, its peer, the cause, and what to do next."""
+    console = make_console(to_stderr=True)
     console.print(
         f'error: {error.step}: {error.peer}: {error.detail}',
         markup=False,
@@ -91,14 +92,14 @@
 
 
 def print_next_step(sentence: str) -> None:
-    """Print what a person can do next."""
-    console = make_console(to_errors=True)
+    """Print what the user can do next."""
+    console = make_console(to_stderr=True)
     console.print(f'next: {sentence}', markup=False, soft_wrap=True)
 
 
 def _format_cell(cell: object) -> rich.text.Text:
     if isinstance(cell, float):
-        # Large amounts are whole numbers, small ones keep their digits.
-        large = abs(cell) >= LARGE_AMOUNT
-        return rich.text.Text(f'{cell:,.0f}' if large else f'{cell:.4g}')
+        # Smaller numbers keep four significant digits.
+        is_large = abs(cell) >= MIN_WHOLE_NUMBER
+        return rich.text.Text(f'{cell:,.0f}' if is_large else f'{cell:.4g}')
     return rich.text.Text(str(cell))
--- a/chivespoke/cli/_settings.py
+++ b/chivespoke/cli/_settings.py
@@ -1,4 +1,4 @@
-"""Commands on settings files."""
+"""Commands that check settings files and list their keys."""
 
 import pathlib
 import typing
@@ -29,20 +29,20 @@
 def check(file: pathlib.Path, *, json: _output.JsonFlag = False) -> None:
     """Check a settings file and print it with every default filled in.
 
-    An unusable file gives its line and key, what would be right, and exit
-    code 2.
+    For an invalid file, print the line, the key and a correction, and exit
+    with code 2.
 
     Parameters
     ----------
     file
-        Settings of an entry or of a sidecar, in YAML.
+        Settings of an entry or a sidecar, in YAML.
     """
-    found = settings.check_settings(file)
+    checked = settings.check_settings(file)
     if json:
-        _output.print_json(found)
+        _output.print_json(checked)
         return
-    kind = type(found).__name__.removesuffix('Settings').lower()
-    rows = _flatten(msgspec.to_builtins(found), '')
+    kind = type(checked).__name__.removesuffix('Settings').lower()
+    rows = _flatten(msgspec.to_builtins(checked), '')
     _output.print_table(f'{file}: valid, {kind}', ('key', 'value'), rows)
 
 
@@ -53,11 +53,11 @@
     json: _output.JsonFlag = False,
 ) -> None:
     """List the keys of a kind of settings file, with types and defaults."""
-    found = settings_reference.list_keys(settings.SETTINGS_TYPES[kind])
+    setting_keys = settings_reference.list_keys(settings.SETTINGS_TYPES[kind])
     if json:
-        _output.print_json(found)
+        _output.print_json(setting_keys)
         return
-    rows = [(key.name, key.type_name, key.default) for key in found]
+    rows = [(key.name, key.type_name, key.default) for key in setting_keys]
     _output.print_table(
         f'settings of {kind}', ('key', 'type', 'default'), rows
     )
--- a/chivespoke/cli/_slopes.py
+++ b/chivespoke/cli/_slopes.py
@@ -1,4 +1,4 @@
-"""Measure slopes of daemons."""
+"""The command that measures the resource use of daemons."""
 
 import asyncio
 import typing
@@ -12,8 +12,8 @@
 from chivespoke import logs
 
 
-class _Bar(bench.Progress):
-    """Show progress on standard error."""
+class _ProgressBar(bench.Progress):
+    """Show the progress of the measurements on standard error."""
 
     __slots__ = ('_progress', '_task')
 
@@ -33,11 +33,14 @@
         float, cyclopts.Parameter(help='Seconds measured at each size.')
     ] = 10.0,
     only: typing.Annotated[
-        str, cyclopts.Parameter(help='Measure only scenarios that match.')
+        str,
+        cyclopts.Parameter(
+            help='Measure only scenarios whose name contains this.'
+        ),
     ] = '',
     json: _output.JsonFlag = False,
 ) -> None:
-    """Measure what daemons spend against what drives them.
+    """Measure how the resource use of daemons grows with their load.
 
     Starts daemons on loopback, at most a few hundred processes and half of
     the machine's memory, and fits a line to each measure.
@@ -52,18 +55,20 @@
     ]
     total = sum(len(scenario.sizes) for scenario in scenarios)
     with _output.make_progress() as progress:
-        found = asyncio.run(
-            bench.measure_slopes(scenarios, seconds, _Bar(progress, total))
+        measurements = asyncio.run(
+            bench.measure_slopes(
+                scenarios, seconds, _ProgressBar(progress, total)
+            )
         )
     if json:
-        _output.print_json(found)
+        _output.print_json(measurements)
         return
-    _print_slopes(found)
+    _print_slopes(measurements)
 
 
-def _print_slopes(found: capacity.Measurements) -> None:
+def _print_slopes(measurements: capacity.Measurements) -> None:
     rows = []
-    for slope in found.slopes:
+    for slope in measurements.slopes:
         sizes = ', '.join(f'{size:g}' for size in slope.sizes)
         rows.append(
             (
@@ -77,9 +82,10 @@
             )
         )
     _output.print_table(
-        f'slopes on {found.machine}, {found.window_seconds:g} s a size',
+        f'slopes on {measurements.machine}, '
+        f'{measurements.window_seconds:g} s a size',
         ('role', 'driver', 'measure', 'sizes', 'idle', 'each', 'residual'),
         rows,
     )
-    for note in found.notes:
+    for note in measurements.notes:
         _output.print_line(f'note: {note}')
--- a/chivespoke/cli/_standins.py
+++ b/chivespoke/cli/_standins.py
@@ -1,4 +1,4 @@
-"""Commands that run fakes of the outside."""
+"""Commands that run fakes of external systems."""
 
 import asyncio
 import collections.abc
@@ -16,7 +16,7 @@
 
 STANDINS = cyclopts.App(
     name='standin',
-    help='Run a fake of the outside, for trials on one machine.',
+    help='Run a fake of an external system, for tests on one machine.',
     help_epilogue="""\
 Examples:
 
@@ -38,11 +38,11 @@
     ports: tuple[int, ...] = (),
     slow_first: float = 1.0,
 ) -> None:
-    """Run fake backend servers, the first one slower by a factor."""
+    """Run fake backend servers, the first slowed down by a factor."""
     logs.configure_logs(logs.LogFormat.HUMAN, 'INFO')
     servers = [
-        standins.CountingServer(settings.Address(port=each))
-        for each in ports or (port,)
+        standins.CountingServer(settings.Address(port=server_port))
+        for server_port in ports or (port,)
     ]
     servers[0].slowness = slow_first
     asyncio.run(application.Application(servers).run())
@@ -50,17 +50,17 @@
 
 @STANDINS.command(name='log')
 def run_log(*, port: int = 0, retention: float = 86_400.0) -> None:
-    """Run a fake of the platform's log, in memory.
+    """Run an in-memory fake of the platform's log.
 
     Parameters
     ----------
     port
-        Where it listens; 0 takes any free port.
+        Port to listen on; 0 takes any free port.
     retention
-        Seconds for which it keeps a record.
+        Seconds for which each record is kept.
     """
     log = standins.MemoryLog(clock.SystemClock(), retention)
-    _run((standins.LogServer(log, settings.Address(port=port)),))
+    _run_components((standins.LogServer(log, settings.Address(port=port)),))
 
 
 @STANDINS.command(name='worker')
@@ -73,29 +73,29 @@
     memory_gib: Count = 60,
     group: str = 'default',
 ) -> None:
-    """Run fake workers that register at an entry of this machine.
+    """Run fake workers that register at an entry on this machine.
 
     Parameters
     ----------
     entry_port
-        Where the entry answers HTTP.
+        HTTP port of the entry.
     count
-        How many workers; three to a rack.
+        Number of workers; three share a rack.
     data_centres
-        Where they are, in turn.
+        Data centres to which the workers are assigned in turn.
     processors
-        Of each worker.
+        Processors of each worker.
     memory_gib
-        Of each worker.
+        Memory of each worker, in GiB.
     group
-        The worker group, whose shard schedules them.
+        Worker group; its shard schedules the workers.
     """
     capacity = resources.Resources(
         processors * resources.MILLICORES_PER_PROCESSOR,
         memory_gib * resources.MIB_PER_GIB,
         0,
     )
-    _run(
+    _run_components(
         standins.WorkerServer(
             standins.make_worker_registration(
                 f'worker-{index + 1}',
@@ -114,7 +114,7 @@
     )
 
 
-def _run(
+def _run_components(
     components: collections.abc.Iterable[application.Component],
 ) -> None:
     logs.configure_logs(logs.LogFormat.HUMAN, 'INFO')
--- a/chivespoke/cli/_status.py
+++ b/chivespoke/cli/_status.py
@@ -1,23 +1,25 @@
-"""Commands that show what is and why."""
+"""Commands that show the status and explain the state of an object."""
 
 from chivespoke.cli import _config
-from chivespoke.cli import _entries
 from chivespoke.cli import _entry_client
 from chivespoke.cli import _exit_codes
+from chivespoke.cli import _operator_client
 from chivespoke.cli import _output
 from chivespoke import operators
 
 
 def show_status(
     *,
-    entry: _entry_client.EntryUrl = _entries.DEFAULT_ADDRESS,
+    entry: _entry_client.EntryUrl = _operator_client.DEFAULT_ADDRESS,
     json: _output.JsonFlag = False,
 ) -> int:
-    """Show what calls for a hand first, then versions and streams.
+    """Show what needs attention first, then versions and streams.
 
-    Exit code 1 means that something calls for a hand.
+    Exit code 1 means that something needs attention.
     """
-    status = _entries.ask_entry(entry, lambda client: client.read_status())
+    status = _operator_client.call_entry(
+        entry, lambda client: client.read_status()
+    )
     if json:
         _output.print_json(status)
     else:
@@ -29,7 +31,7 @@
     kind: str,
     name: str,
     *,
-    entry: _entry_client.EntryUrl = _entries.DEFAULT_ADDRESS,
+    entry: _entry_client.EntryUrl = _operator_client.DEFAULT_ADDRESS,
     json: _output.JsonFlag = False,
 ) -> None:
     """Explain a task, job, service, worker, team or data centre.
@@ -39,31 +41,35 @@
     kind
         task, job, service, worker, team or data-centre.
     name
-        Its name.
+        Name of the object.
     """
-    found = _entries.ask_entry(
+    explanation = _operator_client.call_entry(
         entry, lambda client: client.explain(kind, name)
     )
     if json:
-        _output.print_json(found)
+        _output.print_json(explanation)
         return
-    _output.print_line(f'{found.kind} {found.name}: {found.what}')
-    rows = [('why', reason) for reason in found.why]
-    if found.since_version is not None:
-        rows.append(('since', f'version {found.since_version}'))
-    rows += [('would change it', change) for change in found.would_change]
-    rows += list(found.details.items())
+    _output.print_line(
+        f'{explanation.kind} {explanation.name}: {explanation.what}'
+    )
+    rows = [('why', reason) for reason in explanation.why]
+    if explanation.since_version is not None:
+        rows.append(('since', f'version {explanation.since_version}'))
+    rows += [
+        ('would change it', change) for change in explanation.would_change
+    ]
+    rows += list(explanation.details.items())
     _output.print_table('', ('', ''), rows)
 
 
 def _print_status(status: operators.Status) -> None:
-    state = 'may' if status.may_start_tasks else 'may not'
+    permission = 'may' if status.may_start_tasks else 'may not'
     _output.print_line(
-        f'{status.process}: version {status.version}, {state} start tasks'
+        f'{status.process}: version {status.version}, {permission} start tasks'
     )
     for trouble in status.troubles:
         _output.print_line(f'trouble: {trouble}')
-    _config.print_in_force(status.in_force)
+    _config.print_rollout(status.in_force)
     _output.print_table(
         'streams',
         ('stream', 'next offset', 'proven', 'relayed'),
--- a/chivespoke/cli/tests/test_application.py
+++ b/chivespoke/cli/tests/test_application.py
@@ -1,4 +1,4 @@
-"""Tests of the command line's root."""
+"""Tests of the root command, its errors and exit codes."""
 
 import contextlib
 import io
@@ -24,13 +24,13 @@
 
 def run(*arguments: str) -> tuple[int, str, str]:
     """Run a command and return its exit code and what it printed."""
-    output, problems = io.StringIO(), io.StringIO()
+    output, error_output = io.StringIO(), io.StringIO()
     with (
         contextlib.redirect_stdout(output),
-        contextlib.redirect_stderr(problems),
+        contextlib.redirect_stderr(error_output),
     ):
         code = _application.run(list(arguments))
-    return code, output.getvalue(), problems.getvalue()
+    return code, output.getvalue(), error_output.getvalue()
 
 
 class RunTest(unittest.TestCase):
@@ -46,9 +46,9 @@
     def test_bad_arguments(self) -> None:
         for arguments in (('settings', 'chek'), ('--absent',)):
             with self.subTest(arguments=arguments):
-                code, _, problems = run(*arguments)
+                code, _, error_output = run(*arguments)
                 self.assertEqual(_exit_codes.BAD_INPUT, code)
-                self.assertIn('next: ', problems)
+                self.assertIn('next: ', error_output)
 
     def test_settings_check(self) -> None:
         path = str(ROOT / 'examples' / 'sidecar.yaml')
@@ -56,15 +56,15 @@
         self.assertEqual(_exit_codes.DONE, code)
         self.assertEqual('counting', json.loads(output)['service'])
 
-    def test_settings_check_names_line_and_cure(self) -> None:
+    def test_settings_check_names_line_and_correction(self) -> None:
         text = (ROOT / 'examples' / 'sidecar.yaml').read_text()
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / 'bad.yaml'
             path.write_text(text.replace('slots', 'slot'))
-            code, output, problems = run('settings', 'check', str(path))
+            code, output, error_output = run('settings', 'check', str(path))
         self.assertEqual((_exit_codes.BAD_INPUT, ''), (code, output))
-        self.assertIn('bad.yaml:11: unknown key slot', problems)
-        self.assertIn('did you mean slots?', problems)
+        self.assertIn('bad.yaml:11: unknown key slot', error_output)
+        self.assertIn('did you mean slots?', error_output)
 
     def test_help_has_examples_and_exit_codes(self) -> None:
         code, output, _ = run('--help')
--- a/chivespoke/cli/tests/test_config.py
+++ b/chivespoke/cli/tests/test_config.py
@@ -1,4 +1,4 @@
-"""Tests of the configuration's commands against a live entry."""
+"""Tests of the configuration commands against a running entry."""
 
 import asyncio
 import json
@@ -16,11 +16,11 @@
 from chivespoke import settings
 from chivespoke import standins
 
-SETTLE_LIMIT = 20.0
+START_TIMEOUT_SECONDS = 20.0
 
 
-class LiveEntry:
-    """Run an entry and its log in a thread of their own."""
+class EntryThread:
+    """Run an entry and its log in a separate thread."""
 
     def __init__(self) -> None:
         self.url = ''
@@ -32,10 +32,12 @@
         )
 
     def start(self) -> None:
-        """Return when the entry answers."""
+        """Start the thread and wait until the entry answers."""
         self._thread.start()
-        if not self._ready.wait(SETTLE_LIMIT):
-            raise AssertionError('the entry did not start')
+        if not self._ready.wait(START_TIMEOUT_SECONDS):
+            raise AssertionError(
+                f'the entry did not start within {START_TIMEOUT_SECONDS} s'
+            )
 
     def stop(self) -> None:
         """Stop the entry and its thread."""
@@ -72,24 +74,24 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
-        self.entry = LiveEntry()
+        self.entry = EntryThread()
         self.entry.start()
         self.addCleanup(self.entry.stop)
 
     def run_command(self, *arguments: str) -> tuple[int, str]:
-        code, output, problems = test_application.run(
+        code, output, error_output = test_application.run(
             *arguments, '--entry', self.entry.url
         )
-        return code, output + problems
+        return code, output + error_output
 
     def write(self, name: str, value: typing.Any) -> str:
         path = self.folder / name
         path.write_text(json.dumps(value), encoding='utf-8')
         return str(path)
 
-    def test_a_change_from_first_to_last(self) -> None:
-        first = self.write(
-            'first.json',
+    def test_change_from_proposal_to_explanation(self) -> None:
+        base_patch = self.write(
+            'base.json',
             [
                 {'op': 'add', 'path': f'/{section}/{name}', 'value': value}
                 for section in ('data_centres', 'teams', 'services')
@@ -97,16 +99,16 @@
             ],
         )
         code, output = self.run_command(
-            'config', 'patch', first, '--base', '0', '--patch-id', 'p1'
+            'config', 'patch', base_patch, '--base', '0', '--patch-id', 'p1'
         )
         self.assertEqual((0, True), (code, 'version 1' in output), output)
-        # Again with the same id: the first result.
+        # A repeated patch id returns the first decision.
         code, output = self.run_command(
-            'config', 'patch', first, '--base', '0', '--patch-id', 'p1'
+            'config', 'patch', base_patch, '--base', '0', '--patch-id', 'p1'
         )
         self.assertEqual((0, True), (code, 'version 1' in output), output)
-        out = self.write(
-            'out.json',
+        outage = self.write(
+            'outage.json',
             [
                 {
                     'op': 'add',
@@ -116,19 +118,21 @@
             ],
         )
         code, output = self.run_command(
-            'config', 'patch', out, '--base', '1', '--dry-run'
+            'config', 'patch', outage, '--base', '1', '--dry-run'
         )
         self.assertEqual(0, code)
         self.assertIn('colombo-1', output)
         self.assertIn('impossible', output)
-        code, output = self.run_command('config', 'patch', out, '--base', '0')
+        code, output = self.run_command(
+            'config', 'patch', outage, '--base', '0'
+        )
         self.assertEqual(3, code)
         self.assertIn('stands at 1', output)
         self.assertEqual(
-            0, self.run_command('config', 'patch', out, '--base', '1')[0]
+            0, self.run_command('config', 'patch', outage, '--base', '1')[0]
         )
         self.assertEqual(0, self.run_command('config', 'wait', '2')[0])
-        for arguments, word in (
+        for arguments, expected in (
             (('config', 'show'), 'colombo-1'),
             (('config', 'show', '1', '--json'), '"version": 1'),
             (('config', 'history'), '/teams/counting'),
@@ -140,7 +144,7 @@
             with self.subTest(arguments=arguments):
                 code, output = self.run_command(*arguments)
                 self.assertEqual(0, code, output)
-                self.assertIn(word, output)
+                self.assertIn(expected, output)
 
     def test_validate_needs_no_entry(self) -> None:
         good = self.write('good.json', builders.BASE_TREE)
@@ -148,9 +152,9 @@
         self.assertEqual(
             0, test_application.run('config', 'validate', good)[0]
         )
-        code, _, problems = test_application.run('config', 'validate', bad)
+        code, _, error_output = test_application.run('config', 'validate', bad)
         self.assertEqual(2, code)
-        self.assertIn('/services/x/team', problems)
+        self.assertIn('/services/x/team', error_output)
 
 
 if __name__ == '__main__':
--- a/chivespoke/cli/tests/test_daemons.py
+++ b/chivespoke/cli/tests/test_daemons.py
@@ -1,4 +1,4 @@
-"""Tests of the daemons as processes: they start, answer and stop."""
+"""Tests that run the daemons as processes."""
 
 import asyncio
 import contextlib
@@ -12,11 +12,11 @@
 from chivespoke import settings
 from chivespoke import standins
 
-PATIENCE = 60.0
+TIMEOUT_SECONDS = 60.0
 
 
 class DaemonTest(unittest.IsolatedAsyncioTestCase):
-    """Start an entry and a sidecar, serve a call, stop them."""
+    """Start an entry and a sidecar, send a request and stop them."""
 
     async def test_call_through_processes_and_graceful_stop(self) -> None:
         async with contextlib.AsyncExitStack() as stack:
@@ -31,13 +31,18 @@
                 'server-1', server.address, entry.http
             )
             daemons = [
-                await builders.start_daemon(stack, kind, found, folder)
-                for kind, found in (('entry', entry), ('sidecar', sidecar))
+                await builders.start_daemon(
+                    stack, kind, daemon_settings, folder
+                )
+                for kind, daemon_settings in (
+                    ('entry', entry),
+                    ('sidecar', sidecar),
+                )
             ]
             http = await stack.enter_async_context(aiohttp.ClientSession())
             url = entry.http.format_http() + f'/services/{builders.SERVICE}/x'
             outcome = ''
-            async with asyncio.timeout(PATIENCE):
+            async with asyncio.timeout(TIMEOUT_SECONDS):
                 while outcome != 'answered':
                     async with http.get(url) as answer:
                         outcome = answer.headers['Chivespoke-Outcome']
--- a/chivespoke/cli/tests/test_readme.py
+++ b/chivespoke/cli/tests/test_readme.py
@@ -1,4 +1,4 @@
-"""Run the commands of the README and compare what they print."""
+"""Run the commands of the README and compare their output."""
 
 import asyncio
 import contextlib
@@ -22,16 +22,16 @@
 from chivespoke import standins
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
-PATIENCE = 90.0
+TIMEOUT_SECONDS = 90.0
 PROMPT = '$ '
 CAPACITY = resources.Resources(16_000, 61_440, 0)
-# What differs from run to run.
+# Generated identifiers, which differ from run to run.
 VOLATILE = re.compile(r'\b[0-9a-f]{16}\b')
 LOCAL_ENTRY = 'http://127.0.0.1:8080'
 
 
 class Step(typing.NamedTuple):
-    """Hold one command and what the page says it prints."""
+    """Hold one command and the output that the page shows for it."""
 
     command: str
     output: str
@@ -48,7 +48,7 @@
 
 
 class ReadmeTest(unittest.IsolatedAsyncioTestCase):
-    """Type the README's commands at a fleet of processes."""
+    """Run the README's commands against running daemons."""
 
     async def asyncSetUp(self) -> None:
         stack = await self.enterAsyncContext(contextlib.AsyncExitStack())
@@ -89,18 +89,18 @@
 
     async def test_commands_print_what_the_page_says(self) -> None:
         steps = read_steps((ROOT / 'README.md').read_text(encoding='utf-8'))
-        ran = 0
-        async with asyncio.timeout(PATIENCE):
+        run_count = 0
+        async with asyncio.timeout(TIMEOUT_SECONDS):
             for step in steps:
-                # Daemons are running already; the demonstration has a test
-                # of its own.
+                # The daemons run already, and the demonstration has its own
+                # tests.
                 if step.command.endswith('&') or ' demo' in step.command:
                     continue
                 with self.subTest(command=step.command):
-                    found = await self.run_command(step.command)
-                    self.assertEqual(normalise(step.output), normalise(found))
-                ran += 1
-        self.assertEqual(9, ran)
+                    output = await self.run_command(step.command)
+                    self.assertEqual(normalise(step.output), normalise(output))
+                run_count += 1
+        self.assertEqual(9, run_count)
 
     async def run_command(self, command: str) -> str:
         name, *arguments = command.split()
@@ -118,7 +118,7 @@
         return output.getvalue()
 
     async def fetch(self, url: str) -> str:
-        """Call until the sidecar has announced the backend server."""
+        """Retry until the sidecar has announced the backend server."""
         while True:
             async with self.http.get(
                 url.replace(LOCAL_ENTRY, self.url)
@@ -129,7 +129,7 @@
 
 
 def normalise(output: str) -> str:
-    """Return the output without what differs from run to run."""
+    """Return the output with its generated identifiers replaced."""
     return VOLATILE.sub('ID', output).strip()
 
 
--- a/chivespoke/cli/tests/test_trace.py
+++ b/chivespoke/cli/tests/test_trace.py
@@ -1,4 +1,4 @@
-"""Following a request through logs."""
+"""Tests of the trace command."""
 
 import contextlib
 import io
@@ -38,15 +38,15 @@
             for line in output.getvalue().splitlines()
         ]
 
-    def test_lines_of_a_job_come_in_order(self) -> None:
-        found = self.trace('abc', *self.files)
-        self.assertEqual((0, ['intake', 'session']), found)
+    def test_lines_of_a_job_are_sorted_by_time(self) -> None:
+        result = self.trace('abc', *self.files)
+        self.assertEqual((0, ['intake', 'session']), result)
 
-    def test_circumstances_come_along_when_asked_for(self) -> None:
-        found = self.trace('abc', *self.files, '--around', '2')
-        self.assertEqual((0, ['term', 'intake', 'session']), found)
+    def test_around_adds_nearby_context_lines(self) -> None:
+        result = self.trace('abc', *self.files, '--around', '2')
+        self.assertEqual((0, ['term', 'intake', 'session']), result)
 
-    def test_nothing_found_is_a_failure(self) -> None:
+    def test_no_matching_line_is_a_failure(self) -> None:
         self.assertEqual((1, []), self.trace('xyz', *self.files))
 
 
