Reword capacity in the usual terms of the field

Docstrings and comments say what the code computes and in which unit. Private and local names follow: find_loads is compute_loads, Slope.find_stretch is compute_extrapolation, Estimate.find_driver is find_dominant_driver, CARRIERS is MECHANISMS, _make_delay is _check_delay, _count_owners is _describe_required_owners, Count and Amount are PositiveCount and NonNegative, RESOURCE is DEFAULT_MEASUREMENTS, and LETTER_SIZE of the tests is EXAMPLE_SIZE. Fields, enum values, the keys of slopes.json and all printed texts stay.

--- a/chivespoke/capacity/__init__.py
+++ b/chivespoke/capacity/__init__.py
@@ -1,4 +1,4 @@
-"""Capacity: what each role costs at a fleet's size, from measured slopes."""
+"""Capacity planning: cost of each role, extrapolated from measurements."""
 
 from chivespoke.capacity._model import Estimate
 from chivespoke.capacity._model import estimate_roles
--- a/chivespoke/capacity/_model.py
+++ b/chivespoke/capacity/_model.py
@@ -1,4 +1,4 @@
-"""What each role spends at a fleet's size, worked out from slopes."""
+"""Estimates of the cost of each role at a given fleet size."""
 
 import msgspec
 
@@ -10,45 +10,48 @@
 
 
 class Estimate(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold one measure of one role at the fleet's size."""
+    """Estimated value of one measure for one process of a role."""
 
     role: _slopes.Role
     measure: _slopes.Measure
-    # What an idle daemon spends, and what each driver adds.
+    # Cost of an idle process, and the cost that each driver adds to it.
     base: float
     parts: dict[_slopes.Driver, float]
     budget: float
-    # The largest stretch of a slope beyond its measured sizes.
+    # Largest ratio of an estimated load to the largest load measured for it;
+    # above 1, the estimate is an extrapolation.
     stretch: float
 
     @property
     def total(self) -> float:
-        """Return what the role spends in all."""
+        """Return the base cost plus the cost of every driver."""
         return self.base + sum(self.parts.values())
 
     @property
     def ratio(self) -> float:
-        """Return the total over the budget."""
+        """Return the total as a fraction of the budget."""
         return self.total / self.budget
 
-    def find_driver(self) -> _slopes.Driver | None:
-        """Return the driver that adds most."""
+    def find_dominant_driver(self) -> _slopes.Driver | None:
+        """Return the driver with the highest cost; None without drivers."""
         if not self.parts:
             return None
         return max(self.parts, key=lambda driver: self.parts[driver])
 
 
-def find_loads(
+def compute_loads(
     size: _size.FleetSize,
 ) -> dict[_slopes.Role, dict[_slopes.Driver, float]]:
-    """Return what drives one daemon of each role at the fleet's size."""
+    """Return the load of each driver on one process of each role."""
     layout = size.layout
     tasks = size.latency_critical_tasks + size.batch_tasks
     changes = size.changes_per_day / _size.SECONDS_PER_DAY
-    sidecars = size.latency_critical_tasks * layout.entries_per_sidecar
+    sidecar_connections = (
+        size.latency_critical_tasks * layout.entries_per_sidecar
+    )
     return {
         Role.ENTRY: {
-            Driver.SIDECARS: sidecars / layout.entries,
+            Driver.SIDECARS: sidecar_connections / layout.entries,
             Driver.PEERS: layout.peers_per_entry,
             Driver.CHANGES: changes,
         },
@@ -70,26 +73,29 @@
     measure: _slopes.Measure,
     loads: dict[_slopes.Driver, float],
 ) -> tuple[float, _slopes.Slope] | None:
-    """Return the largest value on the lines of a measure, and its line."""
-    found = [
+    """Return the highest prediction for a measure and the slope behind it.
+
+    Returns None if no slope of the measure has one of the given drivers.
+    """
+    predictions = [
         (slope.intercept + slope.per_unit * loads[slope.driver], slope)
         for slope in measurements.slopes
         if slope.measure is measure and slope.driver in loads
     ]
-    return max(found, key=lambda pair: pair[0], default=None)
+    return max(predictions, key=lambda pair: pair[0], default=None)
 
 
 def estimate_roles(
     size: _size.FleetSize, measurements: _slopes.Measurements
 ) -> list[Estimate]:
-    """Return every measure of every role that was measured."""
-    loads = find_loads(size)
+    """Return an estimate for each measured combination of role and measure."""
+    loads = compute_loads(size)
     budgets = {
         _slopes.Measure.CORE: size.budget.core,
         _slopes.Measure.MEMORY: size.budget.memory,
         _slopes.Measure.TRAFFIC: size.budget.traffic,
     }
-    found = []
+    estimates = []
     for role in _slopes.Role:
         for measure in budgets:
             slopes = [
@@ -98,11 +104,13 @@
                 if slope.role is role and slope.measure is measure
             ]
             if slopes:
-                found.append(_estimate(slopes, loads[role], budgets[measure]))
-    return found
+                estimates.append(
+                    _make_estimate(slopes, loads[role], budgets[measure])
+                )
+    return estimates
 
 
-def _estimate(
+def _make_estimate(
     slopes: list[_slopes.Slope],
     loads: dict[_slopes.Driver, float],
     budget: float,
@@ -111,8 +119,8 @@
     return Estimate(
         role=slopes[0].role,
         measure=slopes[0].measure,
-        # Every line's intercept holds the idle daemon; the least is
-        # nearest to it, as the others hold fixed loads of their runs.
+        # Each intercept is the cost of an idle process plus that of the
+        # fixed load of its benchmark; the lowest one is closest to idle.
         base=max(min(slope.intercept for slope in slopes), 0.0),
         parts={
             slope.driver: max(slope.per_unit, 0.0) * loads[slope.driver]
@@ -120,7 +128,10 @@
         },
         budget=budget,
         stretch=max(
-            (slope.find_stretch(loads[slope.driver]) for slope in relevant),
+            (
+                slope.compute_extrapolation(loads[slope.driver])
+                for slope in relevant
+            ),
             default=0.0,
         ),
     )
--- a/chivespoke/capacity/_requirements.py
+++ b/chivespoke/capacity/_requirements.py
@@ -1,4 +1,4 @@
-"""The lines that a fleet's size asks for, each met or not."""
+"""Requirements at a given fleet size and whether each is met."""
 
 import enum
 import math
@@ -14,7 +14,7 @@
 
 
 class Verdict(enum.Enum):
-    """Say whether a line is met by what was worked out."""
+    """Result of comparing an estimate with its limit."""
 
     MET = 'met'
     NOT_MET = 'not met'
@@ -22,7 +22,7 @@
 
 
 class Requirement(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold one line: what carries it, what was measured and worked out."""
+    """One requirement, the mechanism behind it, the data and the verdict."""
 
     line: str
     carried_by: str
@@ -36,7 +36,7 @@
     measurements: _slopes.Measurements,
     estimates: list[_model.Estimate],
 ) -> list[Requirement]:
-    """Return every line of the fleet's size with its verdict."""
+    """Return every requirement of the fleet size with its verdict."""
     return [
         *(_check_budget(size, estimate) for estimate in estimates),
         _check_appends(size, measurements),
@@ -50,26 +50,27 @@
 def _check_budget(
     size: _size.FleetSize, estimate: _model.Estimate
 ) -> Requirement:
-    driver = estimate.find_driver()
+    driver = estimate.find_dominant_driver()
     ratio = estimate.ratio
-    largest = driver.value if driver is not None else 'the idle daemon'
-    worked_out = format_amount(estimate.measure, estimate.total)
+    dominant = driver.value if driver is not None else 'the idle daemon'
+    total = format_amount(estimate.measure, estimate.total)
     verdict = Verdict.MET if ratio <= 1 else Verdict.NOT_MET
-    text = f'{worked_out}, {ratio:.2f} of the budget'
-    text += _count_owners(size, estimate)
+    result = f'{total}, {ratio:.2f} of the budget'
+    result += _describe_required_owners(size, estimate)
     return Requirement(
         line=f'{estimate.role.value}: {estimate.measure.value}',
-        carried_by=CARRIERS[estimate.role],
+        carried_by=MECHANISMS[estimate.role],
         measured=(
             f'idle {format_amount(estimate.measure, estimate.base)}; '
-            f'most by {largest}; stretched {estimate.stretch:.1f} times'
+            f'most by {dominant}; stretched {estimate.stretch:.1f} times'
         ),
-        worked_out=text,
+        worked_out=result,
         verdict=verdict,
     )
 
 
-CARRIERS = {
+# The mechanism that keeps the cost of each role within its budget.
+MECHANISMS = {
     Role.ENTRY: 'one heartbeat for all slots of a backend server',
     Role.SHARD_OWNER: 'sharding, one lease renewal for a whole worker',
     Role.SIDECAR: 'one heartbeat to each entry',
@@ -79,15 +80,17 @@
 }
 
 
-def _count_owners(size: _size.FleetSize, estimate: _model.Estimate) -> str:
-    """Say how many owners would meet the budget, if these don't."""
+def _describe_required_owners(
+    size: _size.FleetSize, estimate: _model.Estimate
+) -> str:
+    """Describe how many shard owners would meet a budget that is exceeded."""
     if estimate.role is not Role.SHARD_OWNER or estimate.ratio <= 1:
         return ''
-    room = estimate.budget - estimate.base
-    if room <= 0:
+    headroom = estimate.budget - estimate.base
+    if headroom <= 0:
         return '; no number of owners meets it, the idle daemon is over'
     needed = math.ceil(
-        size.layout.owners * sum(estimate.parts.values()) / room
+        size.layout.owners * sum(estimate.parts.values()) / headroom
     )
     return f'; {needed} owners would meet it'
 
@@ -96,19 +99,19 @@
     size: _size.FleetSize, measurements: _slopes.Measurements
 ) -> Requirement:
     layout = size.layout
-    placing = layout.shards * layout.appends_per_stream
+    stream_appends = layout.shards * layout.appends_per_stream
     snapshots = layout.shards / layout.snapshot_seconds
     changes = size.changes_per_day / _size.SECONDS_PER_DAY
-    total = placing + snapshots + changes
-    records = 2 * size.peak_starts / placing
+    total = stream_appends + snapshots + changes
+    records_per_append = 2 * size.peak_starts / stream_appends
     return Requirement(
         line=f'appends to the log under {layout.log_appends:.0f} a second',
         carried_by='group commit, spacing of appends in each stream',
         measured=_describe_appends(measurements),
         worked_out=(
-            f'{placing:.0f} of {layout.shards} streams, {snapshots:.2f} '
-            f'snapshots, {changes:.2f} changes: {total:.0f} a second, '
-            f'{records:.0f} records in each'
+            f'{stream_appends:.0f} of {layout.shards} streams, '
+            f'{snapshots:.2f} snapshots, {changes:.2f} changes: '
+            f'{total:.0f} a second, {records_per_append:.0f} records in each'
         ),
         verdict=Verdict.MET
         if total <= layout.log_appends
@@ -129,19 +132,21 @@
 def _check_starts(
     size: _size.FleetSize, measurements: _slopes.Measurements
 ) -> Requirement:
-    per_owner = size.peak_starts / size.layout.owners
-    found = _model.predict(
-        measurements, Measure.START_DELAY, {_slopes.Driver.STARTS: per_owner}
+    starts_per_owner = size.peak_starts / size.layout.owners
+    prediction = _model.predict(
+        measurements,
+        Measure.START_DELAY,
+        {_slopes.Driver.STARTS: starts_per_owner},
     )
-    return _make_delay(
+    return _check_delay(
         line=(
             f'{size.peak_starts:.0f} starts a second, urgent ones within '
             f'{size.urgent_start_seconds:g} s'
         ),
         carried_by='sharding, group commit of 0.25 s, permits',
-        found=found,
+        prediction=prediction,
         limit=size.urgent_start_seconds,
-        load=f'{per_owner:.0f} starts a second of one owner',
+        load=f'{starts_per_owner:.0f} starts a second of one owner',
     )
 
 
@@ -149,29 +154,29 @@
     size: _size.FleetSize, measurements: _slopes.Measurements
 ) -> Requirement:
     rate = size.changes_per_day / _size.SECONDS_PER_DAY
-    found = _model.predict(
+    prediction = _model.predict(
         measurements, Measure.CHANGE_DELAY, {_slopes.Driver.CHANGES: rate}
     )
-    return _make_delay(
+    return _check_delay(
         line=(
             f'{size.changes_per_day:.0f} changes a day, in force within '
             f'{size.change_seconds:g} s'
         ),
         carried_by='one stream that every entry polls; notices to sidecars',
-        found=found,
+        prediction=prediction,
         limit=size.change_seconds,
         load=f'{rate:.2f} changes a second',
     )
 
 
-def _make_delay(
+def _check_delay(
     line: str,
     carried_by: str,
-    found: tuple[float, _slopes.Slope] | None,
+    prediction: tuple[float, _slopes.Slope] | None,
     limit: float,
     load: str,
 ) -> Requirement:
-    if found is None:
+    if prediction is None:
         return Requirement(
             line=line,
             carried_by=carried_by,
@@ -179,7 +184,7 @@
             worked_out=load,
             verdict=Verdict.NOT_MEASURED,
         )
-    seconds, slope = found
+    seconds, slope = prediction
     return Requirement(
         line=line,
         carried_by=carried_by,
@@ -196,42 +201,45 @@
     failures = size.failures
     day = _size.SECONDS_PER_DAY
     tasks = size.latency_critical_tasks + size.batch_tasks
-    per_worker = tasks / size.workers
-    lost = failures.instance_failures_per_day + failures.replacements_per_day
-    rack = size.layout.workers_per_rack * per_worker
-    moved = lost * per_worker / day
+    tasks_per_worker = tasks / size.workers
+    losses_per_day = (
+        failures.instance_failures_per_day + failures.replacements_per_day
+    )
+    tasks_per_rack = size.layout.workers_per_rack * tasks_per_worker
+    moves_per_second = losses_per_day * tasks_per_worker / day
     return Requirement(
         line='instances that fail or are replaced, and racks',
         carried_by='leases, fences and placing again',
         measured='by arithmetic only',
         worked_out=(
-            f'{lost:.0f} a day place {moved:.2f} tasks a second again, '
-            f'{moved / size.peak_starts:.2%} of the peak; a rack places '
-            f'{rack:.0f} at once'
+            f'{losses_per_day:.0f} a day place {moves_per_second:.2f} tasks '
+            f'a second again, {moves_per_second / size.peak_starts:.2%} of '
+            f'the peak; a rack places {tasks_per_rack:.0f} at once'
         ),
         verdict=Verdict.MET
-        if moved + rack <= size.peak_starts
+        if moves_per_second + tasks_per_rack <= size.peak_starts
         else Verdict.NOT_MET,
     )
 
 
 def _check_data_centre(size: _size.FleetSize) -> Requirement:
     tasks = size.latency_critical_tasks + size.batch_tasks
-    moved = tasks / size.data_centres
-    seconds = moved / size.peak_starts
+    moved_tasks = tasks / size.data_centres
+    seconds = moved_tasks / size.peak_starts
     return Requirement(
         line='a data centre fails or is taken out',
         carried_by='starts of every other shard, services first',
         measured='by arithmetic only',
         worked_out=(
-            f'{moved:.0f} tasks, {seconds:.0f} s at the peak rate of starts'
+            f'{moved_tasks:.0f} tasks, {seconds:.0f} s at the peak rate '
+            f'of starts'
         ),
         verdict=Verdict.NOT_MEASURED,
     )
 
 
 def format_amount(measure: _slopes.Measure, amount: float) -> str:
-    """Return an amount with the unit of its measure."""
+    """Format a value in the unit of its measure."""
     if measure is Measure.CORE:
         return f'{amount:.2%} of a core'
     if measure is Measure.MEMORY:
--- a/chivespoke/capacity/_size.py
+++ b/chivespoke/capacity/_size.py
@@ -1,4 +1,4 @@
-"""The size of a fleet and how the system is laid out over it."""
+"""Fleet sizes: load, cost budgets, failure rates and topology."""
 
 import pathlib
 import typing
@@ -12,17 +12,18 @@
 SECONDS_PER_WEEK = 7 * SECONDS_PER_DAY
 SECONDS_PER_MONTH = 30 * SECONDS_PER_DAY
 
-Count = typing.Annotated[int, msgspec.Meta(gt=0)]
-Amount = typing.Annotated[float, msgspec.Meta(ge=0)]
+PositiveCount = typing.Annotated[int, msgspec.Meta(gt=0)]
+NonNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
 Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
 
 
 class Budget(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """Bound what one daemon may spend for control."""
+    """Limits on the control overhead of one process."""
 
-    # Share of one core, bytes resident, and bytes a second both ways.
+    # Fraction of one core, resident bytes, and bytes per second sent and
+    # received.
     core: Positive = 0.014
     memory: Positive = 128_000_000
     traffic: Positive = 3_000
@@ -31,34 +32,34 @@
 class Failures(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """Say how often things fail."""
+    """Expected failure rates."""
 
-    instance_failures_per_day: Amount = 170
-    replacements_per_day: Amount = 980
-    racks_per_week: Amount = 1
-    data_centres_per_month: Amount = 0.5
-    # Longest time for which regions lose each other.
-    region_cut_seconds: Amount = 300
+    instance_failures_per_day: NonNegative = 170
+    replacements_per_day: NonNegative = 980
+    racks_per_week: NonNegative = 1
+    data_centres_per_month: NonNegative = 0.5
+    # Longest network partition between regions.
+    region_cut_seconds: NonNegative = 300
 
 
 class Layout(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """Say how the system's processes are laid out."""
-
-    entries: Count = 36
-    # Worker groups; each has one owner and one stream of the log.
-    shards: Count = 76
-    # Processes that may own shards: entries, or sidecars as well.
-    owners: Count = 76
-    # Entries that one sidecar keeps a connection to.
-    entries_per_sidecar: Count = 36
-    # Other entries that one entry hears from.
-    peers_per_entry: Count = 35
-    workers_per_rack: Count = 3
-    # Appends a second that the log accepts over all streams.
+    """Number of processes of each kind and the connections between them."""
+
+    entries: PositiveCount = 36
+    # Worker groups, each with one owner and one log stream.
+    shards: PositiveCount = 76
+    # Processes that may own shards: entries, and optionally sidecars.
+    owners: PositiveCount = 76
+    # Entries to which one sidecar keeps a connection.
+    entries_per_sidecar: PositiveCount = 36
+    # Other entries from which one entry receives messages.
+    peers_per_entry: PositiveCount = 35
+    workers_per_rack: PositiveCount = 3
+    # Appends per second that the log accepts across all streams.
     log_appends: Positive = 400
-    # Appends a second of one busy stream.
+    # Appends per second to one busy stream.
     appends_per_stream: Positive = 4
     snapshot_seconds: Positive = 300
 
@@ -66,19 +67,19 @@
 class FleetSize(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """Hold the numbers that the system is to carry."""
-
-    workers: Count
-    accelerators: Amount = 0
-    jobs_per_day: Amount
-    peak_starts: Amount
-    latency_critical_tasks: Amount
-    batch_tasks: Amount
-    teams: Count
-    regions: Count
-    data_centres: Count
+    """Load that the system must support, and its latency targets."""
+
+    workers: PositiveCount
+    accelerators: NonNegative = 0
+    jobs_per_day: NonNegative
+    peak_starts: NonNegative
+    latency_critical_tasks: NonNegative
+    batch_tasks: NonNegative
+    teams: PositiveCount
+    regions: PositiveCount
+    data_centres: PositiveCount
     urgent_start_seconds: Positive = 1.3
-    changes_per_day: Amount
+    changes_per_day: NonNegative
     change_seconds: Positive = 16
     budget: Budget = Budget()
     failures: Failures = Failures()
@@ -86,5 +87,8 @@
 
 
 def read_size(path: pathlib.Path) -> FleetSize:
-    """Read and check a fleet's size; raise SettingsError."""
+    """Read a fleet size from a YAML file.
+
+    Raises SettingsError if the file is invalid.
+    """
     return yaml_files.read_yaml(path, FleetSize, STEP)
--- a/chivespoke/capacity/_slopes.py
+++ b/chivespoke/capacity/_slopes.py
@@ -1,4 +1,4 @@
-"""Measured slopes: what a daemon spends against what drives it."""
+"""Measured slopes: the cost of a process as a function of its load."""
 
 import collections.abc
 import enum
@@ -7,11 +7,11 @@
 import msgspec
 import numpy
 
-RESOURCE = 'slopes.json'
+DEFAULT_MEASUREMENTS = 'slopes.json'
 
 
 class Role(enum.Enum):
-    """Name the processes whose cost is measured."""
+    """Kind of process whose cost is measured."""
 
     ENTRY = 'entry'
     SHARD_OWNER = 'shard owner'
@@ -22,7 +22,7 @@
 
 
 class Driver(enum.Enum):
-    """Name the numbers that make a daemon spend more."""
+    """Load variable that determines the cost of a process."""
 
     WORKERS = 'workers'
     TASKS = 'tasks'
@@ -33,24 +33,24 @@
 
 
 class Measure(enum.Enum):
-    """Name what is spent, each in the unit given."""
+    """Measured quantity; the comments give the units."""
 
-    # Seconds of processor a second.
+    # CPU seconds per second.
     CORE = 'core'
-    # Bytes resident.
+    # Resident bytes.
     MEMORY = 'memory'
-    # Bytes a second, both ways.
+    # Bytes per second, sent and received.
     TRAFFIC = 'traffic'
-    # Appends a second to the log.
+    # Appends to the log per second.
     APPENDS = 'appends'
-    # Seconds from submission to start, 99th percentile.
+    # 99th percentile of the seconds from submission to start.
     START_DELAY = 'start delay'
-    # Seconds until a change is in force at another entry, the longest.
+    # Maximum seconds until a change is in force at another entry.
     CHANGE_DELAY = 'change delay'
 
 
 class Slope(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold a straight line through measured points."""
+    """Linear fit of a measure against the size of a driver."""
 
     role: Role
     driver: Driver
@@ -59,23 +59,23 @@
     values: tuple[float, ...]
     intercept: float
     per_unit: float
-    # Root of the mean squared distance to the line, over the largest value.
+    # Root mean square error of the fit, relative to the largest value.
     residual: float
     command: str
 
-    def find_stretch(self, load: float) -> float:
-        """Return how far a load lies beyond the largest measured size."""
+    def compute_extrapolation(self, load: float) -> float:
+        """Return the ratio of a load to the largest measured size."""
         return load / max(self.sizes)
 
 
 class Measurements(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold the slopes of one run, and where they were measured."""
+    """Slopes of one benchmark run and the conditions of the run."""
 
     machine: str
     measured_on: str
     window_seconds: float
     slopes: tuple[Slope, ...]
-    # What could not be measured and why.
+    # Limits of the measurement and the reasons for them.
     notes: tuple[str, ...] = ()
 
 
@@ -90,9 +90,9 @@
     sizes = numpy.array([size for size, _ in points], dtype=float)
     values = numpy.array([value for _, value in points], dtype=float)
     per_unit, intercept = numpy.polyfit(sizes, values, 1)
-    distances = values - (intercept + per_unit * sizes)
+    errors = values - (intercept + per_unit * sizes)
     scale = float(numpy.max(numpy.abs(values))) or 1.0
-    residual = float(numpy.sqrt(numpy.mean(distances**2))) / scale
+    residual = float(numpy.sqrt(numpy.mean(errors**2))) / scale
     return Slope(
         role=role,
         driver=driver,
@@ -107,8 +107,8 @@
 
 
 def read_measurements(source: bytes | None = None) -> Measurements:
-    """Return the given measurements, or those that ship with the package."""
+    """Decode measurements from JSON; by default, the packaged ones."""
     if source is None:
         package = importlib.resources.files('chivespoke.capacity')
-        source = (package / RESOURCE).read_bytes()
+        source = (package / DEFAULT_MEASUREMENTS).read_bytes()
     return msgspec.json.decode(source, type=Measurements)
--- a/chivespoke/capacity/tests/__init__.py
+++ b/chivespoke/capacity/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the capacity calculator."""
+"""Tests of capacity planning."""
--- a/chivespoke/capacity/tests/builders.py
+++ b/chivespoke/capacity/tests/builders.py
@@ -1,11 +1,11 @@
-"""Build fleet sizes and slopes for tests."""
+"""Fleet sizes and slopes for tests."""
 
 import pathlib
 
 from chivespoke import capacity
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
-LETTER_SIZE = ROOT / 'examples' / 'size-letter-1.yaml'
+EXAMPLE_SIZE = ROOT / 'examples' / 'size-letter-1.yaml'
 
 
 def make_slope(
@@ -15,7 +15,7 @@
     intercept: float,
     per_unit: float,
 ) -> capacity.Slope:
-    """Return a slope fitted through exact points of a line."""
+    """Return a slope fitted to points that lie exactly on a line."""
     points = [
         (float(size), intercept + per_unit * size) for size in (1, 2, 4, 8)
     ]
@@ -23,7 +23,7 @@
 
 
 def make_measurements(*slopes: capacity.Slope) -> capacity.Measurements:
-    """Return measurements that hold the given slopes."""
+    """Return measurements with the given slopes."""
     return capacity.Measurements(
         machine='machine',
         measured_on='day',
--- a/chivespoke/capacity/tests/test_capacity.py
+++ b/chivespoke/capacity/tests/test_capacity.py
@@ -1,4 +1,4 @@
-"""Tests of the capacity calculator."""
+"""Tests of capacity planning."""
 
 import pathlib
 import tempfile
@@ -16,13 +16,13 @@
 
 
 class FitTest(unittest.TestCase):
-    """Fit lines to points."""
+    """Linear fits of measured points."""
 
     @hypothesis.given(
         intercept=strategies.floats(0, 1e6),
         per_unit=strategies.floats(0, 1e4),
     )
-    def test_exact_points_give_the_line(
+    def test_collinear_points_are_fitted_exactly(
         self, intercept: float, per_unit: float
     ) -> None:
         slope = builders.make_slope(
@@ -33,7 +33,7 @@
         self.assertLess(abs(slope.per_unit - per_unit) / scale, 1e-6)
         self.assertLess(slope.residual, 1e-6)
 
-    def test_residual_tells_a_bad_fit(self) -> None:
+    def test_bad_fit_has_large_residual(self) -> None:
         points = ((1.0, 1.0), (2.0, 9.0), (3.0, 1.0), (4.0, 9.0))
         slope = capacity.fit_slope(
             Role.ENTRY, Driver.PEERS, Measure.CORE, points, 'command'
@@ -42,12 +42,12 @@
 
 
 class EstimateTest(unittest.TestCase):
-    """Work out roles and lines at the size of the example."""
+    """Estimates and requirements at the fleet size of the example."""
 
     def setUp(self) -> None:
-        self.size = capacity.read_size(builders.LETTER_SIZE)
+        self.size = capacity.read_size(builders.EXAMPLE_SIZE)
 
-    def test_loads_times_slopes(self) -> None:
+    def test_cost_is_load_times_slope(self) -> None:
         measurements = builders.make_measurements(
             builders.make_slope(
                 Role.SHARD_OWNER, Driver.WORKERS, Measure.TRAFFIC, 100, 20
@@ -56,20 +56,20 @@
                 Role.SHARD_OWNER, Driver.STARTS, Measure.TRAFFIC, 150, 10
             ),
         )
-        (found,) = capacity.estimate_roles(self.size, measurements)
-        self.assertAlmostEqual(100, found.base)
-        self.assertAlmostEqual(20 * 250, found.parts[Driver.WORKERS])
-        self.assertAlmostEqual(10 * 25, found.parts[Driver.STARTS])
-        self.assertAlmostEqual(5350 / 3000, found.ratio)
-        self.assertAlmostEqual(250 / 8, found.stretch)
-        self.assertIs(Driver.WORKERS, found.find_driver())
-
-    def test_verdicts_and_owners_that_would_do(self) -> None:
+        (estimate,) = capacity.estimate_roles(self.size, measurements)
+        self.assertAlmostEqual(100, estimate.base)
+        self.assertAlmostEqual(20 * 250, estimate.parts[Driver.WORKERS])
+        self.assertAlmostEqual(10 * 25, estimate.parts[Driver.STARTS])
+        self.assertAlmostEqual(5350 / 3000, estimate.ratio)
+        self.assertAlmostEqual(250 / 8, estimate.stretch)
+        self.assertIs(Driver.WORKERS, estimate.find_dominant_driver())
+
+    def test_exceeded_budget_reports_required_owners(self) -> None:
         cases = (
             (5.0, capacity.Verdict.MET, ''),
             (20.0, capacity.Verdict.NOT_MET, '132 owners would meet it'),
         )
-        for per_unit, verdict, words in cases:
+        for per_unit, verdict, remark in cases:
             with self.subTest(per_unit=per_unit):
                 measurements = builders.make_measurements(
                     builders.make_slope(
@@ -85,9 +85,9 @@
                     self.size, measurements, estimates
                 )[0]
                 self.assertIs(verdict, first.verdict)
-                self.assertIn(words, first.worked_out)
+                self.assertIn(remark, first.worked_out)
 
-    def test_delays_are_held_against_their_limits(self) -> None:
+    def test_delays_are_compared_with_their_limits(self) -> None:
         for per_unit, verdict in (
             (0.02, capacity.Verdict.MET),
             (0.05, capacity.Verdict.NOT_MET),
@@ -102,8 +102,12 @@
                         per_unit,
                     )
                 )
-                found = capacity.list_requirements(self.size, measurements, [])
-                starts = [each for each in found if 'urgent' in each.line]
+                requirements = capacity.list_requirements(
+                    self.size, measurements, []
+                )
+                starts = [
+                    each for each in requirements if 'urgent' in each.line
+                ]
                 self.assertIs(verdict, starts[0].verdict)
                 worked_out = 0.5 + 25 * per_unit
                 self.assertIn(f'{worked_out:.2f} s', starts[0].worked_out)
@@ -120,7 +124,7 @@
             capacity.draw_estimates(estimates, path)
             self.assertTrue(path.read_bytes().startswith(b'\x89PNG'))
 
-    def test_shipped_measurements_can_be_read(self) -> None:
+    def test_packaged_measurements_can_be_read(self) -> None:
         self.assertTrue(capacity.read_measurements().machine)
 
 
