--- a/tools/tests.py
+++ b/tools/tests.py
@@ -18,14 +18,15 @@
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 TEST_PREFIX = 'test: '
 PARALLEL_MODULES = 4
-# A module that runs longer, in seconds, hangs: it shows where and ends. The
-# whole of the checks has ten minutes.
+# A module that runs longer than this many seconds is considered hung: its
+# process dumps the stack traces of its threads and exits. All checks together
+# must finish within ten minutes.
 HANG_SECONDS = 420.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ModuleResult:
-    """Hold the outcome of one test module."""
+    """Outcome of one test module."""
 
     module: str
     ran: int
@@ -35,7 +36,7 @@
 
 
 def read_known_red() -> frozenset[str]:
-    """Return the identifiers of the tests that are listed as red."""
+    """Return the identifiers of the tests listed as known failures."""
     if not KNOWN_RED.exists():
         return frozenset()
     lines = KNOWN_RED.read_text(encoding='utf-8').splitlines()
@@ -56,41 +57,42 @@
 
 
 def iterate_cases(suite: unittest.TestSuite) -> typing.Iterator[typing.Any]:
-    """Yield the cases of a suite, nested suites flattened."""
-    for entry in suite:
-        if isinstance(entry, unittest.TestSuite):
-            yield from iterate_cases(entry)
+    """Yield the test cases of a suite and of its nested suites."""
+    for item in suite:
+        if isinstance(item, unittest.TestSuite):
+            yield from iterate_cases(item)
         else:
-            yield entry
+            yield item
 
 
 def run_module(module: str, pattern: str, verbosity: int) -> ModuleResult:
-    """Run the cases of one module whose identifier holds the pattern."""
+    """Run the test cases of a module whose identifier contains a pattern."""
     if str(ROOT) not in sys.path:
         sys.path.insert(0, str(ROOT))
     faulthandler.dump_traceback_later(HANG_SECONDS, exit=True)
     settings.register_profile('ci', derandomize=True, deadline=None)
     settings.load_profile('ci')
     loguru.logger.remove()
-    loaded = unittest.TestLoader().loadTestsFromName(module)
-    cases = [case for case in iterate_cases(loaded) if pattern in case.id()]
+    suite = unittest.TestLoader().loadTestsFromName(module)
+    cases = [case for case in iterate_cases(suite) if pattern in case.id()]
     output = io.StringIO()
     runner = unittest.TextTestRunner(output, verbosity=verbosity)
     result = runner.run(unittest.TestSuite(cases))
-    failed = result.failures + result.errors
+    failures = result.failures + result.errors
     unexpected = [case.id() for case in result.unexpectedSuccesses]
     return ModuleResult(
         module=module,
         ran=result.testsRun,
         skipped=len(result.skipped),
-        failed=frozenset([case.id() for case, _ in failed] + unexpected),
+        failed=frozenset([case.id() for case, _ in failures] + unexpected),
         output=output.getvalue(),
     )
 
 
 def run_modules(pattern: str, verbosity: int) -> list[ModuleResult]:
-    """Run all modules, a process each, and return results in order."""
-    # A module gets a fresh process, so that none depends on another.
+    """Run each module in its own process; return results in module order."""
+    # Each module runs in a fresh process, so that no module can depend on the
+    # state that another one leaves behind.
     with concurrent.futures.ProcessPoolExecutor(
         PARALLEL_MODULES, max_tasks_per_child=1
     ) as pool:
@@ -102,7 +104,7 @@
 
 
 def print_results(results: list[ModuleResult], verbose: bool) -> None:
-    """Print the output of the modules that failed, or of all."""
+    """Print the output of failed modules, or of all if verbose."""
     for result in results:
         if result.failed or (verbose and result.ran):
             print(f'== {result.module}')
@@ -111,8 +113,8 @@
 
 def main() -> int:
     """Run the tests and return the exit code."""
-    # The processes of the modules read it: sets of names keep one order, so
-    # that a seeded run is the same run every time.
+    # Inherited by the child processes: a fixed iteration order of string
+    # sets makes seeded runs reproducible.
     os.environ.setdefault('PYTHONHASHSEED', '0')
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('pattern', nargs='?', default='')
