--- a/chivespoke/bench/_policy_life.py
+++ b/chivespoke/bench/_policy_life.py
@@ -1,4 +1,4 @@
-"""A thin life cycle that drives the policies on a virtual clock."""
+"""Simplified task life cycle that runs the policies on a virtual clock."""
 
 import collections
 import dataclasses
@@ -17,13 +17,14 @@
 from chivespoke import workers
 
 TEAM = identifiers.TeamName('bench')
-# Ticks after which views show how much work a task would lose.
-REFRESH_EVERY = 6
+# Interval, in ticks, at which the views are updated with the work that each
+# task would lose if it were stopped.
+REFRESH_INTERVAL = 6
 
 
 @dataclasses.dataclass(slots=True)
 class WaitingTask:
-    """Hold one task that waits for a place."""
+    """A task that waits to be placed on a worker."""
 
     demand: scheduling.TaskDemand
     attempt: identifiers.Attempt
@@ -33,7 +34,7 @@
 
 
 class LifeCycle:
-    """Place, guard, drain and complete the tasks of one run."""
+    """Places, guards, evacuates and completes the tasks of one run."""
 
     __slots__ = (
         'evictions',
@@ -60,7 +61,7 @@
     ) -> None:
         self.evictions = 0
         self.moves = 0
-        # Every decision of the policies, in order.
+        # Decisions of the policies in chronological order.
         self.journal: list[str] = []
         self.clock = clock
         self.world = world
@@ -82,7 +83,7 @@
         self._ticks = 0
 
     def run(self, horizon: float = _policy_scenario.HORIZON) -> None:
-        """Run the scenario up to a horizon in seconds."""
+        """Run the scenario until the horizon, in seconds."""
         while self._ticks * _policy_scenario.TICK < horizon:
             if self._ticks * _policy_scenario.TICK == horizon / 2:
                 self._replace_process()
@@ -92,29 +93,29 @@
 
     def _replace_process(self) -> None:
         suite = self._suite
-        if suite.successor is not None and suite.knowledge is not None:
-            self._suite = suite.successor(suite.knowledge)
+        if suite.make_successor is not None and suite.estimator is not None:
+            self._suite = suite.make_successor(suite.estimator)
 
     def _run_tick(self, now: float) -> None:
         self._admit(now)
-        self._change_data_centre(now)
+        self._update_outage(now)
         self._place(now)
-        self.world.advance(now, self._weigh_servers())
+        self.world.advance(now, self._compute_request_shares())
         for task in self.world.completed:
             self._remove(task.demand.task_id)
-        self._receive(now)
-        if self._ticks % REFRESH_EVERY == 0:
-            self._refresh()
+        self._deliver_reports(now)
+        if self._ticks % REFRESH_INTERVAL == 0:
+            self._update_unsaved_work()
         for view in self._views.values():
             for action in self._suite.guard.decide_actions(now, view):
                 self._apply(action)
 
-    def _receive(self, now: float) -> None:
-        knowledge = self._suite.knowledge
-        if knowledge is not None:
+    def _deliver_reports(self, now: float) -> None:
+        estimator = self._suite.estimator
+        if estimator is not None:
             for worker in self.world.workers.values():
                 clock = self.world.read_clock(now, worker)
-                knowledge.matcher.observe_clock(now, worker.worker_id, clock)
+                estimator.matcher.observe_clock(now, worker.worker_id, clock)
         for report in self.world.receive_reports(now):
             view = self._views[report.worker_id]
             self._suite.observer.observe_report(now, report, view)
@@ -141,19 +142,19 @@
                 )
             )
 
-    def _change_data_centre(self, now: float) -> None:
-        centres = self._scenario.shape.data_centres
-        name = f'dc{self._scenario.seed % centres}'
-        start = _policy_scenario.OUTAGE_FROM
+    def _update_outage(self, now: float) -> None:
+        count = self._scenario.shape.data_centres
+        name = f'dc{self._scenario.seed % count}'
+        start = _policy_scenario.OUTAGE_START
         if now == start:
             self._out = name
-            self._empty_data_centre(services_only=True)
+            self._evacuate_data_centre(services_only=True)
         elif now == start + _policy_scenario.OUTAGE_NOTICE:
-            self._empty_data_centre(services_only=False)
-        elif now == _policy_scenario.OUTAGE_UNTIL:
+            self._evacuate_data_centre(services_only=False)
+        elif now == _policy_scenario.OUTAGE_END:
             self._out = None
 
-    def _empty_data_centre(self, services_only: bool) -> None:
+    def _evacuate_data_centre(self, services_only: bool) -> None:
         for view in self._views.values():
             if view.data_centre != self._out:
                 continue
@@ -170,26 +171,30 @@
                     self._stop(view, demand.task_id)
 
     def _place(self, now: float) -> None:
-        """Try every waiting task, a family that found no place only once."""
-        stuck: set[str] = set()
-        still: list[WaitingTask] = []
-        order = sorted(
+        """Place the waiting tasks, services first.
+
+        Once a task cannot be placed, the remaining tasks of its family are
+        skipped until the next tick.
+        """
+        blocked_families: set[str] = set()
+        unplaced: list[WaitingTask] = []
+        services_first = sorted(
             self._waiting,
             key=lambda task: task.demand.kind is workers.TaskKind.BATCH,
         )
-        for task in order:
+        for task in services_first:
             family = task.demand.family
-            if family in stuck or not self._place_one(now, task):
-                stuck.add(family)
-                still.append(task)
-        self._waiting = still
+            if family in blocked_families or not self._place_task(now, task):
+                blocked_families.add(family)
+                unplaced.append(task)
+        self._waiting = unplaced
 
-    def _place_one(self, now: float, task: WaitingTask) -> bool:
+    def _place_task(self, now: float, task: WaitingTask) -> bool:
         demand = self._size(task.demand)
         candidates = self._find_candidates(demand)
         is_service = demand.kind is not workers.TaskKind.BATCH
         if not candidates and is_service:
-            candidates = self._make_room(demand)
+            candidates = self._evict_for_replica(demand)
         chosen = self._suite.placement.choose_worker(demand, candidates)
         if chosen is None:
             return False
@@ -224,7 +229,10 @@
     def _find_candidates(
         self, demand: scheduling.TaskDemand
     ) -> list[scheduling.WorkerView]:
-        """Return the feasible workers; replicas keep off each other."""
+        """Return the workers that can run a task.
+
+        Replicas of a service are never placed on the same worker.
+        """
         is_service = demand.kind is not workers.TaskKind.BATCH
         return [
             view
@@ -234,10 +242,15 @@
             and not (is_service and _has_family(view, demand.family))
         ]
 
-    def _make_room(
+    def _evict_for_replica(
         self, demand: scheduling.TaskDemand
     ) -> list[scheduling.WorkerView]:
-        """Evict what loses least until a replica fits somewhere."""
+        """Evict batch tasks until a replica fits on a worker.
+
+        The worker with the most free CPU is chosen, and its tasks with the
+        least unsaved work are evicted first. Returns the worker, or an empty
+        list if the replica does not fit.
+        """
         views = [
             view
             for view in self._views.values()
@@ -280,7 +293,7 @@
     def _stop(
         self, view: scheduling.WorkerView, task_id: identifiers.TaskId
     ) -> None:
-        """Stop an attempt; the next goes on from the checkpoint."""
+        """Stop an attempt; the next one resumes from its last checkpoint."""
         task = self.world.workers[view.worker_id].tasks[task_id]
         lost = task.done - task.saved
         if lost > 0.0:
@@ -305,7 +318,7 @@
                 view.committed = view.committed - placed.demand.size
                 del self.world.workers[view.worker_id].tasks[task_id]
 
-    def _refresh(self) -> None:
+    def _update_unsaved_work(self) -> None:
         for view in self._views.values():
             tasks = self.world.workers[view.worker_id].tasks
             for task_id, placed in list(view.tasks.items()):
@@ -314,18 +327,20 @@
                     placed, unsaved_seconds=task.done - task.saved
                 )
 
-    def _weigh_servers(self) -> dict[str, float]:
-        """Return each replica's share of requests; 1 is an even share."""
-        raw: dict[str, dict[str, float]] = {}
+    def _compute_request_shares(self) -> dict[str, float]:
+        """Return each replica's request share relative to an even share."""
+        weights_by_service: dict[str, dict[str, float]] = {}
         for view in self._views.values():
             for placed in view.tasks.values():
                 demand = placed.demand
                 if demand.kind is workers.TaskKind.BATCH:
                     continue
                 weight = self._suite.routing.compute_weight(view, placed)
-                raw.setdefault(demand.family, {})[demand.task_id] = weight
+                weights_by_service.setdefault(demand.family, {})[
+                    demand.task_id
+                ] = weight
         shares = {}
-        for weights in raw.values():
+        for weights in weights_by_service.values():
             mean = math.fsum(weights.values()) / len(weights)
             for task_id, weight in weights.items():
                 shares[task_id] = weight / mean
@@ -335,7 +350,7 @@
 def _make_replicas(
     scenario: _policy_scenario.Scenario,
 ) -> list[WaitingTask]:
-    made = []
+    replicas = []
     for service in scenario.services:
         for index in range(service.replicas):
             demand = scheduling.TaskDemand(
@@ -350,10 +365,10 @@
                 service.size.memory_mib,
                 0,
             )
-            made.append(
+            replicas.append(
                 WaitingTask(demand, identifiers.Attempt(1), use, math.inf)
             )
-    return made
+    return replicas
 
 
 def _has_family(view: scheduling.WorkerView, family: str) -> bool:
--- a/chivespoke/bench/_policy_model.py
+++ b/chivespoke/bench/_policy_model.py
@@ -1,7 +1,7 @@
-"""A small seeded model of workers, at the interface of their reports.
+"""Seeded model of workers that produces their usage reports.
 
-The model feeds the policies' decisions; it is no cluster simulator. What it
-holds is hidden from the policies, which see messages only.
+The model provides input to the policies; it is not a full cluster simulator.
+Its state is hidden from the policies, which see only the reports.
 """
 
 import collections
@@ -16,21 +16,24 @@
 from chivespoke import scheduling
 from chivespoke import workers
 
+# Fraction of its normal CPU usage that a throttled task gets.
 THROTTLED_SHARE = 0.3
-# How over-use of the processors lengthens the tail, per log unit.
+# Increase of the log tail latency per unit of log CPU overcommitment.
 PRESSURE_GAIN = 1.5
-# Harm bends towards this log slowdown; policies aren't told so.
+# The log slowdown of a service by interference saturates at this value; the
+# policies have no knowledge of it.
 SATURATION = 2.5
-# How a batch task slows by one whole worker of other batch work.
-BATCH_HARM = 0.25
-CHECKPOINT_COST = 5.0  # seconds of the task's time
-# Workers' clocks run from readings of their own.
-CLOCK_STEP = 1000.0
+# Log slowdown of a batch task when other batch tasks use all processors of its
+# worker.
+BATCH_INTERFERENCE = 0.25
+CHECKPOINT_COST = 5.0  # seconds added to the run time of the task
+# Each worker's clock has its own offset, a multiple of this many seconds.
+CLOCK_OFFSET_STEP = 1000.0
 
 
 @dataclasses.dataclass(slots=True)
 class RunningTask:
-    """Hold one attempt on a worker and what is hidden of it."""
+    """An attempt on a worker, with the state hidden from the policies."""
 
     demand: scheduling.TaskDemand
     attempt: identifiers.Attempt
@@ -47,7 +50,7 @@
 
 @dataclasses.dataclass(slots=True)
 class ModelWorker:
-    """Hold one worker."""
+    """State of one worker."""
 
     worker_id: identifiers.WorkerId
     data_centre: identifiers.DataCentreName
@@ -62,7 +65,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Sample:
-    """Hold the true slowdown of one replica over one tick."""
+    """True slowdown of one replica during one tick."""
 
     at: float
     service: str
@@ -71,7 +74,7 @@
 
 
 class ModelWorld:
-    """Advance the workers and send their reports with a lag."""
+    """Advances the workers and delivers their reports with a delay."""
 
     __slots__ = (
         'workers',
@@ -98,7 +101,7 @@
         )
         self.workers = _make_workers(scenario.shape)
         self.samples: list[Sample] = []
-        # Millicore seconds, by tick.
+        # Millicore seconds of work by the time of the tick.
         self.work: dict[float, float] = {}
         self.lost_work: collections.defaultdict[float, float] = (
             collections.defaultdict(float)
@@ -106,7 +109,11 @@
         self.completed: list[RunningTask] = []
 
     def advance(self, now: float, weights: dict[str, float]) -> None:
-        """Run one tick; the weights route requests to replicas."""
+        """Simulate one tick.
+
+        The weights are the request shares of the replicas, relative to an
+        even share.
+        """
         self.completed = []
         self._drift_loads()
         done = 0.0
@@ -117,52 +124,56 @@
         self.work[now] = done
 
     def receive_reports(self, now: float) -> list[workers.UsageReport]:
-        """Return the reports that have arrived."""
+        """Return the reports that have arrived by now."""
         arrived = []
         while self._reports and self._reports[0][0] <= now:
             arrived.append(heapq.heappop(self._reports)[2])
         return arrived
 
     def read_clock(self, now: float, worker: ModelWorker) -> float:
-        """Return the worker's own clock."""
+        """Return the reading of a worker's clock."""
         return now + worker.clock_offset
 
     def get_load(self, now: float, service: str, data_centre: str) -> float:
-        """Return the hidden load of a replica under even routing."""
+        """Return the true load of a replica under even routing."""
         truth = self._services[service]
-        shift = int(data_centre.removeprefix('dc')) * 0.7
-        wave = math.sin(2 * math.pi * now / 5400.0 + truth.phase + shift)
+        phase_shift = int(data_centre.removeprefix('dc')) * 0.7
+        wave = math.sin(2 * math.pi * now / 5400.0 + truth.phase + phase_shift)
         return max(0.55 + 0.35 * wave + self._drift[service], 0.05)
 
     def get_truth(self, service: str) -> _policy_scenario.ServiceTruth:
-        """Return a service's hidden parameters, for the oracle."""
+        """Return the hidden parameters of a service, for the oracle."""
         return self._services[service]
 
     def get_uses(self) -> dict[str, resources.Resources]:
-        """Return the families' true uses, for the oracle."""
+        """Return the true resource usage by family, for the oracle."""
         return {f.name: f.use for f in self._scenario.families}
 
     def _drift_loads(self) -> None:
-        # A stream of its own for each tick keeps loads the same for every
-        # policy, whatever it did before.
+        # A separate random generator for each tick keeps the loads independent
+        # of the decisions of the policy.
         for name in sorted(self._services):
-            source = random.Random(
+            generator = random.Random(
                 f'{self._scenario.seed}-{name}-{len(self.work)}'
             )
-            self._drift[name] += source.gauss(0.0, 0.02)
+            self._drift[name] += generator.gauss(0.0, 0.02)
             self._drift[name] *= 0.98
 
     def _advance_batch(self, worker: ModelWorker) -> float:
         pressure = max(get_pressure(worker), 1.0)
         total = sum(
-            get_cores(task) for task in worker.tasks.values() if is_batch(task)
+            get_millicores(task)
+            for task in worker.tasks.values()
+            if is_batch(task)
         )
         done = 0.0
         for task in list(worker.tasks.values()):
             if not is_batch(task):
                 continue
-            others = (total - get_cores(task)) / worker.capacity.millicores
-            speed = math.exp(-BATCH_HARM * others) / pressure
+            others = (
+                total - get_millicores(task)
+            ) / worker.capacity.millicores
+            speed = math.exp(-BATCH_INTERFERENCE * others) / pressure
             if task.throttled:
                 speed *= THROTTLED_SHARE
             task.progress = speed
@@ -187,7 +198,7 @@
                 now, task.demand.family, worker.data_centre
             )
             load = nominal * weights.get(task.demand.task_id, 1.0)
-            slowdown = compute_harm(truth, worker, load)
+            slowdown = compute_interference(truth, worker, load)
             slowdown += PRESSURE_GAIN * pressure
             task.rate = load * truth.peak_rate
             alone = truth.alone * (1.0 + 0.5 * load**2)
@@ -198,7 +209,9 @@
 
     def _send_report(self, now: float, worker: ModelWorker) -> None:
         worker.sequence += 1
-        usages = tuple(self._measure(task) for task in worker.tasks.values())
+        usages = tuple(
+            self._measure_usage(task) for task in worker.tasks.values()
+        )
         until = self.read_clock(now, worker)
         report = workers.UsageReport(
             worker_id=worker.worker_id,
@@ -207,23 +220,23 @@
             measured_until=until,
             tasks=usages,
         )
-        if self._random.random() < self._scenario.lost_share:
+        if self._random.random() < self._scenario.report_loss_rate:
             return
         self._sent += 1
-        lag = self._random.uniform(*self._scenario.lag)
-        heapq.heappush(self._reports, (now + lag, self._sent, report))
+        delay = self._random.uniform(*self._scenario.report_delay)
+        heapq.heappush(self._reports, (now + delay, self._sent, report))
 
-    def _measure(self, task: RunningTask) -> workers.TaskUsage:
+    def _measure_usage(self, task: RunningTask) -> workers.TaskUsage:
         noise = self._random.gauss(0.0, self._scenario.noise)
         if self._random.random() < 0.02:
             noise += abs(self._random.gauss(0.0, 0.6))
-        use_noise = max(1.0 + self._random.gauss(0.0, 0.08), 0.0)
+        use_factor = max(1.0 + self._random.gauss(0.0, 0.08), 0.0)
         batch = is_batch(task)
         return workers.TaskUsage(
             task_id=task.demand.task_id,
             attempt=task.attempt,
             use=resources.Resources(
-                int(get_cores(task) * use_noise),
+                int(get_millicores(task) * use_factor),
                 task.use.memory_mib,
                 task.use.accelerators,
             ),
@@ -233,74 +246,80 @@
         )
 
 
-def compute_harm(
+def compute_interference(
     truth: _policy_scenario.ServiceTruth, worker: ModelWorker, load: float
 ) -> float:
-    """Return the log slowdown that a worker's batch tasks add."""
-    harm = 0.0
+    """Return the log slowdown of a service by a worker's batch tasks."""
+    interference = 0.0
     for task in worker.tasks.values():
         if is_batch(task):
-            harm += compute_task_harm(
+            interference += compute_task_interference(
                 truth,
                 task.demand.family,
-                get_cores(task) / worker.capacity.millicores,
+                get_millicores(task) / worker.capacity.millicores,
                 task.use.memory_mib / worker.capacity.memory_mib,
                 task.use.accelerators / worker.capacity.accelerators,
             )
-    harm *= compute_gain(truth, load)
-    return SATURATION * math.tanh(harm / SATURATION)
+    interference *= compute_load_gain(truth, load)
+    return SATURATION * math.tanh(interference / SATURATION)
 
 
-def compute_task_harm(
+def compute_task_interference(
     truth: _policy_scenario.ServiceTruth,
     family: str,
     processors: float,
     memory: float,
     accelerators: float,
 ) -> float:
-    """Return the log slowdown of one task's shares at a gain of one."""
+    """Return the log slowdown by one task at a gain of one.
+
+    The arguments are the task's resource usage as shares of its worker's
+    capacity.
+    """
     return (
-        truth.processor_harm[family] * processors
-        + truth.memory_harm[family] * memory
-        + truth.accelerator_harm * accelerators
+        truth.cpu_interference[family] * processors
+        + truth.memory_interference[family] * memory
+        + truth.accelerator_interference * accelerators
     )
 
 
-def compute_gain(truth: _policy_scenario.ServiceTruth, load: float) -> float:
-    """Return how much a load scales all harm."""
+def compute_load_gain(
+    truth: _policy_scenario.ServiceTruth, load: float
+) -> float:
+    """Return the factor by which a load scales interference."""
     return truth.low_gain + (truth.high_gain - truth.low_gain) * load**2
 
 
 def is_batch(task: RunningTask) -> bool:
-    """Tell whether a task is of a batch job."""
+    """Return whether a task belongs to a batch job."""
     return task.demand.kind is workers.TaskKind.BATCH
 
 
-def get_cores(task: RunningTask) -> float:
-    """Return the millicores that a task uses now."""
+def get_millicores(task: RunningTask) -> float:
+    """Return the current CPU usage of a task in millicores."""
     share = THROTTLED_SHARE if task.throttled else 1.0
     return task.use.millicores * share
 
 
 def get_pressure(worker: ModelWorker) -> float:
-    """Return the asked share of a worker's processors."""
-    asked = sum(get_cores(task) for task in worker.tasks.values())
-    return asked / worker.capacity.millicores
+    """Return the CPU demand of a worker's tasks relative to its capacity."""
+    demand = sum(get_millicores(task) for task in worker.tasks.values())
+    return demand / worker.capacity.millicores
 
 
 def _make_workers(
     shape: _policy_scenario.Shape,
 ) -> dict[identifiers.WorkerId, ModelWorker]:
-    made = {}
+    model_workers = {}
     for index in range(shape.workers):
-        centre = index % shape.data_centres
+        data_centre = index % shape.data_centres
         rack = index // shape.data_centres // 3
         worker = ModelWorker(
             worker_id=identifiers.WorkerId(f'w{index}'),
-            data_centre=identifiers.DataCentreName(f'dc{centre}'),
-            rack=identifiers.RackName(f'dc{centre}-r{rack}'),
+            data_centre=identifiers.DataCentreName(f'dc{data_centre}'),
+            rack=identifiers.RackName(f'dc{data_centre}-r{rack}'),
             capacity=shape.capacity,
-            clock_offset=CLOCK_STEP * (index + 1),
+            clock_offset=CLOCK_OFFSET_STEP * (index + 1),
         )
-        made[worker.worker_id] = worker
-    return made
+        model_workers[worker.worker_id] = worker
+    return model_workers
--- a/chivespoke/bench/_policy_plot.py
+++ b/chivespoke/bench/_policy_plot.py
@@ -1,4 +1,4 @@
-"""Draw the comparison of the policies."""
+"""Charts that compare the policies."""
 
 import pathlib
 import statistics
@@ -22,7 +22,7 @@
 
 
 def draw_policies(outcome: _policy_runner.Outcome, path: pathlib.Path) -> None:
-    """Draw medians as bars, and the spread over seeds as whiskers."""
+    """Draw the medians as bars and the ranges over the seeds as error bars."""
     users = list(dict.fromkeys(run.user for run in outcome.runs))
     figure, grid = pyplot.subplots(
         len(users),
@@ -32,43 +32,43 @@
         layout='constrained',
     )
     for row, user in zip(grid, users, strict=True):
-        for cell, (measure, title) in zip(row, MEASURES, strict=True):
-            _draw_measure(cell, outcome, user, measure)
-            cell.set_title(f'{user}\n{title}', fontsize=10)
+        for axes, (measure, title) in zip(row, MEASURES, strict=True):
+            _draw_measure(axes, outcome, user, measure)
+            axes.set_title(f'{user}\n{title}', fontsize=10)
     figure.savefig(path, dpi=110)
     pyplot.close(figure)
 
 
 def _draw_measure(
-    cell: plot_axes.Axes,
+    axes: plot_axes.Axes,
     outcome: _policy_runner.Outcome,
     user: str,
     measure: str,
 ) -> None:
     names = list(dict.fromkeys(run.policy for run in outcome.runs))
-    for place, name in enumerate(reversed(names)):
+    for position, name in enumerate(reversed(names)):
         values = _policy_runner.select(outcome.runs, user, name, measure)
-        middle = statistics.median(values)
-        spread = [[middle - min(values)], [max(values) - middle]]
-        cell.barh(
-            place,
-            middle,
-            xerr=spread,
+        median = statistics.median(values)
+        error = [[median - min(values)], [max(values) - median]]
+        axes.barh(
+            position,
+            median,
+            xerr=error,
             color=_choose_colour(name),
             ecolor='#444444',
             capsize=3,
         )
-        cell.annotate(
-            f'{middle:.3g}',
-            (middle, place),
+        axes.annotate(
+            f'{median:.3g}',
+            (median, position),
             xytext=(3, 7),
             textcoords='offset points',
             fontsize=7,
         )
-    cell.set_yticks(range(len(names)), list(reversed(names)), fontsize=8)
-    cell.spines[['top', 'right']].set_visible(False)
+    axes.set_yticks(range(len(names)), list(reversed(names)), fontsize=8)
+    axes.spines[['top', 'right']].set_visible(False)
     if measure == 'evictions':
-        cell.set_xscale('symlog', linthresh=10)
+        axes.set_xscale('symlog', linthresh=10)
 
 
 def _choose_colour(name: str) -> str:
--- a/chivespoke/bench/_policy_suites.py
+++ b/chivespoke/bench/_policy_suites.py
@@ -1,4 +1,4 @@
-"""The policies that the bench compares: naive twins, learnt, oracle."""
+"""Policies compared by the benchmark: naive, learning and oracle."""
 
 import dataclasses
 import math
@@ -15,23 +15,23 @@
 
 @dataclasses.dataclass(slots=True)
 class Suite:
-    """Hold the policies of one run."""
+    """Policies used in one run."""
 
     placement: scheduling.PlacementPolicy
     guard: scheduling.GuardPolicy
     observer: scheduling.ReportObserver
     sizes: policies.SizePolicy
     routing: policies.RoutingPolicy
-    knowledge: policies.WorkloadEstimator | None = None
-    # Makes the suite of the process that takes over in mid-run.
-    successor: (
+    estimator: policies.WorkloadEstimator | None = None
+    # Creates the suite of the process that takes over halfway through the run.
+    make_successor: (
         typing.Callable[[policies.WorkloadEstimator], 'Suite'] | None
     ) = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Inputs:
-    """Hold what a suite may be built from; the world is the oracle's."""
+    """Inputs of a suite factory; only the oracle may use the world."""
 
     seed: int
     weights: operators.Weights
@@ -40,7 +40,7 @@
 
 
 class OracleModel(policies.InterferenceModel):
-    """Read the hidden parameters of the model."""
+    """Interference model that reads the hidden parameters of the world."""
 
     __slots__ = ('_world',)
 
@@ -51,15 +51,15 @@
         self, service: str, family: str, share: policies.Share, load: float
     ) -> policies.Prediction:
         truth = self._world.get_truth(service)
-        harm = _policy_model.compute_task_harm(
+        interference = _policy_model.compute_task_interference(
             truth,
             family,
             share.processors,
             share.memory,
             share.accelerators,
         )
-        gain = _policy_model.compute_gain(truth, load)
-        return policies.Prediction(gain * harm, 0.0)
+        gain = _policy_model.compute_load_gain(truth, load)
+        return policies.Prediction(gain * interference, 0.0)
 
     def estimate_baseline_latency(
         self, service: str, load: float
@@ -69,7 +69,7 @@
 
 
 class OracleSizes(policies.DeclaredSizes):
-    """Read the true use of every family."""
+    """Size policy that knows the true resource usage of every family."""
 
     __slots__ = ('_uses',)
 
@@ -93,8 +93,8 @@
         return self._uses.get(demand.family, demand.size)
 
 
-class OracleKnowledge(policies.WorkloadEstimator):
-    """Read the hidden state without lag or noise."""
+class OracleEstimator(policies.WorkloadEstimator):
+    """Workload estimator that reads the hidden state, exact and up to date."""
 
     __slots__ = ('_world',)
 
@@ -122,20 +122,22 @@
         model_worker = self._world.workers[worker.worker_id]
         task = model_worker.tasks[replica.demand.task_id]
         load = task.rate / truth.peak_rate
-        harm = _policy_model.compute_harm(truth, model_worker, load)
+        interference = _policy_model.compute_interference(
+            truth, model_worker, load
+        )
         return policies.ReplicaState(
             load=load,
-            slowdown=harm,
-            last_slowdown=harm,
+            slowdown=interference,
+            last_slowdown=interference,
             measured_from=math.inf,
         )
 
 
-def make_naive(
+def make_naive_suite(
     placement: scheduling.PlacementPolicy,
     guard: policies.EvictAtOnce | None = None,
 ) -> Suite:
-    """Return a suite without learning."""
+    """Return a suite that does not learn."""
     return Suite(
         placement=placement,
         guard=guard or policies.NoGuard(),
@@ -145,46 +147,46 @@
     )
 
 
-def make_learnt(
+def make_estimating_suite(
     inputs: Inputs,
-    knowledge: policies.WorkloadEstimator,
+    estimator: policies.WorkloadEstimator,
     guard: scheduling.GuardPolicy | None = None,
     routing: policies.RoutingPolicy | None = None,
 ) -> Suite:
-    """Return the suite that decides by a knowledge."""
+    """Return a suite that decides by a workload estimator."""
     return Suite(
         placement=policies.CostBasedPlacement(
-            knowledge, inputs.weights, inputs.clock
+            estimator, inputs.weights, inputs.clock
         ),
         guard=guard
         or policies.EscalatingGuard(
-            knowledge, inputs.weights, operators.Limits()
+            estimator, inputs.weights, operators.Limits()
         ),
-        observer=knowledge,
-        sizes=knowledge.sizes,
-        routing=routing or policies.SlowdownAwareRouting(knowledge),
-        knowledge=knowledge,
+        observer=estimator,
+        sizes=estimator.sizes,
+        routing=routing or policies.SlowdownAwareRouting(estimator),
+        estimator=estimator,
     )
 
 
 def _make_oracle(inputs: Inputs) -> Suite:
     uses = inputs.world.get_uses()
-    return make_learnt(inputs, OracleKnowledge(inputs.world, uses))
+    return make_estimating_suite(inputs, OracleEstimator(inputs.world, uses))
 
 
 def _make_no_learning(inputs: Inputs) -> Suite:
-    knowledge = policies.WorkloadEstimator(
+    estimator = policies.WorkloadEstimator(
         policies.NoInterferenceModel(), policies.LearnedSizes()
     )
-    return make_learnt(
+    return make_estimating_suite(
         inputs,
-        knowledge,
+        estimator,
         guard=policies.NoGuard(),
         routing=policies.EvenRouting(),
     )
 
 
-def _make_knowledge(
+def _make_estimator(
     options: policies.FitOptions = policies.DEFAULT_OPTIONS,
 ) -> policies.WorkloadEstimator:
     return policies.WorkloadEstimator(
@@ -192,67 +194,74 @@
     )
 
 
-def _make_full(inputs: Inputs) -> Suite:
-    return make_learnt(inputs, _make_knowledge())
+def _make_learning(inputs: Inputs) -> Suite:
+    return make_estimating_suite(inputs, _make_estimator())
 
 
 def _make_variant(
     options: policies.FitOptions,
 ) -> typing.Callable[[Inputs], Suite]:
-    return lambda inputs: make_learnt(inputs, _make_knowledge(options))
+    return lambda inputs: make_estimating_suite(
+        inputs, _make_estimator(options)
+    )
 
 
 def _make_pair_averages(inputs: Inputs) -> Suite:
-    knowledge = policies.WorkloadEstimator(
+    estimator = policies.WorkloadEstimator(
         policies.PairwiseAverageModel(), policies.LearnedSizes()
     )
-    return make_learnt(inputs, knowledge)
+    return make_estimating_suite(inputs, estimator)
 
 
-def _make_blaming_arrivals(inputs: Inputs) -> Suite:
-    knowledge = policies.WorkloadEstimator(
+def _make_current_task_attribution(inputs: Inputs) -> Suite:
+    estimator = policies.WorkloadEstimator(
         policies.PairwiseRegressionModel(),
         policies.LearnedSizes(),
         uses_current_tasks=True,
     )
-    return make_learnt(inputs, knowledge)
+    return make_estimating_suite(inputs, estimator)
 
 
-def _make_unguarded(inputs: Inputs) -> Suite:
-    return make_learnt(inputs, _make_knowledge(), guard=policies.NoGuard())
+def _make_without_guard(inputs: Inputs) -> Suite:
+    return make_estimating_suite(
+        inputs, _make_estimator(), guard=policies.NoGuard()
+    )
 
 
-def _make_evicting(inputs: Inputs) -> Suite:
-    suite = make_learnt(inputs, _make_knowledge())
+def _make_evict_at_once_guard(inputs: Inputs) -> Suite:
+    suite = make_estimating_suite(inputs, _make_estimator())
     guard = policies.EvictAtOnce()
     return dataclasses.replace(
         suite,
         guard=guard,
-        observer=_BothObservers(suite.observer, guard),
+        observer=_CompositeObserver(suite.observer, guard),
     )
 
 
 def _make_even_routing(inputs: Inputs) -> Suite:
-    return make_learnt(
-        inputs, _make_knowledge(), routing=policies.EvenRouting()
+    return make_estimating_suite(
+        inputs, _make_estimator(), routing=policies.EvenRouting()
     )
 
 
-def _make_replaced(inputs: Inputs, passes_state: bool) -> Suite:
-    """Replace the process in mid-run, with its state or without."""
+def _make_process_replacement(inputs: Inputs, passes_state: bool) -> Suite:
+    """Return a suite whose process is replaced halfway through the run.
 
-    def succeed(old: policies.WorkloadEstimator) -> Suite:
-        fresh = _make_knowledge()
+    The new process starts from the state of the old one or from scratch.
+    """
+
+    def make_successor(old: policies.WorkloadEstimator) -> Suite:
+        new = _make_estimator()
         if passes_state:
-            policies.decode_state(policies.encode_state(old), fresh)
-        return make_learnt(inputs, fresh)
+            policies.decode_state(policies.encode_state(old), new)
+        return make_estimating_suite(inputs, new)
 
-    suite = make_learnt(inputs, _make_knowledge())
-    return dataclasses.replace(suite, successor=succeed)
+    suite = make_estimating_suite(inputs, _make_estimator())
+    return dataclasses.replace(suite, make_successor=make_successor)
 
 
-class _BothObservers(scheduling.ReportObserver):
-    """Pass reports on to two observers."""
+class _CompositeObserver(scheduling.ReportObserver):
+    """Forwards reports to several observers."""
 
     __slots__ = ('_observers',)
 
@@ -272,33 +281,35 @@
 LEARNT = 'learnt'
 ORACLE = 'oracle'
 EVICT_AT_ONCE = 'evict-at-once'
-# Twins that ignore interference; the last has learnt sizes all the same.
-IGNORANT = ('first-fit', 'random', 'least-loaded', 'no-learning')
-NAIVE = (*IGNORANT, EVICT_AT_ONCE)
-
-MAKERS: dict[str, typing.Callable[[Inputs], Suite]] = {
-    'first-fit': lambda inputs: make_naive(policies.FirstFit()),
-    'random': lambda inputs: make_naive(policies.RandomChoice(inputs.seed)),
-    'least-loaded': lambda inputs: make_naive(policies.LeastLoaded()),
-    EVICT_AT_ONCE: lambda inputs: make_naive(
+# Policies that ignore interference; the last one does learn task sizes.
+INTERFERENCE_UNAWARE = ('first-fit', 'random', 'least-loaded', 'no-learning')
+NAIVE = (*INTERFERENCE_UNAWARE, EVICT_AT_ONCE)
+
+FACTORIES: dict[str, typing.Callable[[Inputs], Suite]] = {
+    'first-fit': lambda inputs: make_naive_suite(policies.FirstFit()),
+    'random': lambda inputs: make_naive_suite(
+        policies.RandomChoice(inputs.seed)
+    ),
+    'least-loaded': lambda inputs: make_naive_suite(policies.LeastLoaded()),
+    EVICT_AT_ONCE: lambda inputs: make_naive_suite(
         policies.LeastLoaded(), policies.EvictAtOnce()
     ),
     'no-learning': _make_no_learning,
-    LEARNT: _make_full,
+    LEARNT: _make_learning,
     ORACLE: _make_oracle,
 }
 
-POLICY_NAMES = tuple(MAKERS)
+POLICY_NAMES = tuple(FACTORIES)
 
-# Ways that were tried; they run only when they are named.
-VARIANTS: dict[str, typing.Callable[[Inputs], Suite]] = {
+# Alternatives that were evaluated; they run only if selected by name.
+VARIANT_FACTORIES: dict[str, typing.Callable[[Inputs], Suite]] = {
     'pair-averages': _make_pair_averages,
     'no-load': _make_variant(policies.FitOptions(learns_gains=False)),
     'no-pooling': _make_variant(policies.FitOptions(pools_families=False)),
-    'blame-arrivals': _make_blaming_arrivals,
-    'no-guard': _make_unguarded,
-    'evicting-guard': _make_evicting,
+    'blame-arrivals': _make_current_task_attribution,
+    'no-guard': _make_without_guard,
+    'evicting-guard': _make_evict_at_once_guard,
     'even-routing': _make_even_routing,
-    'state-lost': lambda inputs: _make_replaced(inputs, False),
-    'state-passed': lambda inputs: _make_replaced(inputs, True),
+    'state-lost': lambda inputs: _make_process_replacement(inputs, False),
+    'state-passed': lambda inputs: _make_process_replacement(inputs, True),
 }
--- a/chivespoke/bench/_slopes.py
+++ b/chivespoke/bench/_slopes.py
@@ -1,4 +1,4 @@
-"""Measure what daemons spend against what drives them, and fit lines."""
+"""Measures the cost of daemons at several loads and fits lines to it."""
 
 import abc
 import collections.abc
@@ -14,14 +14,14 @@
 from chivespoke import errors
 
 COMMAND = 'chivespoke bench slopes --json'
-# Share of the machine's memory that a run may take.
-MEMORY_SHARE = 0.5
+# Fraction of the machine's memory in use above which no measurement starts.
+MAX_MEMORY_USE = 0.5
 
 Values = dict[capacity.Measure, float]
 
 
 class Scenario(abc.ABC):
-    """Drive one daemon at several sizes of one driver."""
+    """Measures the cost of one daemon at several sizes of one driver."""
 
     __slots__ = ()
 
@@ -31,26 +31,29 @@
 
     @property
     def name(self) -> str:
-        """Return what the scenario measures, for people."""
+        """Return a description of the scenario for display."""
         return f'{self.role.value} against {self.driver.value}'
 
     @abc.abstractmethod
     async def run(
         self, size: int, folder: pathlib.Path, seconds: float
     ) -> Values:
-        """Return what the daemon spends at a size."""
+        """Return the cost of the daemon at a size of the driver.
+
+        The usage is measured for at least the given number of seconds.
+        """
 
 
 class Progress(abc.ABC):
-    """Hear how far a measurement is."""
+    """Receives progress notifications of a measurement."""
 
     @abc.abstractmethod
     def note(self, name: str, size: int) -> None:
-        """Note that a size of a scenario was measured."""
+        """Report that a scenario has been measured at a size."""
 
 
 def make_values(usage: _processes.Usage) -> Values:
-    """Return a daemon's usage as values to fit."""
+    """Convert the resource usage of a daemon to values by measure."""
     return {
         capacity.Measure.CORE: usage.core,
         capacity.Measure.MEMORY: usage.memory,
@@ -63,7 +66,7 @@
     seconds: float,
     progress: Progress,
 ) -> capacity.Measurements:
-    """Run every scenario at every size and fit a line to each measure."""
+    """Run each scenario at each of its sizes and fit a line per measure."""
     slopes: list[capacity.Slope] = []
     for scenario in scenarios:
         slopes.extend(await _measure_scenario(scenario, seconds, progress))
@@ -96,15 +99,15 @@
         progress.note(scenario.name, size)
     return [
         capacity.fit_slope(
-            scenario.role, scenario.driver, measure, found, COMMAND
+            scenario.role, scenario.driver, measure, measured, COMMAND
         )
-        for measure, found in points.items()
+        for measure, measured in points.items()
     ]
 
 
 def _check_memory() -> None:
     used = psutil.virtual_memory().percent / 100
-    if used > MEMORY_SHARE:
+    if used > MAX_MEMORY_USE:
         raise errors.RefusedError(
             'measure slopes', 'this machine', f'{used:.0%} of memory is used'
         )
--- a/chivespoke/bench/_slopes_requests.py
+++ b/chivespoke/bench/_slopes_requests.py
@@ -1,4 +1,4 @@
-"""Slopes of entries and sidecars that only know of each other."""
+"""Slope scenarios of entries and sidecars without requests or tasks."""
 
 import asyncio
 import contextlib
@@ -19,18 +19,18 @@
 
 DATA_CENTRE = identifiers.DataCentreName('data-centre-1')
 SERVICE = identifiers.ServiceName('service-1')
-# Seconds until everyone has heard of everyone.
+# Time for all entries and sidecars to discover each other.
 SETTLE_SECONDS = 6.0
 
 
 def write_settings(
-    folder: pathlib.Path, found: settings.Settings
+    folder: pathlib.Path, daemon_settings: settings.Settings
 ) -> pathlib.Path:
-    """Write settings as a daemon reads them."""
-    path = folder / f'{found.name}.yaml'
+    """Write settings to a YAML file and return its path."""
+    path = folder / f'{daemon_settings.name}.yaml'
     with path.open('w', encoding='utf-8') as file:
         ruamel.yaml.YAML(typ='safe', pure=True).dump(
-            msgspec.to_builtins(found), file
+            msgspec.to_builtins(daemon_settings), file
         )
     return path
 
@@ -38,7 +38,7 @@
 def make_entry_settings(
     name: str, log: settings.Address, shards: tuple[str, ...] = ()
 ) -> settings.EntrySettings:
-    """Return settings of an entry on ports that are free."""
+    """Return settings of an entry that listens on free ports."""
     return settings.EntrySettings(
         name=name,
         data_centre=DATA_CENTRE,
@@ -53,7 +53,7 @@
 def make_sidecar_settings(
     name: str, backend_server: settings.Address, balancer: settings.Address
 ) -> settings.SidecarSettings:
-    """Return settings of a sidecar."""
+    """Return settings of a sidecar that listens on a free port."""
     return settings.SidecarSettings(
         name=name,
         data_centre=DATA_CENTRE,
@@ -68,19 +68,19 @@
 async def start_daemon(
     stack: contextlib.AsyncExitStack,
     kind: str,
-    found: settings.Settings,
+    daemon_settings: settings.Settings,
     folder: pathlib.Path,
 ) -> _processes.Daemon:
-    """Start a daemon that is stopped with the stack."""
-    path = write_settings(folder, found)
+    """Start a daemon that is stopped when the stack is closed."""
+    path = write_settings(folder, daemon_settings)
     daemon = _processes.Daemon(
-        found.name,
+        daemon_settings.name,
         (kind, '--settings', str(path)),
-        folder / f'{found.name}.log',
+        folder / f'{daemon_settings.name}.log',
     )
     stack.push_async_callback(daemon.stop)
     await daemon.start()
-    await daemon.wait_ready(found.http.format_http() + '/health')
+    await daemon.wait_ready(daemon_settings.http.format_http() + '/health')
     return daemon
 
 
@@ -88,7 +88,10 @@
     stack: contextlib.AsyncExitStack,
     component: application.Component | application.Application,
 ) -> None:
-    """Start a part in the bench's own process; stopped with the stack."""
+    """Start a component in this process.
+
+    It is stopped when the stack is closed.
+    """
     await component.start()
     stack.push_async_callback(component.stop)
 
@@ -96,7 +99,7 @@
 async def start_log(
     stack: contextlib.AsyncExitStack,
 ) -> standins.LogServer:
-    """Start a stand-in of the platform's log in this process."""
+    """Start an in-memory stand-in for the platform log in this process."""
     server = standins.LogServer(
         standins.MemoryLog(clock.SystemClock()), settings.Address()
     )
@@ -105,7 +108,10 @@
 
 
 class EntrySidecars(_slopes.Scenario):
-    """Drive an entry daemon with sidecars that run in this process."""
+    """Measures an entry daemon with a varying number of sidecars.
+
+    The sidecars run in this process.
+    """
 
     __slots__ = ()
 
@@ -123,17 +129,22 @@
             entry = make_entry_settings('entry-1', log.address)
             daemon = await start_daemon(stack, 'entry', entry, folder)
             for index in range(size):
-                found = make_sidecar_settings(
+                sidecar_settings = make_sidecar_settings(
                     f'sidecar-{index}', server.address, entry.http
                 )
-                sidecar = daemons.Sidecar(found, clock.SystemClock())
+                sidecar = daemons.Sidecar(
+                    sidecar_settings, clock.SystemClock()
+                )
                 await start_component(stack, sidecar)
             await asyncio.sleep(SETTLE_SECONDS)
             return _slopes.make_values(await daemon.measure(seconds))
 
 
 class SidecarEntries(_slopes.Scenario):
-    """Drive a sidecar daemon with entries that run in this process."""
+    """Measures a sidecar daemon with a varying number of entries.
+
+    The entries run in this process.
+    """
 
     __slots__ = ()
 
--- a/chivespoke/bench/_slopes_tasks.py
+++ b/chivespoke/bench/_slopes_tasks.py
@@ -1,4 +1,4 @@
-"""Slopes of shard owners, the log and workers' agents."""
+"""Slope scenarios of shard owners and of configuration changes."""
 
 import asyncio
 import collections.abc
@@ -24,20 +24,20 @@
 CAPACITY = resources.Resources(16_000, 61_440, 0)
 TASK_SIZE = resources.Resources(100, 128, 0)
 TEAM = identifiers.TeamName('team-1')
-# Workers whose tasks, or starts, are varied.
-WORKERS = 20
-# Seconds that cover one renewal of every lease.
-LEAST_SECONDS = 20.0
+# Number of workers in scenarios that vary tasks or starts.
+WORKER_COUNT = 20
+# Shortest measurement window; every lease is renewed at least once in it.
+MIN_WINDOW_SECONDS = 20.0
 SETTLE_SECONDS = 5.0
 POLL_SECONDS = 0.1
-# Seconds that a short task and a long one run.
-SHORT_TASK = 0.5
-LONG_TASK = 3600.0
+# Run times: short tasks end during the measurement, long ones do not.
+SHORT_TASK_SECONDS = 0.5
+LONG_TASK_SECONDS = 3600.0
 MEASURE = capacity.Measure
 
 
-class Site:
-    """Hold one entry daemon, the log and workers of this process."""
+class Deployment:
+    """An entry daemon with a log and workers that run in this process."""
 
     __slots__ = ('log', 'daemon', 'entry', 'client', 'workers')
 
@@ -55,7 +55,7 @@
         self.workers: list[standins.WorkerServer] = []
 
     async def submit(self, name: str, tasks: int, seconds: float) -> None:
-        """Submit a job of equal tasks."""
+        """Submit a job of identical tasks."""
         plan = standins.TaskPlan(seconds=seconds)
         await self.client.submit(
             scheduling.JobRequest(
@@ -69,11 +69,11 @@
         )
 
     def count_running(self) -> int:
-        """Return the tasks that run."""
+        """Return the number of running tasks."""
         return sum(len(worker.agent.runs) for worker in self.workers)
 
     def list_starts(self) -> list[tuple[str, float]]:
-        """Return the task and the time of every start."""
+        """Return the task identifier and the time of every start."""
         return [
             (run.command.task_id, run.started_at)
             for worker in self.workers
@@ -82,10 +82,10 @@
 
 
 @contextlib.asynccontextmanager
-async def run_site(
+async def run_deployment(
     folder: pathlib.Path, workers: int
-) -> collections.abc.AsyncIterator[Site]:
-    """Run one entry daemon with so many workers registered."""
+) -> collections.abc.AsyncIterator[Deployment]:
+    """Run an entry daemon with the given number of registered workers."""
     async with contextlib.AsyncExitStack() as stack:
         log = await _slopes_requests.start_log(stack)
         entry = _slopes_requests.make_entry_settings('entry-1', log.address)
@@ -94,7 +94,7 @@
         )
         client = demo.EntryClient(entry.http)
         await stack.enter_async_context(client)
-        site = Site(log, daemon, entry, client)
+        deployment = Deployment(log, daemon, entry, client)
         for index in range(workers):
             worker = standins.WorkerServer(
                 standins.make_worker_registration(
@@ -108,16 +108,16 @@
                 clocks.SystemClock(),
             )
             await _slopes_requests.start_component(stack, worker)
-            site.workers.append(worker)
+            deployment.workers.append(worker)
         await asyncio.gather(
-            *(each.registered.wait() for each in site.workers)
+            *(each.registered.wait() for each in deployment.workers)
         )
         await asyncio.sleep(SETTLE_SECONDS)
-        yield site
+        yield deployment
 
 
 class ShardWorkers(_slopes.Scenario):
-    """Drive a shard's owner with workers that run nothing."""
+    """Measures a shard owner with a varying number of idle workers."""
 
     __slots__ = ()
 
@@ -128,13 +128,13 @@
     async def run(
         self, size: int, folder: pathlib.Path, seconds: float
     ) -> _slopes.Values:
-        async with run_site(folder, size) as site:
-            window = max(seconds, LEAST_SECONDS)
-            return _slopes.make_values(await site.daemon.measure(window))
+        async with run_deployment(folder, size) as deployment:
+            window = max(seconds, MIN_WINDOW_SECONDS)
+            return _slopes.make_values(await deployment.daemon.measure(window))
 
 
 class ShardTasks(_slopes.Scenario):
-    """Drive a shard's owner with tasks that run on."""
+    """Measures a shard owner with a varying number of running tasks."""
 
     __slots__ = ()
 
@@ -145,18 +145,21 @@
     async def run(
         self, size: int, folder: pathlib.Path, seconds: float
     ) -> _slopes.Values:
-        async with run_site(folder, WORKERS) as site:
+        async with run_deployment(folder, WORKER_COUNT) as deployment:
             if size:
-                await site.submit('job-1', size, LONG_TASK)
-            while site.count_running() < size:
+                await deployment.submit('job-1', size, LONG_TASK_SECONDS)
+            while deployment.count_running() < size:
                 await asyncio.sleep(POLL_SECONDS)
             await asyncio.sleep(SETTLE_SECONDS)
-            window = max(seconds, LEAST_SECONDS)
-            return _slopes.make_values(await site.daemon.measure(window))
+            window = max(seconds, MIN_WINDOW_SECONDS)
+            return _slopes.make_values(await deployment.daemon.measure(window))
 
 
 class ShardStarts(_slopes.Scenario):
-    """Drive a shard's owner with jobs of short tasks, one a second."""
+    """Measures a shard owner at varying start rates.
+
+    One job per second is submitted, with as many short tasks as the size.
+    """
 
     __slots__ = ()
 
@@ -167,18 +170,18 @@
     async def run(
         self, size: int, folder: pathlib.Path, seconds: float
     ) -> _slopes.Values:
-        async with run_site(folder, WORKERS) as site:
-            window = max(seconds, LEAST_SECONDS)
-            submitting = asyncio.ensure_future(
-                self._submit(site, size, window)
+        async with run_deployment(folder, WORKER_COUNT) as deployment:
+            window = max(seconds, MIN_WINDOW_SECONDS)
+            submission = asyncio.ensure_future(
+                self._submit(deployment, size, window)
             )
-            appends = site.log.log.appends
-            usage = await site.daemon.measure(window)
-            appends = site.log.log.appends - appends
-            submitted = await submitting
+            appends = deployment.log.log.appends
+            usage = await deployment.daemon.measure(window)
+            appends = deployment.log.log.appends - appends
+            submitted = await submission
         delays = sorted(
             started_at - submitted[task_id.partition('/')[0]]
-            for task_id, started_at in site.list_starts()
+            for task_id, started_at in deployment.list_starts()
         )
         values = _slopes.make_values(usage)
         values[MEASURE.APPENDS] = appends / window
@@ -186,21 +189,21 @@
         return values
 
     async def _submit(
-        self, site: Site, size: int, window: float
+        self, deployment: Deployment, size: int, window: float
     ) -> dict[str, float]:
         clock = clocks.SystemClock()
         submitted = {}
         for number in range(int(window)):
             name = f'job-{number}'
             submitted[name] = clock.read_monotonic()
-            await site.submit(name, size, SHORT_TASK)
+            await deployment.submit(name, size, SHORT_TASK_SECONDS)
             elapsed = clock.read_monotonic() - submitted[name]
             await asyncio.sleep(max(0.0, 1.0 - elapsed))
         return submitted
 
 
 class EntryChanges(_slopes.Scenario):
-    """Drive an entry with patches at a steady rate."""
+    """Measures an entry at varying rates of configuration changes."""
 
     __slots__ = ()
 
@@ -211,30 +214,38 @@
     async def run(
         self, size: int, folder: pathlib.Path, seconds: float
     ) -> _slopes.Values:
-        async with run_site(folder, 0) as site:
+        async with run_deployment(folder, 0) as deployment:
             async with contextlib.AsyncExitStack() as stack:
                 other = daemons.Entry(
                     _slopes_requests.make_entry_settings(
-                        'entry-2', site.log.address
+                        'entry-2', deployment.log.address
                     ),
                     clocks.SystemClock(),
                     balancer_notice_seconds=0.0,
                 )
                 await _slopes_requests.start_component(stack, other)
                 await asyncio.sleep(SETTLE_SECONDS)
-                patching = asyncio.ensure_future(
-                    self._patch(site, other, size, seconds)
+                patches = asyncio.ensure_future(
+                    self._patch(deployment, other, size, seconds)
                 )
-                usage = await site.daemon.measure(seconds)
-                delays = sorted(await patching)
+                usage = await deployment.daemon.measure(seconds)
+                delays = sorted(await patches)
         values = _slopes.make_values(usage)
         values[MEASURE.CHANGE_DELAY] = delays[-1] if delays else 0.0
         return values
 
     async def _patch(
-        self, site: Site, other: daemons.Entry, size: int, window: float
+        self,
+        deployment: Deployment,
+        other: daemons.Entry,
+        size: int,
+        window: float,
     ) -> list[float]:
-        """Patch at a rate; return the seconds until another entry has it."""
+        """Submit patches at a constant rate.
+
+        Returns the delays, in seconds, until each patch is in force at
+        another entry.
+        """
         delays: list[float] = []
         if not size:
             return delays
@@ -244,7 +255,7 @@
         version = 0
         for number in range(int(size * window)):
             begun = clock.read_monotonic()
-            decision = await site.client.patch(
+            decision = await deployment.client.patch(
                 version,
                 [{'op': 'add', 'path': path, 'value': number + 1}],
                 'bench',
