Relay the state of a peer in parts and records in bounded pages

Cause: a neighbour sent its whole state, or up to 4 MiB of recent records, in one message and had 1 s for it. A reply that came later was dropped, and the same question queued all of it again, before the heartbeats. Nothing above 96 MiB could arrive at all. The follower waited for the relay before it tried the log again.

Why the fix works: a reply is at most 64 KiB, or one record, so that it arrives in its time and a heartbeat behind it is not late. The source keeps a state while it is fetched, and the reader keeps the parts that it has, over lost connections, failed requests and changes of the ring. A stream has one question to a neighbour under way; a repeat has the same number, so that a late reply counts, and waits longer each time. The age of a late reply is counted from the first question. Another neighbour takes over from one that does not reply. The follower relays beside its reads of the log; a page that was read before and arrives after relayed records is not a fault.

New fields come last and have defaults. A process of the version before gets the whole state in one message, up to 64 MiB, and pages of 64 KiB; as a source it still sends its state in one message.

--- a/chivespoke/entries/_membership_links.py
+++ b/chivespoke/entries/_membership_links.py
@@ -5,6 +5,8 @@
 import random
 import typing
 
+import msgspec
+
 from chivespoke import application
 from chivespoke import clock as clocks
 from chivespoke.entries import _handlers
@@ -13,19 +15,63 @@
 from chivespoke.entries import _transport
 from chivespoke import errors
 from chivespoke import identifiers
+from chivespoke import logs
 from chivespoke import operators
 from chivespoke import replication
 from chivespoke import telemetry
 
-REPLY_TIMEOUT_SECONDS = 1.0
+LOGGER = logs.make_logger('links')
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+# Relayed records and parts are of bounded size. A question is repeated when no
+# reply arrives in this time; a late reply still counts. The time doubles with
+# each repeat, so that repeats do not fill a link that is slower than that.
+REPLY_TIMEOUT_SECONDS = 10.0
+MAX_REPLY_TIMEOUT_SECONDS = 40.0
+# A state that no more parts arrive of is given up after this time.
+TRANSFER_IDLE_SECONDS = 60.0
 # Neighbours that one relay request tries before it returns nothing.
 MAX_RELAY_NEIGHBOURS = 2
+# Largest state that is sent in one reply, to a process that does not know
+# parts.
+MAX_WHOLE_STATE_BYTES = 64 * 1024 * 1024
 MAX_CONCURRENT_REPORT_REQUESTS = 32
 CONNECT_POLL_SECONDS = 0.01
 
 Reply = messages.RelayReply | messages.RollReply
 
 
+class OpenQuestion:
+    """Hold a question to a neighbour and its reply, however late."""
+
+    __slots__ = ('question', 'asked_at', 'reply')
+
+    def __init__(
+        self, question: messages.RelayQuestion, asked_at: float
+    ) -> None:
+        self.question = question
+        # When it was first sent.
+        self.asked_at = asked_at
+        self.reply: asyncio.Future[Reply] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+
+class StateTransfer:
+    """Hold the parts of a state that have arrived from a neighbour."""
+
+    __slots__ = ('neighbour', 'state', 'progress_at', 'has_stalled')
+
+    def __init__(
+        self, neighbour: identifiers.Incarnation, stream: str
+    ) -> None:
+        self.neighbour = neighbour
+        self.state = replication.PartialState(stream)
+        self.progress_at = 0.0
+        # Whether the last question was not answered in time.
+        self.has_stalled = False
+
+
 class Links(application.Component):
     """Manage the connections to other entries."""
 
@@ -37,6 +83,9 @@
         '_clients',
         '_temporary_clients',
         '_pending',
+        '_questions',
+        '_transfers',
+        '_reply_timeouts',
         '_last_request_number',
     )
 
@@ -55,6 +104,14 @@
         # Connections that are closed after a single request.
         self._temporary_clients: set[_transport.MessageClient] = set()
         self._pending: dict[int, asyncio.Future[Reply]] = {}
+        # The one question to each neighbour about each stream.
+        self._questions: dict[
+            tuple[identifiers.Incarnation, str], OpenQuestion
+        ] = {}
+        # Keyed by stream.
+        self._transfers: dict[str, StateTransfer] = {}
+        # Longer times to wait for neighbours whose replies are slow.
+        self._reply_timeouts: dict[identifiers.Incarnation, float] = {}
         self._last_request_number = 0
         self._handlers = _handlers.Handlers()
         self._handlers.register(messages.BeatNoted, self._handle_beat_noted)
@@ -73,14 +130,19 @@
     async def set_connections(
         self, wanted: collections.abc.Iterable[_messages.EntryAddress]
     ) -> None:
-        """Open and close connections to match the given entries."""
+        """Open and close connections to match the given entries.
+
+        A connection over which a state arrives stays open meanwhile.
+        """
         addresses = {address.incarnation: address for address in wanted}
-        for incarnation in self._clients.keys() - addresses.keys():
+        needed = addresses.keys() | self._list_transferring()
+        for incarnation in self._clients.keys() - needed:
             # Deleted only after it has stopped: if this task is cancelled in
             # between, stop() can still close the client. An open socket would
             # block the process later.
             await self._clients[incarnation].stop()
             del self._clients[incarnation]
+            self._close_questions(incarnation)
         for incarnation in addresses.keys() - self._clients.keys():
             self._clients[incarnation] = await self._connect(
                 addresses[incarnation]
@@ -105,18 +167,17 @@
     async def request_records(
         self, stream: str, start: identifiers.Offset, needs_state: bool
     ) -> messages.RelayReply | None:
-        """Request records from neighbours; return the first with a page."""
-        clients = list(self._clients.values())
-        random.shuffle(clients)
-        for client in clients[:MAX_RELAY_NEIGHBOURS]:
-            reply = await self._request(
-                client,
-                lambda request_number: messages.RelayQuestion(
-                    request_number, stream, start, needs_state
-                ),
-                REPLY_TIMEOUT_SECONDS,
+        """Request records from neighbours; return the first with a page.
+
+        A state arrives in parts. Those that have arrived are kept, and the
+        next request continues after them.
+        """
+        started_at = self._clock.read_monotonic()
+        for incarnation in self._choose_relay_neighbours(stream):
+            reply = await self._request_from(
+                incarnation, stream, start, needs_state, started_at
             )
-            if isinstance(reply, messages.RelayReply) and reply.page:
+            if reply is not None and reply.page is not None:
                 return reply
         return None
 
@@ -141,6 +202,172 @@
                 self._temporary_clients.discard(client)
         return reply.reports if isinstance(reply, messages.RollReply) else None
 
+    def _choose_relay_neighbours(
+        self, stream: str
+    ) -> list[identifiers.Incarnation]:
+        """Return the neighbours to ask, in order.
+
+        The source of a state that has arrived in part comes first, unless it
+        has stalled: then another one is tried before it.
+        """
+        chosen = list(self._clients)
+        random.shuffle(chosen)
+        chosen.sort(
+            key=lambda incarnation: (
+                self.measure_silence(incarnation) > REPLY_TIMEOUT_SECONDS
+            )
+        )
+        transfer = self._transfers.get(stream)
+        if transfer is None or transfer.neighbour not in self._clients:
+            return chosen[:MAX_RELAY_NEIGHBOURS]
+        chosen.remove(transfer.neighbour)
+        chosen = chosen[: MAX_RELAY_NEIGHBOURS - 1]
+        chosen.insert(
+            len(chosen) if transfer.has_stalled else 0, transfer.neighbour
+        )
+        return chosen
+
+    async def _request_from(
+        self,
+        incarnation: identifiers.Incarnation,
+        stream: str,
+        start: identifiers.Offset,
+        needs_state: bool,
+        started_at: float,
+    ) -> messages.RelayReply | None:
+        """Return records, or a state with all its parts, of one neighbour."""
+        transfer = self._transfers.get(stream)
+        if transfer is None or transfer.neighbour != incarnation:
+            transfer = StateTransfer(incarnation, stream)
+        state = transfer.state
+        while True:
+            next_part = state.next_part
+            reply = await self._ask(
+                incarnation,
+                messages.RelayQuestion(
+                    0, stream, start, needs_state, next_part, state.checksum
+                ),
+                started_at,
+            )
+            transfer.has_stalled = reply is None
+            if reply is None:
+                return None
+            if not reply.part:
+                self._discard_transfer(transfer, stream)
+                return reply
+            transfer.progress_at = self._clock.read_monotonic()
+            self._transfers[stream] = transfer
+            try:
+                encoded = state.add(reply.part)
+            except replication.UnreadableError as error:
+                LOGGER.warning('Could not read a part.', error=error)
+                self._discard_transfer(transfer, stream)
+                return None
+            if encoded is not None:
+                self._discard_transfer(transfer, stream)
+                return msgspec.structs.replace(reply, seed=encoded, part=b'')
+            if state.next_part <= next_part:
+                # The neighbour has begun again with another state.
+                return None
+
+    async def _ask(
+        self,
+        incarnation: identifiers.Incarnation,
+        question: messages.RelayQuestion,
+        started_at: float,
+    ) -> messages.RelayReply | None:
+        """Ask a neighbour; return None without a reply in time.
+
+        A repeated question has the number of the first, so that a late reply
+        to that one counts. Its age is relative to started_at.
+        """
+        client = self._clients.get(incarnation)
+        if client is None:
+            return None
+        key = (incarnation, question.stream)
+        opened = self._questions.get(key)
+        if opened is None or question != msgspec.structs.replace(
+            opened.question, request_number=0
+        ):
+            opened = self._open_question(key, question)
+        if not opened.reply.done():
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                    await self._send_when_connected(client, opened.question)
+            except TimeoutError:
+                return None
+            await self._wait_for_reply(incarnation, opened)
+        if not opened.reply.done() or opened.reply.cancelled():
+            return None
+        self._close_question(key)
+        reply = opened.reply.result()
+        if not isinstance(reply, messages.RelayReply):
+            return None
+        if reply.proof_age is None or opened.asked_at >= started_at:
+            return reply
+        return msgspec.structs.replace(
+            reply, proof_age=reply.proof_age + started_at - opened.asked_at
+        )
+
+    async def _wait_for_reply(
+        self, incarnation: identifiers.Incarnation, opened: OpenQuestion
+    ) -> None:
+        timeout = self._reply_timeouts.get(incarnation, REPLY_TIMEOUT_SECONDS)
+        await asyncio.wait((opened.reply,), timeout=timeout)
+        if not opened.reply.done():
+            self._reply_timeouts[incarnation] = min(
+                timeout * 2, MAX_REPLY_TIMEOUT_SECONDS
+            )
+        elif (
+            self._clock.read_monotonic() - opened.asked_at
+            < REPLY_TIMEOUT_SECONDS
+        ):
+            self._reply_timeouts.pop(incarnation, None)
+
+    def _open_question(
+        self,
+        key: tuple[identifiers.Incarnation, str],
+        question: messages.RelayQuestion,
+    ) -> OpenQuestion:
+        self._close_question(key)
+        self._last_request_number += 1
+        opened = OpenQuestion(
+            msgspec.structs.replace(
+                question, request_number=self._last_request_number
+            ),
+            self._clock.read_monotonic(),
+        )
+        self._questions[key] = opened
+        self._pending[self._last_request_number] = opened.reply
+        return opened
+
+    def _close_question(
+        self, key: tuple[identifiers.Incarnation, str]
+    ) -> None:
+        opened = self._questions.pop(key, None)
+        if opened is not None:
+            # Without a reply, ends the wait for it.
+            opened.reply.cancel()
+            del self._pending[opened.question.request_number]
+
+    def _close_questions(self, incarnation: identifiers.Incarnation) -> None:
+        self._reply_timeouts.pop(incarnation, None)
+        for key in tuple(self._questions):
+            if key[0] == incarnation:
+                self._close_question(key)
+
+    def _discard_transfer(self, transfer: StateTransfer, stream: str) -> None:
+        if self._transfers.get(stream) is transfer:
+            del self._transfers[stream]
+
+    def _list_transferring(self) -> set[identifiers.Incarnation]:
+        """Return the sources of states; give up those without progress."""
+        idle_at = self._clock.read_monotonic() - TRANSFER_IDLE_SECONDS
+        for stream, transfer in tuple(self._transfers.items()):
+            if transfer.progress_at < idle_at:
+                self._discard_transfer(transfer, stream)
+        return {transfer.neighbour for transfer in self._transfers.values()}
+
     async def _connect(
         self, address: _messages.EntryAddress
     ) -> _transport.MessageClient:
@@ -219,7 +446,7 @@
 class PeerRequestHandler:
     """Handle requests of other entries for records and reports."""
 
-    __slots__ = ('_followers', '_reporters')
+    __slots__ = ('_followers', '_offers', '_reporters')
 
     def __init__(
         self,
@@ -227,6 +454,7 @@
         reporters: collections.abc.Iterable[operators.LocalReporter],
     ) -> None:
         self._followers: dict[str, replication.Follower[typing.Any]] = {}
+        self._offers = replication.StateOffers()
         self._reporters = tuple(reporters)
         handlers.register(messages.RelayQuestion, self._handle_relay_question)
         handlers.register(messages.RollQuestion, self._handle_roll_question)
@@ -246,12 +474,7 @@
     async def _handle_relay_question(
         self, peer: _handlers.Peer, question: messages.RelayQuestion
     ) -> None:
-        follower = self._followers.get(question.stream)
-        answer = None
-        if follower is not None:
-            answer = replication.make_relay_answer(
-                follower, question.start, question.needs_state
-            )
+        answer = self._find_answer(peer, question)
         if answer is None:
             peer.send(messages.RelayReply(question.request_number))
             return
@@ -261,9 +484,32 @@
                 answer.page,
                 answer.read_age_seconds,
                 answer.peer_state,
+                answer.part,
             )
         )
 
+    def _find_answer(
+        self, peer: _handlers.Peer, question: messages.RelayQuestion
+    ) -> replication.RelayAnswer | None:
+        follower = self._followers.get(question.stream)
+        if follower is None:
+            return None
+        if question.part_index is not None:
+            return self._offers.answer(
+                follower,
+                peer.incarnation,
+                question.start,
+                question.needs_state,
+                question.part_index,
+                question.checksum,
+            )
+        answer = replication.make_relay_answer(
+            follower, question.start, question.needs_state
+        )
+        if answer is None or len(answer.peer_state) > MAX_WHOLE_STATE_BYTES:
+            return None
+        return answer
+
     async def _handle_roll_question(
         self, peer: _handlers.Peer, question: messages.RollQuestion
     ) -> None:
--- a/chivespoke/entries/_membership_messages.py
+++ b/chivespoke/entries/_membership_messages.py
@@ -23,10 +23,15 @@
     stream: str
     start: identifiers.Offset
     needs_state: bool
+    # The next part of the state that the sender lacks, and the checksum of
+    # the state that its parts belong to. None in a process that does not know
+    # parts and needs the whole state in one reply.
+    part_index: int | None = None
+    checksum: int = 0
 
 
 class RelayReply(_messages.Message, frozen=True):
-    """Reply with records of a stream, or with its state.
+    """Reply with some records of a stream, or with a part of its state.
 
     The state is sent if it was requested or the records are not held.
     """
@@ -36,7 +41,9 @@
     # Seconds from the last proof that the replier's state was current to the
     # reply; None if there was no proof.
     proof_age: float | None = None
+    # The whole state, for a process that does not know parts.
     seed: bytes = b''
+    part: bytes = b''
 
 
 class RollQuestion(_messages.Message, frozen=True):
--- a/chivespoke/replication/__init__.py
+++ b/chivespoke/replication/__init__.py
@@ -27,6 +27,8 @@
 from chivespoke.replication._log import Log
 from chivespoke.replication._log import LogPage
 from chivespoke.replication._log import LogRecord
+from chivespoke.replication._relay import PartialState
+from chivespoke.replication._relay import StateOffers
 from chivespoke.replication._replica import AppliedFrame
 from chivespoke.replication._replica import Replica
 from chivespoke.replication._snapshot import assemble_snapshot
@@ -45,11 +47,13 @@
     'Log',
     'LogPage',
     'LogRecord',
+    'PartialState',
     'Position',
     'Relay',
     'RelayAnswer',
     'Replica',
     'Snapshotter',
+    'StateOffers',
     'make_relay_answer',
     'UnreadableError',
     'split_snapshot',
--- a/chivespoke/replication/_snapshot.py
+++ b/chivespoke/replication/_snapshot.py
@@ -59,11 +59,13 @@
 
 
 def split_snapshot(
-    marker_offset: identifiers.Offset, encoded: bytes
+    marker_offset: identifiers.Offset,
+    encoded: bytes,
+    part_bytes: int = MAX_PART_BYTES,
 ) -> list[bytes]:
     """Compress an encoded state and split it into records."""
     data = zlib.compress(encoded, COMPRESSION_LEVEL)
-    parts = max(1, -(-len(data) // MAX_PART_BYTES))
+    parts = max(1, -(-len(data) // part_bytes))
     checksum = compute_checksum(encoded)
     return [
         ENCODER.encode(
@@ -72,7 +74,7 @@
                 checksum,
                 part,
                 parts,
-                data[part * MAX_PART_BYTES : (part + 1) * MAX_PART_BYTES],
+                data[part * part_bytes : (part + 1) * part_bytes],
             )
         )
         for part in range(parts)
