Add failing tests of answers of a process that has not loaded

What callers would see: after a restart an entry answers "the job is unknown" to the cancellation of a running job and 404 to a request for it, lists no jobs and no workers, shows version 0 or another old version of the configuration, and is healthy for the balancer before it has read anything. A caller takes this for the truth and submits its work again.

--- a/chivespoke/operators/tests/test_routes.py
+++ b/chivespoke/operators/tests/test_routes.py
@@ -24,21 +24,28 @@
         self.process = builders.ConfigurationProcess(self.log, clock, 'one')
         await self.process.start()
         self.addAsyncCleanup(self.process.stop)
+        self.client = await self.serve(self.process)
         configuration = self.process.configuration
+        await configuration.propose(
+            builders.build_proposal('first', 0, *builders.BASE_OPERATIONS)
+        )
+
+    async def serve(
+        self, process: builders.ConfigurationProcess
+    ) -> test_utils.TestClient[web.Request, web.Application]:
+        configuration = process.configuration
         routes = operators.OperatorRoutes(
             configuration,
-            clock,
+            clocks.SystemClock(),
             operators.LocalReportCollector(),
             operators.StatusBuilder('one', configuration),
         )
         server = web.Application()
         server.add_routes(routes.list_routes())
-        self.client = test_utils.TestClient(test_utils.TestServer(server))
-        await self.client.start_server()
-        self.addAsyncCleanup(self.client.close)
-        await configuration.propose(
-            builders.build_proposal('first', 0, *builders.BASE_OPERATIONS)
-        )
+        client = test_utils.TestClient(test_utils.TestServer(server))
+        await client.start_server()
+        self.addAsyncCleanup(client.close)
+        return client
 
     async def send_request(
         self, method: str, path: str, **options: typing.Any
@@ -172,6 +179,29 @@
         self.assertEqual((200, 2), (status, shown['version']))
         await patching
 
+    async def test_unloaded_process_shows_no_old_version(self) -> None:
+        self.log.faults.read_down = True
+        process = builders.ConfigurationProcess(
+            self.log, clocks.SystemClock(), 'two'
+        )
+        await process.start()
+        self.addAsyncCleanup(process.stop)
+        client = await self.serve(process)
+        cases = (
+            ('/configuration', 503),
+            ('/configuration/history', 503),
+            ('/configuration/diff', 503),
+            ('/explain/service/counts', 503),
+            ('/status', 200),
+        )
+        for path, expected in cases:
+            with self.subTest(path=path):
+                async with client.get(path) as answer:
+                    self.assertEqual(expected, answer.status)
+                    self.assertEqual(
+                        expected == 503, 'Retry-After' in answer.headers
+                    )
+
     async def test_lost_answer_is_recovered_by_reading(self) -> None:
         self.log.faults.lost_answers = 1
         status, decision = await self.patch(1, 5)
