Answer 503 instead of denying what is not loaded yet

Cause: the answers came from the fold whatever had been read of its stream, so that an empty or partial state looked like a complete one. The health check knew only whether the process had started.

Trial: without the check of refused submissions test_repeated_submission_is_not_refused fails.

Why the fix works: a stream is loaded once a read has reached its end, and stays loaded. Before that, a cancellation or a request for a job that is not known, a refusal of a submission, and the lists of jobs and workers raise NotLoadedError, which the routes answer with 503 and Retry-After at once. It is a RefusedError, as nothing was done. What is known is still answered: a known job is cancelled and a good submission is appended. Of the operators' routes only the status, the rollout and the validation answer before the configuration is loaded.

The health check fails until the configuration and the shards are loaded or a read of them has failed. It does not wait longer, as callers' requests need no log, and a restart during an outage of the log would otherwise end them.

The bench of faults asks whether the jobs are finished only once the shards are loaded; a job that was not known yet counted as unfinished before.

--- a/chivespoke/bench/_fault_world.py
+++ b/chivespoke/bench/_fault_world.py
@@ -392,6 +392,8 @@
 
     def _is_finished(self) -> bool:
         api = self.cluster.processes[PROCESSES[0]].api
+        if not all(stream.is_loaded for stream in api.streams.values()):
+            return False
         for job_id in self.submitted:
             report = api.report_job(job_id)
             if report is None or report.waiting or report.running:
--- a/chivespoke/daemons.py
+++ b/chivespoke/daemons.py
@@ -1,5 +1,7 @@
 """Applications of an entry and of a sidecar, composed of their parts."""
 
+import typing
+
 from chivespoke import application
 from chivespoke import backend_servers
 from chivespoke import callers
@@ -8,6 +10,7 @@
 from chivespoke import entries
 from chivespoke import identifiers
 from chivespoke import operators
+from chivespoke import replication
 from chivespoke import scheduling
 from chivespoke.scheduling import policies
 from chivespoke import settings
@@ -189,8 +192,15 @@
         home_limits: backend_servers.HomeLimits | None = None,
     ) -> None:
         self.context = EntryContext(entry, time, policy, home_limits)
-        health = web.Health(balancer_notice_seconds)
         context = self.context
+        followers: tuple[replication.Follower[typing.Any], ...] = (
+            context.control.configuration.follower,
+            *context.scheduling.followers,
+        )
+        health = web.Health(
+            balancer_notice_seconds,
+            lambda: all(follower.has_tried_to_load for follower in followers),
+        )
         parts: list[Part] = [context.telemetry, context.directory]
         parts += [
             context.messages,
--- a/chivespoke/errors.py
+++ b/chivespoke/errors.py
@@ -32,6 +32,10 @@
     """Report a request that was refused and had no effect."""
 
 
+class NotLoadedError(RefusedError):
+    """Report a request that cannot be answered before the state is loaded."""
+
+
 def check_invariant(
     holds: bool, name: str, peer: str, detail: str = 'broken'
 ) -> None:
--- a/chivespoke/operators/_routes.py
+++ b/chivespoke/operators/_routes.py
@@ -114,29 +114,42 @@
 
     def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
         return (
-            web.get('/configuration', self._wrap_handler(self._show)),
-            web.patch('/configuration', self._wrap_handler(self._patch)),
+            web.get('/configuration', self._wrap_loaded(self._show)),
+            web.patch('/configuration', self._wrap_loaded(self._patch)),
             web.post(
                 '/configuration/validate', self._wrap_handler(self._validate)
             ),
             web.get(
-                '/configuration/history', self._wrap_handler(self._history)
+                '/configuration/history', self._wrap_loaded(self._history)
             ),
-            web.get('/configuration/diff', self._wrap_handler(self._diff)),
+            web.get('/configuration/diff', self._wrap_loaded(self._diff)),
             web.get(
                 '/configuration/in-force',
                 self._wrap_handler(self._show_rollout),
             ),
             web.get(
                 '/configuration/patches/{id}',
-                self._wrap_handler(self._show_decision),
+                self._wrap_loaded(self._show_decision),
             ),
             web.get('/status', self._wrap_handler(self._show_status)),
             web.get(
-                '/explain/{kind}/{name:.+}', self._wrap_handler(self._explain)
+                '/explain/{kind}/{name:.+}', self._wrap_loaded(self._explain)
             ),
         )
 
+    def _wrap_loaded(self, handler: Handler) -> Handler:
+        """Wrap a handler that needs the configuration to be loaded."""
+        wrapped = self._wrap_handler(handler)
+
+        async def handle(request: web.Request) -> web.Response:
+            if not self._configuration.follower.is_loaded:
+                return self._refuse(
+                    503, 'the configuration is still being loaded'
+                )
+            return await wrapped(request)
+
+        return handle
+
     def _wrap_handler(self, handler: Handler) -> Handler:
         """Wrap a handler with the version wait and error responses.
 
--- a/chivespoke/replication/_follower.py
+++ b/chivespoke/replication/_follower.py
@@ -110,6 +110,16 @@
         """Return the folded state."""
         return self.replica.fold
 
+    @property
+    def is_loaded(self) -> bool:
+        """Return whether the stream was once read to its end."""
+        return self.last_read_at is not None
+
+    @property
+    def has_tried_to_load(self) -> bool:
+        """Return whether the stream is loaded, or a read of it has failed."""
+        return self.is_loaded or self.failed_reads > 0
+
     def measure_read_age(self) -> float:
         """Return the seconds since the start of the last read.
 
--- a/chivespoke/scheduling/_api.py
+++ b/chivespoke/scheduling/_api.py
@@ -67,6 +67,8 @@
                 spec,
             )
             if reason:
+                self._check_configuration()
+                self.check_loaded()
                 return _refuse(job_id, reason)
             record = _records.JobSubmitted(job_id, spec, request.tasks)
             await self._commit(stream, record)
@@ -80,7 +82,10 @@
     async def cancel(
         self, job_ids: collections.abc.Sequence[identifiers.JobId]
     ) -> list[_requests.JobAnswer]:
-        """Cancel jobs; repeated cancellations are accepted."""
+        """Cancel jobs; repeated cancellations are accepted.
+
+        Raise NotLoadedError when one is not known before its shard is loaded.
+        """
         answers = await asyncio.gather(
             *(self._cancel_one(job_id) for job_id in job_ids)
         )
@@ -92,6 +97,7 @@
         stream = self.choose_stream(job_id)
         job_number = stream.fold.shard.job_numbers.get(job_id)
         if job_number is None:
+            _check_stream(stream)
             return _refuse(job_id, 'the job is unknown')
         if stream.fold.shard.jobs[job_number].phase is _state.JobPhase.OPEN:
             await self._commit(stream, _records.JobCancelled(job_number))
@@ -135,7 +141,16 @@
     def report_job(
         self, job_id: identifiers.JobId
     ) -> _requests.JobReport | None:
-        """Return the report of a job over all followed shards, or None."""
+        """Return the report of a job over all followed shards, or None.
+
+        Raise NotLoadedError before all of them are loaded.
+        """
+        self.check_loaded()
+        return self._find_report(job_id)
+
+    def _find_report(
+        self, job_id: identifiers.JobId
+    ) -> _requests.JobReport | None:
         job_parts: list[_state.Job] = []
         for stream in self.streams.values():
             shard = stream.fold.shard
@@ -151,7 +166,7 @@
             for stream in self.streams.values()
             for job_id in stream.fold.shard.job_numbers
         }
-        reports = [self.report_job(name) for name in sorted(names)]
+        reports = [self._find_report(name) for name in sorted(names)]
         return [report for report in reports if report is not None]
 
     def report_workers(self) -> list[_requests.WorkerReport]:
@@ -171,6 +186,17 @@
             ),
         )
 
+    def check_loaded(self) -> None:
+        """Raise NotLoadedError unless all followed shards are loaded."""
+        for stream in self.streams.values():
+            _check_stream(stream)
+
+    def _check_configuration(self) -> None:
+        if self._configuration.last_read_at is None:
+            raise errors.NotLoadedError(
+                SUBMIT_STEP, 'configuration', 'it is still being loaded'
+            )
+
     async def _commit(
         self, stream: _stream.ShardStream, record: _records.Record
     ) -> None:
@@ -183,6 +209,13 @@
             ) from error
 
 
+def _check_stream(stream: _stream.ShardStream) -> None:
+    if not stream.is_loaded:
+        raise errors.NotLoadedError(
+            'look up jobs', stream.name, 'the shard is still being loaded'
+        )
+
+
 def _refuse(job_id: identifiers.JobId, reason: str) -> _requests.JobAnswer:
     return _requests.JobAnswer(id=job_id, accepted=False, reason=reason)
 
--- a/chivespoke/scheduling/_explanation.py
+++ b/chivespoke/scheduling/_explanation.py
@@ -31,6 +31,7 @@
         return [report.id for report in self._api.report_jobs()]
 
     def explain(self, kind: str, name: str) -> operators.Explanation | None:
+        self._api.check_loaded()
         if kind == 'worker':
             return self._explain_worker(name)
         if kind == 'job':
--- a/chivespoke/scheduling/_routes.py
+++ b/chivespoke/scheduling/_routes.py
@@ -14,6 +14,8 @@
 from chivespoke import workers
 
 JSON = 'application/json'
+# Value of the header Retry-After.
+RETRY_AFTER_SECONDS = '1'
 Message = typing.TypeVar('Message')
 Handler = collections.abc.Callable[
     [web.Request], collections.abc.Awaitable[web.StreamResponse]
@@ -32,13 +34,13 @@
         return (
             web.post('/v1/jobs', _map_errors(self._submit)),
             web.post('/v1/jobs/cancel', _map_errors(self._cancel)),
-            web.get('/v1/jobs', self._list),
-            web.get('/v1/jobs/{job}', self._show),
+            web.get('/v1/jobs', _map_errors(self._list)),
+            web.get('/v1/jobs/{job}', _map_errors(self._show)),
             web.post('/v1/workers', _map_errors(self._register)),
             web.post(
                 '/v1/workers/{group}/{worker}/news', self._request_heartbeat
             ),
-            web.get('/v1/workers', self._list_workers),
+            web.get('/v1/workers', _map_errors(self._list_workers)),
         )
 
     async def _submit(self, request: web.Request) -> web.StreamResponse:
@@ -51,6 +53,7 @@
 
     async def _list(self, request: web.Request) -> web.StreamResponse:
         del request
+        self._api.check_loaded()
         return _respond(self._api.report_jobs())
 
     async def _show(self, request: web.Request) -> web.StreamResponse:
@@ -76,6 +79,7 @@
 
     async def _list_workers(self, request: web.Request) -> web.StreamResponse:
         del request
+        self._api.check_loaded()
         return _respond(self._api.report_workers())
 
 
@@ -93,11 +97,17 @@
 
 
 def _map_errors(handler: Handler) -> Handler:
-    """Respond to refusals with 409 and to unavailability with 503."""
+    """Respond to refusals with 409 and to unavailability with 503.
+
+    A request that must wait until the state is loaded counts as unavailable.
+    """
 
     async def handle(request: web.Request) -> web.StreamResponse:
         try:
             return await handler(request)
+        except errors.NotLoadedError as error:
+            headers = {'Retry-After': RETRY_AFTER_SECONDS}
+            return web.Response(status=503, headers=headers, text=str(error))
         except errors.RefusedError as error:
             return web.Response(status=409, text=str(error))
         except errors.UnavailableError as error:
--- a/chivespoke/scheduling/_stream.py
+++ b/chivespoke/scheduling/_stream.py
@@ -62,6 +62,11 @@
             lambda: True if self.replica.next_offset > offset else None
         )
 
+    @property
+    def is_loaded(self) -> bool:
+        """Return whether the stream was once read to its end."""
+        return self.follower.is_loaded
+
     def measure_read_age(self) -> float:
         """Return the age of the state in seconds; infinite if never read."""
         if not self.replica.is_ready:
--- a/chivespoke/scheduling/tests/test_loading.py
+++ b/chivespoke/scheduling/tests/test_loading.py
@@ -42,6 +42,14 @@
         with self.assertRaises(errors.RefusedError):
             await self.api.cancel([JOB_ID])
 
+    async def test_repeated_submission_is_not_refused(self) -> None:
+        nowhere = identifiers.DataCentreName('nowhere')
+        request = scheduling.JobRequest(
+            id=JOB_ID, team=builders.TEAM, data_centres=(nowhere,)
+        )
+        with self.assertRaises(errors.NotLoadedError):
+            await self.api.submit([request])
+
     async def test_job_is_not_reported_as_unknown(self) -> None:
         with self.assertRaises(errors.RefusedError):
             self.api.report_job(JOB_ID)
--- a/chivespoke/web.py
+++ b/chivespoke/web.py
@@ -94,11 +94,16 @@
     fails before any other component refuses requests.
     """
 
-    __slots__ = ('_notice_seconds', '_draining', '_started')
+    __slots__ = ('_notice_seconds', '_is_ready', '_draining', '_started')
 
-    def __init__(self, notice_seconds: float) -> None:
+    def __init__(
+        self,
+        notice_seconds: float,
+        is_ready: collections.abc.Callable[[], bool] = lambda: True,
+    ) -> None:
         # Time for the load balancer to notice the failing check.
         self._notice_seconds = notice_seconds
+        self._is_ready = is_ready
         self._draining = False
         self._started = False
 
@@ -118,4 +123,6 @@
     async def _handle_health(self, request: web.Request) -> web.Response:
         if self._draining or not self._started:
             return web.Response(status=503, text='leaving\n')
+        if not self._is_ready():
+            return web.Response(status=503, text='loading\n')
         return web.Response(text='ok\n')
