--- a/chivespoke/standins/__init__.py
+++ b/chivespoke/standins/__init__.py
@@ -1,4 +1,4 @@
-"""Small fakes of the outside, for tests, benches and the demo."""
+"""Fakes of external systems for tests, benchmarks and the demo."""
 
 from chivespoke.standins._advisor import PlatformAdvisor
 from chivespoke.standins._backend_server import CountingServer
--- a/chivespoke/standins/_advisor.py
+++ b/chivespoke/standins/_advisor.py
@@ -1,4 +1,4 @@
-"""A small fake of the platform's advisor on steps."""
+"""A fake of the platform's advisor on the placement of steps."""
 
 import asyncio
 import collections.abc
@@ -12,25 +12,25 @@
 DECISION_SECONDS = 0.02
 
 
-class _Question(msgspec.Struct):
+class _AdviceRequest(msgspec.Struct):
     step: str
     workers: list[str]
 
 
 class PlatformAdvisor(chivespoke_web.RouteProvider):
-    """Allow steps on some workers, with tickets that run out."""
+    """Allow steps on a set of workers, with tickets that expire."""
 
     __slots__ = ('allowed', 'asked', 'valid_seconds', 'refusals', '_tickets')
 
     def __init__(self, *allowed: str) -> None:
         # Identifiers of the workers that may run any step.
         self.allowed = frozenset(allowed)
-        # The workers that each question named.
+        # Workers named in each answered request.
         self.asked: list[tuple[str, ...]] = []
         self.valid_seconds = 3.0
-        # Questions that are refused as too many.
+        # Number of requests that are refused with status 429.
         self.refusals = 0
-        # Time at which a ticket runs out, by ticket.
+        # Loop time at which each ticket expires.
         self._tickets: dict[str, float] = {}
 
     def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
@@ -41,27 +41,29 @@
         return chivespoke_web.HttpServer(addresses.Address(), (self,), 0.1)
 
     def is_valid(self, step: str, worker: str, ticket: str) -> bool:
-        """Tell whether a ticket lets a step start on a worker."""
+        """Return whether a ticket permits a step to start on a worker."""
         now = asyncio.get_running_loop().time()
         return ticket.startswith(
             f'{step}/{worker}/'
         ) and now < self._tickets.get(ticket, 0.0)
 
     async def _advise(self, request: web.Request) -> web.Response:
-        question = msgspec.json.decode(await request.read(), type=_Question)
+        advice_request = msgspec.json.decode(
+            await request.read(), type=_AdviceRequest
+        )
         if self.refusals:
             self.refusals -= 1
             return web.Response(status=429)
         await asyncio.sleep(DECISION_SECONDS)
-        self.asked.append(tuple(question.workers))
-        until = asyncio.get_running_loop().time() + self.valid_seconds
+        self.asked.append(tuple(advice_request.workers))
+        expires_at = asyncio.get_running_loop().time() + self.valid_seconds
         rows = [
-            (worker, f'{question.step}/{worker}/{len(self.asked)}')
-            for worker in question.workers
+            (worker, f'{advice_request.step}/{worker}/{len(self.asked)}')
+            for worker in advice_request.workers
             if worker in self.allowed
         ]
         for _, ticket in rows:
-            self._tickets[ticket] = until
+            self._tickets[ticket] = expires_at
         return web.Response(
             body=msgspec.json.encode(
                 {'allowed': rows, 'valid_ms': int(self.valid_seconds * 1000)}
--- a/chivespoke/standins/_backend_server.py
+++ b/chivespoke/standins/_backend_server.py
@@ -1,4 +1,4 @@
-"""A fake backend server that counts its runs."""
+"""A fake backend server that counts the requests it runs."""
 
 import asyncio
 import collections
@@ -14,11 +14,11 @@
 
 
 class CountingServer(application.Component, chivespoke_web.RouteProvider):
-    """Answer requests after a while and count the runs of each path.
+    """Answer requests after a delay and count the runs of each path.
 
-    The query of a request may say ``ms`` (how long it runs), ``status``,
-    ``size`` (bytes of the answer) and ``fault`` (``hang``: never answer,
-    ``cut``: break off half way).
+    The query of a request may set ``ms`` (its run time), ``status``,
+    ``size`` (minimum size of the response body in bytes) and ``fault``
+    (``hang``: never respond, ``cut``: abort the connection half-way).
     """
 
     __slots__ = (
@@ -34,14 +34,14 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.running = 0
         self.most_running = 0
-        # Factor on every run time.
+        # Factor applied to every run time.
         self.slowness = 1.0
         self.healthy = True
         self._server = chivespoke_web.HttpServer(address, (self,), 0.1)
 
     @property
     def address(self) -> settings.Address:
-        """Return where it listens."""
+        """Return the address it listens on."""
         return self._server.address
 
     def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
@@ -55,7 +55,7 @@
         await self._server.start()
 
     async def drain(self) -> None:
-        """Fail the health check and finish what runs."""
+        """Fail health checks and wait for running requests."""
         self.healthy = False
         while self.running:
             await asyncio.sleep(0.02)
@@ -88,7 +88,7 @@
         if query.get('fault') == 'hang':
             await asyncio.Event().wait()
         if query.get('fault') == 'cut':
-            return await _break_off(request)
+            return await _abort_response(request)
         text = body or request.method.encode() + b' ' + request.path.encode()
         return web.Response(
             status=int(query.get('status', '200')),
@@ -97,7 +97,7 @@
         )
 
 
-async def _break_off(request: web.Request) -> web.StreamResponse:
+async def _abort_response(request: web.Request) -> web.StreamResponse:
     response = web.StreamResponse(headers={'Content-Length': '1000'})
     await response.prepare(request)
     await response.write(b'half')
--- a/chivespoke/standins/_balancer.py
+++ b/chivespoke/standins/_balancer.py
@@ -1,4 +1,4 @@
-"""A stand-in of the platform's balancer: forwards TCP connections."""
+"""A fake of the platform's load balancer that forwards TCP connections."""
 
 import asyncio
 import collections.abc
@@ -14,8 +14,8 @@
 class Balancer(application.Component):
     """Forward each connection to the next target that accepts it.
 
-    Targets may be changed at any time. A cut breaks every connection and
-    refuses new ones until it is mended.
+    Targets may be changed at any time. ``cut`` aborts all connections and
+    refuses new ones until ``restore`` is called.
     """
 
     __slots__ = ('targets', '_next', '_server', '_cut', '_tasks')
@@ -31,10 +31,10 @@
 
     @property
     def address(self) -> settings.Address:
-        """Return where it listens."""
+        """Return the address it listens on."""
         if self._server is None:
             raise errors.UnavailableError(
-                'read address', 'balancer', 'not started'
+                'read address', 'balancer', 'the balancer is not started'
             )
         host, port = self._server.sockets[0].getsockname()[:2]
         return settings.Address(host, port)
@@ -47,18 +47,18 @@
     async def stop(self) -> None:
         if self._server is not None:
             self._server.close()
-        await self._break_connections()
+        await self._abort_connections()
 
     async def cut(self) -> None:
-        """Break every connection and accept none."""
+        """Abort all connections and refuse new ones."""
         self._cut = True
-        await self._break_connections()
+        await self._abort_connections()
 
-    def mend(self) -> None:
+    def restore(self) -> None:
         """Accept connections again."""
         self._cut = False
 
-    async def _break_connections(self) -> None:
+    async def _abort_connections(self) -> None:
         tasks = tuple(self._tasks)
         for task in tasks:
             task.cancel()
@@ -86,13 +86,13 @@
         connection = await self._connect()
         if connection is None:
             return
-        far_reader, far_writer = connection
+        target_reader, target_writer = connection
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(_copy(reader, far_writer))
-                group.create_task(_copy(far_reader, writer))
+                group.create_task(_copy(reader, target_writer))
+                group.create_task(_copy(target_reader, writer))
         finally:
-            far_writer.close()
+            target_writer.close()
 
     async def _connect(
         self,
@@ -108,7 +108,7 @@
 async def _copy(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
-    """Copy bytes until either side ends, then end the other."""
+    """Copy bytes until the reader ends, then end the writer."""
     with contextlib.suppress(ConnectionError):
         while chunk := await reader.read(CHUNK_BYTES):
             writer.write(chunk)
--- a/chivespoke/standins/_log.py
+++ b/chivespoke/standins/_log.py
@@ -1,4 +1,4 @@
-"""A stand-in of the platform's log in memory, with faults by command."""
+"""An in-memory fake of the platform's log with fault injection."""
 
 import asyncio
 
@@ -13,22 +13,25 @@
 
 
 class LogFaults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
-    """Say how the log misbehaves from now on."""
+    """Configure the faults that the log injects."""
 
+    # Whether appends are refused, and whether reads fail.
     append_down: bool = False
     read_down: bool = False
-    # Seconds before an append takes effect.
+    # Seconds before an append takes effect, and before a read starts.
     append_delay: float = 0.0
     read_delay: float = 0.0
-    # Appends that take effect and whose answer is lost.
+    # Number of appends that take effect but report a lost answer.
     lost_answers: int = 0
-    # Appends that take effect twice.
+    # Number of appends that are stored twice.
     duplicates: int = 0
-    # Appends whose stored payload is damaged.
+    # Number of appends that are stored with a corrupted last byte.
     corruptions: int = 0
 
 
 class _Stream:
+    """Hold the retained records of one stream."""
+
     __slots__ = ('records', 'earliest', 'appended_at', 'changed')
 
     def __init__(self) -> None:
@@ -41,15 +44,15 @@
     def end(self) -> int:
         return self.earliest + len(self.records)
 
-    def expire(self, count: int) -> None:
-        """Drop the oldest records."""
+    def drop_oldest(self, count: int) -> None:
+        """Drop a number of the oldest records."""
         del self.records[:count]
         del self.appended_at[:count]
         self.earliest += count
 
 
 class MemoryLog(replication.Log):
-    """Keep streams in memory for a limited time."""
+    """Keep the records of streams in memory for a retention period."""
 
     __slots__ = ('faults', 'appends', 'reads', '_clock', '_streams', '_keep')
 
@@ -67,7 +70,9 @@
         if self.faults.append_delay:
             await self._clock.sleep(self.faults.append_delay)
         if self.faults.append_down:
-            raise errors.RefusedError('append', PEER, 'down by command')
+            raise errors.RefusedError(
+                'append', PEER, 'appends are down (injected fault)'
+            )
         if self.faults.corruptions:
             self.faults.corruptions -= 1
             payload = payload[:-1] + bytes((payload[-1] ^ 0xFF,))
@@ -77,7 +82,9 @@
             self._store(stream, payload)
         if self.faults.lost_answers:
             self.faults.lost_answers -= 1
-            raise errors.UnavailableError('append', PEER, 'answer lost')
+            raise errors.UnavailableError(
+                'append', PEER, 'answer lost (injected fault)'
+            )
         return identifiers.Offset(offset)
 
     async def read(
@@ -92,20 +99,20 @@
             await self._clock.sleep(self.faults.read_delay)
         self._check_readable()
         state = self._open(stream)
-        self._expire(state)
+        self._apply_retention(state)
         if start >= state.end and wait_seconds > 0:
-            await self._wait(state, wait_seconds)
+            await self._wait_for_append(state, wait_seconds)
             self._check_readable()
-            self._expire(state)
+            self._apply_retention(state)
         first = max(start, state.earliest)
-        begin = first - state.earliest
+        start_index = first - state.earliest
         return replication.LogPage(
             tuple(
                 replication.LogRecord(
                     identifiers.Offset(first + index), payload
                 )
                 for index, payload in enumerate(
-                    state.records[begin : begin + limit]
+                    state.records[start_index : start_index + limit]
                 )
             ),
             identifiers.Offset(state.earliest),
@@ -115,7 +122,7 @@
     def truncate(self, stream: str, earliest: int) -> None:
         """Drop the records before an offset."""
         state = self._open(stream)
-        state.expire(min(max(earliest - state.earliest, 0), state.end))
+        state.drop_oldest(min(max(earliest - state.earliest, 0), state.end))
 
     def _store(self, stream: str, payload: bytes) -> int:
         self.appends += 1
@@ -131,20 +138,22 @@
 
     def _check_readable(self) -> None:
         if self.faults.read_down:
-            raise errors.UnavailableError('read', PEER, 'down by command')
+            raise errors.UnavailableError(
+                'read', PEER, 'reads are down (injected fault)'
+            )
 
-    def _expire(self, state: _Stream) -> None:
-        oldest = self._clock.read_monotonic() - self._keep
+    def _apply_retention(self, state: _Stream) -> None:
+        retained_from = self._clock.read_monotonic() - self._keep
         count = 0
         while (
             count < len(state.appended_at)
-            and state.appended_at[count] < oldest
+            and state.appended_at[count] < retained_from
         ):
             count += 1
         if count:
-            state.expire(count)
+            state.drop_oldest(count)
 
-    async def _wait(self, state: _Stream, seconds: float) -> None:
+    async def _wait_for_append(self, state: _Stream, seconds: float) -> None:
         changed = asyncio.ensure_future(state.changed.wait())
         timeout = asyncio.ensure_future(self._clock.sleep(seconds))
         try:
--- a/chivespoke/standins/_log_server.py
+++ b/chivespoke/standins/_log_server.py
@@ -1,4 +1,4 @@
-"""An HTTP server for the stand-in of the platform's log."""
+"""An HTTP server for the in-memory log."""
 
 from aiohttp import web
 import msgspec
@@ -9,24 +9,24 @@
 from chivespoke import settings
 from chivespoke.standins import _log
 
-# Bytes of one append.
-PAYLOAD_LIMIT = 4 * 1024 * 1024
+# Maximum size of an append request, in bytes.
+MAX_PAYLOAD_BYTES = 4 * 1024 * 1024
 FAULTS_DECODER = msgspec.json.Decoder(_log.LogFaults)
 
 
 class LogServer(application.Component):
-    """Serve a MemoryLog, and take fault commands on /faults."""
+    """Serve a MemoryLog, and set its injected faults through /faults."""
 
     __slots__ = ('log', 'address', '_runner')
 
     def __init__(self, log: _log.MemoryLog, address: settings.Address) -> None:
         self.log = log
-        # Holds the port really taken once started.
+        # Holds the bound port once started.
         self.address = address
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
-        server = web.Application(client_max_size=PAYLOAD_LIMIT)
+        server = web.Application(client_max_size=MAX_PAYLOAD_BYTES)
         server.add_routes(
             (
                 web.post('/streams/{stream}', self._append),
--- a/chivespoke/standins/_runner.py
+++ b/chivespoke/standins/_runner.py
@@ -1,4 +1,4 @@
-"""A small fake of the platform's worker, which checks what it is told."""
+"""A fake of the platform's worker that validates the orders it receives."""
 
 import asyncio
 import collections.abc
@@ -13,27 +13,30 @@
 from chivespoke.standins import _advisor
 from chivespoke import web as chivespoke_web
 
-STOP_SECONDS = 0.02
-REGISTER_SECONDS = 0.1
+# Delay between a stop order and the end of the run.
+STOP_DELAY_SECONDS = 0.02
+REGISTRATION_INTERVAL_SECONDS = 0.1
 # A task with this payload runs until it is stopped.
-LASTING_PAYLOAD = 'serve'
-LASTING_SECONDS = 3600.0
+LONG_RUNNING_PAYLOAD = 'serve'
+LONG_RUNNING_SECONDS = 3600.0
 
 
 class RunnerFaults(msgspec.Struct):
-    """Say how the worker misbehaves."""
+    """Configure the faults that the worker injects."""
 
-    # Starts that get no answer and are carried out later.
+    # Number of starts that get no response and take effect after
+    # ``late_seconds``.
     late_starts: int = 0
     late_seconds: float = 0.2
-    # Starts that are refused as unhealthy.
+    # Number of starts that are refused with status 503, as by an unhealthy
+    # worker.
     unhealthy_starts: int = 0
-    # Every task fails at its end.
+    # Whether every task fails at its end.
     fails_all: bool = False
 
 
 class Ran(msgspec.Struct, frozen=True):
-    """Record that a run began."""
+    """Describe a started run."""
 
     task: str
     run: int
@@ -41,6 +44,8 @@
 
 
 class _Run:
+    """Hold a run in progress and the timer that ends it."""
+
     __slots__ = ('number', 'ends', 'checkpoint')
 
     def __init__(
@@ -52,7 +57,7 @@
 
 
 class PlatformRunner(chivespoke_web.RouteProvider, application.Component):
-    """Run tasks for a set time, under leases and fences."""
+    """Run tasks for a fixed time, under a lease and fencing tokens."""
 
     __slots__ = (
         'identifier',
@@ -89,24 +94,29 @@
     ) -> None:
         self.identifier = identifier
         self.faults = RunnerFaults()
-        # Starts need its tickets, if there is one.
+        # If set, a start needs a valid ticket of this advisor.
         self.advisor: _advisor.PlatformAdvisor | None = None
         self.began: list[Ran] = []
-        # Percent of full speed last set, by task.
+        # Last requested percentage of the full speed, by task.
         self.paces: dict[str, int] = {}
         self.draining = False
         self.address = ''
+        # Sequence number of the last ended run.
         self.number = 0
         self._service = service
         self._zone = zone
-        # How long each task takes.
+        # Run time of a task.
         self._seconds = seconds
         self._running: dict[str, _Run] = {}
+        # Rows of ``ended_runs`` that are not acknowledged yet.
         self._ended: list[list[typing.Any]] = []
-        # Highest run that was stopped or ended here, by task.
+        # Highest identifier of a run that was stopped or ended, by task.
         self._over: dict[str, int] = {}
+        # Highest fencing token seen.
         self._fence = 0
+        # Clock reading in milliseconds at which the lease expires.
         self._until = 0.0
+        # Incarnation; a crash increases it.
         self._born = 1
         self._sequence = 0
         self._tasks = application.TaskOwner()
@@ -116,10 +126,10 @@
 
     def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
         return (
-            web.post('/run-start', self._start),
-            web.post('/run-stop', self._stop),
-            web.post('/hold', self._hold),
-            web.post('/pace', self._pace),
+            web.post('/run-start', self._handle_start),
+            web.post('/run-stop', self._handle_stop),
+            web.post('/hold', self._renew_lease),
+            web.post('/pace', self._set_pace),
         )
 
     def make_server(self) -> chivespoke_web.HttpServer:
@@ -127,26 +137,26 @@
         return chivespoke_web.HttpServer(addresses.Address(), (self,), 0.1)
 
     def register_at(self, control: str) -> None:
-        """Report to a control address from now on."""
+        """Start to register at a control address periodically."""
         self._control = control
-        self._tasks.spawn(self._keep_registering())
+        self._tasks.spawn(self._register_periodically())
 
     async def start(self) -> None:
-        self._tasks.spawn(self._watch_leases())
+        self._tasks.spawn(self._enforce_lease())
 
     async def stop(self) -> None:
         await self._tasks.cancel()
 
     @property
     def running(self) -> frozenset[str]:
-        """Return the tasks that run now."""
+        """Return the running tasks."""
         return frozenset(self._running)
 
     def crash(self) -> None:
-        """Lose everything and begin a new life under the same identifier."""
+        """Lose all state and restart as a new incarnation of the worker."""
         for task, run in tuple(self._running.items()):
             run.ends.cancel()
-            self._ledger.note_end(task)
+            self._ledger.record_end(task)
         self._running.clear()
         self._ended.clear()
         self._over.clear()
@@ -159,7 +169,7 @@
     def _read_clock(self) -> int:
         return int(asyncio.get_running_loop().time() * 1000)
 
-    async def _keep_registering(self) -> None:
+    async def _register_periodically(self) -> None:
         async with aiohttp.ClientSession() as session:
             while True:
                 self._sequence += 1
@@ -180,18 +190,18 @@
                     async with session.put(url, json=body):
                         pass
                 except aiohttp.ClientError:
-                    # Nobody there yet; the next report may find somebody.
+                    # The control address may not listen yet; retried later.
                     pass
-                await asyncio.sleep(REGISTER_SECONDS)
+                await asyncio.sleep(REGISTRATION_INTERVAL_SECONDS)
 
-    async def _watch_leases(self) -> None:
+    async def _enforce_lease(self) -> None:
         while True:
             await asyncio.sleep(0.01)
             if self._read_clock() > self._until:
                 for task in tuple(self._running):
-                    self._end(task, 'lapsed')
+                    self._end_run(task, 'lapsed')
 
-    async def _start(self, request: web.Request) -> web.Response:
+    async def _handle_start(self, request: web.Request) -> web.Response:
         body = msgspec.json.decode(await request.read())
         if self.faults.unhealthy_starts:
             self.faults.unhealthy_starts -= 1
@@ -199,21 +209,21 @@
         if self.faults.late_starts:
             self.faults.late_starts -= 1
             asyncio.get_running_loop().call_later(
-                self.faults.late_seconds, self._carry_out, body
+                self.faults.late_seconds, self._start_run, body
             )
             await asyncio.sleep(3600)
-        reason = self._carry_out(body)
-        return self._answer({'reason': reason} if reason else {})
+        reason = self._start_run(body)
+        return self._make_response({'reason': reason} if reason else {})
 
-    def _carry_out(self, body: dict[str, typing.Any]) -> str:
+    def _start_run(self, body: dict[str, typing.Any]) -> str:
         task, number = body['task'], body['run_id']
         if body['fencing_token'] < self._fence:
             return 'fence'
         self._fence = body['fencing_token']
-        running = self._running.get(task)
-        if running is not None and running.number == number:
+        current = self._running.get(task)
+        if current is not None and current.number == number:
             return ''
-        if number <= self._over.get(task, 0) or running is not None:
+        if number <= self._over.get(task, 0) or current is not None:
             return 'old'
         if body['deadline_ms'] < self._read_clock():
             return 'late'
@@ -226,19 +236,19 @@
         checkpoint = body.get('checkpoint', '')
         cause = 'failed' if self.faults.fails_all else 'done'
         ends = asyncio.get_running_loop().call_later(
-            LASTING_SECONDS
-            if body['spec'] == LASTING_PAYLOAD
+            LONG_RUNNING_SECONDS
+            if body['spec'] == LONG_RUNNING_PAYLOAD
             else self._seconds,
-            self._end,
+            self._end_run,
             task,
             cause,
         )
         self._running[task] = _Run(number, ends, checkpoint)
         self.began.append(Ran(task, number, checkpoint))
-        self._ledger.note_start(task)
+        self._ledger.record_start(task)
         return ''
 
-    def _end(self, task: str, cause: str) -> None:
+    def _end_run(self, task: str, cause: str) -> None:
         run = self._running.pop(task, None)
         if run is None:
             return
@@ -248,40 +258,40 @@
         self._ended.append(
             [self.number, task, run.number, cause, run.checkpoint]
         )
-        self._ledger.note_end(task)
+        self._ledger.record_end(task)
         self._changed.set()
 
-    async def _stop(self, request: web.Request) -> web.Response:
+    async def _handle_stop(self, request: web.Request) -> web.Response:
         body = msgspec.json.decode(await request.read())
         if body['fencing_token'] < self._fence:
-            return self._answer({'reason': 'fence'})
+            return self._make_response({'reason': 'fence'})
         self._fence = body['fencing_token']
         task, number = body['task'], body['run_id']
         self._over[task] = max(self._over.get(task, 0), number)
-        running = self._running.get(task)
-        if running is not None and running.number <= number:
+        current = self._running.get(task)
+        if current is not None and current.number <= number:
             asyncio.get_running_loop().call_later(
-                STOP_SECONDS, self._end, task, 'stopped'
+                STOP_DELAY_SECONDS, self._end_run, task, 'stopped'
             )
-        return self._answer({})
+        return self._make_response({})
 
-    async def _hold(self, request: web.Request) -> web.Response:
+    async def _renew_lease(self, request: web.Request) -> web.Response:
         body = msgspec.json.decode(await request.read())
         if body['fencing_token'] < self._fence:
-            return self._answer({'reason': 'fence'})
+            return self._make_response({'reason': 'fence'})
         self._fence = body['fencing_token']
         self._until = max(self._until, body.get('deadline_ms', 0))
         cursor = body['ack_cursor']
         for row in self._ended:
             if row[0] <= cursor and row[3] == 'done':
-                self._ledger.note_done(row[1])
+                self._ledger.record_completion(row[1])
         self._ended = [row for row in self._ended if row[0] > cursor]
         self._changed.clear()
         if not self._ended and body.get('wait_ms', 0):
             await application.wait_for_event(
                 self._changed, body['wait_ms'] / 1000
             )
-        return self._answer(
+        return self._make_response(
             {
                 'running': [
                     [task, run.number, run.checkpoint, 50, 100]
@@ -292,12 +302,12 @@
             }
         )
 
-    async def _pace(self, request: web.Request) -> web.Response:
+    async def _set_pace(self, request: web.Request) -> web.Response:
         body = msgspec.json.decode(await request.read())
         self.paces[body['task']] = body['percent']
-        return self._answer({})
+        return self._make_response({})
 
-    def _answer(self, body: dict[str, typing.Any]) -> web.Response:
+    def _make_response(self, body: dict[str, typing.Any]) -> web.Response:
         return web.Response(
             status=409 if body.get('reason') else 200,
             body=msgspec.json.encode({'clock_ms': self._read_clock(), **body}),
@@ -306,28 +316,30 @@
 
 
 class RunLedger:
-    """Watch all workers for tasks that run twice."""
+    """Detect tasks that run twice, across all workers."""
 
     __slots__ = ('broken', '_running', '_done')
 
     def __init__(self) -> None:
         self.broken: list[str] = []
         self._running: set[str] = set()
-        # Tasks whose end as done was taken note of.
+        # Tasks whose completion was acknowledged.
         self._done: set[str] = set()
 
-    def note_start(self, task: str) -> None:
-        """Note that a run of a task begins."""
+    def record_start(self, task: str) -> None:
+        """Record that a run of a task has started."""
         if task in self._running:
-            self.broken.append(f'{task} runs twice at once')
+            self.broken.append(f'{task} has two concurrent runs')
         if task in self._done:
-            self.broken.append(f'{task} starts after it was done')
+            self.broken.append(
+                f'{task} started again after its completion was acknowledged'
+            )
         self._running.add(task)
 
-    def note_end(self, task: str) -> None:
-        """Note that the run of a task is over."""
+    def record_end(self, task: str) -> None:
+        """Record that the run of a task has ended."""
         self._running.discard(task)
 
-    def note_done(self, task: str) -> None:
-        """Note that a task's end as done was acknowledged."""
+    def record_completion(self, task: str) -> None:
+        """Record that the completion of a task was acknowledged."""
         self._done.add(task)
--- a/chivespoke/standins/_store.py
+++ b/chivespoke/standins/_store.py
@@ -1,4 +1,4 @@
-"""A small fake of the platform's log store, with the faults it may have."""
+"""An in-memory fake of the platform's log store with fault injection."""
 
 import asyncio
 import base64
@@ -12,28 +12,33 @@
 from chivespoke import addresses
 from chivespoke import web as chivespoke_web
 
-LENGTH = struct.Struct('>I')
-OFFSETS = struct.Struct('>QQ')
-# Limits of one page of newest records, and of one read by default.
-PAGE = 500
-PAGE_BYTES = 1_000_000
-READ_KB = 1024
-# Size of the pieces in which an answer is sent over a slow link.
-SENT_BYTES = 16_384
-REMEMBERED = 5
-SERVED_BYTES = 400 * 1024 * 1024
+RECORD_LENGTH = struct.Struct('>I')
+# Header of a read response: the end offset and the first retained offset.
+READ_HEADER = struct.Struct('>QQ')
+# Limits of one page of newest records, and the default limit of one read.
+MAX_PAGE_RECORDS = 500
+MAX_PAGE_BYTES = 1_000_000
+DEFAULT_READ_KB = 1024
+# Size of the chunks in which a response is sent over a rate-limited link.
+CHUNK_BYTES = 16_384
+# Last responses kept in a partition for repeated appends.
+CACHED_RESPONSES = 5
+# Larger appends are refused with status 507.
+MAX_APPEND_BYTES = 400 * 1024 * 1024
 
 
 class _Partition:
-    """Hold the records of one partition and who may append to it."""
+    """Hold the records of a partition and the state of its producers."""
 
     __slots__ = ('records', 'first', 'epochs', 'answers', 'changed')
 
     def __init__(self) -> None:
         self.records: list[bytes] = []
         self.first = 0
-        # Epoch and sequence last seen, by producer.
+        # Last epoch and sequence number, by producer identifier.
         self.epochs: dict[str, tuple[int, int]] = {}
+        # Responses to recent appends, by producer identifier, epoch and
+        # sequence number.
         self.answers: dict[tuple[str, int, int], bytes] = {}
         self.changed = asyncio.Condition()
 
@@ -43,40 +48,42 @@
 
 
 class _Group:
-    """Hold the members of a group and what each is given."""
+    """Hold the members of a consumer group and their partitions."""
 
     __slots__ = ('generation', 'members', 'parts')
 
     def __init__(self) -> None:
         self.generation = 0
-        # Time until which each member may stay silent.
+        # Loop time at which the membership expires, by member.
         self.members: dict[str, float] = {}
+        # Owning member, by partition.
         self.parts: dict[int, str] = {}
 
 
 class StoreFaults(msgspec.Struct):
-    """Say how the store misbehaves; each call looks here first."""
+    """Configure the injected faults; every request checks them."""
 
-    # Status with which all calls are refused; nothing is done.
+    # Status with which all requests are refused, without effect; 0 for none.
     refuse_with: int = 0
-    # Appends that are done and get no answer.
+    # Number of appends that take effect but get no response.
     lose_answers: int = 0
-    # Appends that get no answer and are done so many seconds later.
+    # Number of appends that get no response and take effect after
+    # ``late_seconds``.
     late_appends: int = 0
     late_seconds: float = 0.2
-    # Seconds that every answer waits.
+    # Seconds by which every request is delayed.
     delay: float = 0.0
-    # Bytes a second of the link to each caller; 0 for no limit.
+    # Bandwidth of the link to each client; 0 for no limit.
     link_bytes_per_second: int = 0
-    # Numbers of the answers longer than a piece, counted from 0, that break
-    # off in the middle.
+    # Indices, counted from 0, of the responses longer than one chunk whose
+    # connection is aborted half-way.
     broken_answers: frozenset[int] = frozenset()
-    # Records of history that each partition keeps; 0 for all.
+    # Number of records that each partition retains; 0 for all.
     kept_records: int = 0
 
 
 class PlatformStore(chivespoke_web.RouteProvider):
-    """Serve topics, groups and keyed topics from memory."""
+    """Serve topics, keyed topics and consumer groups from memory."""
 
     __slots__ = (
         'faults',
@@ -91,7 +98,8 @@
     def __init__(self, parts: int = 12) -> None:
         self.faults = StoreFaults()
         self.calls = 0
-        # Keys after which pages of newest records were asked for.
+        # Start keys of the requested pages of newest records; empty for the
+        # first page.
         self.asked_after: list[str] = []
         self._long_answers = 0
         self._parts = parts
@@ -112,30 +120,30 @@
         return chivespoke_web.HttpServer(addresses.Address(), (self,), 0.1)
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
-        """Append a keyed record as the operator does."""
+        """Append a keyed record, as an operator does."""
         content = bytes((len(key),)) + key.encode() + value
-        await self._add(self._find(topic, 0), [content])
+        await self._append_records(self._get_partition(topic, 0), [content])
 
     def forget_before(self, topic: str, offset: int) -> None:
-        """Drop the history of a topic; newest records of keys stay."""
-        self._find(topic, 0).first = offset
+        """Expire the records before an offset; newest values stay readable."""
+        self._get_partition(topic, 0).first = offset
 
     def deal_anew(self, group: str) -> None:
-        """Give the partitions of a group to its members in another order."""
-        found = self._groups[group]
-        members = sorted(found.members)
-        found.generation += 1
-        found.parts = {
-            part: members[(part + found.generation) % len(members)]
+        """Rotate the partitions of a group among its members."""
+        state = self._groups[group]
+        members = sorted(state.members)
+        state.generation += 1
+        state.parts = {
+            part: members[(part + state.generation) % len(members)]
             for part in range(self._parts)
         }
 
     def list_values(self, topic: str) -> dict[str, bytes]:
-        """Return the newest value of each key."""
-        newest = self._list_newest(self._find(topic, 0))
+        """Return the newest value of each key that is not deleted."""
+        newest = self._list_newest(self._get_partition(topic, 0))
         return {key: value for key, (_, value) in newest.items()}
 
-    def _find(self, topic: str, part: int) -> _Partition:
+    def _get_partition(self, topic: str, part: int) -> _Partition:
         return self._partitions.setdefault((topic, part), _Partition())
 
     def _guard(
@@ -146,51 +154,53 @@
     ) -> collections.abc.Callable[
         [web.Request], collections.abc.Awaitable[web.StreamResponse]
     ]:
-        async def answer(request: web.Request) -> web.StreamResponse:
+        """Wrap a handler so that the injected faults apply to it."""
+
+        async def handle(request: web.Request) -> web.StreamResponse:
             self.calls += 1
             if self.faults.delay:
                 await asyncio.sleep(self.faults.delay)
             if self.faults.refuse_with:
                 return web.Response(status=self.faults.refuse_with)
-            if not await self._receive(request):
+            if not await self._receive_body(request):
                 return web.Response(status=503)
             response = await handler(request)
             if not self.faults.link_bytes_per_second:
                 return response
-            return await self._send(request, response)
+            return await self._send_limited(request, response)
 
-        return answer
+        return handle
 
-    async def _receive(self, request: web.Request) -> bool:
-        """Return whether the caller waited until all bytes had arrived."""
+    async def _receive_body(self, request: web.Request) -> bool:
+        """Return whether the client stayed connected during the upload."""
         body = await request.read()
         if self.faults.link_bytes_per_second:
             await asyncio.sleep(len(body) / self.faults.link_bytes_per_second)
         return not _is_closed(request)
 
-    async def _send(
+    async def _send_limited(
         self, request: web.Request, response: web.Response
     ) -> web.StreamResponse:
         body = response.body
         assert isinstance(body, bytes)
-        sent = web.StreamResponse(status=response.status)
-        sent.content_length = len(body)
-        sent.content_type = response.content_type
-        await sent.prepare(request)
+        stream = web.StreamResponse(status=response.status)
+        stream.content_length = len(body)
+        stream.content_type = response.content_type
+        await stream.prepare(request)
         end = len(body)
-        if end > SENT_BYTES:
+        if end > CHUNK_BYTES:
             if self._long_answers in self.faults.broken_answers:
                 end //= 2
             self._long_answers += 1
-        for start in range(0, end, SENT_BYTES):
-            piece = body[start : min(end, start + SENT_BYTES)]
-            await asyncio.sleep(len(piece) / self.faults.link_bytes_per_second)
+        for start in range(0, end, CHUNK_BYTES):
+            chunk = body[start : min(end, start + CHUNK_BYTES)]
+            await asyncio.sleep(len(chunk) / self.faults.link_bytes_per_second)
             if _is_closed(request):
-                return sent
-            await sent.write(piece)
+                return stream
+            await stream.write(chunk)
         if end < len(body) and request.transport is not None:
             request.transport.abort()
-        return sent
+        return stream
 
     async def _append(self, request: web.Request) -> web.Response:
         body = await request.read()
@@ -199,104 +209,115 @@
             asyncio.get_running_loop().call_later(
                 self.faults.late_seconds,
                 lambda: asyncio.ensure_future(
-                    self._carry_out(request.query, body)
+                    self._perform_append(request.query, body)
                 ),
             )
-            await self._hang(request)
-        answer = await self._carry_out(request.query, body)
+            await self._withhold_response(request)
+        response = await self._perform_append(request.query, body)
         if self.faults.lose_answers:
             self.faults.lose_answers -= 1
-            await self._hang(request)
-        return answer
+            await self._withhold_response(request)
+        return response
 
-    async def _hang(self, request: web.Request) -> None:
-        # The channel returns nothing further.
+    async def _withhold_response(self, request: web.Request) -> None:
+        # Keeps the request open without a response.
         await asyncio.sleep(3600)
 
-    async def _carry_out(
+    async def _perform_append(
         self, query: typing.Mapping[str, str], body: bytes
     ) -> web.Response:
-        found = self._find(query['topic'], int(query['part']))
-        if len(body) > SERVED_BYTES:
+        partition = self._get_partition(query['topic'], int(query['part']))
+        if len(body) > MAX_APPEND_BYTES:
             return web.Response(status=507)
-        if 'at' in query and int(query['at']) != found.end:
-            return _answer({'end_offset': found.end}, 412)
+        if 'at' in query and int(query['at']) != partition.end:
+            return _make_response({'end_offset': partition.end}, 412)
         if 'producer_id' in query:
-            refusal = self._check_producer(found, query)
+            refusal = self._check_producer(partition, query)
             if refusal is not None:
                 return refusal
-        offset = found.end
-        await self._add(found, _split(body))
-        answer = {'offset': offset, 'end_offset': found.end}
+        offset = partition.end
+        await self._append_records(partition, _split_records(body))
+        content = {'offset': offset, 'end_offset': partition.end}
         if 'producer_id' in query:
-            self._remember(found, query, msgspec.json.encode(answer))
-        return _answer(answer)
+            self._cache_response(
+                partition, query, msgspec.json.encode(content)
+            )
+        return _make_response(content)
 
     def _check_producer(
-        self, found: _Partition, query: typing.Mapping[str, str]
+        self, partition: _Partition, query: typing.Mapping[str, str]
     ) -> web.Response | None:
-        name = query['producer_id']
+        producer_id = query['producer_id']
         epoch, sequence = int(query['epoch']), int(query['sequence'])
-        known, last = found.epochs.get(name, (-1, -1))
-        repeated = found.answers.get((name, epoch, sequence))
-        if epoch < known:
-            return _answer({'reason': 'fenced'}, 409)
-        if repeated is not None:
-            return web.Response(body=repeated, content_type='application/json')
-        if epoch == known and sequence != last + 1:
-            return _answer({'reason': 'seq', 'sequence': last + 1}, 409)
-        found.epochs[name] = (epoch, sequence)
+        last_epoch, last_sequence = partition.epochs.get(producer_id, (-1, -1))
+        cached = partition.answers.get((producer_id, epoch, sequence))
+        if epoch < last_epoch:
+            return _make_response({'reason': 'fenced'}, 409)
+        if cached is not None:
+            return web.Response(body=cached, content_type='application/json')
+        if epoch == last_epoch and sequence != last_sequence + 1:
+            return _make_response(
+                {'reason': 'seq', 'sequence': last_sequence + 1}, 409
+            )
+        partition.epochs[producer_id] = (epoch, sequence)
         return None
 
-    def _remember(
+    def _cache_response(
         self,
-        found: _Partition,
+        partition: _Partition,
         query: typing.Mapping[str, str],
-        answer: bytes,
+        response: bytes,
     ) -> None:
-        name = query['producer_id']
-        key = (name, int(query['epoch']), int(query['sequence']))
-        found.answers[key] = answer
-        for old in tuple(found.answers)[:-REMEMBERED]:
-            del found.answers[old]
-
-    async def _add(
-        self, found: _Partition, records: collections.abc.Iterable[bytes]
+        producer_id = query['producer_id']
+        key = (producer_id, int(query['epoch']), int(query['sequence']))
+        partition.answers[key] = response
+        for oldest in tuple(partition.answers)[:-CACHED_RESPONSES]:
+            del partition.answers[oldest]
+
+    async def _append_records(
+        self, partition: _Partition, records: collections.abc.Iterable[bytes]
     ) -> None:
-        async with found.changed:
-            found.records += records
+        async with partition.changed:
+            partition.records += records
             if self.faults.kept_records:
-                kept = found.end - self.faults.kept_records
-                found.first = max(found.first, kept)
-            found.changed.notify_all()
+                first_kept = partition.end - self.faults.kept_records
+                partition.first = max(partition.first, first_kept)
+            partition.changed.notify_all()
 
     async def _read(self, request: web.Request) -> web.Response:
         query = request.query
-        found = self._find(query['topic'], int(query['part']))
+        partition = self._get_partition(query['topic'], int(query['part']))
         start = int(query['from'])
-        if start < found.first:
-            return _answer({'first_offset': found.first}, 410)
-        wait = int(query.get('wait_ms', '0')) / 1000
-        async with found.changed:
+        if start < partition.first:
+            return _make_response({'first_offset': partition.first}, 410)
+        wait_seconds = int(query.get('wait_ms', '0')) / 1000
+        async with partition.changed:
             try:
-                async with asyncio.timeout(wait):
-                    await found.changed.wait_for(lambda: found.end > start)
+                async with asyncio.timeout(wait_seconds):
+                    await partition.changed.wait_for(
+                        lambda: partition.end > start
+                    )
             except TimeoutError:
-                # Answered empty, as the wait is over.
+                # The wait is over: an empty page is returned.
                 pass
-        limit = int(query.get('max_kb', READ_KB)) * 1024
-        body = OFFSETS.pack(found.end, found.first)
-        for record in found.records[start:]:
-            if len(body) + len(record) > limit and len(body) > OFFSETS.size:
+        limit = int(query.get('max_kb', DEFAULT_READ_KB)) * 1024
+        body = READ_HEADER.pack(partition.end, partition.first)
+        for record in partition.records[start:]:
+            if (
+                len(body) + len(record) > limit
+                and len(body) > READ_HEADER.size
+            ):
                 break
-            body += LENGTH.pack(len(record)) + record
+            body += RECORD_LENGTH.pack(len(record)) + record
         return web.Response(body=body)
 
     async def _read_newest(self, request: web.Request) -> web.Response:
-        found = self._find(request.query['topic'], int(request.query['part']))
+        partition = self._get_partition(
+            request.query['topic'], int(request.query['part'])
+        )
         after = request.query.get('depends_on', '')
         self.asked_after.append(after)
-        newest = self._list_newest(found)
+        newest = self._list_newest(partition)
         rows = [
             {
                 'key': key,
@@ -306,18 +327,20 @@
             for key in sorted(newest)
             if key > after
         ]
-        page = _take_page(rows)
-        return _answer(
+        page = _limit_page(rows)
+        return _make_response(
             {
                 'items': page,
                 'has_more': len(rows) > len(page),
-                'end_offset': found.end,
+                'end_offset': partition.end,
             }
         )
 
-    def _list_newest(self, found: _Partition) -> dict[str, tuple[int, bytes]]:
+    def _list_newest(
+        self, partition: _Partition
+    ) -> dict[str, tuple[int, bytes]]:
         newest: dict[str, tuple[int, bytes]] = {}
-        for offset, record in enumerate(found.records):
+        for offset, record in enumerate(partition.records):
             size = record[0]
             key = record[1 : 1 + size].decode()
             newest[key] = (offset, record[1 + size :])
@@ -328,15 +351,19 @@
         group = self._groups.setdefault(body['group'], _Group())
         member = body['member_id']
         now = asyncio.get_running_loop().time()
-        lapsed = [name for name, at in group.members.items() if at < now]
-        for name in lapsed:
+        expired = [
+            name
+            for name, expires_at in group.members.items()
+            if expires_at < now
+        ]
+        for name in expired:
             del group.members[name]
-        new = member not in group.members
+        is_new = member not in group.members
         group.members[member] = now + body['ttl_ms'] / 1000
-        if new or lapsed:
-            self._deal(group)
+        if is_new or expired:
+            self._assign_partitions(group)
         topic = body['topics'][0]
-        return _answer(
+        return _make_response(
             {
                 'generation': group.generation,
                 'parts': [
@@ -351,10 +378,10 @@
         body = msgspec.json.decode(await request.read())
         group = self._groups.setdefault(body['group'], _Group())
         if group.members.pop(body['member_id'], None) is not None:
-            self._deal(group)
-        return _answer({})
+            self._assign_partitions(group)
+        return _make_response({})
 
-    def _deal(self, group: _Group) -> None:
+    def _assign_partitions(self, group: _Group) -> None:
         group.generation += 1
         members = sorted(group.members)
         group.parts = {
@@ -363,12 +390,12 @@
         }
 
 
-def _split(body: bytes) -> list[bytes]:
+def _split_records(body: bytes) -> list[bytes]:
     records = []
     position = 0
     while position < len(body):
-        (size,) = LENGTH.unpack_from(body, position)
-        position += LENGTH.size
+        (size,) = RECORD_LENGTH.unpack_from(body, position)
+        position += RECORD_LENGTH.size
         records.append(body[position : position + size])
         position += size
     return records
@@ -378,20 +405,20 @@
     return request.transport is None or request.transport.is_closing()
 
 
-def _take_page(
+def _limit_page(
     rows: list[dict[str, typing.Any]],
 ) -> list[dict[str, typing.Any]]:
     page: list[dict[str, typing.Any]] = []
     size = 0
-    for row in rows[:PAGE]:
+    for row in rows[:MAX_PAGE_RECORDS]:
         size += len(row['value'])
-        if page and size > PAGE_BYTES:
+        if page and size > MAX_PAGE_BYTES:
             break
         page.append(row)
     return page
 
 
-def _answer(body: object, status: int = 200) -> web.Response:
+def _make_response(body: object, status: int = 200) -> web.Response:
     return web.Response(
         status=status,
         body=msgspec.json.encode(body),
--- a/chivespoke/standins/_worker.py
+++ b/chivespoke/standins/_worker.py
@@ -1,4 +1,4 @@
-"""A stand-in of the platform's agent on a worker; it runs no processes."""
+"""A simulated worker agent; it starts no processes."""
 
 import msgspec
 
@@ -8,10 +8,10 @@
 from chivespoke import resources
 from chivespoke import workers
 
-# Seconds that a refused or stopped attempt is remembered after the log
-# holds it; far longer than any start command may be under way.
+# Seconds that a final status is kept after its acknowledgement, which means
+# that the log holds it; far longer than a start command may be in transit.
 TOMBSTONE_SECONDS = 60.0
-# The share of its speed that a throttled task keeps.
+# Speed of a throttled task, as a share of the full speed.
 THROTTLED_SPEED = 0.5
 TERMINAL_PHASES = frozenset(
     (
@@ -24,24 +24,26 @@
 
 
 class TaskPlan(msgspec.Struct, frozen=True, kw_only=True):
-    """Say how the stand-in acts a task out; the payload of a job."""
+    """Describe how a task is simulated; sent as the payload of a job."""
 
-    # Seconds of undisturbed work; 0 runs until it is stopped.
+    # Seconds of work at full speed; 0 runs until stopped.
     seconds: float = 0.0
-    # Fails after that work instead of completing.
+    # Whether the task fails after that work instead of completing.
     fails: bool = False
 
 
 class Run(msgspec.Struct, kw_only=True):
-    """Hold one attempt that runs, or ran, on the worker."""
+    """Hold a running or ended attempt on the worker."""
 
     command: workers.StartCommand
     plan: TaskPlan
-    # Readings of the worker's clock.
+    # Readings of the worker's clock; ``settled_at`` is the time up to which
+    # the progress is computed.
     started_at: float
     settled_at: float
     ended_at: float | None = None
-    # Seconds of work, those of earlier attempts included.
+    # Seconds of work, those of earlier attempts included, and the part of
+    # them that the last checkpoint holds.
     progress: float = 0.0
     saved: float = 0.0
     resumed_from: float = 0.0
@@ -50,7 +52,7 @@
 
 
 class WorkerAgent:
-    """Act out tasks under leases, on a clock of its own."""
+    """Simulate tasks under a lease, on the worker's own clock."""
 
     __slots__ = (
         'registration',
@@ -72,19 +74,19 @@
         self.epoch = 0
         self.lease_until = float('-inf')
         self.runs: dict[identifiers.TaskId, Run] = {}
-        # Every run, for checks across workers.
+        # All runs, running or ended, for checks across workers.
         self.history: list[Run] = []
         self.fails_everything = False
         self.late_starts_refused = 0
-        # Statuses of attempts that will never run again, and the clock's
-        # reading from which they may be dropped.
+        # Final statuses of attempts, and the clock's reading from which they
+        # may be dropped; None until they are acknowledged.
         self._tombstones: dict[
             tuple[identifiers.TaskId, identifiers.Attempt],
             tuple[workers.TaskStatus, float | None],
         ] = {}
 
     def renew(self, renewal: workers.LeaseRenewal) -> workers.Heartbeat:
-        """Extend the leases; refuse a stale owner."""
+        """Extend the lease; refuse a stale owner."""
         self.settle()
         self._check_epoch(renewal.epoch)
         if renewal.incarnation == self.registration.incarnation:
@@ -94,12 +96,12 @@
             if key in self._tombstones:
                 status, _ = self._tombstones[key]
                 self._tombstones[key] = (status, now + TOMBSTONE_SECONDS)
-        self._forget(now)
+        self._drop_expired_tombstones(now)
         return self.make_heartbeat()
 
     def make_heartbeat(self) -> workers.Heartbeat:
-        """Report the clock, what runs and what is not acknowledged."""
-        running = [self._describe(run) for run in self.runs.values()]
+        """Report the clock, running attempts and unacknowledged ends."""
+        running = [self._make_status(run) for run in self.runs.values()]
         ended = [
             status
             for status, drop_at in self._tombstones.values()
@@ -114,7 +116,7 @@
         )
 
     def start(self, command: workers.StartCommand) -> workers.TaskStatus:
-        """Start an attempt, or refuse it for good."""
+        """Start an attempt, or record that it will never start."""
         self.settle()
         self._check_epoch(command.epoch)
         if command.incarnation != self.registration.incarnation:
@@ -128,22 +130,22 @@
             return self._tombstones[key][0]
         run = self.runs.get(command.task_id)
         if run is not None and run.command.attempt == command.attempt:
-            return self._describe(run)
-        refusal = self._find_refusal(command)
-        if refusal:
-            return self._bury(
+            return self._make_status(run)
+        reason = self._find_refusal_reason(command)
+        if reason:
+            return self._record_final_status(
                 workers.TaskStatus(
                     task_id=command.task_id,
                     attempt=command.attempt,
                     phase=workers.TaskPhase.NOT_STARTED,
                     checkpoint=command.checkpoint,
-                    detail=refusal,
+                    detail=reason,
                 )
             )
-        return self._describe(self._begin(command))
+        return self._make_status(self._start_run(command))
 
     def stop(self, command: workers.StopCommand) -> workers.TaskStatus:
-        """Stop an attempt; one that never came can never start."""
+        """Stop an attempt; an unknown attempt is barred from starting."""
         self.settle()
         self._check_epoch(command.epoch)
         key = (command.task_id, command.attempt)
@@ -151,7 +153,7 @@
             return self._tombstones[key][0]
         run = self.runs.get(command.task_id)
         if run is None or run.command.attempt != command.attempt:
-            return self._bury(
+            return self._record_final_status(
                 workers.TaskStatus(
                     task_id=command.task_id,
                     attempt=command.attempt,
@@ -162,30 +164,30 @@
         if command.checkpoint:
             run.saved = run.progress
         now = self.clock.read_monotonic()
-        return self._end(run, now, workers.TaskPhase.STOPPED)
+        return self._end_run(run, now, workers.TaskPhase.STOPPED)
 
     def checkpoint(
         self, command: workers.CheckpointCommand
     ) -> workers.TaskStatus:
-        """Save an attempt's progress while it runs on."""
-        run = self._find(command.task_id, command.attempt, command.epoch)
+        """Save the progress of an attempt, which keeps running."""
+        run = self._get_run(command.task_id, command.attempt, command.epoch)
         run.saved = run.progress
-        return self._describe(run)
+        return self._make_status(run)
 
     def throttle(self, command: workers.ThrottleCommand) -> workers.TaskStatus:
-        """Slow an attempt down, or release it."""
-        run = self._find(command.task_id, command.attempt, command.epoch)
+        """Throttle an attempt, or restore its full speed."""
+        run = self._get_run(command.task_id, command.attempt, command.epoch)
         run.throttled = command.throttled
-        return self._describe(run)
+        return self._make_status(run)
 
     def settle(self) -> None:
-        """Bring every run up to the clock; stop all at the lease's end."""
+        """Advance all runs to the current time; stop them on lease expiry."""
         now = self.clock.read_monotonic()
         for run in tuple(self.runs.values()):
-            self._advance(run, min(now, self.lease_until))
+            self._advance_run(run, min(now, self.lease_until))
         if now > self.lease_until:
             for run in tuple(self.runs.values()):
-                self._end(
+                self._end_run(
                     run,
                     max(self.lease_until, run.started_at),
                     workers.TaskPhase.STOPPED,
@@ -193,25 +195,25 @@
                 )
 
     def measure_commitment(self) -> resources.Resources:
-        """Return the sum of the sizes of what runs."""
+        """Return the sum of the sizes of the running attempts."""
         return sum(
             (run.command.size for run in self.runs.values()),
             resources.NOTHING,
         )
 
-    def _find_refusal(self, command: workers.StartCommand) -> str:
+    def _find_refusal_reason(self, command: workers.StartCommand) -> str:
         now = self.clock.read_monotonic()
         if now > command.permit_until:
             self.late_starts_refused += 1
             return 'the permit has lapsed'
         if now > self.lease_until:
             return 'no lease is held'
-        other = self.runs.get(command.task_id)
-        if other is not None:
-            return f'attempt {other.command.attempt} runs here'
+        current = self.runs.get(command.task_id)
+        if current is not None:
+            return f'attempt {current.command.attempt} runs here'
         return ''
 
-    def _begin(self, command: workers.StartCommand) -> Run:
+    def _start_run(self, command: workers.StartCommand) -> Run:
         total = self.measure_commitment() + command.size
         errors.check_invariant(
             total.fits_within(self.registration.capacity),
@@ -223,7 +225,7 @@
         saved = float(command.checkpoint) if command.checkpoint else 0.0
         run = Run(
             command=command,
-            plan=read_plan(command.payload),
+            plan=decode_plan(command.payload),
             started_at=now,
             settled_at=now,
             progress=saved,
@@ -234,7 +236,7 @@
         self.history.append(run)
         return run
 
-    def _advance(self, run: Run, now: float) -> None:
+    def _advance_run(self, run: Run, now: float) -> None:
         if now <= run.settled_at:
             return
         speed = THROTTLED_SPEED if run.throttled else 1.0
@@ -244,7 +246,7 @@
             ended_at = run.settled_at + (total - run.progress) / speed
             run.progress = total
             failed = run.plan.fails or self.fails_everything
-            self._end(
+            self._end_run(
                 run,
                 ended_at,
                 workers.TaskPhase.FAILED
@@ -256,7 +258,7 @@
         run.progress += work
         run.settled_at = now
 
-    def _end(
+    def _end_run(
         self,
         run: Run,
         ended_at: float,
@@ -275,20 +277,22 @@
             lost_seconds=0.0 if completed else run.progress - run.saved,
             detail=detail,
         )
-        return self._bury(status)
+        return self._record_final_status(status)
 
-    def _bury(self, status: workers.TaskStatus) -> workers.TaskStatus:
+    def _record_final_status(
+        self, status: workers.TaskStatus
+    ) -> workers.TaskStatus:
         self._tombstones[(status.task_id, status.attempt)] = (status, None)
         return status
 
-    def _forget(self, now: float) -> None:
+    def _drop_expired_tombstones(self, now: float) -> None:
         self._tombstones = {
             key: (status, drop_at)
             for key, (status, drop_at) in self._tombstones.items()
             if drop_at is None or now < drop_at
         }
 
-    def _describe(self, run: Run) -> workers.TaskStatus:
+    def _make_status(self, run: Run) -> workers.TaskStatus:
         return workers.TaskStatus(
             task_id=run.command.task_id,
             attempt=run.command.attempt,
@@ -300,7 +304,7 @@
             lost_seconds=run.progress - run.saved,
         )
 
-    def _find(
+    def _get_run(
         self,
         task_id: identifiers.TaskId,
         attempt: identifiers.Attempt,
@@ -311,7 +315,9 @@
         run = self.runs.get(task_id)
         if run is None or run.command.attempt != attempt:
             raise errors.RefusedError(
-                'find attempt', self.registration.worker_id, 'it does not run'
+                'find attempt',
+                self.registration.worker_id,
+                'the attempt is not running',
             )
         return run
 
@@ -320,13 +326,13 @@
             raise errors.RefusedError(
                 'check epoch',
                 self.registration.worker_id,
-                f'{epoch} is before {self.epoch}',
+                f'epoch {epoch} is older than {self.epoch}',
             )
         self.epoch = epoch
 
 
-def read_plan(payload: str) -> TaskPlan:
-    """Return the plan in a payload; what is no plan runs until stopped."""
+def decode_plan(payload: str) -> TaskPlan:
+    """Decode a payload; one without a valid plan runs until stopped."""
     try:
         return msgspec.json.decode(payload, type=TaskPlan)
     except msgspec.MsgspecError:
--- a/chivespoke/standins/_worker_client.py
+++ b/chivespoke/standins/_worker_client.py
@@ -1,4 +1,4 @@
-"""Reach stand-ins of workers in the same process."""
+"""Clients of simulated worker agents in the same process."""
 
 import typing
 
@@ -10,57 +10,61 @@
 
 
 class MemoryWorkerClient(workers.WorkerClient):
-    """Reach an agent in the same process; faults may stand between."""
+    """Call an agent in the same process, with injected network faults."""
 
     __slots__ = ('agent', 'reachable', 'lost_answers')
 
     def __init__(self, agent: _worker.WorkerAgent) -> None:
         self.agent = agent
         self.reachable = True
-        # Answers still to lose after the command took effect.
+        # Number of answers still to drop after the command took effect.
         self.lost_answers = 0
 
     async def renew(self, renewal: workers.LeaseRenewal) -> workers.Heartbeat:
         self._check_reachable()
-        return self._answer(self.agent.renew(renewal))
+        return self._deliver(self.agent.renew(renewal))
 
     async def start(self, command: workers.StartCommand) -> workers.TaskStatus:
         self._check_reachable()
-        return self._answer(self.agent.start(command))
+        return self._deliver(self.agent.start(command))
 
     async def stop(self, command: workers.StopCommand) -> workers.TaskStatus:
         self._check_reachable()
-        return self._answer(self.agent.stop(command))
+        return self._deliver(self.agent.stop(command))
 
     async def checkpoint(
         self, command: workers.CheckpointCommand
     ) -> workers.TaskStatus:
         self._check_reachable()
-        return self._answer(self.agent.checkpoint(command))
+        return self._deliver(self.agent.checkpoint(command))
 
     async def throttle(
         self, command: workers.ThrottleCommand
     ) -> workers.TaskStatus:
         self._check_reachable()
-        return self._answer(self.agent.throttle(command))
+        return self._deliver(self.agent.throttle(command))
 
     def _check_reachable(self) -> None:
         if not self.reachable:
             raise errors.UnavailableError(
-                'reach', self.agent.registration.worker_id, 'cut off'
+                'reach',
+                self.agent.registration.worker_id,
+                'unreachable (injected fault)',
             )
 
-    def _answer(self, answer: Answer) -> Answer:
+    def _deliver(self, answer: Answer) -> Answer:
         if self.lost_answers:
             self.lost_answers -= 1
             raise errors.UnavailableError(
-                'answer', self.agent.registration.worker_id, 'answer lost'
+                'answer',
+                self.agent.registration.worker_id,
+                'answer lost (injected fault)',
             )
         return answer
 
 
 class MemoryWorkerConnector(workers.WorkerConnector):
-    """Make clients of the agents that a test has added."""
+    """Return the clients of the agents that were added."""
 
     __slots__ = ('clients',)
 
@@ -68,7 +72,7 @@
         self.clients: dict[str, MemoryWorkerClient] = {}
 
     def add(self, agent: _worker.WorkerAgent) -> MemoryWorkerClient:
-        """Let an agent be reached at its registered address."""
+        """Make an agent reachable at its registered address."""
         client = MemoryWorkerClient(agent)
         self.clients[agent.registration.address] = client
         return client
--- a/chivespoke/standins/_worker_server.py
+++ b/chivespoke/standins/_worker_server.py
@@ -1,4 +1,4 @@
-"""An HTTP server for the stand-in of a worker's agent."""
+"""An HTTP server for the simulated worker agent."""
 
 import asyncio
 import collections.abc
@@ -20,18 +20,18 @@
 from chivespoke import workers
 
 LOGGER = logs.make_logger('worker')
-# Seconds between looks at what has ended, and between tries to register.
-SETTLE_INTERVAL = 0.1
-REGISTER_INTERVAL = 0.5
-REQUEST_LIMIT = 12.0
+# Seconds between checks for ended runs, and between registration attempts.
+RUN_CHECK_INTERVAL = 0.1
+REGISTRATION_INTERVAL = 0.5
+REQUEST_TIMEOUT = 12.0
 WORKERS_PER_RACK = 3
-MESSAGE_PACK = 'application/msgpack'
+MESSAGE_PACK_TYPE = 'application/msgpack'
 
 Command = typing.TypeVar('Command')
 
 
 class WorkerServer(application.Component, chivespoke_web.RouteProvider):
-    """Register a worker at an entry and serve its agent over HTTP."""
+    """Register a worker with an entry and serve its agent over HTTP."""
 
     __slots__ = (
         'agent',
@@ -69,8 +69,8 @@
             ('throttle', workers.ThrottleCommand, 'throttle'),
         )
         return [
-            web.post(f'/v1/{step}', self._make_handler(kind, name))
-            for step, kind, name in commands
+            web.post(f'/v1/{step}', self._make_handler(kind, method))
+            for step, kind, method in commands
         ]
 
     async def start(self) -> None:
@@ -80,10 +80,10 @@
         )
         self.agent = _worker.WorkerAgent(self._registration, self._clock)
         self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=REQUEST_LIMIT)
+            timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT)
         )
         self._tasks.spawn(self._register())
-        self._tasks.spawn(self._settle())
+        self._tasks.spawn(self._report_ended_runs())
 
     async def stop(self) -> None:
         await self._tasks.cancel()
@@ -92,7 +92,7 @@
         await self._http.stop()
 
     def _make_handler(
-        self, kind: type[Command], name: str
+        self, kind: type[Command], method: str
     ) -> collections.abc.Callable[
         [web.Request], collections.abc.Awaitable[web.StreamResponse]
     ]:
@@ -101,14 +101,14 @@
                 command = msgspec.msgpack.decode(
                     await request.read(), type=kind
                 )
-                answer = getattr(self.agent, name)(command)
+                response = getattr(self.agent, method)(command)
             except msgspec.MsgspecError as error:
                 return web.Response(status=400, text=str(error))
             except errors.RefusedError as error:
                 return web.Response(status=409, text=str(error))
             return web.Response(
-                body=msgspec.msgpack.encode(answer),
-                content_type=MESSAGE_PACK,
+                body=msgspec.msgpack.encode(response),
+                content_type=MESSAGE_PACK_TYPE,
             )
 
         return handle
@@ -118,18 +118,18 @@
             if await self._post('/v1/workers', self._registration):
                 self.registered.set()
                 return
-            await asyncio.sleep(REGISTER_INTERVAL)
+            await asyncio.sleep(REGISTRATION_INTERVAL)
 
-    async def _settle(self) -> None:
-        name = self._registration.worker_id
+    async def _report_ended_runs(self) -> None:
+        worker_id = self._registration.worker_id
         group = self._registration.group
-        running = 0
+        running_before = 0
         while True:
-            await asyncio.sleep(SETTLE_INTERVAL)
+            await asyncio.sleep(RUN_CHECK_INTERVAL)
             self.agent.settle()
-            if len(self.agent.runs) < running:
-                await self._post(f'/v1/workers/{group}/{name}/news', None)
-            running = len(self.agent.runs)
+            if len(self.agent.runs) < running_before:
+                await self._post(f'/v1/workers/{group}/{worker_id}/news', None)
+            running_before = len(self.agent.runs)
 
     async def _post(self, path: str, message: msgspec.Struct | None) -> bool:
         if self._session is None:
@@ -141,7 +141,7 @@
             ) as response:
                 return response.status == 200
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
-            LOGGER.debug('An entry did not answer.', error=repr(error))
+            LOGGER.debug('Request to an entry failed.', error=repr(error))
             return False
 
 
@@ -152,7 +152,7 @@
     capacity: resources.Resources,
     group: str = 'default',
 ) -> workers.Registration:
-    """Return the registration of a new life of a worker."""
+    """Return the registration of a new incarnation of a worker."""
     return workers.Registration(
         worker_id=identifiers.WorkerId(name),
         incarnation=identifiers.make_incarnation(),
--- a/chivespoke/standins/tests/test_log_server.py
+++ b/chivespoke/standins/tests/test_log_server.py
@@ -1,4 +1,4 @@
-"""Tests of the stand-in log behind HTTP, through the real adapter."""
+"""Tests of the in-memory log over HTTP, through the production client."""
 
 import unittest
 
@@ -15,7 +15,7 @@
 
 
 class LogServerTest(unittest.IsolatedAsyncioTestCase):
-    """Append, read and command faults over loopback."""
+    """Append, read and inject faults over loopback."""
 
     async def asyncSetUp(self) -> None:
         memory = standins.MemoryLog(clocks.SystemClock())
@@ -26,7 +26,7 @@
         await self.log.start()
         self.addAsyncCleanup(self.log.stop)
 
-    async def command(self, **faults: bool | int) -> int:
+    async def set_faults(self, **faults: bool | int) -> int:
         url = self.server.address.format_http() + '/faults'
         async with (
             aiohttp.ClientSession() as session,
@@ -43,14 +43,14 @@
         )
         self.assertEqual((0, 2), (page.earliest, page.end))
 
-    async def test_faults_by_command(self) -> None:
-        self.assertEqual(400, await self.command(unknown=True))
-        await self.command(append_down=True, read_down=True)
+    async def test_injected_faults(self) -> None:
+        self.assertEqual(400, await self.set_faults(unknown=True))
+        await self.set_faults(append_down=True, read_down=True)
         with self.assertRaises(errors.RefusedError):
             await self.log.append('s', b'one')
         with self.assertRaises(errors.UnavailableError):
             await self.log.read('s', START, 10, 0)
-        await self.command(lost_answers=1)
+        await self.set_faults(lost_answers=1)
         with self.assertRaises(errors.UnavailableError):
             await self.log.append('s', b'one')
         page = await self.log.read('s', START, 10, 0)
--- a/chivespoke/standins/tests/test_worker_server.py
+++ b/chivespoke/standins/tests/test_worker_server.py
@@ -1,4 +1,4 @@
-"""Tests of workers over HTTP: registered, started, counted."""
+"""Tests of simulated workers over HTTP, from registration to completion."""
 
 import asyncio
 import unittest
@@ -18,7 +18,7 @@
 from chivespoke import web
 
 CAPACITY = resources.Resources(4000, 4096, 0)
-PATIENCE = 30.0
+TIMEOUT_SECONDS = 30.0
 
 
 class WorkerServerTest(unittest.IsolatedAsyncioTestCase):
@@ -31,7 +31,7 @@
             log, clock, identifiers.make_incarnation()
         )
         configuration = operators.Configuration(log, committer, clock)
-        parts = scheduling.Scheduling(
+        scheduler = scheduling.Scheduling(
             'entry-1',
             (),
             log,
@@ -39,8 +39,8 @@
             scheduling.FollowedConfiguration(configuration),
             clock,
         )
-        server = web.HttpServer(settings.Address(), (parts.routes,))
-        await self.start(committer, configuration, parts, server)
+        server = web.HttpServer(settings.Address(), (scheduler.routes,))
+        await self.start(committer, configuration, scheduler, server)
         self.entry = server.address
         self.workers = [
             standins.WorkerServer(
@@ -63,7 +63,7 @@
             await component.start()
             self.addAsyncCleanup(component.stop)
 
-    async def test_job_is_counted_once_for_each_task(self) -> None:
+    async def test_each_task_of_a_job_runs_once(self) -> None:
         job = {
             'id': 'statements',
             'team': 'billing',
@@ -73,19 +73,22 @@
             ).decode(),
         }
         url = self.entry.format_http() + '/v1/jobs'
-        async with asyncio.timeout(PATIENCE), aiohttp.ClientSession() as http:
+        async with (
+            asyncio.timeout(TIMEOUT_SECONDS),
+            aiohttp.ClientSession() as http,
+        ):
             for worker in self.workers:
                 await worker.registered.wait()
-            async with http.post(url, json={'jobs': [job]}) as answer:
-                (accepted,) = await answer.json()
+            async with http.post(url, json={'jobs': [job]}) as response:
+                (accepted,) = await response.json()
             self.assertTrue(accepted['accepted'], accepted)
             while True:
-                async with http.get(f'{url}/statements') as answer:
-                    report = await answer.json()
+                async with http.get(f'{url}/statements') as response:
+                    report = await response.json()
                 if report['state'] == 'completed':
                     break
                 await asyncio.sleep(0.1)
-        runs = [run for each in self.workers for run in each.agent.history]
+        runs = [run for worker in self.workers for run in worker.agent.history]
         self.assertEqual((6, 6), (report['completed'], len(runs)))
 
 
