Rename PlatformStore.deal_anew to reassign_partitions

Old name: deal_anew. New name: reassign_partitions, in the stand-in and the end-to-end test of serving.

--- a/chivespoke/serving/tests/test_end_to_end.py
+++ b/chivespoke/serving/tests/test_end_to_end.py
@@ -306,7 +306,7 @@
         await self.start(entries=2)
         await self.submit(TWO_STEP_JOB)
         await self.run_with_timeout(self.wait_for_leader())
-        self.platform.store.deal_anew('chivespoke-leader')
+        self.platform.store.reassign_partitions('chivespoke-leader')
         await self.run_with_timeout(
             self.platform.wait_for_state(JOB, 'completed')
         )
--- a/chivespoke/standins/_store.py
+++ b/chivespoke/standins/_store.py
@@ -128,7 +128,7 @@
         """Expire the records before an offset; newest values stay readable."""
         self._get_partition(topic, 0).first = offset
 
-    def deal_anew(self, group: str) -> None:
+    def reassign_partitions(self, group: str) -> None:
         """Rotate the partitions of a group among its members."""
         state = self._groups[group]
         members = sorted(state.members)
