Rename PlatformStore.forget_before to expire_records_before

Old name: forget_before. New name: expire_records_before, in the stand-in and the tests of platform and serving.

--- a/chivespoke/platform/tests/test_store.py
+++ b/chivespoke/platform/tests/test_store.py
@@ -107,7 +107,7 @@
         self,
     ) -> None:
         await self.append('a', b'1')
-        self.standin.forget_before(TOPIC, 1)
+        self.standin.expire_records_before(TOPIC, 1)
         with self.assertRaises(platform.TruncatedError):
             await self.store.read(TOPIC, 0, 0.0)
 
--- a/chivespoke/serving/tests/test_end_to_end.py
+++ b/chivespoke/serving/tests/test_end_to_end.py
@@ -295,9 +295,9 @@
     ) -> None:
         await self.start()
         await self.submit(TWO_STEP_JOB)
-        self.platform.store.forget_before('keyed.chivespoke', 1000)
+        self.platform.store.expire_records_before('keyed.chivespoke', 1000)
         await asyncio.sleep(0.1)
-        self.platform.store.forget_before('keyed.chivespoke', 0)
+        self.platform.store.expire_records_before('keyed.chivespoke', 0)
         await self.run_with_timeout(
             self.platform.wait_for_state(JOB, 'completed')
         )
--- a/chivespoke/standins/_store.py
+++ b/chivespoke/standins/_store.py
@@ -124,7 +124,7 @@
         content = bytes((len(key),)) + key.encode() + value
         await self._append_records(self._get_partition(topic, 0), [content])
 
-    def forget_before(self, topic: str, offset: int) -> None:
+    def expire_records_before(self, topic: str, offset: int) -> None:
         """Expire the records before an offset; newest values stay readable."""
         self._get_partition(topic, 0).first = offset
 
