Reword the demonstration in the terms of the field

Comments, docstrings, one error and internal names of all files in chivespoke/demo and its tests: the story is a scenario, e.g. PATIENCE is SCENARIO_TIMEOUT, _tell is _run_steps, find_percentile is compute_percentile, name_data_centre is choose_data_centre. What the demonstration prints stays. Only the error of a timed-out scenario differs; no test matches it.

--- a/chivespoke/demo/_client.py
+++ b/chivespoke/demo/_client.py
@@ -1,4 +1,4 @@
-"""Requests of callers, operators and users to an entry."""
+"""An HTTP client for the callers', operators' and users' interfaces."""
 
 import types
 import typing
@@ -12,11 +12,11 @@
 from chivespoke import settings
 
 TIMEOUT = aiohttp.ClientTimeout(total=30.0)
-OUTCOME = 'Chivespoke-Outcome'
+OUTCOME_HEADER = 'Chivespoke-Outcome'
 
 
 class ConfigurationAnswer(msgspec.Struct):
-    """Hold the version of a configuration and what stands in it."""
+    """Hold a configuration and its version."""
 
     version: int
     document: dict[str, typing.Any]
@@ -43,22 +43,22 @@
         await self._session.close()
 
     async def call(self, service: str, path: str) -> str:
-        """Call a service and return the outcome that was told."""
+        """Call a service and return the outcome that the entry reported."""
         url = f'{self._base}/services/{service}{path}'
-        async with self._session.post(url, data=b'1') as answer:
-            await answer.read()
-            return answer.headers.get(OUTCOME, 'no outcome')
+        async with self._session.post(url, data=b'1') as response:
+            await response.read()
+            return response.headers.get(OUTCOME_HEADER, 'no outcome')
 
     async def show_configuration(self) -> ConfigurationAnswer:
         """Return the configuration in force at the entry."""
-        body = await self._ask('GET', '/configuration')
+        body = await self._request('GET', '/configuration')
         return msgspec.json.decode(body, type=ConfigurationAnswer)
 
     async def patch(
         self, base: int, operations: list[dict[str, object]], author: str
     ) -> operators.Decision:
-        """Submit a patch against a version; raise RefusedError."""
-        body = await self._ask(
+        """Submit a patch against a base version; raise RefusedError."""
+        body = await self._request(
             'PATCH',
             '/configuration',
             msgspec.json.encode(operations),
@@ -73,8 +73,8 @@
     async def submit(
         self, *jobs: scheduling.JobRequest
     ) -> list[scheduling.JobAnswer]:
-        """Submit jobs."""
-        body = await self._ask(
+        """Submit jobs and return an answer for each."""
+        body = await self._request(
             'POST',
             '/v1/jobs',
             msgspec.json.encode(scheduling.JobsRequest(jobs)),
@@ -83,15 +83,15 @@
 
     async def show_job(self, job_id: str) -> scheduling.JobReport:
         """Return the report of a job."""
-        body = await self._ask('GET', f'/v1/jobs/{job_id}')
+        body = await self._request('GET', f'/v1/jobs/{job_id}')
         return msgspec.json.decode(body, type=scheduling.JobReport)
 
     async def list_workers(self) -> list[scheduling.WorkerReport]:
         """Return the reports of all workers."""
-        body = await self._ask('GET', '/v1/workers')
+        body = await self._request('GET', '/v1/workers')
         return msgspec.json.decode(body, type=list[scheduling.WorkerReport])
 
-    async def _ask(
+    async def _request(
         self,
         method: str,
         path: str,
@@ -102,14 +102,14 @@
         try:
             async with self._session.request(
                 method, self._base + path, data=body or None, headers=headers
-            ) as answer:
-                found = await answer.read()
+            ) as response:
+                content = await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
             raise errors.UnavailableError(
                 step, self._base, repr(error)
             ) from error
-        if answer.status >= 500:
-            raise errors.UnavailableError(step, self._base, found.decode())
-        if answer.status >= 400:
-            raise errors.RefusedError(step, self._base, found.decode())
-        return found
+        if response.status >= 500:
+            raise errors.UnavailableError(step, self._base, content.decode())
+        if response.status >= 400:
+            raise errors.RefusedError(step, self._base, content.decode())
+        return content
--- a/chivespoke/demo/_cluster.py
+++ b/chivespoke/demo/_cluster.py
@@ -1,4 +1,4 @@
-"""The whole system in one process: real sockets, stand-ins outside."""
+"""The whole system in one process, with fakes of external systems."""
 
 import asyncio
 
@@ -10,17 +10,17 @@
 from chivespoke import settings
 from chivespoke import standins
 
-# Seconds between heartbeats, and of silence after which a peer lapses.
+# Seconds between heartbeats, and without one until a peer expires.
 HEARTBEAT_INTERVAL = 0.5
 HEARTBEAT_LIMIT = 2.0
-# Seconds for the balancer to see a failing health check.
+# Seconds until the balancer reacts to a failing health check.
 BALANCER_NOTICE_SECONDS = 0.1
 ANY_ADDRESS = settings.Address()
 POLL_SECONDS = 0.05
 
 
 class Cluster(application.Component):
-    """Own a log, entries, workers, backend servers and their sidecars."""
+    """Run a log, entries, workers, backend servers and their sidecars."""
 
     __slots__ = (
         'log',
@@ -51,12 +51,12 @@
 
     @property
     def log_address(self) -> settings.Address:
-        """Return where the stand-in of the log listens."""
+        """Return the address of the in-memory log."""
         return self._log_server.address
 
     @property
     def balancer(self) -> settings.Address:
-        """Return the address that stands for the platform's balancer."""
+        """Return the first entry's address, used in place of a balancer."""
         return self.entries[0].http.address
 
     async def start(self) -> None:
@@ -73,19 +73,23 @@
             await self._started.pop().stop()
 
     async def wait_ready(self) -> None:
-        """Wait until every entry knows every backend server."""
-        wanted = self._settings.service.runners
-        while min(map(self._count_servers, self.entries)) < wanted:
+        """Wait until the cluster is ready.
+
+        Every entry must know all backend servers, and every worker must be
+        registered.
+        """
+        expected = self._settings.service.runners
+        while min(map(self._count_available_servers, self.entries)) < expected:
             await asyncio.sleep(POLL_SECONDS)
         for worker in self.workers:
             await worker.registered.wait()
 
-    def name_data_centre(self, index: int) -> identifiers.DataCentreName:
-        """Return the data centre of the n-th process, in turn."""
+    def choose_data_centre(self, index: int) -> identifiers.DataCentreName:
+        """Return the data centre of the n-th process, assigned round-robin."""
         names = self._settings.data_centres
         return names[index % len(names)]
 
-    def _count_servers(self, entry: daemons.Entry) -> int:
+    def _count_available_servers(self, entry: daemons.Entry) -> int:
         service = self._settings.service.name
         return entry.context.registry.count_available(service)
 
@@ -101,7 +105,7 @@
             entry = daemons.Entry(
                 settings.EntrySettings(
                     name=f'entry-{index + 1}',
-                    data_centre=self.name_data_centre(index),
+                    data_centre=self.choose_data_centre(index),
                     platform_log=self.log_address,
                     heartbeat_interval=HEARTBEAT_INTERVAL,
                     heartbeat_limit=HEARTBEAT_LIMIT,
@@ -121,7 +125,7 @@
             sidecar = daemons.Sidecar(
                 settings.SidecarSettings(
                     name=f'{service.name}-{index + 1}',
-                    data_centre=self.name_data_centre(index),
+                    data_centre=self.choose_data_centre(index),
                     service=service.name,
                     backend_server=server.address,
                     balancer=self.balancer,
@@ -138,15 +142,15 @@
     async def _start_workers(self) -> None:
         workers = self._settings.workers
         for index in range(workers.count):
-            data_centre = self.name_data_centre(index)
-            racks = index // (
+            data_centre = self.choose_data_centre(index)
+            rack_index = index // (
                 workers.per_rack * len(self._settings.data_centres)
             )
             worker = standins.WorkerServer(
                 standins.make_worker_registration(
                     f'worker-{index + 1}',
                     data_centre,
-                    f'{data_centre}-rack-{racks + 1}',
+                    f'{data_centre}-rack-{rack_index + 1}',
                     workers.capacity,
                 ),
                 ANY_ADDRESS,
--- a/chivespoke/demo/_report.py
+++ b/chivespoke/demo/_report.py
@@ -1,4 +1,4 @@
-"""What the demonstration tells its reader, step by step."""
+"""Output and measurements of the demonstration."""
 
 import abc
 import collections.abc
@@ -7,48 +7,49 @@
 
 
 class Reporter(abc.ABC):
-    """Tell the reader what happens."""
+    """Receive the progress of the demonstration."""
 
     @abc.abstractmethod
     def begin_step(self, title: str) -> None:
-        """Begin a step."""
+        """Announce the next step."""
 
     @abc.abstractmethod
     def tell(self, sentence: str) -> None:
-        """Tell one fact of the step."""
+        """Report one result of the current step."""
 
 
 class Measures(msgspec.Struct, kw_only=True):
-    """Hold what the demonstration measured."""
+    """Hold the measurements of the demonstration."""
 
     user: str
     calls: int = 0
     outcomes: dict[str, int] = {}
-    # Milliseconds of calls before and while the data centre was out.
+    # Call latencies in milliseconds, before and while a data centre is out.
     p50_before: float = 0.0
     p99_before: float = 0.0
     p50_during: float = 0.0
     p99_during: float = 0.0
-    # Calls that ran twice; must stay 0.
+    # Runs in excess of the calls sent (calls that ran twice); must stay 0.
     runs_beyond_calls: int = 0
     tasks: int = 0
     tasks_completed: int = 0
     attempts: int = 0
     evictions: int = 0
-    # Seconds from submission until the last task was counted.
+    # Seconds from submission until the last task ended.
     job_seconds: float = 0.0
-    # Starts in the data centre later than the bound after it was taken out.
+    # Starts in the data centre after it was taken out and the grace period
+    # had passed.
     late_starts: int = 0
-    # Tasks that were running there when it was taken out.
+    # Tasks that were running in the data centre when it was taken out.
     tasks_there: int = 0
-    # Tasks counted while the data centre was out.
+    # Tasks completed while the data centre was out.
     completed_while_out: int = 0
 
 
-def find_percentile(
+def compute_percentile(
     values: collections.abc.Iterable[float], share: float
 ) -> float:
-    """Return the value below which the share lies; 0.0 if there is none."""
+    """Return the percentile for a share; 0.0 if there are no values."""
     ordered = sorted(values)
     if not ordered:
         return 0.0
--- a/chivespoke/demo/_settings.py
+++ b/chivespoke/demo/_settings.py
@@ -1,4 +1,4 @@
-"""Settings of the demonstration: one user's sizes of today."""
+"""Settings of the demonstration: the size of one user's deployment."""
 
 import pathlib
 import typing
@@ -19,13 +19,13 @@
 class DemoService(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """Describe the service that is called."""
+    """Describe the called service."""
 
     name: identifiers.ServiceName
     runners: Count = 10
     slots: Count = 8
     connections: Count = 60
-    # Seconds that the backend server takes for a call.
+    # Run time of a call on a backend server, in seconds.
     work_seconds: Positive = 0.004
     size: resources.Resources = resources.Resources(2000, 4096, 0)
 
@@ -33,7 +33,7 @@
 class DemoJob(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """Describe the batch job that is submitted."""
+    """Describe the submitted batch job."""
 
     name: str
     tasks: Count = 20
@@ -54,7 +54,7 @@
 class DemoSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """Hold one user's sizes and what the demonstration does with them."""
+    """Hold the size of a user's deployment and of the scenario."""
 
     user: str
     region: str
@@ -75,11 +75,11 @@
 
 
 def read_demo_settings(path: pathlib.Path) -> DemoSettings:
-    """Read and check the file; raise SettingsError."""
+    """Read and validate a settings file; raise SettingsError."""
     return yaml_files.read_yaml(path, DemoSettings, STEP)
 
 
-# The sizes of Kandy Tallyworks, as in examples/kandy_tallyworks.yaml.
+# The deployment of Kandy Tallyworks; equal to examples/kandy_tallyworks.yaml.
 DEFAULT_SETTINGS = DemoSettings(
     user='Kandy Tallyworks',
     region='western',
--- a/chivespoke/demo/_story.py
+++ b/chivespoke/demo/_story.py
@@ -1,4 +1,4 @@
-"""The story that the demonstration tells: a day of one user in a minute."""
+"""The scenario of the demonstration: typical operations of one user."""
 
 import asyncio
 import collections
@@ -19,18 +19,18 @@
 MILLISECONDS = 1000
 AUTHOR = 'demo'
 POLL_SECONDS = 0.1
-# Calls under way at once.
-CALLERS = 4
-# Seconds within which a taken-out data centre sees its last start.
-START_BOUND = 3.0
-# Seconds for which the data centre stays out.
-OUT_SECONDS = 7.0
-# Seconds that anything may take before the story ends in an error.
-PATIENCE = 60.0
+# Concurrent calls.
+CONCURRENT_CALLS = 4
+# Seconds after a data centre is taken out until no task may start there.
+START_GRACE_SECONDS = 3.0
+# Seconds that the scenario waits while the data centre is out of service.
+OUTAGE_SECONDS = 7.0
+# Seconds that the whole scenario may take before it is aborted.
+SCENARIO_TIMEOUT = 60.0
 
 
 class Story:
-    """Run one user's day against a cluster."""
+    """Run the scenario of one user against a cluster."""
 
     __slots__ = ('_cluster', '_demo', '_reporter', '_clock', 'measures')
 
@@ -48,26 +48,26 @@
         self.measures = _report.Measures(user=demo.user)
 
     async def run(self) -> None:
-        """Tell every step; raise UnavailableError when one hangs."""
+        """Run every step; raise UnavailableError after SCENARIO_TIMEOUT."""
         async with _client.EntryClient(self._cluster.balancer) as client:
             try:
-                async with asyncio.timeout(PATIENCE):
-                    await self._tell(client)
+                async with asyncio.timeout(SCENARIO_TIMEOUT):
+                    await self._run_steps(client)
             except TimeoutError as error:
                 raise errors.UnavailableError(
-                    'demonstration', self._demo.user, 'a step did not end'
+                    'demonstration', self._demo.user, 'the scenario timed out'
                 ) from error
 
-    async def _tell(self, client: _client.EntryClient) -> None:
-        await self._begin(client)
+    async def _run_steps(self, client: _client.EntryClient) -> None:
+        await self._prepare(client)
         self._reporter.begin_step('Callers are served')
         before = await self._send_calls(client)
-        self._note_calls(before, 'before')
+        self._record_latencies(before, 'before')
         submitted_at = await self._submit(client)
         await self._take_out_and_return(client)
         await self._finish_job(client, submitted_at)
 
-    async def _begin(self, client: _client.EntryClient) -> None:
+    async def _prepare(self, client: _client.EntryClient) -> None:
         demo = self._demo
         self._reporter.begin_step(
             f'{demo.user}: {demo.workers.count} workers, '
@@ -99,40 +99,42 @@
         ]
 
     async def _send_calls(self, client: _client.EntryClient) -> list[float]:
-        """Send calls from several callers; return their milliseconds."""
+        """Send concurrent calls; return their latencies in milliseconds."""
         service = self._demo.service
         query = f'?ms={service.work_seconds * MILLISECONDS:g}'
-        waiting = collections.deque(range(self._demo.calls))
-        taken: list[float] = []
+        pending = collections.deque(range(self._demo.calls))
+        latencies: list[float] = []
         runs_before = self._count_runs()
 
-        async def act_as_caller() -> None:
-            while waiting:
-                number = waiting.popleft()
-                begun = self._clock.read_monotonic()
+        async def send_pending_calls() -> None:
+            while pending:
+                number = pending.popleft()
+                started_at = self._clock.read_monotonic()
                 outcome = await client.call(
                     service.name, f'/count/{number}{query}'
                 )
-                elapsed = self._clock.read_monotonic() - begun
-                taken.append(elapsed * MILLISECONDS)
+                elapsed = self._clock.read_monotonic() - started_at
+                latencies.append(elapsed * MILLISECONDS)
                 outcomes = self.measures.outcomes
                 outcomes[outcome] = outcomes.get(outcome, 0) + 1
 
-        await asyncio.gather(*(act_as_caller() for _ in range(CALLERS)))
+        await asyncio.gather(
+            *(send_pending_calls() for _ in range(CONCURRENT_CALLS))
+        )
         runs = self._count_runs() - runs_before
-        self.measures.calls += len(taken)
-        self.measures.runs_beyond_calls += max(runs - len(taken), 0)
-        return taken
+        self.measures.calls += len(latencies)
+        self.measures.runs_beyond_calls += max(runs - len(latencies), 0)
+        return latencies
 
-    def _note_calls(self, taken: list[float], when: str) -> None:
-        p50 = _report.find_percentile(taken, 0.5)
-        p99 = _report.find_percentile(taken, 0.99)
+    def _record_latencies(self, latencies: list[float], when: str) -> None:
+        p50 = _report.compute_percentile(latencies, 0.5)
+        p99 = _report.compute_percentile(latencies, 0.99)
         setattr(self.measures, f'p50_{when}', p50)
         setattr(self.measures, f'p99_{when}', p99)
         answered = self.measures.outcomes.get('answered', 0)
         self._reporter.tell(
-            f'{len(taken)} calls to {self._demo.service.name}: half within '
-            f'{p50:.1f} ms, 99% within {p99:.1f} ms; '
+            f'{len(latencies)} calls to {self._demo.service.name}: half '
+            f'within {p50:.1f} ms, 99% within {p99:.1f} ms; '
             f'{answered} of {self.measures.calls} calls so far answered.'
         )
 
@@ -163,7 +165,7 @@
         while (await client.show_job(job.name)).running == 0:
             await asyncio.sleep(POLL_SECONDS)
         report = await client.show_job(job.name)
-        while self._count_running() < report.running:
+        while self._count_all_running_tasks() < report.running:
             await asyncio.sleep(POLL_SECONDS)
         seconds = self._clock.read_monotonic() - submitted_at
         self._reporter.tell(
@@ -173,62 +175,68 @@
         return submitted_at
 
     async def _take_out_and_return(self, client: _client.EntryClient) -> None:
-        # The one that holds most of the job.
-        name = max(self._demo.data_centres, key=self._count_tasks)
+        # The data centre with the most running tasks.
+        name = max(self._demo.data_centres, key=self._count_running_tasks)
         self._reporter.begin_step(f'Operators take {name} out')
         before = await client.show_job(self._demo.job.name)
-        self.measures.tasks_there = self._count_tasks(name)
-        version = await self._set_state(client, name, 'out-of-service')
+        self.measures.tasks_there = self._count_running_tasks(name)
+        version = await self._set_data_centre_state(
+            client, name, 'out-of-service'
+        )
         out_at = self._clock.read_monotonic()
         self._reporter.tell(
             f'Version {version} is accepted; {self.measures.tasks_there} '
             'tasks were running there.'
         )
-        self._note_calls(await self._send_calls(client), 'during')
-        await asyncio.sleep(OUT_SECONDS)
+        self._record_latencies(await self._send_calls(client), 'during')
+        await asyncio.sleep(OUTAGE_SECONDS)
         self.measures.late_starts = self._count_late_starts(name, out_at)
         after = await client.show_job(self._demo.job.name)
         self.measures.completed_while_out = after.completed - before.completed
         self._reporter.tell(
-            f'{self._count_tasks(name)} tasks run there now; '
+            f'{self._count_running_tasks(name)} tasks run there now; '
             f'{self.measures.late_starts} were started there later than '
-            f'{START_BOUND:g} s after; '
+            f'{START_GRACE_SECONDS:g} s after; '
             f'{self.measures.completed_while_out} tasks were completed '
             'meanwhile.'
         )
-        version = await self._set_state(client, name, 'in-service')
+        version = await self._set_data_centre_state(client, name, 'in-service')
         self._reporter.tell(f'{name} is back with version {version}.')
 
-    async def _set_state(
+    async def _set_data_centre_state(
         self, client: _client.EntryClient, name: str, state: str
     ) -> int:
         path = f'/data_centres/{name}/state'
-        found = await client.show_configuration()
+        current = await client.show_configuration()
         decision = await client.patch(
-            found.version,
+            current.version,
             [{'op': 'replace', 'path': path, 'value': state}],
             AUTHOR,
         )
         return int(decision.version)
 
-    def _list_runs(self, name: str) -> list[standins.Run]:
+    def _list_runs(self, data_centre: str) -> list[standins.Run]:
         return [
             run
             for worker in self._cluster.workers
-            if worker.agent.registration.data_centre == name
+            if worker.agent.registration.data_centre == data_centre
             for run in worker.agent.history
         ]
 
-    def _count_running(self) -> int:
-        return sum(map(self._count_tasks, self._demo.data_centres))
+    def _count_all_running_tasks(self) -> int:
+        return sum(map(self._count_running_tasks, self._demo.data_centres))
 
-    def _count_tasks(self, name: str) -> int:
-        return sum(run.ended_at is None for run in self._list_runs(name))
+    def _count_running_tasks(self, data_centre: str) -> int:
+        return sum(
+            run.ended_at is None for run in self._list_runs(data_centre)
+        )
 
-    def _count_late_starts(self, name: str, out_at: float) -> int:
-        # All workers of the demonstration read this process's clock.
-        latest = out_at + START_BOUND
-        return sum(run.started_at > latest for run in self._list_runs(name))
+    def _count_late_starts(self, data_centre: str, out_at: float) -> int:
+        # All workers read the clock of this process, so the readings compare.
+        latest = out_at + START_GRACE_SECONDS
+        return sum(
+            run.started_at > latest for run in self._list_runs(data_centre)
+        )
 
     async def _finish_job(
         self, client: _client.EntryClient, submitted_at: float
--- a/chivespoke/demo/tests/test_settings.py
+++ b/chivespoke/demo/tests/test_settings.py
@@ -9,9 +9,9 @@
 
 
 class ExamplesTest(unittest.TestCase):
-    """Read the settings of both users."""
+    """Read the example settings of both users."""
 
-    def test_sizes_of_today(self) -> None:
+    def test_example_sizes(self) -> None:
         cases = (('kandy_tallyworks', 3, 16), ('cedar_hollow', 4, 60))
         for name, data_centres, processors in cases:
             with self.subTest(name=name):
--- a/chivespoke/demo/tests/test_story.py
+++ b/chivespoke/demo/tests/test_story.py
@@ -1,4 +1,4 @@
-"""Tests of the demonstration as a whole."""
+"""End-to-end test of the demonstration."""
 
 import unittest
 
@@ -8,8 +8,8 @@
 from chivespoke import demo
 
 
-class _Listener(demo.Reporter):
-    """Remember the titles of the steps."""
+class _TitleRecorder(demo.Reporter):
+    """Record the titles of the steps."""
 
     def __init__(self) -> None:
         self.titles: list[str] = []
@@ -22,21 +22,21 @@
 
 
 class StoryTest(unittest.IsolatedAsyncioTestCase):
-    """Run the story at a small size."""
+    """Run the scenario on a small cluster."""
 
-    async def test_story_ends_with_exact_counts(self) -> None:
-        usual = demo.DEFAULT_SETTINGS
+    async def test_scenario_completes_with_exact_counts(self) -> None:
+        defaults = demo.DEFAULT_SETTINGS
         small = msgspec.structs.replace(
-            usual,
+            defaults,
             calls=60,
-            service=msgspec.structs.replace(usual.service, runners=3),
-            job=msgspec.structs.replace(usual.job, tasks=9),
-            workers=msgspec.structs.replace(usual.workers, count=6),
+            service=msgspec.structs.replace(defaults.service, runners=3),
+            job=msgspec.structs.replace(defaults.job, tasks=9),
+            workers=msgspec.structs.replace(defaults.workers, count=6),
         )
         clock = clocks.SystemClock()
         cluster = demo.Cluster(small, clock)
-        listener = _Listener()
-        story = demo.Story(cluster, small, listener, clock)
+        recorder = _TitleRecorder()
+        story = demo.Story(cluster, small, recorder, clock)
         await cluster.start()
         self.addAsyncCleanup(cluster.stop)
         await story.run()
@@ -45,7 +45,7 @@
         self.assertEqual(9, measures.tasks_completed)
         self.assertEqual(0, measures.runs_beyond_calls)
         self.assertEqual(0, measures.late_starts)
-        self.assertEqual(5, len(listener.titles))
+        self.assertEqual(5, len(recorder.titles))
 
 
 if __name__ == '__main__':
