--- a/chivespoke/bench/_cluster.py
+++ b/chivespoke/bench/_cluster.py
@@ -216,7 +216,7 @@
                     process.configuration.poll(now)
         for agent in self.agents.values():
             running = len(agent.runs)
-            agent.settle()
+            agent.advance_runs()
             if len(agent.runs) < running:
                 self._tell_news(agent)
         for _ in range(TURNS):
--- a/chivespoke/bench/_fault_checks.py
+++ b/chivespoke/bench/_fault_checks.py
@@ -52,7 +52,7 @@
 
     def note_killed(self, agent: standins.WorkerAgent) -> None:
         """Note that everything on a worker ended with it."""
-        agent.settle()
+        agent.advance_runs()
         self.check()
         self._killed.append(agent)
         now = agent.clock.read_monotonic()
--- a/chivespoke/standins/_worker.py
+++ b/chivespoke/standins/_worker.py
@@ -87,7 +87,7 @@
 
     def renew(self, renewal: workers.LeaseRenewal) -> workers.Heartbeat:
         """Extend the lease; refuse a stale owner."""
-        self.settle()
+        self.advance_runs()
         self._check_epoch(renewal.epoch)
         if renewal.incarnation == self.registration.incarnation:
             self.lease_until = max(self.lease_until, renewal.lease_until)
@@ -117,7 +117,7 @@
 
     def start(self, command: workers.StartCommand) -> workers.TaskStatus:
         """Start an attempt, or record that it will never start."""
-        self.settle()
+        self.advance_runs()
         self._check_epoch(command.epoch)
         if command.incarnation != self.registration.incarnation:
             raise errors.RefusedError(
@@ -146,7 +146,7 @@
 
     def stop(self, command: workers.StopCommand) -> workers.TaskStatus:
         """Stop an attempt; an unknown attempt is barred from starting."""
-        self.settle()
+        self.advance_runs()
         self._check_epoch(command.epoch)
         key = (command.task_id, command.attempt)
         if key in self._tombstones:
@@ -180,7 +180,7 @@
         run.throttled = command.throttled
         return self._make_status(run)
 
-    def settle(self) -> None:
+    def advance_runs(self) -> None:
         """Advance all runs to the current time; stop them on lease expiry."""
         now = self.clock.read_monotonic()
         for run in tuple(self.runs.values()):
@@ -310,7 +310,7 @@
         attempt: identifiers.Attempt,
         epoch: int,
     ) -> Run:
-        self.settle()
+        self.advance_runs()
         self._check_epoch(epoch)
         run = self.runs.get(task_id)
         if run is None or run.command.attempt != attempt:
--- a/chivespoke/standins/_worker_server.py
+++ b/chivespoke/standins/_worker_server.py
@@ -126,7 +126,7 @@
         running_before = 0
         while True:
             await asyncio.sleep(RUN_CHECK_INTERVAL)
-            self.agent.settle()
+            self.agent.advance_runs()
             if len(self.agent.runs) < running_before:
                 await self._post(f'/v1/workers/{group}/{worker_id}/news', None)
             running_before = len(self.agent.runs)
