Rename WorkerAgent.measure_commitment to compute_committed_resources

Old name: measure_commitment. New name: compute_committed_resources, in the simulated worker agent, bench and a test of scheduling.

--- a/chivespoke/bench/_fault_checks.py
+++ b/chivespoke/bench/_fault_checks.py
@@ -86,7 +86,7 @@
         self._seen[id(agent)] = len(agent.history)
         self.checks['never over-committed, at the worker'] += 1
         errors.check_invariant(
-            agent.measure_commitment().fits_within(
+            agent.compute_committed_resources().fits_within(
                 agent.registration.capacity
             ),
             'never over-committed',
--- a/chivespoke/bench/_fault_world.py
+++ b/chivespoke/bench/_fault_world.py
@@ -94,7 +94,7 @@
 
     def _check_quota(self) -> None:
         running = sum(
-            agent.measure_commitment().millicores
+            agent.compute_committed_resources().millicores
             for agent in self.cluster.agents.values()
         )
         self.witness.checks['quota never over-run'] += 1
--- a/chivespoke/scheduling/tests/test_shards.py
+++ b/chivespoke/scheduling/tests/test_shards.py
@@ -72,7 +72,7 @@
                 cluster.processes['entry-1'].log.reachable = True
             await cluster.run(1, 0.5)
             running = sum(
-                agent.measure_commitment().millicores
+                agent.compute_committed_resources().millicores
                 for agent in cluster.agents.values()
             )
             most = max(most, running)
--- a/chivespoke/standins/_worker.py
+++ b/chivespoke/standins/_worker.py
@@ -194,7 +194,7 @@
                     'the lease lapsed',
                 )
 
-    def measure_commitment(self) -> resources.Resources:
+    def compute_committed_resources(self) -> resources.Resources:
         """Return the sum of the sizes of the running attempts."""
         return sum(
             (run.command.size for run in self.runs.values()),
@@ -214,7 +214,7 @@
         return ''
 
     def _start_run(self, command: workers.StartCommand) -> Run:
-        total = self.measure_commitment() + command.size
+        total = self.compute_committed_resources() + command.size
         errors.check_invariant(
             total.fits_within(self.registration.capacity),
             'never over-committed',
