Rename demo.Reporter.tell to report_result

Old name: tell. New name: report_result, in the demonstration, its test and the command that prints it.

--- a/chivespoke/cli/_demo.py
+++ b/chivespoke/cli/_demo.py
@@ -26,7 +26,7 @@
         self._step += 1
         _output.print_line(f'\n{self._step}. {title}')
 
-    def tell(self, sentence: str) -> None:
+    def report_result(self, sentence: str) -> None:
         _output.print_line(f'   {sentence}')
 
 
@@ -36,7 +36,7 @@
     def begin_step(self, title: str) -> None:
         return None
 
-    def tell(self, sentence: str) -> None:
+    def report_result(self, sentence: str) -> None:
         return None
 
 
--- a/chivespoke/demo/_report.py
+++ b/chivespoke/demo/_report.py
@@ -14,7 +14,7 @@
         """Announce the next step."""
 
     @abc.abstractmethod
-    def tell(self, sentence: str) -> None:
+    def report_result(self, sentence: str) -> None:
         """Report one result of the current step."""
 
 
--- a/chivespoke/demo/_story.py
+++ b/chivespoke/demo/_story.py
@@ -76,9 +76,9 @@
         )
         await self._cluster.wait_ready()
         address = self._cluster.balancer.format_http()
-        self._reporter.tell(f'Everything is up behind {address}.')
+        self._reporter.report_result(f'Everything is up behind {address}.')
         decision = await client.patch(0, self._make_document(), AUTHOR)
-        self._reporter.tell(
+        self._reporter.report_result(
             f'A first patch was accepted: version {decision.version}.'
         )
 
@@ -132,7 +132,7 @@
         setattr(self.measures, f'p50_{when}', p50)
         setattr(self.measures, f'p99_{when}', p99)
         answered = self.measures.outcomes.get('answered', 0)
-        self._reporter.tell(
+        self._reporter.report_result(
             f'{len(latencies)} calls to {self._demo.service.name}: half '
             f'within {p50:.1f} ms, 99% within {p99:.1f} ms; '
             f'{answered} of {self.measures.calls} calls so far answered.'
@@ -168,7 +168,7 @@
         while self._count_all_running_tasks() < report.running:
             await asyncio.sleep(POLL_SECONDS)
         seconds = self._clock.read_monotonic() - submitted_at
-        self._reporter.tell(
+        self._reporter.report_result(
             f'{report.running} of {job.tasks} tasks of {job.name} run on '
             f'workers after {seconds:.1f} s.'
         )
@@ -184,7 +184,7 @@
             client, name, 'out-of-service'
         )
         out_at = self._clock.read_monotonic()
-        self._reporter.tell(
+        self._reporter.report_result(
             f'Version {version} is accepted; {self.measures.tasks_there} '
             'tasks were running there.'
         )
@@ -193,7 +193,7 @@
         self.measures.late_starts = self._count_late_starts(name, out_at)
         after = await client.show_job(self._demo.job.name)
         self.measures.completed_while_out = after.completed - before.completed
-        self._reporter.tell(
+        self._reporter.report_result(
             f'{self._count_running_tasks(name)} tasks run there now; '
             f'{self.measures.late_starts} were started there later than '
             f'{START_GRACE_SECONDS:g} s after; '
@@ -201,7 +201,7 @@
             'meanwhile.'
         )
         version = await self._set_data_centre_state(client, name, 'in-service')
-        self._reporter.tell(f'{name} is back with version {version}.')
+        self._reporter.report_result(f'{name} is back with version {version}.')
 
     async def _set_data_centre_state(
         self, client: _client.EntryClient, name: str, state: str
@@ -254,7 +254,7 @@
         measures.attempts = report.attempts
         measures.evictions = report.evictions
         measures.job_seconds = self._clock.read_monotonic() - submitted_at
-        self._reporter.tell(
+        self._reporter.report_result(
             f'{report.completed} of {job.tasks} tasks completed in '
             f'{report.attempts} attempts; {report.evictions} were evicted; '
             f'{measures.job_seconds:.1f} s in all.'
--- a/chivespoke/demo/tests/test_story.py
+++ b/chivespoke/demo/tests/test_story.py
@@ -17,7 +17,7 @@
     def begin_step(self, title: str) -> None:
         self.titles.append(title)
 
-    def tell(self, sentence: str) -> None:
+    def report_result(self, sentence: str) -> None:
         return None
 
 
