--- a/chivespoke/standins/_store.py
+++ b/chivespoke/standins/_store.py
@@ -187,6 +187,8 @@
     ) -> web.StreamResponse:
         body = response.body
         assert isinstance(body, bytes)
+        if _is_closed(request):
+            return response
         stream = web.StreamResponse(status=response.status)
         stream.content_length = len(body)
         stream.content_type = response.content_type
