--- a/chivespoke/entries/__init__.py
+++ b/chivespoke/entries/__init__.py
@@ -7,7 +7,7 @@
 from chivespoke.entries._membership import Membership
 from chivespoke.entries._membership_links import Links
 from chivespoke.entries._membership_links import NeighbourRelay
-from chivespoke.entries._membership_links import PeerRequestHandler
+from chivespoke.entries._membership_requests import PeerRequestHandler
 from chivespoke.entries._membership_versions import SidecarVersionTracker
 from chivespoke.entries._membership_versions import VersionHolder
 from chivespoke.entries._messages import EntryAddress
--- a/chivespoke/entries/_membership.py
+++ b/chivespoke/entries/_membership.py
@@ -12,6 +12,7 @@
 from chivespoke.entries import _membership_fold as folds
 from chivespoke.entries import _membership_links as links
 from chivespoke.entries import _membership_messages as messages
+from chivespoke.entries import _membership_requests as requests
 from chivespoke.entries import _messages
 from chivespoke import errors
 from chivespoke import identifiers
@@ -288,7 +289,7 @@
         self,
         membership: Membership,
         peers: links.Links,
-        request_handler: links.PeerRequestHandler,
+        request_handler: requests.PeerRequestHandler,
     ) -> None:
         self._membership = membership
         self._links = peers
--- a/chivespoke/entries/_membership_links.py
+++ b/chivespoke/entries/_membership_links.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections.abc
 import random
-import typing
 
 import msgspec
 
@@ -11,6 +10,7 @@
 from chivespoke import clock as clocks
 from chivespoke.entries import _handlers
 from chivespoke.entries import _membership_messages as messages
+from chivespoke.entries import _membership_transfers as transfers
 from chivespoke.entries import _messages
 from chivespoke.entries import _transport
 from chivespoke import errors
@@ -32,45 +32,9 @@
 TRANSFER_IDLE_SECONDS = 60.0
 # Neighbours that one relay request tries before it returns nothing.
 MAX_RELAY_NEIGHBOURS = 2
-# Largest state that is sent in one reply, to a process that does not know
-# parts.
-MAX_WHOLE_STATE_BYTES = 64 * 1024 * 1024
 MAX_CONCURRENT_REPORT_REQUESTS = 32
 CONNECT_POLL_SECONDS = 0.01
 
-Reply = messages.RelayReply | messages.RollReply
-
-
-class OpenQuestion:
-    """Hold a question to a neighbour and its reply, however late."""
-
-    __slots__ = ('question', 'asked_at', 'reply')
-
-    def __init__(
-        self, question: messages.RelayQuestion, asked_at: float
-    ) -> None:
-        self.question = question
-        # When it was first sent.
-        self.asked_at = asked_at
-        self.reply: asyncio.Future[Reply] = (
-            asyncio.get_running_loop().create_future()
-        )
-
-
-class StateTransfer:
-    """Hold the parts of a state that have arrived from a neighbour."""
-
-    __slots__ = ('neighbour', 'state', 'progress_at', 'has_stalled')
-
-    def __init__(
-        self, neighbour: identifiers.Incarnation, stream: str
-    ) -> None:
-        self.neighbour = neighbour
-        self.state = replication.PartialState(stream)
-        self.progress_at = 0.0
-        # Whether the last question was not answered in time.
-        self.has_stalled = False
-
 
 class Links(application.Component):
     """Manage the connections to other entries."""
@@ -103,13 +67,13 @@
         ] = {}
         # Connections that are closed after a single request.
         self._temporary_clients: set[_transport.MessageClient] = set()
-        self._pending: dict[int, asyncio.Future[Reply]] = {}
+        self._pending: dict[int, asyncio.Future[transfers.Reply]] = {}
         # The one question to each neighbour about each stream.
         self._questions: dict[
-            tuple[identifiers.Incarnation, str], OpenQuestion
+            tuple[identifiers.Incarnation, str], transfers.OpenQuestion
         ] = {}
         # Keyed by stream.
-        self._transfers: dict[str, StateTransfer] = {}
+        self._transfers: dict[str, transfers.StateTransfer] = {}
         # Longer times to wait for neighbours whose replies are slow.
         self._reply_timeouts: dict[identifiers.Incarnation, float] = {}
         self._last_request_number = 0
@@ -238,7 +202,7 @@
         """Return records, or a state with all its parts, of one neighbour."""
         transfer = self._transfers.get(stream)
         if transfer is None or transfer.neighbour != incarnation:
-            transfer = StateTransfer(incarnation, stream)
+            transfer = transfers.StateTransfer(incarnation, stream)
         state = transfer.state
         while True:
             next_part = state.next_part
@@ -310,7 +274,9 @@
         )
 
     async def _wait_for_reply(
-        self, incarnation: identifiers.Incarnation, opened: OpenQuestion
+        self,
+        incarnation: identifiers.Incarnation,
+        opened: transfers.OpenQuestion,
     ) -> None:
         timeout = self._reply_timeouts.get(incarnation, REPLY_TIMEOUT_SECONDS)
         await asyncio.wait((opened.reply,), timeout=timeout)
@@ -328,10 +294,10 @@
         self,
         key: tuple[identifiers.Incarnation, str],
         question: messages.RelayQuestion,
-    ) -> OpenQuestion:
+    ) -> transfers.OpenQuestion:
         self._close_question(key)
         self._last_request_number += 1
-        opened = OpenQuestion(
+        opened = transfers.OpenQuestion(
             msgspec.structs.replace(
                 question, request_number=self._last_request_number
             ),
@@ -356,7 +322,9 @@
             if key[0] == incarnation:
                 self._close_question(key)
 
-    def _discard_transfer(self, transfer: StateTransfer, stream: str) -> None:
+    def _discard_transfer(
+        self, transfer: transfers.StateTransfer, stream: str
+    ) -> None:
         if self._transfers.get(stream) is transfer:
             del self._transfers[stream]
 
@@ -386,10 +354,10 @@
         client: _transport.MessageClient,
         make_message: collections.abc.Callable[[int], _messages.Message],
         timeout_seconds: float,
-    ) -> Reply | None:
+    ) -> transfers.Reply | None:
         self._last_request_number += 1
         request_number = self._last_request_number
-        future: asyncio.Future[Reply] = (
+        future: asyncio.Future[transfers.Reply] = (
             asyncio.get_running_loop().create_future()
         )
         self._pending[request_number] = future
@@ -414,7 +382,9 @@
             except errors.RefusedError:
                 await asyncio.sleep(CONNECT_POLL_SECONDS)
 
-    async def _handle_reply(self, peer: _handlers.Peer, reply: Reply) -> None:
+    async def _handle_reply(
+        self, peer: _handlers.Peer, reply: transfers.Reply
+    ) -> None:
         future = self._pending.get(reply.request_number)
         if future is not None and not future.done():
             future.set_result(reply)
@@ -441,78 +411,3 @@
         if reply is None or reply.page is None:
             return None
         return replication.RelayAnswer(reply.page, reply.proof_age, reply.seed)
-
-
-class PeerRequestHandler:
-    """Handle requests of other entries for records and reports."""
-
-    __slots__ = ('_followers', '_offers', '_reporters')
-
-    def __init__(
-        self,
-        handlers: _handlers.Handlers,
-        reporters: collections.abc.Iterable[operators.LocalReporter],
-    ) -> None:
-        self._followers: dict[str, replication.Follower[typing.Any]] = {}
-        self._offers = replication.StateOffers()
-        self._reporters = tuple(reporters)
-        handlers.register(messages.RelayQuestion, self._handle_relay_question)
-        handlers.register(messages.RollQuestion, self._handle_roll_question)
-
-    def add_follower(self, follower: replication.Follower[typing.Any]) -> None:
-        """Serve the records of a follower's stream to other entries."""
-        self._followers[follower.replica.stream] = follower
-
-    def list_reports(self) -> tuple[operators.ProcessReport, ...]:
-        """Return the reports of this process and of its sidecars."""
-        return tuple(
-            report
-            for reporter in self._reporters
-            for report in reporter.list_reports()
-        )
-
-    async def _handle_relay_question(
-        self, peer: _handlers.Peer, question: messages.RelayQuestion
-    ) -> None:
-        answer = self._find_answer(peer, question)
-        if answer is None:
-            peer.send(messages.RelayReply(question.request_number))
-            return
-        peer.send(
-            messages.RelayReply(
-                question.request_number,
-                answer.page,
-                answer.read_age_seconds,
-                answer.peer_state,
-                answer.part,
-            )
-        )
-
-    def _find_answer(
-        self, peer: _handlers.Peer, question: messages.RelayQuestion
-    ) -> replication.RelayAnswer | None:
-        follower = self._followers.get(question.stream)
-        if follower is None:
-            return None
-        if question.part_index is not None:
-            return self._offers.answer(
-                follower,
-                peer.incarnation,
-                question.start,
-                question.needs_state,
-                question.part_index,
-                question.checksum,
-            )
-        answer = replication.make_relay_answer(
-            follower, question.start, question.needs_state
-        )
-        if answer is None or len(answer.peer_state) > MAX_WHOLE_STATE_BYTES:
-            return None
-        return answer
-
-    async def _handle_roll_question(
-        self, peer: _handlers.Peer, question: messages.RollQuestion
-    ) -> None:
-        peer.send(
-            messages.RollReply(question.request_number, self.list_reports())
-        )
