Carry out appends in the stand-in of the store whose callers have given up

A test of the platform failed once under load. The stand-in reads a request before it delays it, and drops it only on a link of limited bandwidth.

--- a/chivespoke/platform/tests/test_store.py
+++ b/chivespoke/platform/tests/test_store.py
@@ -131,6 +131,19 @@
         page = await self.store.read(TOPIC, 0, 0.0)
         self.assertEqual(1, len(page.records))
 
+    async def test_append_takes_effect_after_its_caller_has_given_up(
+        self,
+    ) -> None:
+        # Regression: under load the stand-in dropped appends that the caller
+        # had given up before they were handled, which a store may carry out.
+        self.standin.faults.delay = 0.25
+        with self.assertRaises(errors.UnavailableError):
+            await self.append('a', b'1', 1, 0, limit=0.2)
+        self.standin.faults.delay = 0.0
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while not self.standin.list_values(TOPIC):
+                await asyncio.sleep(0.01)
+
     async def test_delayed_duplicate_append_has_no_effect(self) -> None:
         self.standin.faults.late_appends = 1
         self.standin.faults.late_seconds = 0.4
--- a/chivespoke/standins/_store.py
+++ b/chivespoke/standins/_store.py
@@ -162,12 +162,12 @@
 
         async def handle(request: web.Request) -> web.StreamResponse:
             self.calls += 1
+            if not await self._receive_body(request):
+                return web.Response(status=503)
             if self.faults.delay:
                 await asyncio.sleep(self.faults.delay)
             if self.faults.refuse_with:
                 return web.Response(status=self.faults.refuse_with)
-            if not await self._receive_body(request):
-                return web.Response(status=503)
             response = await handler(request)
             if not self.faults.link_bytes_per_second:
                 return response
@@ -178,8 +178,9 @@
     async def _receive_body(self, request: web.Request) -> bool:
         """Return whether the client stayed connected during the upload."""
         body = await request.read()
-        if self.faults.link_bytes_per_second:
-            await asyncio.sleep(len(body) / self.faults.link_bytes_per_second)
+        if not self.faults.link_bytes_per_second:
+            return True
+        await asyncio.sleep(len(body) / self.faults.link_bytes_per_second)
         return not _is_closed(request)
 
     async def _send_limited(
