--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -270,9 +270,8 @@
         plan = self._engine.plan(
             self._read_desired_state(), now, self._clock.read_wall()
         )
-        if plan.records:
-            for records in join_records(plan.records, MAX_APPEND_BYTES):
-                await self._append(records)
+        for records in join_records(plan.records, MAX_APPEND_BYTES):
+            await self._append(records)
         self._engine.confirm(plan)
         self._record_start_waits(plan)
         if self._engine.find_advice_request() is not None:
