Pack serving tasks within each data centre

Cause: serving tasks went to the worker with the most spare time unless one of their own image was known, so after a few jobs every worker had some, and no filler could run at full speed anywhere. Change: serving tasks of a step are spread over the data centres and, within each, placed beside other serving tasks first. What remains slow are single tasks that pacing holds.

--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -186,6 +186,7 @@
     )
     return decisions.CandidateWorker(
         worker=worker.incarnation.key,
+        data_centre=worker.incarnation.data_centre,
         rack=worker.rack,
         labels=worker.incarnation.labels,
         free=free,
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -1,5 +1,6 @@
 """Placement of waiting tasks on workers; no I/O."""
 
+import collections
 import collections.abc
 
 import msgspec
@@ -210,14 +211,7 @@
         eligible: list[decisions.CandidateWorker],
     ) -> decisions.CandidateWorker | None:
         if step.max_per_worker or step.long_running:
-            eligible = [
-                msgspec.structs.replace(
-                    candidate,
-                    same_step_tasks=candidate.same_step_tasks
-                    + self._count_same_step(candidate.worker, name),
-                )
-                for candidate in eligible
-            ]
+            eligible = self._count_same_step(step, name, eligible)
         return decisions.choose_worker(
             step,
             eligible,
@@ -225,11 +219,31 @@
             state.measure_idle_time(self._now),
         )
 
-    def _count_same_step(self, key: str, name: workloads.TaskName) -> int:
-        return sum(
-            run.name.is_same_step(name)
-            for run in self._state.workers[key].runs.values()
-        )
+    def _count_same_step(
+        self,
+        step: workloads.Step,
+        name: workloads.TaskName,
+        eligible: list[decisions.CandidateWorker],
+    ) -> list[decisions.CandidateWorker]:
+        in_worker: collections.Counter[str] = collections.Counter()
+        in_data_centre: collections.Counter[str] = collections.Counter()
+        for key, worker in self._state.workers.items():
+            count = sum(
+                run.name.is_same_step(name) for run in worker.runs.values()
+            )
+            in_worker[key] = count
+            in_data_centre[worker.incarnation.data_centre] += count
+        return [
+            msgspec.structs.replace(
+                candidate,
+                same_step_tasks=candidate.same_step_tasks
+                + in_worker[candidate.worker],
+                same_step_in_data_centre=in_data_centre[candidate.data_centre]
+                if step.long_running
+                else 0,
+            )
+            for candidate in eligible
+        ]
 
     def _place_gang(
         self,
--- a/chivespoke/decisions/_placement.py
+++ b/chivespoke/decisions/_placement.py
@@ -1,8 +1,10 @@
 """Choice of a worker for a task.
 
 Steps may have many tasks, and workers differ in size. Tasks that reserve
-processor time are spread to the workers with the most spare processor time. A
-filler is placed where it is expected to run fastest without pushing a serving
+processor time are spread to the workers with the most spare processor time.
+Serving tasks of a step are spread over the data centres and packed within
+each, so that workers without serving tasks remain, on which fillers run at
+full speed. A filler is placed where it is expected to run fastest without pushing a serving
 task over its latency target. If it would run too slowly on every worker, it
 waits, because too many fillers on one worker all miss their objectives. A job
 with no running task waits only for a short time: after that its fillers accept
@@ -48,8 +50,11 @@
     capacity: workloads.Resources
     # Processor time that no task on the worker is expected to use.
     spare_millis: int
-    # Number of tasks of the same step and occurrence on the worker.
+    data_centre: str = ''
+    # Number of tasks of the same step and occurrence on the worker, and in its
+    # data centre.
     same_step_tasks: int = 0
+    same_step_in_data_centre: int = 0
     headrooms: tuple[LatencyHeadroom, ...] = ()
 
 
@@ -113,6 +118,7 @@
         feasible,
         key=lambda candidate: (
             step.preferred_rack == candidate.rack,
+            -candidate.same_step_in_data_centre,
             score_colocation(step, candidate),
             candidate.spare_millis,
             candidate.worker,
@@ -121,18 +127,21 @@
     )
 
 
-def score_colocation(step: workloads.Step, candidate: CandidateWorker) -> int:
+def score_colocation(
+    step: workloads.Step, candidate: CandidateWorker
+) -> tuple[bool, int]:
     """Return a score of a worker by the serving tasks already on it.
 
-    Serving tasks of one image are colocated, so that other workers stay free
-    for fillers that interfere with this image.
+    Workers without serving tasks come last, so that they stay free for
+    fillers. Among the others, tasks of one image are colocated: a filler
+    interferes with some images only.
     """
     if not step.target_latency_ms:
-        return 0
+        return False, 0
     same = sum(
         headroom.image == step.image for headroom in candidate.headrooms
     )
-    return 2 * same - len(candidate.headrooms)
+    return bool(candidate.headrooms), 2 * same - len(candidate.headrooms)
 
 
 def _choose_for_filler(
--- a/chivespoke/decisions/tests/test_placement.py
+++ b/chivespoke/decisions/tests/test_placement.py
@@ -3,6 +3,8 @@
 import typing
 import unittest
 
+import msgspec
+
 from chivespoke import decisions
 from chivespoke.decisions.tests import builders
 from chivespoke import workloads
@@ -126,6 +128,20 @@
             'same', choose(builders.make_serving('s1'), same, other)
         )
 
+    def test_serving_tasks_are_packed_within_each_data_centre(self) -> None:
+        # Load pattern: serving tasks reserve half of the processors. Spread
+        # over all workers, they slowed down every filler.
+        serving = builders.make_serving('s1')
+        other_image = decisions.LatencyHeadroom('s2', 1)
+        empty = builders.make_candidate('empty', 8000, data_centre='z1')
+        used = builders.make_candidate(
+            'used', 2000, (other_image,), data_centre='z1'
+        )
+        self.assertEqual('used', choose(serving, empty, used))
+        elsewhere = builders.make_candidate('elsewhere', data_centre='z2')
+        used = msgspec.structs.replace(used, same_step_in_data_centre=1)
+        self.assertEqual('elsewhere', choose(serving, used, elsewhere))
+
 
 class SortKeyTest(unittest.TestCase):
     """Order of steps in a burst of more work than can be done in time."""
