Judge the lateness of a step by the path to the end of its job

Callers saw: in a burst, jobs of several steps were ranked as if each step were their last, so work that could still be in time waited behind work that could not. Cause: the remaining time of a waiting step was its own estimate only.

--- a/chivespoke/coordination/_jobs.py
+++ b/chivespoke/coordination/_jobs.py
@@ -22,6 +22,7 @@
         'has_new_checkpoint',
         'deadline',
         'objective_seconds',
+        'remaining_paths',
         '_unfinished',
         '_assigned_count',
         '_idle_since',
@@ -37,10 +38,11 @@
         self.dirty = progress is None
         # A task has a later checkpoint than the stored one.
         self.has_new_checkpoint = False
-        critical_path_seconds = decisions.measure_critical_path(job)
+        # Longest path from each step to the end of the job, in seconds.
+        self.remaining_paths = decisions.measure_remaining_paths(job)
         self.objective_seconds = max(
             MIN_OBJECTIVE_SECONDS,
-            critical_path_seconds * job.terms.stretch
+            max(self.remaining_paths, default=0.0) * job.terms.stretch
             + job.terms.margin_ms / 1000,
         )
         self.deadline = job.accepted_ms / 1000 + self.objective_seconds
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -89,7 +89,7 @@
                     deadline=max(
                         state.deadline, starts_at + state.objective_seconds
                     ),
-                    remaining_seconds=step.estimated_ms / 1000,
+                    remaining_seconds=state.remaining_paths[step_number],
                     objective_seconds=state.objective_seconds,
                 )
                 yield pending_step, state, occurrence, step_number
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -9,6 +9,7 @@
 from chivespoke.decisions._interference import LearnedInterferenceModel
 from chivespoke.decisions._ordering import make_sort_key
 from chivespoke.decisions._ordering import measure_critical_path
+from chivespoke.decisions._ordering import measure_remaining_paths
 from chivespoke.decisions._ordering import PendingStep
 from chivespoke.decisions._ordering import VALUE_CUTOFF_FACTOR
 from chivespoke.decisions._pacing import FULL_PACE_PERCENT
@@ -52,4 +53,5 @@
     'estimate_spare_millis',
     'make_sort_key',
     'measure_critical_path',
+    'measure_remaining_paths',
 ]
--- a/chivespoke/decisions/_ordering.py
+++ b/chivespoke/decisions/_ordering.py
@@ -23,7 +23,7 @@
     long_running: bool
     # Time at which the job must be complete, in seconds since 1970.
     deadline: float
-    # Estimated time to complete the remaining work.
+    # Estimated time to complete the job: the longest path from this step on.
     remaining_seconds: float
     # Time from acceptance of the job to its deadline.
     objective_seconds: float
@@ -31,14 +31,22 @@
 
 def measure_critical_path(job: workloads.Job) -> float:
     """Return the estimated duration of the critical path in seconds."""
-    finish_seconds: list[float] = []
-    for step in job.steps:
-        start_seconds = max(
-            (finish_seconds[dependency] for dependency in step.depends_on),
-            default=0.0,
-        )
-        finish_seconds.append(start_seconds + step.estimated_ms / 1000)
-    return max(finish_seconds, default=0.0)
+    return max(measure_remaining_paths(job), default=0.0)
+
+
+def measure_remaining_paths(job: workloads.Job) -> tuple[float, ...]:
+    """Return the longest path in seconds from the start of each step.
+
+    A path ends with the job and includes the step itself.
+    """
+    paths = [0.0] * len(job.steps)
+    for number in reversed(range(len(job.steps))):
+        step = job.steps[number]
+        # Dependent steps come later and have set the longest path after this.
+        paths[number] += step.estimated_ms / 1000
+        for dependency in step.depends_on:
+            paths[dependency] = max(paths[dependency], paths[number])
+    return tuple(paths)
 
 
 def make_sort_key(
--- a/chivespoke/decisions/_placement.py
+++ b/chivespoke/decisions/_placement.py
@@ -4,12 +4,12 @@
 processor time are spread to the workers with the most spare processor time.
 Serving tasks of a step are spread over the data centres and packed within
 each, so that workers without serving tasks remain, on which fillers run at
-full speed. A filler is placed where it is expected to run fastest without pushing a serving
-task over its latency target. If it would run too slowly on every worker, it
-waits, because too many fillers on one worker all miss their objectives. A job
-with no running task waits only for a short time: after that its fillers accept
-any speed, and pacing protects the serving tasks. Workers in the preferred rack
-of a step come first.
+full speed. A filler is placed where it is expected to run fastest without
+pushing a serving task over its latency target. If it would run too slowly on
+every worker, it waits, because too many fillers on one worker all miss their
+objectives. A job with no running task waits only for a short time: after that
+its fillers accept any speed, and pacing protects the serving tasks. Workers in
+the preferred rack of a step come first.
 """
 
 import collections.abc
--- a/chivespoke/decisions/tests/test_placement.py
+++ b/chivespoke/decisions/tests/test_placement.py
@@ -193,6 +193,9 @@
             accepted_ms=0,
         )
         self.assertEqual(3.5, decisions.measure_critical_path(job))
+        self.assertEqual(
+            (1.5, 3.5, 0.5), decisions.measure_remaining_paths(job)
+        )
 
 
 class WorkerQuarantineTest(unittest.TestCase):
