Move fillers that are held down to workers on which they finish earlier

Cause: a filler that pacing holds beside a serving task stayed where it was placed, whatever became free elsewhere. Change: the leader tracks the speed of each run from its use of processor time and its progress. Once nothing waits for the room, a run that would finish earlier elsewhere by a factor and a margin is stopped, which makes a checkpoint, and its task is placed again; at most eight at once.

--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -17,6 +17,8 @@
 # A worker gets no new tasks once its last report is older than this: two and a
 # half heartbeat intervals.
 REPORT_TIMEOUT_SECONDS = 1.0
+# Maximum number of runs that are being stopped at once to move their tasks.
+MAX_MOVES = 8
 
 
 class DesiredState(msgspec.Struct, frozen=True):
@@ -58,8 +60,6 @@
             self._list_pending_steps(wall),
             key=lambda item: decisions.make_sort_key(item[0], wall),
         )
-        if not pending_steps:
-            return ()
         candidates = {
             worker.incarnation.key: _fleet.describe_candidate(
                 worker, self._state.interference
@@ -69,8 +69,83 @@
         }
         for _, state, occurrence, step_number in pending_steps:
             self._place_step(state, occurrence, step_number, candidates)
+        # Moves use only what the waiting tasks have left.
+        self._move_slow_runs(candidates)
         return tuple(self._decided_runs)
 
+    def _move_slow_runs(
+        self, candidates: dict[str, decisions.CandidateWorker]
+    ) -> None:
+        """Stop fillers that would finish much earlier on another worker."""
+        slow_runs = sorted(
+            self._list_slow_runs(),
+            key=lambda item: item[0].remaining_seconds,
+            reverse=True,
+        )
+        moves_left = MAX_MOVES - self._count_moving_runs()
+        for forecast, worker, run in slow_runs:
+            if moves_left <= 0:
+                return
+            state = self._state.jobs[run.name.job]
+            others = dict(candidates)
+            others.pop(worker.incarnation.key, None)
+            found = self._choose_candidate(state, run.step, run.name, others)
+            if found is None:
+                continue
+            speed = decisions.estimate_speed(
+                run.step, found, self._state.interference
+            )
+            if not decisions.is_move_worthwhile(forecast, speed):
+                continue
+            candidates[found.worker] = deduct_task(found, run.step)
+            run.state = _fleet.RunState.STOPPING
+            run.sent_at = None
+            run.moving = True
+            moves_left -= 1
+            LOGGER.info(
+                'A slow run is stopped, to start on a faster worker.',
+                task=run.task_id,
+                run=run.number,
+                worker=worker.incarnation.key,
+                speed=round(forecast.speed, 2),
+                remaining_seconds=round(forecast.remaining_seconds, 1),
+                elsewhere=found.worker,
+                speed_elsewhere=round(speed, 2),
+            )
+
+    def _list_slow_runs(
+        self,
+    ) -> collections.abc.Iterator[
+        tuple[decisions.RunForecast, _fleet.Worker, _fleet.Run]
+    ]:
+        for worker in self._state.workers.values():
+            if not worker.answering or worker.draining:
+                continue
+            for run in worker.runs.values():
+                if (
+                    run.state is not _fleet.RunState.RUNNING
+                    or not run.step.filler
+                    or run.step.long_running
+                    or run.step.gang
+                    or run.speed_tracker is None
+                    or run.name.job not in self._state.jobs
+                ):
+                    continue
+                forecast = run.speed_tracker.forecast(
+                    run.step.estimated_ms / 1000,
+                    run.step.checkpointing,
+                    worker.reported_at,
+                )
+                if forecast is not None:
+                    yield forecast, worker, run
+
+    def _count_moving_runs(self) -> int:
+        return sum(
+            run.moving
+            for worker in self._state.workers.values()
+            for run in worker.runs.values()
+        )
+
     def _list_pending_steps(
         self, wall: float
     ) -> collections.abc.Iterator[
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -52,7 +52,7 @@
         if report.lapsed:
             self._state.release_runs(worker, 'leases expired')
         self._reconcile_runs(worker, report.running)
-        self._stop_stalled_runs(worker, is_new_poll)
+        self._observe_runs(worker, is_new_poll)
         if report.answering and is_new_poll:
             _fleet.learn_tails(worker, self._state.interference)
         for outcome in report.outcomes:
@@ -215,32 +215,28 @@
             task.checkpoint = row.checkpoint
             state.has_new_checkpoint = True
 
-    def _stop_stalled_runs(
-        self, worker: _fleet.Worker, is_new_poll: bool
-    ) -> None:
+    def _observe_runs(self, worker: _fleet.Worker, is_new_poll: bool) -> None:
+        """Track the speed of runs and stop those that are stalled."""
+        now = worker.reported_at
         for run in worker.runs.values():
-            if run.state is not _fleet.RunState.RUNNING:
+            row = run.last_listing
+            if run.state is not _fleet.RunState.RUNNING or row is None:
                 continue
-            if run.last_listing is None or run.step.long_running:
+            if run.step.long_running:
                 continue
+            if run.speed_tracker is None or run.stall_detector is None:
+                run.speed_tracker = decisions.SpeedTracker(now, row.progress)
+                run.stall_detector = decisions.StallDetector(now)
             if not worker.answering:
-                if run.stall_detector is not None:
-                    run.stall_detector.skip(worker.reported_at)
-            elif is_new_poll and self._is_stalled(
-                run, run.last_listing, worker.reported_at
-            ):
-                self._stop_stalled_run(worker, run)
-
-    def _is_stalled(
-        self, run: _fleet.Run, row: platform.RunningTask, now: float
-    ) -> bool:
-        if run.stall_detector is None:
-            run.stall_detector = decisions.StallDetector(now)
-        cpu_share = min(1.0, row.measure / max(1, run.step.cpu_millis))
-        estimated_seconds = run.step.estimated_ms / 1000
-        return run.stall_detector.observe(
-            row.progress, cpu_share, estimated_seconds, now
-        )
+                run.speed_tracker.skip(now)
+                run.stall_detector.skip(now)
+            elif is_new_poll:
+                cpu_share = min(1.0, row.measure / max(1, run.step.cpu_millis))
+                run.speed_tracker.observe(row.progress, cpu_share, now)
+                if run.stall_detector.observe(
+                    row.progress, cpu_share, run.step.estimated_ms / 1000, now
+                ):
+                    self._stop_stalled_run(worker, run)
 
     def _stop_stalled_run(
         self, worker: _fleet.Worker, run: _fleet.Run
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -7,6 +7,9 @@
 from chivespoke.decisions._interference import InterferenceCoefficient
 from chivespoke.decisions._interference import InterferenceModel
 from chivespoke.decisions._interference import LearnedInterferenceModel
+from chivespoke.decisions._moves import is_move_worthwhile
+from chivespoke.decisions._moves import RunForecast
+from chivespoke.decisions._moves import SpeedTracker
 from chivespoke.decisions._ordering import make_sort_key
 from chivespoke.decisions._ordering import measure_critical_path
 from chivespoke.decisions._ordering import measure_remaining_paths
@@ -21,6 +24,7 @@
 from chivespoke.decisions._placement import CandidateWorker
 from chivespoke.decisions._placement import choose_worker
 from chivespoke.decisions._placement import estimate_spare_millis
+from chivespoke.decisions._placement import estimate_speed
 from chivespoke.decisions._placement import LatencyHeadroom
 from chivespoke.decisions._quarantine import WorkerQuarantine
 from chivespoke.decisions._stalls import StallDetector
@@ -43,7 +47,9 @@
     'PacedRun',
     'Pacer',
     'PendingStep',
+    'RunForecast',
     'SendWindow',
+    'SpeedTracker',
     'StallDetector',
     'TARGET_TAIL_SHARE',
     'VALUE_CUTOFF_FACTOR',
@@ -51,6 +57,8 @@
     'can_run_on',
     'choose_worker',
     'estimate_spare_millis',
+    'estimate_speed',
+    'is_move_worthwhile',
     'make_sort_key',
     'measure_critical_path',
     'measure_remaining_paths',
