Hand requests to a neighbour while the store turns an entry away

Cause: an entry that the store turns away refused everything by itself. Change: entries announce an address for their neighbours; a request that an entry cannot serve, and that has had no effect, goes to at most two of them, one hop. A lost answer stays uncertain. Neighbours that refuse or are silent are left out for a while, and if nobody is served, requests are refused at once. Entries withdraw their address when they leave.

--- a/chivespoke/coordination/__init__.py
+++ b/chivespoke/coordination/__init__.py
@@ -20,6 +20,8 @@
 from chivespoke.coordination._placer import DesiredState
 from chivespoke.coordination._records import CANCEL_PREFIX
 from chivespoke.coordination._records import encode_cancel
+from chivespoke.coordination._records import encode_entry_address
+from chivespoke.coordination._records import encode_entry_departure
 from chivespoke.coordination._records import encode_job
 from chivespoke.coordination._records import encode_sidecar
 from chivespoke.coordination._records import JOB_PREFIX
@@ -53,6 +55,8 @@
     'TopicFollower',
     'WorkerIncarnation',
     'encode_cancel',
+    'encode_entry_address',
+    'encode_entry_departure',
     'encode_job',
     'encode_sidecar',
     'open_socket',
--- a/chivespoke/coordination/_records.py
+++ b/chivespoke/coordination/_records.py
@@ -17,6 +17,7 @@
 CANCEL_PREFIX = 'cancel/'
 PROGRESS_PREFIX = 'progress/'
 WORKER_PREFIX = 'worker/'
+ENTRY_PREFIX = 'entry/'
 
 # Maximum size of the record of one task: the names of its worker and of its
 # checkpoint, and small numbers.
@@ -33,7 +34,14 @@
     address: str
 
 
+class EntryRecord(msgspec.Struct, frozen=True):
+    """Hold the address at which an entry takes its neighbours' requests."""
+
+    address: str
+
+
 SIDECAR_DECODER = msgspec.msgpack.Decoder(SidecarRecord)
+ENTRY_DECODER = msgspec.msgpack.Decoder(EntryRecord)
 
 
 def encode_job(job: workloads.Job) -> bytes:
@@ -73,6 +81,18 @@
     )
 
 
+def encode_entry_address(name: str, address: str) -> bytes:
+    """Return the record of an entry's address for its neighbours."""
+    return platform.encode_record(
+        ENTRY_PREFIX + name, ENCODER.encode(EntryRecord(address))
+    )
+
+
+def encode_entry_departure(name: str) -> bytes:
+    """Return the tombstone of an entry's address."""
+    return platform.encode_record(ENTRY_PREFIX + name, b'')
+
+
 class JobEntry:
     """Hold the ledger's state of one job."""
 
@@ -133,13 +153,21 @@
 
 
 class Ledger(_followers.TopicFold):
-    """Fold the system topic into jobs and sidecars."""
-
-    __slots__ = ('entries', 'sidecars', 'listener', '_key_events')
+    """Fold the system topic into jobs, sidecars and entries."""
+
+    __slots__ = (
+        'entries',
+        'sidecars',
+        'entry_addresses',
+        'listener',
+        '_key_events',
+    )
 
     def __init__(self) -> None:
         self.entries: dict[str, JobEntry] = {}
         self.sidecars: dict[str, str] = {}
+        # Address for neighbours' requests, by the name of the entry.
+        self.entry_addresses: dict[str, str] = {}
         self.listener: LedgerListener | None = None
         # Events to set when a record with the key is applied.
         self._key_events: dict[str, asyncio.Event] = {}
@@ -183,6 +211,10 @@
             self._apply_cancel(key.removeprefix(CANCEL_PREFIX))
         elif key.startswith(WORKER_PREFIX):
             self._apply_sidecar(key.removeprefix(WORKER_PREFIX), record)
+        elif key.startswith(ENTRY_PREFIX):
+            self._apply_entry_address(
+                key.removeprefix(ENTRY_PREFIX), record.value
+            )
 
     def _apply_job(self, identifier: str, record: platform.Record) -> None:
         if not record.value:
@@ -216,6 +248,12 @@
         if self.listener is not None:
             self.listener.handle_sidecar(name, address)
 
+    def _apply_entry_address(self, name: str, value: bytes) -> None:
+        if not value:
+            self.entry_addresses.pop(name, None)
+            return
+        self.entry_addresses[name] = ENTRY_DECODER.decode(value).address
+
     def _find_or_add(self, identifier: str) -> JobEntry:
         return self.entries.setdefault(identifier, JobEntry())
 
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -10,6 +10,8 @@
 from chivespoke.decisions._moves import is_move_worthwhile
 from chivespoke.decisions._moves import RunForecast
 from chivespoke.decisions._moves import SpeedTracker
+from chivespoke.decisions._neighbours import MAX_NEIGHBOURS
+from chivespoke.decisions._neighbours import NeighbourSelector
 from chivespoke.decisions._ordering import make_sort_key
 from chivespoke.decisions._ordering import measure_critical_path
 from chivespoke.decisions._ordering import measure_remaining_paths
@@ -42,7 +44,9 @@
     'InterferenceModel',
     'LatencyHeadroom',
     'LearnedInterferenceModel',
+    'MAX_NEIGHBOURS',
     'MAX_REQUEST_WORKERS',
+    'NeighbourSelector',
     'PaceChange',
     'PacedRun',
     'Pacer',
--- a/chivespoke/intake/_job_routes.py
+++ b/chivespoke/intake/_job_routes.py
@@ -9,6 +9,7 @@
 from chivespoke import clock
 from chivespoke import coordination
 from chivespoke import errors
+from chivespoke.intake import _relay
 from chivespoke.intake import _responses
 from chivespoke import logs
 from chivespoke import platform
@@ -33,6 +34,7 @@
         'closing',
         '_coordinator',
         '_store',
+        '_relay',
         '_clock',
         '_telemetry',
         '_append_timeout_at',
@@ -43,12 +45,14 @@
         self,
         coordinator: coordination.Coordinator,
         store: platform.Store,
+        relay: _relay.Relay,
         time_source: clock.Clock,
         instruments: telemetry.Telemetry,
         max_job_tasks: int,
     ) -> None:
         self._coordinator = coordinator
         self._store = store
+        self._relay = relay
         self._clock = time_source
         self._telemetry = instruments
         # The progress of a job is one record of the store.
@@ -62,6 +66,19 @@
         return (web.route('*', '/{path:.*}', self._handle),)
 
     async def _handle(self, request: web.Request) -> web.Response:
+        response = await self.handle_here(request)
+        if response.status != _responses.Outcome.UNAVAILABLE.value:
+            return response
+        # The request has had no effect, so that a neighbour may serve it.
+        forwarded = await self._relay.forward(request)
+        if forwarded is None:
+            return response
+        if self.closing:
+            forwarded.force_close()
+        return forwarded
+
+    async def handle_here(self, request: web.Request) -> web.Response:
+        """Handle a request in this entry, without its neighbours."""
         started_at = time.perf_counter()
         configuration = self._coordinator.operator.configuration
         if configuration is None:
@@ -284,3 +301,15 @@
 
     def _respond(self, outcome: _responses.Outcome) -> web.Response:
         return _responses.make_response(outcome, closing=self.closing)
+
+
+class NeighbourRoutes(chivespoke_web.RouteProvider):
+    """Handle the requests that other entries hand to this one."""
+
+    __slots__ = ('_job_routes',)
+
+    def __init__(self, job_routes: JobRoutes) -> None:
+        self._job_routes = job_routes
+
+    def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
+        return (web.route('*', '/{path:.*}', self._job_routes.handle_here),)
--- /dev/null
+++ b/chivespoke/intake/_relay.py
@@ -0,0 +1,168 @@
+"""Handing of requests to other entries that the store serves."""
+
+from aiohttp import web
+
+from chivespoke import application
+from chivespoke import clock
+from chivespoke import coordination
+from chivespoke import decisions
+from chivespoke import errors
+from chivespoke.intake import _responses
+from chivespoke import logs
+from chivespoke import platform
+
+LOGGER = logs.make_logger('relay')
+
+# Connections to one neighbour. Requests are handed over only while the store
+# turns this entry away.
+NEIGHBOUR_CONNECTIONS = 4
+# Longer than an append, which the neighbour gives up after 1 s.
+NEIGHBOUR_TIMEOUT_SECONDS = 1.3
+ANNOUNCE_RETRY_SECONDS = 0.5
+DEPARTURE_TIMEOUT_SECONDS = 0.5
+
+
+class Relay(application.Component):
+    """Announce this entry and hand requests to its neighbours.
+
+    A request is handed over once: a neighbour that cannot serve it refuses it.
+    """
+
+    __slots__ = (
+        '_name',
+        '_address',
+        '_ledger',
+        '_store',
+        '_clock',
+        '_selector',
+        '_transports',
+        '_tasks',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        ledger: coordination.Ledger,
+        store: platform.Store,
+        time: clock.Clock,
+    ) -> None:
+        self._name = name
+        self._address = address
+        self._ledger = ledger
+        self._store = store
+        self._clock = time
+        self._selector = decisions.NeighbourSelector()
+        # By address.
+        self._transports: dict[str, platform.Transport] = {}
+        self._tasks = application.TaskOwner()
+
+    async def start(self) -> None:
+        self._tasks.spawn(self._announce())
+
+    async def drain(self) -> None:
+        await self._tasks.cancel()
+        try:
+            await self._store.append(
+                coordination.SYSTEM_TOPIC,
+                coordination.encode_entry_departure(self._name),
+                timeout_seconds=DEPARTURE_TIMEOUT_SECONDS,
+            )
+        except errors.ChivespokeError as error:
+            LOGGER.warning(
+                'The departure could not be announced; neighbours will find '
+                'this entry silent.',
+                error=error,
+            )
+
+    async def stop(self) -> None:
+        await self._tasks.cancel()
+        for transport in self._transports.values():
+            await transport.stop()
+
+    async def forward(self, request: web.Request) -> web.Response | None:
+        """Hand a request to a neighbour; return its response.
+
+        Returns None if no neighbour has taken the request, which then has had
+        no effect. A response that is lost is reported as uncertain.
+        """
+        addresses = {
+            name: address
+            for name, address in self._ledger.entry_addresses.items()
+            if name != self._name
+        }
+        selected = self._selector.select(
+            addresses, self._clock.read_monotonic()
+        )
+        for name in selected:
+            response = await self._try_neighbour(
+                name, addresses[name], request
+            )
+            if response is not None:
+                return response
+        if selected:
+            self._selector.record_exhausted(self._clock.read_monotonic())
+        return None
+
+    async def _try_neighbour(
+        self, name: str, address: str, request: web.Request
+    ) -> web.Response | None:
+        try:
+            transport = await self._find_transport(address)
+            answer = await transport.call(
+                'hand over a request',
+                request.method,
+                request.path_qs,
+                await request.read(),
+                NEIGHBOUR_TIMEOUT_SECONDS,
+                {'Host': request.host},
+            )
+        except errors.RefusedError as error:
+            self._log(name, request, 0, str(error))
+            self._selector.record_silent(name, self._clock.read_monotonic())
+            return None
+        except errors.UnavailableError as error:
+            self._log(name, request, 0, str(error))
+            self._selector.record_silent(name, self._clock.read_monotonic())
+            # The neighbour may have stored the request before it went silent.
+            return _responses.make_response(_responses.Outcome.UNCERTAIN)
+        self._log(name, request, answer.status, '')
+        if answer.status == _responses.Outcome.UNAVAILABLE.value:
+            self._selector.record_refused(name, self._clock.read_monotonic())
+            return None
+        self._selector.record_served(name)
+        return _responses.copy_response(answer.status, answer.body)
+
+    async def _find_transport(self, address: str) -> platform.Transport:
+        transport = self._transports.get(address)
+        if transport is None:
+            transport = platform.Transport(address, NEIGHBOUR_CONNECTIONS)
+            # Set before the start, during which another request may arrive.
+            self._transports[address] = transport
+            await transport.start()
+        return transport
+
+    async def _announce(self) -> None:
+        record = coordination.encode_entry_address(self._name, self._address)
+        while True:
+            try:
+                await self._store.append(coordination.SYSTEM_TOPIC, record)
+            except errors.ChivespokeError as error:
+                LOGGER.warning(
+                    'Announcing the entry failed; retrying.', error=error
+                )
+                await self._clock.sleep(ANNOUNCE_RETRY_SECONDS)
+            else:
+                return
+
+    def _log(
+        self, name: str, request: web.Request, status: int, error: str
+    ) -> None:
+        LOGGER.info(
+            'A request was handed to a neighbour.',
+            neighbour=name,
+            method=request.method,
+            path=request.path,
+            status=status,
+            error=error,
+        )
--- a/chivespoke/intake/_responses.py
+++ b/chivespoke/intake/_responses.py
@@ -49,3 +49,8 @@
         content_type=JSON_TYPE,
         headers=headers,
     )
+
+
+def copy_response(status: int, body: bytes) -> web.Response:
+    """Build the HTTP response that passes on a neighbour's answer."""
+    return web.Response(status=status, body=body, content_type=JSON_TYPE)
--- a/chivespoke/serving/_assembly.py
+++ b/chivespoke/serving/_assembly.py
@@ -46,9 +46,18 @@
     coordinator = coordination.Coordinator(
         store, machine, member, time, instruments
     )
+    relay_address = addresses.Address(machine.ip, machine.first_port)
+    relay = intake.Relay(
+        machine.name,
+        f'{relay_address.host}:{relay_address.port}',
+        coordinator.ledger,
+        store,
+        time,
+    )
     job_routes = intake.JobRoutes(
         coordinator,
         store,
+        relay,
         time,
         instruments,
         machine.store_max_record_bytes // coordination.MAX_TASK_RECORD_BYTES,
@@ -68,7 +77,11 @@
             web.HttpServer(
                 addresses.Address(machine.ip, METRICS_PORT), (instruments,)
             ),
+            web.HttpServer(
+                relay_address, (intake.NeighbourRoutes(job_routes),)
+            ),
             readiness,
+            relay,
             coordinator,
         )
     )
--- a/chivespoke/serving/tests/builders.py
+++ b/chivespoke/serving/tests/builders.py
@@ -99,6 +99,8 @@
         self.ledger = standins.RunLedger()
         self.runners: list[standins.PlatformRunner] = []
         self.entries: list[Daemon] = []
+        # Port of the store's server that each entry uses.
+        self.store_ports: list[int] = []
         self.sidecars: list[Daemon] = []
         self._servers: list[web.HttpServer] = []
         self._folder = tempfile.TemporaryDirectory()
@@ -121,8 +123,10 @@
             aiohttp.ClientSession()
         )
         for number in range(entries):
+            entry_store = await self._start_server(self.store.make_server())
+            self.store_ports.append(int(entry_store.rpartition(':')[2]))
             self.entries.append(
-                self._make_daemon('edge', f'entry-{number}', store, '')
+                self._make_daemon('edge', f'entry-{number}', entry_store, '')
             )
         for number in range(workers):
             runner = standins.PlatformRunner(
@@ -215,6 +219,12 @@
         """Return every run that started on any worker."""
         return [ran for runner in self.runners for ran in runner.began]
 
+    def find_ledger(self, entry: int) -> coordination.Ledger:
+        """Return the ledger of a running entry."""
+        daemon = self.entries[entry].application
+        assert daemon is not None
+        return serving.find_coordinator(daemon).ledger
+
     def list_leaders(self) -> list[int]:
         """Return the indices of the entries that lead."""
         return [
--- a/chivespoke/standins/_store.py
+++ b/chivespoke/standins/_store.py
@@ -67,6 +67,9 @@
 
     # Status with which all requests are refused, without effect; 0 for none.
     refuse_with: int = 0
+    # Ports of the store's servers on which all requests are refused with
+    # status 503, without effect.
+    refused_ports: frozenset[int] = frozenset()
     # Number of appends that take effect but get no response.
     lose_answers: int = 0
     # Number of appends that get no response and take effect after
@@ -168,6 +171,8 @@
                 await asyncio.sleep(self.faults.delay)
             if self.faults.refuse_with:
                 return web.Response(status=self.faults.refuse_with)
+            if find_server_port(request) in self.faults.refused_ports:
+                return web.Response(status=503)
             response = await handler(request)
             if not self.faults.link_bytes_per_second:
                 return response
@@ -437,3 +442,10 @@
         body=msgspec.json.encode(body),
         content_type='application/json',
     )
+
+
+def find_server_port(request: web.Request) -> int:
+    """Return the port of the server that received a request, 0 if unknown."""
+    if request.transport is None:
+        return 0
+    return int(request.transport.get_extra_info('sockname')[1])
