Start no task on a decision that a pause has made old

Callers could see: a task started in a data centre that was being evacuated. Cause: freshness of the operator's topic was checked when a task was placed. The order leaves after its record is stored, which takes seconds if the store is slow or the process is paused in between, and nothing looked again; an order selected before a pause left after it. Change: a decision carries the time until which the view holds; it is checked again where the order is made. An order that was not carried out yet is withdrawn if its data centre has been evacuated since. A new leader sends start orders only after its first plan, so the tests of a take-over make one, as a term does.

--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -43,6 +43,7 @@
         '_report_handler',
         '_epoch',
         '_placer',
+        '_desired_state',
         '_checkpoints_marked_at',
     )
 
@@ -53,6 +54,8 @@
         self._state = _engine_state.State(timeouts)
         self._report_handler = _reports.ReportHandler(self._state)
         self._placer = _placer.Placer(self._state)
+        # That of the latest plan; None if it was outdated.
+        self._desired_state: _placer.DesiredState | None = None
         self._checkpoints_marked_at = 0.0
 
     @property
@@ -93,6 +96,7 @@
         Without a desired state no task is placed.
         """
         self._state.expire_leases(now)
+        self._desired_state = desired_state
         decided_runs: tuple[_fleet.Run, ...] = ()
         if desired_state is not None:
             self._update_terms(desired_state.configuration)
@@ -180,11 +184,20 @@
             # The run is obsolete, for example because another member has
             # completed the gang.
             run.state = _fleet.RunState.STOPPING
+        if (
+            run.state is _fleet.RunState.ORDERED
+            and run.last_listing is None
+            and self._is_evacuating(worker)
+        ):
+            # The evacuation was requested after the decision.
+            run.state = _fleet.RunState.STOPPING
         if (
             run.state is _fleet.RunState.STOPPING
             or run.last_listing is not None
         ):
             return True
+        if not self._is_start_permitted(worker, now):
+            return False
         if now >= worker.reported_at + _placer.REPORT_TIMEOUT_SECONDS:
             # The order may not arrive, and must not hold up the orders for
             # other workers.
@@ -192,6 +205,26 @@
         size = len(self._state.jobs[run.name.job].job.payload)
         return self._state.order_window.admit(run.order_key, size, now)
 
+    def _is_evacuating(self, worker: _fleet.Worker) -> bool:
+        desired_state = self._desired_state
+        return (
+            desired_state is not None
+            and worker.incarnation.data_centre in desired_state.evacuating
+        )
+
+    def _is_start_permitted(self, worker: _fleet.Worker, now: float) -> bool:
+        """Return whether a decision to use a worker still holds.
+
+        Between the decision and the order the store may be slow, or this
+        process paused.
+        """
+        desired_state = self._desired_state
+        return (
+            desired_state is not None
+            and now < desired_state.valid_until
+            and not self._is_evacuating(worker)
+        )
+
     def make_directive(
         self, worker: _fleet.Worker, now: float
     ) -> _messages.Directive:
@@ -214,8 +247,11 @@
                 continue
             elif run.last_listing is not None:
                 adopted.append(make_adopted_run(run))
-            else:
+            elif self._is_start_permitted(worker, now):
                 starts.append(self._make_start_order(run))
+            else:
+                # Selected before a pause of this process; due again.
+                continue
             run.sent_at = now
             run.repeated = True
         for task_id, number in worker.unrecorded_runs.items():
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import math
 
 import msgspec
 
@@ -26,6 +27,8 @@
 
     configuration: workloads.Configuration
     evacuating: frozenset[str]
+    # Monotonic time from which on it may be outdated; no task starts then.
+    valid_until: float = math.inf
 
 
 class Placer:
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -299,7 +299,9 @@
         if configuration is None or age > MAX_OPERATOR_VIEW_AGE_SECONDS:
             return None
         return _placer.DesiredState(
-            configuration, frozenset(self._operator.evacuating)
+            configuration,
+            frozenset(self._operator.evacuating),
+            self._clock.read_monotonic() - age + MAX_OPERATOR_VIEW_AGE_SECONDS,
         )
 
     async def _append(self, records: bytes) -> int:
--- a/chivespoke/coordination/tests/test_engine.py
+++ b/chivespoke/coordination/tests/test_engine.py
@@ -211,6 +211,9 @@
 
     def take_over(self) -> None:
         self.leader = builders.Leader(self.leader.ledger, builders.EPOCH + 1)
+        # A term plans first: without a view of the operator's topic nothing
+        # may start.
+        self.leader.plan()
 
     def test_reported_runs_are_adopted(self) -> None:
         self.start_job()
