Start fillers slowly beside serving tasks that they disturb

Cause: a filler starts at full speed, and its effect shows in the tails only half a second later; a worker that merely seemed as fast was chosen although others had no serving task. Change: a filler that started beside a task it is known or assumed to disturb gets 30% and is sped up as the tails allow; a fast worker without serving tasks is preferred.

--- a/chivespoke/agents/_paces.py
+++ b/chivespoke/agents/_paces.py
@@ -28,6 +28,7 @@
         '_runs',
         '_unlisted_polls',
         '_current_paces',
+        '_new_tasks',
     )
 
     def __init__(self, worker: str, capacity_millis: int) -> None:
@@ -41,6 +42,8 @@
         self._unlisted_polls: dict[str, int] = {}
         # Last pace set, by task; a run starts at full speed.
         self._current_paces: dict[str, int] = {}
+        # Tasks with a start order whose run has not been listed yet.
+        self._new_tasks: set[str] = set()
 
     def update_interference(
         self,
@@ -64,6 +67,7 @@
         )
         if not order.repeated:
             self._current_paces.pop(order.task, None)
+            self._new_tasks.add(order.task)
 
     def record_run(self, run: coordination.AdoptedRun) -> None:
         """Record a run that the worker has."""
@@ -72,6 +76,7 @@
 
     def record_pace(self, change: decisions.PaceChange) -> None:
         """Record a pace that the worker has accepted."""
+        self._new_tasks.discard(change.task)
         self._current_paces[change.task] = change.percent
 
     def adjust(
@@ -118,8 +123,10 @@
                     self._current_paces.get(
                         row.task, decisions.FULL_PACE_PERCENT
                     ),
+                    row.task in self._new_tasks,
                 )
             )
+            self._new_tasks.discard(row.task)
         return runs
 
     def _drop_unlisted(self, status: platform.WorkerStatus) -> None:
@@ -134,4 +141,5 @@
             if self._unlisted_polls[task] > MAX_UNLISTED_POLLS:
                 del self._runs[task]
                 del self._unlisted_polls[task]
+                self._new_tasks.discard(task)
                 self._current_paces.pop(task, None)
--- a/chivespoke/decisions/_pacing.py
+++ b/chivespoke/decisions/_pacing.py
@@ -15,6 +15,9 @@
 from chivespoke.decisions import _interference
 
 FULL_PACE_PERCENT = 100
+# Pace of a filler that has just started beside a serving task. It is sped up
+# step by step, as the tail latencies allow.
+INITIAL_PACE_PERCENT = 30
 # Share of the latency target that pacing aims at, and share below which
 # fillers are sped up again; the difference is the hysteresis.
 TARGET_TAIL_SHARE = 0.7
@@ -57,6 +60,8 @@
     measure: float
     # The pace last set, in percent of full speed.
     pace: int
+    # The run has started since the last adjustment.
+    is_new: bool = False
 
 
 class PaceChange(msgspec.Struct, frozen=True):
@@ -90,6 +95,11 @@
         ]
         fillers = [run for run in runs if run.filler]
         self._update_over_target(serving, now)
+        initial_changes = slow_down_new_fillers(serving, fillers, interference)
+        if initial_changes:
+            # Not delayed until earlier changes have settled: the tails would
+            # show the effect of the new fillers only after they did harm.
+            return initial_changes
         if now < self._changed_at + SETTLE_SECONDS:
             return []
         paces = self._choose_paces(
@@ -149,6 +159,24 @@
         return paces
 
 
+def slow_down_new_fillers(
+    serving: collections.abc.Sequence[PacedRun],
+    fillers: collections.abc.Iterable[PacedRun],
+    interference: _interference.InterferenceModel,
+) -> list[PaceChange]:
+    """Return the initial paces of fillers that may disturb a serving task."""
+    return [
+        PaceChange(filler.task, filler.run, INITIAL_PACE_PERCENT)
+        for filler in fillers
+        if filler.is_new
+        and any(
+            interference.find_coefficient(run.image, filler.image)
+            >= NEGLIGIBLE_COEFFICIENT
+            for run in serving
+        )
+    ]
+
+
 def throttle_fillers(
     serving: PacedRun,
     fillers: collections.abc.Sequence[PacedRun],
--- a/chivespoke/decisions/_placement.py
+++ b/chivespoke/decisions/_placement.py
@@ -23,6 +23,8 @@
 # times the duration of the work, and waiting costs less than slowing down
 # other tasks.
 MIN_SPEED_SHARE = 0.6
+# Share of full speed from which a worker counts as fast.
+FULL_SPEED_SHARE = 0.9
 # A filler accepts any speed once its job has had no running task for this
 # time: work that waits while workers are free counts as lost after 3 s.
 MAX_IDLE_SECONDS = 1.5
@@ -151,11 +153,18 @@
     min_speed: float,
 ) -> CandidateWorker | None:
     best = None
-    best_key = (False, 0.0, 0)
+    best_key = (False, False, 0.0, 0)
     for candidate in candidates:
         speed = estimate_speed(step, candidate, interference)
-        in_preferred_rack = step.preferred_rack == candidate.rack
-        key = (in_preferred_rack, speed, candidate.spare_millis)
+        # Interference changes within seconds, so a worker without serving
+        # tasks is preferred to one that seems as fast.
+        is_undisturbed = not candidate.headrooms and speed >= FULL_SPEED_SHARE
+        key = (
+            step.preferred_rack == candidate.rack,
+            is_undisturbed,
+            speed,
+            candidate.spare_millis,
+        )
         if speed >= min_speed and (best is None or key > best_key):
             best, best_key = candidate, key
     return best
--- a/chivespoke/decisions/tests/builders.py
+++ b/chivespoke/decisions/tests/builders.py
@@ -68,6 +68,7 @@
     measure: float,
     target: int = 0,
     pace: int = 100,
+    is_new: bool = False,
 ) -> decisions.PacedRun:
     """Return an input of pacing: a serving run if it has a target."""
     return decisions.PacedRun(
@@ -78,4 +79,5 @@
         target_latency_ms=target,
         measure=measure,
         pace=pace,
+        is_new=is_new,
     )
--- a/chivespoke/decisions/tests/test_pacing.py
+++ b/chivespoke/decisions/tests/test_pacing.py
@@ -85,6 +85,28 @@
         )
         self.assertGreater(changes[0].percent, 40)
 
+    def test_new_filler_starts_slowly_beside_a_task_that_it_disturbs(
+        self,
+    ) -> None:
+        # Load pattern: a burst of fillers. Each one started at full speed, and
+        # half of a job's serving tasks were over their target at once (217,
+        # 59 and 61 ms, with a target of 50 ms).
+        serving = builders.make_paced('serving', 's1', 6.0, TARGET_MS)
+        for image, beside, expected in (
+            ('heavy', [serving], {'new': 30}),
+            ('light', [serving], {}),
+            ('heavy', [], {}),
+        ):
+            with self.subTest(image=image, beside=bool(beside)):
+                new = builders.make_paced('new', image, 1.0, is_new=True)
+                changes = decisions.Pacer().adjust(
+                    [*beside, new], self.interference, CAPACITY_MILLIS, 100.0
+                )
+                self.assertEqual(
+                    expected,
+                    {change.task: change.percent for change in changes},
+                )
+
 
 class InterferenceModelTest(unittest.TestCase):
     def test_unknown_pairs_have_a_positive_coefficient(self) -> None:
--- a/chivespoke/decisions/tests/test_placement.py
+++ b/chivespoke/decisions/tests/test_placement.py
@@ -117,6 +117,16 @@
                 )
                 self.assertEqual(expected, found.worker if found else '')
 
+    def test_filler_prefers_a_fast_worker_without_serving_tasks(self) -> None:
+        roomy = decisions.LatencyHeadroom('s1', 9)
+        mixed = builders.make_candidate('mixed', 8000, (roomy,))
+        for spare, expected in ((1000, 'pure'), (700, 'mixed')):
+            with self.subTest(spare=spare):
+                pure = builders.make_candidate('pure', spare)
+                self.assertEqual(
+                    expected, choose(builders.make_filler(), mixed, pure)
+                )
+
     def test_serving_tasks_of_one_image_are_colocated(self) -> None:
         same = builders.make_candidate(
             'same', 2000, (decisions.LatencyHeadroom('s1', 1),)
