Bound the processor time that a leader spends on moves

A leader of 160 workers would have built all candidates five times a second and looked for a faster worker for each of some hundred fillers in each plan. Slow runs are looked for twice a second, only runs that would gain at full speed count, and at most sixteen are tried.

--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -20,6 +20,11 @@
 REPORT_TIMEOUT_SECONDS = 1.0
 # Maximum number of runs that are being stopped at once to move their tasks.
 MAX_MOVES = 8
+# Interval at which slow runs are looked for, and the number of runs for which
+# a faster worker is looked for each time. Both limit the processor time that a
+# leader of hundreds of workers spends on moves.
+MOVE_INTERVAL_SECONDS = 0.5
+MAX_MOVE_TRIES = 16
 
 
 class DesiredState(msgspec.Struct, frozen=True):
@@ -40,6 +45,7 @@
         '_decided_runs',
         '_now',
         '_version',
+        '_moves_checked_at',
     )
 
     def __init__(self, state: _engine_state.State) -> None:
@@ -50,6 +56,7 @@
         self._now = 0.0
         # Version of the configuration that decisions are based on.
         self._version = 0
+        self._moves_checked_at = float('-inf')
 
     def place(
         self, desired_state: DesiredState, now: float, wall: float
@@ -63,6 +70,9 @@
             self._list_pending_steps(wall),
             key=lambda item: decisions.make_sort_key(item[0], wall),
         )
+        are_moves_due = now >= self._moves_checked_at + MOVE_INTERVAL_SECONDS
+        if not pending_steps and not are_moves_due:
+            return ()
         candidates = {
             worker.incarnation.key: _fleet.describe_candidate(
                 worker, self._state.interference
@@ -72,8 +82,10 @@
         }
         for _, state, occurrence, step_number in pending_steps:
             self._place_step(state, occurrence, step_number, candidates)
-        # Moves use only what the waiting tasks have left.
-        self._move_slow_runs(candidates)
+        if are_moves_due:
+            # Moves use only what the waiting tasks have left.
+            self._moves_checked_at = now
+            self._move_slow_runs(candidates)
         return tuple(self._decided_runs)
 
     def _move_slow_runs(
@@ -86,7 +98,7 @@
             reverse=True,
         )
         moves_left = MAX_MOVES - self._count_moving_runs()
-        for forecast, worker, run in slow_runs:
+        for forecast, worker, run in slow_runs[:MAX_MOVE_TRIES]:
             if moves_left <= 0:
                 return
             state = self._state.jobs[run.name.job]
@@ -139,7 +151,9 @@
                     run.step.checkpointing,
                     worker.reported_at,
                 )
-                if forecast is not None:
+                if forecast is not None and decisions.is_move_worthwhile(
+                    forecast, speed_elsewhere=1.0
+                ):
                     yield forecast, worker, run
 
     def _count_moving_runs(self) -> int:
