Move no run of a worker whose sidecar is silent

A run was stopped for what its sidecar had last reported, also when that was seconds old: a machine that is only silent would have had its work given up as soon as it was heard again. Found in the read-through. The test fails without the change.

--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -134,7 +134,7 @@
         tuple[decisions.RunForecast, _fleet.Worker, _fleet.Run]
     ]:
         for worker in self._state.workers.values():
-            if not worker.answering or worker.draining:
+            if not self._is_heard(worker) or worker.draining:
                 continue
             for run in worker.runs.values():
                 if (
@@ -191,15 +191,21 @@
     ) -> bool:
         quarantine = self._state.quarantines.get(worker.incarnation.key)
         return (
-            worker.answering
+            self._is_heard(worker)
             and not worker.draining
             and not worker.unrecorded_runs
             and worker.incarnation.data_centre not in desired_state.evacuating
             and now >= worker.blocked_until
-            and now < worker.reported_at + REPORT_TIMEOUT_SECONDS
             and (quarantine is None or quarantine.allows_task(now))
         )
 
+    def _is_heard(self, worker: _fleet.Worker) -> bool:
+        """Return whether a worker answers and its sidecar reports."""
+        return (
+            worker.answering
+            and self._now < worker.reported_at + REPORT_TIMEOUT_SECONDS
+        )
+
     def _place_step(
         self,
         state: _jobs.JobState,
--- a/chivespoke/coordination/tests/test_moves.py
+++ b/chivespoke/coordination/tests/test_moves.py
@@ -57,6 +57,15 @@
             ]
         return stopped
 
+    def report_held_down(self, seconds: float) -> None:
+        """Report the run without a plan."""
+        self.leader.now += seconds
+        self.clock_ms += int(seconds * 1000)
+        running = (platform.RunningTask(TASK, 1, 'c', self.progress, 0.0),)
+        self.leader.report(
+            builders.make_report(running=running, clock_ms=self.clock_ms)
+        )
+
     def test_filler_that_is_held_down_moves_with_its_checkpoint(self) -> None:
         self.start_filler()
         self.assertIn(TASK, self.pass_time(4.0, 0.0))
@@ -92,6 +101,16 @@
             self.leader.plan()
             self.assertEqual((), self.leader.make_directive().stops)
 
+    def test_filler_stays_while_its_sidecar_is_silent(self) -> None:
+        # What it reported last may no longer hold.
+        self.start_filler()
+        self.pass_time(1.5, 0.0)
+        self.report_held_down(2.0)
+        self.leader.now += 3.0
+        self.leader.report(builders.make_report('side-2'))
+        self.leader.plan()
+        self.assertEqual((), self.leader.make_directive().stops)
+
     def test_filler_without_a_better_worker_stays(self) -> None:
         self.start_filler()
         self.leader.report(builders.make_report('side-2', draining=True))
