Start loops again that an unexpected error has ended

Callers could see: all runs of a worker lapse, or no leader for their jobs, until a process was restarted by hand. Cause: the loops that poll a worker, report, take orders, exchange messages with a sidecar and keep the membership of the group caught only the errors that they expected; any other ended the loop for good, while the process stayed up. Change: such loops run under TaskOwner.spawn_loop, which logs the error and starts them again; a broken invariant still stops the process. Evidence: a poll that raises KeyError once; the test fails without the change. The loops of the scheduler without the platform were not changed.

--- a/chivespoke/agents/_agent.py
+++ b/chivespoke/agents/_agent.py
@@ -89,8 +89,8 @@
         address = f'{self._machine.ip}:{self._machine.first_port}'
         self._socket.bind(f'tcp://{address}')
         self._tasks.spawn(self._announce(address))
-        self._tasks.spawn(self._receive_directives(self._socket))
-        self._tasks.spawn(self._report_repeatedly(self._socket))
+        self._tasks.spawn_loop(self._receive_directives)
+        self._tasks.spawn_loop(self._report_repeatedly)
 
     async def stop(self) -> None:
         await self._tasks.cancel()
@@ -199,7 +199,9 @@
                 LOGGER.info('The sidecar was announced.', address=address)
                 return
 
-    async def _receive_directives(self, socket: zmq.asyncio.Socket) -> None:
+    async def _receive_directives(self) -> None:
+        socket = self._socket
+        assert socket is not None
         while True:
             sender, frame = await socket.recv_multipart()
             try:
@@ -234,7 +236,9 @@
         if self._session is not None:
             self._session.apply_directive(directive)
 
-    async def _report_repeatedly(self, socket: zmq.asyncio.Socket) -> None:
+    async def _report_repeatedly(self) -> None:
+        socket = self._socket
+        assert socket is not None
         while True:
             # After the interval, a report is sent even without changes.
             if await application.wait_for_event(
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -132,7 +132,7 @@
 
     def start(self) -> None:
         """Start polling the worker once a directive has arrived."""
-        self._tasks.spawn(self._poll_repeatedly())
+        self._tasks.spawn_loop(self._poll_repeatedly)
 
     async def close(self) -> None:
         """Stop polling and cancel the orders in progress."""
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -1,7 +1,9 @@
 """Tests of a session with a worker, against the stand-in worker."""
 
 import asyncio
+import typing
 import unittest
+from unittest import mock
 
 from chivespoke import agents
 from chivespoke import clock
@@ -115,6 +117,26 @@
         self.assertIs(platform.Refusal.EXPIRED, outcome.refusal)
         self.assertEqual(frozenset(), self.runner.running)
 
+    async def test_polls_go_on_after_an_unexpected_error(self) -> None:
+        # Polls renew the leases, so that all runs ended after such an error.
+        poll = platform.WorkerClient.poll
+        failed = asyncio.Event()
+
+        async def fail_once(
+            client: platform.WorkerClient, *arguments: typing.Any
+        ) -> platform.WorkerStatus:
+            if failed.is_set():
+                return await poll(client, *arguments)
+            failed.set()
+            raise KeyError('unexpected')
+
+        with mock.patch.object(platform.WorkerClient, 'poll', fail_once):
+            async with asyncio.timeout(20.0):
+                await failed.wait()
+                failed_at_ms = self.session.make_report('a').clock_ms
+                while self.session.make_report('a').clock_ms <= failed_at_ms:
+                    await asyncio.sleep(0.02)
+
     async def test_deregistered_worker_gets_no_starts(self) -> None:
         self.session.deregistered = True
         self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
--- a/chivespoke/application.py
+++ b/chivespoke/application.py
@@ -13,6 +13,9 @@
 # A task that still runs this long after its cancellation is cancelled again.
 # The clean-up of every task takes less.
 CANCEL_AGAIN_SECONDS = 1.0
+# Pause before a loop that failed is started again: short enough for leases to
+# be renewed in time, long enough not to use up the processor.
+LOOP_RESTART_SECONDS = 0.2
 
 
 class Component(abc.ABC):
@@ -136,6 +139,39 @@
         task.add_done_callback(self._handle_done)
         return task
 
+    def spawn_loop(
+        self,
+        loop: collections.abc.Callable[
+            [], collections.abc.Coroutine[object, object, None]
+        ],
+    ) -> asyncio.Task[None]:
+        """Run an endless loop as a task; start it again if it fails.
+
+        An InvariantError is not caught, so that it stops the process.
+        """
+        return self.spawn(self._run_loop(loop))
+
+    async def _run_loop(
+        self,
+        loop: collections.abc.Callable[
+            [], collections.abc.Coroutine[object, object, None]
+        ],
+    ) -> None:
+        while True:
+            try:
+                await loop()
+            except errors.InvariantError:
+                raise
+            except Exception as error:
+                LOGGER.error(
+                    'A loop failed; it is started again.',
+                    loop=loop.__qualname__,
+                    error=repr(error),
+                )
+                await asyncio.sleep(LOOP_RESTART_SECONDS)
+            else:
+                return
+
     async def cancel(self) -> None:
         """Cancel every task and wait until all have ended."""
         while self._tasks:
--- a/chivespoke/coordination/_leadership.py
+++ b/chivespoke/coordination/_leadership.py
@@ -100,7 +100,7 @@
         self._generation_changed_at = float('-inf')
 
     async def start(self) -> None:
-        self._tasks.spawn(self._join_repeatedly())
+        self._tasks.spawn_loop(self._join_repeatedly)
 
     async def drain(self) -> None:
         await self._tasks.cancel()
--- a/chivespoke/coordination/_links.py
+++ b/chivespoke/coordination/_links.py
@@ -71,8 +71,8 @@
         self._socket.connect(f'tcp://{address}')
         self._wake = asyncio.Event()
         self._tasks = application.TaskOwner()
-        self._tasks.spawn(self._receive())
-        self._tasks.spawn(self._send())
+        self._tasks.spawn_loop(self._receive)
+        self._tasks.spawn_loop(self._send)
 
     def wake(self) -> None:
         """Send a directive now."""
--- a/chivespoke/tests/test_application.py
+++ b/chivespoke/tests/test_application.py
@@ -82,6 +82,43 @@
 
     TIMEOUT_SECONDS = 10.0
 
+    async def test_loop_that_fails_is_started_again(self) -> None:
+        # One unexpected error ended a loop for good: the process stayed up,
+        # but no longer renewed leases, reported or took orders.
+        owner = application.TaskOwner()
+        started = 0
+        recovered = asyncio.Event()
+
+        async def fail_twice() -> None:
+            nonlocal started
+            started += 1
+            if started < 3:
+                raise KeyError('unexpected')
+            recovered.set()
+            await asyncio.sleep(self.TIMEOUT_SECONDS)
+
+        owner.spawn_loop(fail_twice)
+        async with asyncio.timeout(self.TIMEOUT_SECONDS):
+            await recovered.wait()
+        self.assertEqual(3, started)
+        await owner.cancel()
+
+    async def test_loop_that_breaks_an_invariant_is_not_started_again(
+        self,
+    ) -> None:
+        owner = application.TaskOwner()
+        started = 0
+
+        async def break_invariant() -> None:
+            nonlocal started
+            started += 1
+            raise errors.InvariantError('step', 'peer', 'broken')
+
+        task = owner.spawn_loop(break_invariant)
+        await asyncio.wait((task,), timeout=self.TIMEOUT_SECONDS)
+        self.assertIsInstance(task.exception(), errors.InvariantError)
+        self.assertEqual(1, started)
+
     async def test_cancellation_during_event_is_not_lost(
         self,
     ) -> None:
