Test the age of a report, and read an address, in one place

The read of the change found twins: whether a worker's sidecar still reports was tested in the placer and in the engine, which borrowed the placer's limit; two records with one field held the address of a sidecar and of an entry; and the critical path was worked out beside its function, which nothing else called. Stored bytes and decisions stay as they are.

--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -198,7 +198,7 @@
             return True
         if not self._is_start_permitted(worker, now):
             return False
-        if now >= worker.reported_at + _placer.REPORT_TIMEOUT_SECONDS:
+        if not worker.has_recent_report(now):
             # The order may not arrive, and must not hold up the orders for
             # other workers.
             return False
--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -9,6 +9,9 @@
 from chivespoke import platform
 from chivespoke import workloads
 
+# A worker gets no new tasks once its last report is older than this: two and a
+# half heartbeat intervals.
+REPORT_TIMEOUT_SECONDS = 1.0
 # Tail latency assumed for a serving run that was not measured yet, as a share
 # of the tail latency that pacing aims at.
 UNMEASURED_TAIL_SHARE = 0.5
@@ -150,6 +153,14 @@
         """Return the rack label, which is the last label; empty if none."""
         return self.incarnation.labels[-1] if self.incarnation.labels else ''
 
+    def has_recent_report(self, now: float) -> bool:
+        """Return whether the sidecar still reports."""
+        return now < self.reported_at + REPORT_TIMEOUT_SECONDS
+
+    def is_heard(self, now: float) -> bool:
+        """Return whether the worker answers and its sidecar reports."""
+        return self.answering and self.has_recent_report(now)
+
     def add(self, run: Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.task_id] = run
--- a/chivespoke/coordination/_jobs.py
+++ b/chivespoke/coordination/_jobs.py
@@ -42,7 +42,7 @@
         self.remaining_paths = decisions.measure_remaining_paths(job)
         self.objective_seconds = max(
             MIN_OBJECTIVE_SECONDS,
-            max(self.remaining_paths, default=0.0) * job.terms.stretch
+            decisions.measure_critical_path(job) * job.terms.stretch
             + job.terms.margin_ms / 1000,
         )
         self.deadline = job.accepted_ms / 1000 + self.objective_seconds
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -15,9 +15,6 @@
 
 LOGGER = logs.make_logger('leader')
 
-# A worker gets no new tasks once its last report is older than this: two and a
-# half heartbeat intervals.
-REPORT_TIMEOUT_SECONDS = 1.0
 # Maximum number of runs that are being stopped at once to move their tasks.
 MAX_MOVES = 8
 # Interval at which slow runs are looked for, and the number of runs for which
@@ -134,7 +131,7 @@
         tuple[decisions.RunForecast, _fleet.Worker, _fleet.Run]
     ]:
         for worker in self._state.workers.values():
-            if not self._is_heard(worker) or worker.draining:
+            if not worker.is_heard(self._now) or worker.draining:
                 continue
             for run in worker.runs.values():
                 if (
@@ -191,7 +188,7 @@
     ) -> bool:
         quarantine = self._state.quarantines.get(worker.incarnation.key)
         return (
-            self._is_heard(worker)
+            worker.is_heard(now)
             and not worker.draining
             and not worker.unrecorded_runs
             and worker.incarnation.data_centre not in desired_state.evacuating
@@ -199,13 +196,6 @@
             and (quarantine is None or quarantine.allows_task(now))
         )
 
-    def _is_heard(self, worker: _fleet.Worker) -> bool:
-        """Return whether a worker answers and its sidecar reports."""
-        return (
-            worker.answering
-            and self._now < worker.reported_at + REPORT_TIMEOUT_SECONDS
-        )
-
     def _place_step(
         self,
         state: _jobs.JobState,
--- a/chivespoke/coordination/_records.py
+++ b/chivespoke/coordination/_records.py
@@ -28,20 +28,16 @@
 ENCODER = msgspec.msgpack.Encoder()
 
 
-class SidecarRecord(msgspec.Struct, frozen=True):
-    """Hold the address at which a sidecar accepts connections."""
+class AddressRecord(msgspec.Struct, frozen=True):
+    """Hold the address at which a process accepts connections.
 
-    address: str
-
-
-class EntryRecord(msgspec.Struct, frozen=True):
-    """Hold the address at which an entry takes its neighbours' requests."""
+    A sidecar takes orders there, an entry the requests of its neighbours.
+    """
 
     address: str
 
 
-SIDECAR_DECODER = msgspec.msgpack.Decoder(SidecarRecord)
-ENTRY_DECODER = msgspec.msgpack.Decoder(EntryRecord)
+ADDRESS_DECODER = msgspec.msgpack.Decoder(AddressRecord)
 
 
 def encode_job(job: workloads.Job) -> bytes:
@@ -77,14 +73,14 @@
 def encode_sidecar(name: str, address: str) -> bytes:
     """Return the record of a sidecar's address."""
     return platform.encode_record(
-        WORKER_PREFIX + name, ENCODER.encode(SidecarRecord(address))
+        WORKER_PREFIX + name, ENCODER.encode(AddressRecord(address))
     )
 
 
 def encode_entry_address(name: str, address: str) -> bytes:
     """Return the record of an entry's address for its neighbours."""
     return platform.encode_record(
-        ENTRY_PREFIX + name, ENCODER.encode(EntryRecord(address))
+        ENTRY_PREFIX + name, ENCODER.encode(AddressRecord(address))
     )
 
 
@@ -243,7 +239,7 @@
         if not record.value:
             self.sidecars.pop(name, None)
             return
-        address = SIDECAR_DECODER.decode(record.value).address
+        address = ADDRESS_DECODER.decode(record.value).address
         self.sidecars[name] = address
         if self.listener is not None:
             self.listener.handle_sidecar(name, address)
@@ -252,7 +248,7 @@
         if not value:
             self.entry_addresses.pop(name, None)
             return
-        self.entry_addresses[name] = ENTRY_DECODER.decode(value).address
+        self.entry_addresses[name] = ADDRESS_DECODER.decode(value).address
 
     def _find_or_add(self, identifier: str) -> JobEntry:
         return self.entries.setdefault(identifier, JobEntry())
