Announce sidecars and entries by one function

Both repeated the append of their address in a loop of their own. The log lines are now of the part announcement, for both: An address was announced. / Announcing an address failed; retrying.

--- a/chivespoke/agents/_agent.py
+++ b/chivespoke/agents/_agent.py
@@ -11,7 +11,6 @@
 from chivespoke import application
 from chivespoke import clock
 from chivespoke import coordination
-from chivespoke import errors
 from chivespoke import identifiers
 from chivespoke import logs
 from chivespoke import platform
@@ -24,7 +23,6 @@
 # Delay of a report after a change, so that runs that end at about the same
 # time share one report.
 BATCH_DELAY_SECONDS = 0.003
-ANNOUNCE_RETRY_SECONDS = 0.5
 # Concurrent calls to the worker: the status poll and the orders of one
 # directive.
 WORKER_CONNECTIONS = 24
@@ -88,7 +86,12 @@
         self._socket = coordination.open_socket(self._context, zmq.ROUTER)
         address = f'{self._machine.ip}:{self._machine.first_port}'
         self._socket.bind(f'tcp://{address}')
-        self._tasks.spawn(self._announce(address))
+        record = coordination.encode_sidecar(self._machine.name, address)
+        self._tasks.spawn(
+            coordination.announce_address(
+                self._store, self._clock, record, address
+            )
+        )
         self._tasks.spawn_loop(self._receive_directives)
         self._tasks.spawn_loop(self._report_repeatedly)
 
@@ -185,20 +188,6 @@
         if old_transport is not None:
             await old_transport.stop()
 
-    async def _announce(self, address: str) -> None:
-        record = coordination.encode_sidecar(self._machine.name, address)
-        while True:
-            try:
-                await self._store.append(coordination.SYSTEM_TOPIC, record)
-            except errors.ChivespokeError as error:
-                LOGGER.warning(
-                    'Announcing the sidecar failed; retrying.', error=error
-                )
-                await self._clock.sleep(ANNOUNCE_RETRY_SECONDS)
-            else:
-                LOGGER.info('The sidecar was announced.', address=address)
-                return
-
     async def _receive_directives(self) -> None:
         socket = self._socket
         assert socket is not None
--- a/chivespoke/coordination/__init__.py
+++ b/chivespoke/coordination/__init__.py
@@ -1,5 +1,6 @@
 """Leader election, the ledger of jobs, and the leader's scheduling."""
 
+from chivespoke.coordination._announcements import announce_address
 from chivespoke.coordination._coordinator import Coordinator
 from chivespoke.coordination._engine import Engine
 from chivespoke.coordination._engine_state import LeaderTimeouts
@@ -54,6 +55,7 @@
     'TopicFold',
     'TopicFollower',
     'WorkerIncarnation',
+    'announce_address',
     'encode_cancel',
     'encode_entry_address',
     'encode_entry_departure',
--- a/chivespoke/intake/_relay.py
+++ b/chivespoke/intake/_relay.py
@@ -18,7 +18,6 @@
 NEIGHBOUR_CONNECTIONS = 4
 # Longer than an append, which the neighbour gives up after 1 s.
 NEIGHBOUR_TIMEOUT_SECONDS = 1.3
-ANNOUNCE_RETRY_SECONDS = 0.5
 DEPARTURE_TIMEOUT_SECONDS = 0.5
 
 
@@ -58,7 +57,12 @@
         self._tasks = application.TaskOwner()
 
     async def start(self) -> None:
-        self._tasks.spawn(self._announce())
+        record = coordination.encode_entry_address(self._name, self._address)
+        self._tasks.spawn(
+            coordination.announce_address(
+                self._store, self._clock, record, self._address
+            )
+        )
 
     async def drain(self) -> None:
         await self._tasks.cancel()
@@ -142,19 +146,6 @@
             await transport.start()
         return transport
 
-    async def _announce(self) -> None:
-        record = coordination.encode_entry_address(self._name, self._address)
-        while True:
-            try:
-                await self._store.append(coordination.SYSTEM_TOPIC, record)
-            except errors.ChivespokeError as error:
-                LOGGER.warning(
-                    'Announcing the entry failed; retrying.', error=error
-                )
-                await self._clock.sleep(ANNOUNCE_RETRY_SECONDS)
-            else:
-                return
-
     def _log(
         self, name: str, request: web.Request, status: int, error: str
     ) -> None:
