Score each worker once for a step, and not for steps that find none

Cause: the leader scored all 160 workers for each single task of a step, and again in each plan for each step that waits; each end of a run causes a plan.

Change: WorkerRanking scores each worker once for a step and again only after it has got a task; ShortageTracker leaves out, within a plan, the steps that ask for no less than one that found no worker. The description of a worker is kept until its runs or its report change.

--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -113,6 +113,7 @@
         'processed_end',
         'acknowledged',
         'blocked_until',
+        'candidate',
     )
 
     def __init__(
@@ -147,6 +148,9 @@
         self.processed_end = 0
         self.acknowledged = 0
         self.blocked_until = 0.0
+        # Description for placement; None if the runs or their measurements
+        # have changed since it was made.
+        self.candidate: decisions.CandidateWorker | None = None
 
     @property
     def rack(self) -> str:
@@ -173,6 +177,7 @@
             self._reserve(run.step, -1)
 
     def _reserve(self, step: workloads.Step, sign: int) -> None:
+        self.candidate = None
         need = workloads.compute_reservation(step)
         self.reserved = self.reserved.add(need, sign)
         if step.filler:
@@ -185,6 +190,15 @@
     worker: Worker, interference: decisions.InterferenceModel
 ) -> decisions.CandidateWorker:
     """Return a worker in the form that placement decisions use."""
+    if worker.candidate is None:
+        worker.candidate = make_candidate(worker, interference)
+    return worker.candidate
+
+
+def make_candidate(
+    worker: Worker, interference: decisions.InterferenceModel
+) -> decisions.CandidateWorker:
+    """Make the description of a worker for placement."""
     free = worker.incarnation.capacity.add(worker.reserved, -1)
     fillers = [run for run in worker.runs.values() if run.step.filler]
     headrooms = tuple(
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -43,6 +43,7 @@
         '_now',
         '_version',
         '_moves_checked_at',
+        '_shortages',
     )
 
     def __init__(self, state: _engine_state.State) -> None:
@@ -54,6 +55,8 @@
         # Version of the configuration that decisions are based on.
         self._version = 0
         self._moves_checked_at = float('-inf')
+        # Demands that the current plan could not meet.
+        self._shortages = decisions.ShortageTracker()
 
     def place(
         self, desired_state: DesiredState, now: float, wall: float
@@ -62,6 +65,7 @@
         self._now = now
         self._decided_runs = []
         self.advice_request = None
+        self._shortages = decisions.ShortageTracker()
         self._version = desired_state.configuration.version
         pending_steps = sorted(
             self._list_pending_steps(wall),
@@ -205,16 +209,59 @@
     ) -> None:
         step = state.job.steps[step_number]
         names = state.list_waiting(occurrence, step_number)
+        if not names:
+            return
         if step.gang:
             if len(names) == step.count:
                 self._place_gang(state, step, names, candidates)
             return
+        if self._shortages.covers(self._describe_demand(state, step)):
+            return
+        ranking = self._rank_workers(state, step, names[0], candidates)
         for name in names:
-            candidate = self._choose_candidate(state, step, name, candidates)
+            candidate = ranking.choose(state.measure_idle_time(self._now))
             if candidate is None:
+                self._shortages.record(self._describe_demand(state, step))
                 self._prepare_advice_request(state, step, name, candidates)
                 return
             self._assign(state, step, name, candidate, candidates, 0)
+            if step.long_running:
+                # The task counts for all workers of its data centre.
+                ranking = self._rank_workers(state, step, name, candidates)
+            elif candidate.worker in candidates:
+                ranking.update(
+                    msgspec.structs.replace(
+                        candidates[candidate.worker],
+                        same_step_tasks=candidate.same_step_tasks + 1,
+                    )
+                )
+            else:
+                ranking.remove(candidate.worker)
+
+    def _describe_demand(
+        self, state: _jobs.JobState, step: workloads.Step
+    ) -> decisions.StepDemand:
+        return decisions.StepDemand(
+            step,
+            state.terms.service,
+            decisions.may_wait_for_speed(
+                step, state.measure_idle_time(self._now)
+            ),
+            needs_advice=state.terms.advice is not None,
+        )
+
+    def _rank_workers(
+        self,
+        state: _jobs.JobState,
+        step: workloads.Step,
+        name: workloads.TaskName,
+        candidates: dict[str, decisions.CandidateWorker],
+    ) -> decisions.WorkerRanking:
+        return decisions.WorkerRanking(
+            step,
+            self._list_eligible(state, step, name, candidates),
+            self._state.interference,
+        )
 
     def _choose_candidate(
         self,
@@ -223,6 +270,17 @@
         name: workloads.TaskName,
         candidates: dict[str, decisions.CandidateWorker],
     ) -> decisions.CandidateWorker | None:
+        ranking = self._rank_workers(state, step, name, candidates)
+        return ranking.choose(state.measure_idle_time(self._now))
+
+    def _list_eligible(
+        self,
+        state: _jobs.JobState,
+        step: workloads.Step,
+        name: workloads.TaskName,
+        candidates: dict[str, decisions.CandidateWorker],
+    ) -> list[decisions.CandidateWorker]:
+        """Return the workers whose use for a task is not ruled out."""
         eligible = self._list_service_candidates(state, candidates)
         if state.terms.advice is not None:
             eligible = [
@@ -230,7 +288,9 @@
                 for candidate in eligible
                 if self._find_ticket(name, candidate.worker) is not None
             ]
-        return self._choose_among(state, step, name, eligible)
+        if step.max_per_worker or step.long_running:
+            eligible = self._count_same_step(step, name, eligible)
+        return eligible
 
     def _list_service_candidates(
         self,
@@ -271,7 +331,17 @@
                 step_id, candidate.worker
             )
         ]
-        if self._choose_among(state, step, name, unknown_candidates) is None:
+        if step.max_per_worker or step.long_running:
+            unknown_candidates = self._count_same_step(
+                step, name, unknown_candidates
+            )
+        found = decisions.choose_worker(
+            step,
+            unknown_candidates,
+            self._state.interference,
+            state.measure_idle_time(self._now),
+        )
+        if found is None:
             # The step would not be placed on any of these workers.
             return
         unknown_candidates.sort(
@@ -291,22 +361,6 @@
             terms.estimate_answer_seconds(len(requested_workers)),
         )
 
-    def _choose_among(
-        self,
-        state: _jobs.JobState,
-        step: workloads.Step,
-        name: workloads.TaskName,
-        eligible: list[decisions.CandidateWorker],
-    ) -> decisions.CandidateWorker | None:
-        if step.max_per_worker or step.long_running:
-            eligible = self._count_same_step(step, name, eligible)
-        return decisions.choose_worker(
-            step,
-            eligible,
-            self._state.interference,
-            state.measure_idle_time(self._now),
-        )
-
     def _count_same_step(
         self,
         step: workloads.Step,
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -55,6 +55,7 @@
         self._observe_runs(worker, is_new_poll)
         if report.answering and is_new_poll:
             _fleet.learn_tails(worker, self._state.interference)
+            worker.candidate = None
         for outcome in report.outcomes:
             self._handle_outcome(worker, outcome, now)
         return worker
--- /dev/null
+++ b/chivespoke/coordination/tests/test_backlog.py
@@ -0,0 +1,72 @@
+"""Tests of a burst that leaves many steps waiting; no I/O."""
+
+import unittest
+
+import msgspec
+
+from chivespoke.coordination.tests import builders
+from chivespoke.decisions.tests import builders as decision_builders
+from chivespoke import workloads
+
+SERVING_JOB = '00000000000000b1'
+WORKERS = 40
+WAITING_JOBS = 60
+SERVING = workloads.Step(
+    count=WORKERS,
+    cpu_millis=7000,
+    long_running=True,
+    target_latency_ms=18,
+    image='s1',
+)
+FILLERS = workloads.Step(
+    count=39, cpu_millis=4000, filler=True, image='f1', estimated_ms=5000
+)
+
+
+class BacklogTest(unittest.TestCase):
+    """Replay a burst of wide jobs on workers that are all in use.
+
+    Each of these jobs scored every worker in each plan, and each end of a run
+    causes a plan. The leader of 160 workers used up its processor, its
+    directives came late, and leases ran out.
+    """
+
+    def setUp(self) -> None:
+        self.leader = builders.Leader()
+        self.interference = decision_builders.CountingInterference()
+        self.leader.engine.state.interference = self.interference
+        self.report_all()
+        self.leader.submit(builders.make_job(SERVING, identifier=SERVING_JOB))
+        self.leader.plan()
+        for number in range(WAITING_JOBS):
+            self.leader.submit(
+                builders.make_job(FILLERS, identifier=f'{number:016x}')
+            )
+        self.leader.plan()
+
+    def report_all(self) -> None:
+        for number in range(WORKERS):
+            self.leader.report(builders.make_report(f'side-{number}'))
+
+    def test_plan_scores_workers_once_for_jobs_that_find_none(self) -> None:
+        self.interference.lookups = 0
+        self.leader.now += 0.01
+        self.leader.plan()
+        self.assertLessEqual(self.interference.lookups, WORKERS)
+
+    def test_smaller_step_is_placed_behind_the_backlog(self) -> None:
+        small = msgspec.structs.replace(
+            FILLERS, count=1, cpu_millis=500, filler=False
+        )
+        self.leader.submit(builders.make_job(small))
+        self.leader.plan()
+        starts = {
+            start.task
+            for number in range(WORKERS)
+            for start in self.leader.make_directive(f'side-{number}').starts
+        }
+        self.assertIn(f'{builders.JOB}.0.0.0', starts)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -28,7 +28,11 @@
 from chivespoke.decisions._placement import estimate_spare_millis
 from chivespoke.decisions._placement import estimate_speed
 from chivespoke.decisions._placement import LatencyHeadroom
+from chivespoke.decisions._placement import may_wait_for_speed
+from chivespoke.decisions._placement import WorkerRanking
 from chivespoke.decisions._quarantine import WorkerQuarantine
+from chivespoke.decisions._shortages import ShortageTracker
+from chivespoke.decisions._shortages import StepDemand
 from chivespoke.decisions._stalls import StallDetector
 from chivespoke.decisions._timeout import AdaptiveTimeout
 from chivespoke.decisions._window import SendWindow
@@ -53,17 +57,21 @@
     'PendingStep',
     'RunForecast',
     'SendWindow',
+    'ShortageTracker',
     'SpeedTracker',
     'StallDetector',
+    'StepDemand',
     'TARGET_TAIL_SHARE',
     'VALUE_CUTOFF_FACTOR',
     'WorkerQuarantine',
+    'WorkerRanking',
     'can_run_on',
     'choose_worker',
     'estimate_spare_millis',
     'estimate_speed',
     'is_move_worthwhile',
     'make_sort_key',
+    'may_wait_for_speed',
     'measure_critical_path',
     'measure_remaining_paths',
 ]
--- a/chivespoke/decisions/_placement.py
+++ b/chivespoke/decisions/_placement.py
@@ -13,6 +13,7 @@
 """
 
 import collections.abc
+import typing
 
 import msgspec
 
@@ -109,24 +110,109 @@
 
     `idle_seconds` is the time for which the job has had no running task.
     """
-    feasible = [
-        candidate for candidate in candidates if can_run_on(step, candidate)
-    ]
-    if step.filler:
-        may_wait = idle_seconds < MAX_IDLE_SECONDS
-        min_speed = MIN_SPEED_SHARE if may_wait else 0.0
-        return _choose_for_filler(step, feasible, interference, min_speed)
-    return max(
-        feasible,
-        key=lambda candidate: (
-            step.preferred_rack == candidate.rack,
-            -candidate.same_step_in_data_centre,
-            score_colocation(step, candidate),
-            candidate.spare_millis,
-            candidate.worker,
-        ),
-        default=None,
+    ranking = WorkerRanking(step, candidates, interference)
+    return ranking.choose(idle_seconds)
+
+
+def may_wait_for_speed(step: workloads.Step, idle_seconds: float) -> bool:
+    """Return whether a task waits rather than run at a low speed."""
+    return step.filler and idle_seconds < MAX_IDLE_SECONDS
+
+
+class WorkerRanking:
+    """Rank workers for the tasks of one step.
+
+    Load pattern: steps of 39 tasks and more arrive in bursts, for hundreds of
+    workers. Each worker is scored once for all tasks of the step, and again
+    only after it has been given a task.
+    """
+
+    __slots__ = ('_step', '_interference', '_scored')
+
+    def __init__(
+        self,
+        step: workloads.Step,
+        candidates: collections.abc.Iterable[CandidateWorker],
+        interference: _interference.InterferenceModel,
+    ) -> None:
+        self._step = step
+        self._interference = interference
+        # Score and description of the workers that can run a task, by name.
+        self._scored: dict[str, tuple[_Score, CandidateWorker]] = {}
+        for candidate in candidates:
+            self.update(candidate)
+
+    def update(self, candidate: CandidateWorker) -> None:
+        """Add a worker, or replace its description."""
+        if not can_run_on(self._step, candidate):
+            self.remove(candidate.worker)
+            return
+        if self._step.filler:
+            score = _score_for_filler(
+                self._step, candidate, self._interference
+            )
+        else:
+            score = _score_for_reservation(self._step, candidate)
+        self._scored[candidate.worker] = score, candidate
+
+    def remove(self, worker: str) -> None:
+        """Remove a worker; do nothing if it is not ranked."""
+        self._scored.pop(worker, None)
+
+    def choose(self, idle_seconds: float = 0.0) -> CandidateWorker | None:
+        """Return the best worker for a task, or None if it must wait."""
+        min_speed = 0.0
+        if may_wait_for_speed(self._step, idle_seconds):
+            min_speed = MIN_SPEED_SHARE
+        best = max(
+            (
+                scored
+                for scored in self._scored.values()
+                if scored[0].speed >= min_speed
+            ),
+            key=lambda scored: scored[0].key,
+            default=None,
+        )
+        return best[1] if best is not None else None
+
+
+class _Score(typing.NamedTuple):
+    """Hold the rank of a worker for a step; the highest key is the best."""
+
+    key: tuple[bool | int | float | str, ...]
+    # Expected speed as a share of full speed.
+    speed: float
+
+
+def _score_for_reservation(
+    step: workloads.Step, candidate: CandidateWorker
+) -> _Score:
+    key = (
+        step.preferred_rack == candidate.rack,
+        -candidate.same_step_in_data_centre,
+        *score_colocation(step, candidate),
+        candidate.spare_millis,
+        candidate.worker,
+    )
+    return _Score(key, 1.0)
+
+
+def _score_for_filler(
+    step: workloads.Step,
+    candidate: CandidateWorker,
+    interference: _interference.InterferenceModel,
+) -> _Score:
+    speed = estimate_speed(step, candidate, interference)
+    # Interference changes within seconds, so a worker without serving tasks
+    # is preferred to one that seems as fast.
+    is_undisturbed = not candidate.headrooms and speed >= FULL_SPEED_SHARE
+    key = (
+        step.preferred_rack == candidate.rack,
+        is_undisturbed,
+        speed,
+        candidate.spare_millis,
     )
+    return _Score(key, speed)
 
 
 def score_colocation(
@@ -144,27 +230,3 @@
         headroom.image == step.image for headroom in candidate.headrooms
     )
     return bool(candidate.headrooms), 2 * same - len(candidate.headrooms)
-
-
-def _choose_for_filler(
-    step: workloads.Step,
-    candidates: collections.abc.Sequence[CandidateWorker],
-    interference: _interference.InterferenceModel,
-    min_speed: float,
-) -> CandidateWorker | None:
-    best = None
-    best_key = (False, False, 0.0, 0)
-    for candidate in candidates:
-        speed = estimate_speed(step, candidate, interference)
-        # Interference changes within seconds, so a worker without serving
-        # tasks is preferred to one that seems as fast.
-        is_undisturbed = not candidate.headrooms and speed >= FULL_SPEED_SHARE
-        key = (
-            step.preferred_rack == candidate.rack,
-            is_undisturbed,
-            speed,
-            candidate.spare_millis,
-        )
-        if speed >= min_speed and (best is None or key > best_key):
-            best, best_key = candidate, key
-    return best
--- a/chivespoke/decisions/tests/builders.py
+++ b/chivespoke/decisions/tests/builders.py
@@ -81,3 +81,15 @@
         pace=pace,
         is_new=is_new,
     )
+
+
+class CountingInterference(decisions.LearnedInterferenceModel):
+    """Count how often a coefficient is looked up."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lookups = 0
+
+    def find_coefficient(self, serving: str, filler: str) -> float:
+        self.lookups += 1
+        return super().find_coefficient(serving, filler)
