Name the test that hangs, and go on with the other modules

Its process was ended, which broke the pool: no other result was printed, and the stack of the thread in its event loop, most of it cut from the output, names neither the test nor what it waited for.

Change: each module has a pool of its own, so that its loss is one failure beside the results of the others. A watchdog limits each test to 300 s and prints the test and the stacks of all threads and asyncio tasks.

The test that hung is not found yet; see KNOWN-RED.txt until it is.

--- a/tools/tests.py
+++ b/tools/tests.py
@@ -1,13 +1,19 @@
 """Run every unit test of the tree, several test modules at a time."""
 
 import argparse
+import asyncio
 import concurrent.futures
+from concurrent.futures import process
 import dataclasses
 import faulthandler
+import gc
 import io
+import multiprocessing
 import os
 import pathlib
 import sys
+import tempfile
+import threading
 import typing
 import unittest
 
@@ -18,10 +24,13 @@
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 TEST_PREFIX = 'test: '
 PARALLEL_MODULES = 4
-# A module that runs longer than this many seconds is considered hung: its
-# process dumps the stack traces of its threads and exits. All checks together
-# must finish within ten minutes.
-HANG_SECONDS = 420.0
+# A test that runs longer than this many seconds is considered hung: its
+# process writes a report and exits. All checks together must finish within ten
+# minutes.
+HANG_SECONDS = 300.0
+# Seconds after which the process exits even if the report cannot be written,
+# because a call that holds the interpreter lock keeps all threads waiting.
+HANG_REPORT_SECONDS = 20.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +44,59 @@
     output: str
 
 
+class HangWatchdog:
+    """End the process with a report when one test takes too long.
+
+    The report names the test and holds the stacks of all threads and asyncio
+    tasks: a thread in an event loop does not show what the loop waits for.
+    """
+
+    def __init__(self, report_path: pathlib.Path) -> None:
+        self._report_path = report_path
+        self._timer: threading.Timer | None = None
+
+    def watch(self, test: str) -> None:
+        """Start to measure the time of a test."""
+        self.release()
+        self._timer = threading.Timer(HANG_SECONDS, self._end, [test])
+        self._timer.daemon = True
+        self._timer.start()
+        faulthandler.dump_traceback_later(
+            HANG_SECONDS + HANG_REPORT_SECONDS, exit=True
+        )
+
+    def release(self) -> None:
+        """Stop measuring; the test has ended."""
+        faulthandler.cancel_dump_traceback_later()
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _end(self, test: str) -> None:
+        with self._report_path.open('w', encoding='utf-8') as report:
+            report.write(f'{test} did not end within {HANG_SECONDS:.0f} s\n')
+            report.flush()
+            faulthandler.dump_traceback(report)
+            # asyncio.all_tasks() only works in the thread of the event loop.
+            for task in gc.get_objects():
+                if isinstance(task, asyncio.Task) and not task.done():
+                    task.print_stack(file=report)
+        os._exit(1)
+
+
+class WatchedResult(unittest.TextTestResult):
+    """Report hung tests to the watchdog of the process."""
+
+    watchdog: typing.ClassVar[HangWatchdog]
+
+    def startTest(self, test: unittest.TestCase) -> None:
+        self.watchdog.watch(test.id())
+        super().startTest(test)
+
+    def stopTest(self, test: unittest.TestCase) -> None:
+        super().stopTest(test)
+        self.watchdog.release()
+
+
 def read_known_red() -> frozenset[str]:
     """Return the identifiers of the tests listed as known failures."""
     if not KNOWN_RED.exists():
@@ -65,18 +127,24 @@
             yield item
 
 
-def run_module(module: str, pattern: str, verbosity: int) -> ModuleResult:
+def run_module(
+    module: str, pattern: str, verbosity: int, report_path: pathlib.Path
+) -> ModuleResult:
     """Run the test cases of a module whose identifier contains a pattern."""
     if str(ROOT) not in sys.path:
         sys.path.insert(0, str(ROOT))
-    faulthandler.dump_traceback_later(HANG_SECONDS, exit=True)
+    WatchedResult.watchdog = HangWatchdog(report_path)
     settings.register_profile('ci', derandomize=True, deadline=None)
     settings.load_profile('ci')
     loguru.logger.remove()
     suite = unittest.TestLoader().loadTestsFromName(module)
     cases = [case for case in iterate_cases(suite) if pattern in case.id()]
     output = io.StringIO()
-    runner = unittest.TextTestRunner(output, verbosity=verbosity)
+    runner = unittest.TextTestRunner(
+        output,
+        verbosity=verbosity,
+        resultclass=WatchedResult,  # type: ignore[arg-type]
+    )
     result = runner.run(unittest.TestSuite(cases))
     failures = result.failures + result.errors
     unexpected = [case.id() for case in result.unexpectedSuccesses]
@@ -89,18 +157,38 @@
     )
 
 
+def run_in_process(module: str, pattern: str, verbosity: int) -> ModuleResult:
+    """Run a module in a process of its own; count its loss as a failure."""
+    # A fresh process, so that no module can depend on the state that another
+    # one leaves behind.
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        concurrent.futures.ProcessPoolExecutor(
+            1, mp_context=multiprocessing.get_context('spawn')
+        ) as pool,
+    ):
+        report_path = pathlib.Path(folder, 'hang.txt')
+        future = pool.submit(
+            run_module, module, pattern, verbosity, report_path
+        )
+        try:
+            return future.result()
+        except process.BrokenProcessPool:
+            output = 'The process of the module ended abruptly.'
+            if report_path.exists():
+                output = report_path.read_text(encoding='utf-8')
+            return ModuleResult(module, 1, 0, frozenset([module]), output)
+
+
 def run_modules(pattern: str, verbosity: int) -> list[ModuleResult]:
-    """Run each module in its own process; return results in module order."""
-    # Each module runs in a fresh process, so that no module can depend on the
-    # state that another one leaves behind.
-    with concurrent.futures.ProcessPoolExecutor(
-        PARALLEL_MODULES, max_tasks_per_child=1
-    ) as pool:
-        futures = [
-            pool.submit(run_module, module, pattern, verbosity)
-            for module in list_modules()
-        ]
-        return [future.result() for future in futures]
+    """Run all modules, several at a time; return results in module order."""
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL_MODULES) as threads:
+        return list(
+            threads.map(
+                lambda module: run_in_process(module, pattern, verbosity),
+                list_modules(),
+            )
+        )
 
 
 def print_results(results: list[ModuleResult], verbose: bool) -> None:
