Repeat a refused submission in the relay test

Cause: the test submits a job right after the store serves the entry again, and took for granted that it is accepted. The job was never accepted, and the test waited for it to complete.

Change: the test submits again after each 503, as a caller does, and checks that the answer in the end is 200 and that the task ran once.

--- a/chivespoke/serving/tests/test_relay.py
+++ b/chivespoke/serving/tests/test_relay.py
@@ -30,6 +30,19 @@
             self.platform.store_ports[number] for number in entries
         )
 
+    async def submit_as_told(self, job: str, entry: int) -> None:
+        """Submit a job, again after each answer that it was refused.
+
+        An entry notices the return of the store with its next read.
+        """
+        status = 503
+        while status == 503:
+            status, _ = await self.platform.request(
+                'POST', job, BODY, entry=entry
+            )
+            await asyncio.sleep(0.05)
+        self.assertEqual(200, status)
+
     async def test_entry_without_the_store_hands_requests_to_a_neighbour(
         self,
     ) -> None:
@@ -53,7 +66,7 @@
                 status, _ = await self.platform.request('POST', JOB, BODY)
                 self.assertEqual(503, status)
             self.refuse()
-            await self.platform.request('POST', OTHER_JOB, BODY, entry=1)
+            await self.submit_as_told(OTHER_JOB, entry=1)
             await self.platform.wait_for_state(OTHER_JOB, 'completed', 1)
         self.assertEqual(1, len(self.platform.list_started_runs()))
 
