Keep a plan of many tasks from holding up the leader

Cause: before the traffic begins some 39 lasting jobs of 24 tasks are known. For each of their tasks all 160 workers were scored anew and the runs of all workers visited, and all tasks were placed in one plan.

Change: the tasks of a step on each worker are counted once for the step, and the workers of one data centre are scored again after a task; a plan of more than 200 tasks is stored in parts, each followed by the next at once.

--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -33,6 +33,8 @@
     decided_runs: tuple[_fleet.Run, ...]
     # Number of the last run end that the records cover, by worker key.
     recorded_ends: dict[str, int]
+    # All waiting tasks were considered; otherwise plan again at once.
+    complete: bool = True
 
 
 class Engine(_advice_requester.AdviceConsumer):
@@ -124,7 +126,9 @@
             for worker in self._state.workers.values()
             if worker.processed_end > worker.acknowledged
         }
-        return Plan(tuple(records), decided_runs, recorded_ends)
+        return Plan(
+            tuple(records), decided_runs, recorded_ends, self._placer.complete
+        )
 
     def find_advice_request(self) -> decisions.AdviceRequest | None:
         return self._placer.advice_request
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -22,6 +22,9 @@
 # leader of hundreds of workers spends on moves.
 MOVE_INTERVAL_SECONDS = 0.5
 MAX_MOVE_TRIES = 16
+# Number of tasks from which on a plan is cut short. Making a plan holds up
+# everything else in the process, the renewal of its leadership included.
+MAX_PLAN_TASKS = 200
 
 
 class DesiredState(msgspec.Struct, frozen=True):
@@ -38,6 +41,7 @@
 
     __slots__ = (
         'advice_request',
+        'complete',
         '_state',
         '_decided_runs',
         '_now',
@@ -49,6 +53,8 @@
     def __init__(self, state: _engine_state.State) -> None:
         # Request to the advisor for the first step that needs advice.
         self.advice_request: decisions.AdviceRequest | None = None
+        # All waiting tasks were considered for the latest plan.
+        self.complete = True
         self._state = state
         self._decided_runs: list[_fleet.Run] = []
         self._now = 0.0
@@ -65,6 +71,7 @@
         self._now = now
         self._decided_runs = []
         self.advice_request = None
+        self.complete = True
         self._shortages = decisions.ShortageTracker()
         self._version = desired_state.configuration.version
         pending_steps = sorted(
@@ -83,6 +90,8 @@
         }
         for _, state, occurrence, step_number in pending_steps:
             self._place_step(state, occurrence, step_number, candidates)
+            if not self.complete:
+                return tuple(self._decided_runs)
         if are_moves_due:
             # Moves use only what the waiting tasks have left.
             self._moves_checked_at = now
@@ -219,24 +228,16 @@
             return
         ranking = self._rank_workers(state, step, names[0], candidates)
         for name in names:
+            if len(self._decided_runs) >= MAX_PLAN_TASKS:
+                self.complete = False
+                return
             candidate = ranking.choose(state.measure_idle_time(self._now))
             if candidate is None:
                 self._shortages.record(self._describe_demand(state, step))
                 self._prepare_advice_request(state, step, name, candidates)
                 return
             self._assign(state, step, name, candidate, candidates, 0)
-            if step.long_running:
-                # The task counts for all workers of its data centre.
-                ranking = self._rank_workers(state, step, name, candidates)
-            elif candidate.worker in candidates:
-                ranking.update(
-                    msgspec.structs.replace(
-                        candidates[candidate.worker],
-                        same_step_tasks=candidate.same_step_tasks + 1,
-                    )
-                )
-            else:
-                ranking.remove(candidate.worker)
+            ranking.record_task(candidate, candidates.get(candidate.worker))
 
     def _describe_demand(
         self, state: _jobs.JobState, step: workloads.Step
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -274,6 +274,8 @@
             await self._append(records)
         self._engine.confirm(plan)
         self._record_start_waits(plan)
+        if not plan.complete:
+            self._wake.set()
         if self._engine.find_advice_request() is not None:
             self._advice_requester.wake()
         for sidecar, worker in self._workers_by_sidecar.items():
--- a/chivespoke/coordination/tests/builders.py
+++ b/chivespoke/coordination/tests/builders.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from chivespoke import coordination
+from chivespoke.coordination import _engine
 from chivespoke.coordination import _records
 from chivespoke import platform
 from chivespoke import workloads
@@ -145,11 +146,12 @@
         """Pass a report to the engine."""
         self.engine.handle_report(report, self.now, self.wall)
 
-    def plan(self) -> None:
+    def plan(self) -> _engine.Plan:
         """Make a plan, store its records and release its orders."""
         plan = self.engine.plan(self.desired_state, self.now, self.wall)
         self.write(b''.join(plan.records))
         self.engine.confirm(plan)
+        return plan
 
     def make_directive(
         self, sidecar: str = 'side-1'
--- a/chivespoke/coordination/tests/test_backlog.py
+++ b/chivespoke/coordination/tests/test_backlog.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from chivespoke.coordination import _fleet
 from chivespoke.coordination.tests import builders
 from chivespoke.decisions.tests import builders as decision_builders
 from chivespoke import workloads
@@ -68,5 +69,51 @@
         self.assertIn(f'{builders.JOB}.0.0.0', starts)
 
 
+class StartTest(unittest.TestCase):
+    """Replay the start of a day: dozens of lasting jobs at the same time.
+
+    The leader of 160 workers made one plan for all of them. That took longer
+    than its membership of the group lasts, so that the next leader took over,
+    and met the same jobs: for nine seconds no plan was stored.
+    """
+
+    def setUp(self) -> None:
+        self.leader = builders.Leader()
+        for number in range(WORKERS):
+            self.leader.report(builders.make_report(f'side-{number}'))
+        step = msgspec.structs.replace(SERVING, count=24, cpu_millis=200)
+        for number in range(20):
+            self.leader.submit(
+                builders.make_job(step, identifier=f'{number:016x}')
+            )
+
+    def test_plan_of_many_tasks_is_made_in_parts(self) -> None:
+        plans = [self.leader.plan()]
+        while not plans[-1].complete:
+            plans.append(self.leader.plan())
+        sizes = [len(plan.decided_runs) for plan in plans]
+        self.assertEqual([200, 200, 80], sizes)
+
+    def test_one_visit_of_all_runs_serves_all_tasks_of_a_step(self) -> None:
+        workers = self.leader.engine.state.workers
+        visits = 0
+
+        class CountingRuns(dict[str, _fleet.Run]):
+            def values(self):  # type: ignore[no-untyped-def]
+                nonlocal visits
+                visits += 1
+                return super().values()
+
+        for worker in workers.values():
+            worker.runs = CountingRuns()
+        self.leader.engine.plan(
+            self.leader.desired_state, self.leader.now, self.leader.wall
+        )
+        # A description reads the runs of a worker twice; it is made at first
+        # and for each task. Besides, each of the nine steps counts its tasks.
+        descriptions = WORKERS + 200
+        self.assertLessEqual(visits, 9 * WORKERS + 2 * descriptions)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/chivespoke/decisions/_placement.py
+++ b/chivespoke/decisions/_placement.py
@@ -124,7 +124,8 @@
 
     Load pattern: steps of 39 tasks and more arrive in bursts, for hundreds of
     workers. Each worker is scored once for all tasks of the step, and again
-    only after it has been given a task.
+    only if a task is placed on it, or in its data centre if the step spreads
+    over data centres.
     """
 
     __slots__ = ('_step', '_interference', '_scored')
@@ -155,6 +156,35 @@
             score = _score_for_reservation(self._step, candidate)
         self._scored[candidate.worker] = score, candidate
 
+    def record_task(
+        self, chosen: CandidateWorker, remaining: CandidateWorker | None
+    ) -> None:
+        """Update the ranking after a task is placed on the chosen worker.
+
+        `remaining` describes what the worker can still offer, but for its
+        tasks of this step; None if it takes no further task now.
+        """
+        in_data_centre = 0
+        if self._step.long_running:
+            in_data_centre = chosen.same_step_in_data_centre + 1
+            for _, candidate in tuple(self._scored.values()):
+                if candidate.data_centre == chosen.data_centre:
+                    self.update(
+                        msgspec.structs.replace(
+                            candidate, same_step_in_data_centre=in_data_centre
+                        )
+                    )
+        if remaining is None:
+            self.remove(chosen.worker)
+            return
+        self.update(
+            msgspec.structs.replace(
+                remaining,
+                same_step_tasks=chosen.same_step_tasks + 1,
+                same_step_in_data_centre=in_data_centre,
+            )
+        )
+
     def remove(self, worker: str) -> None:
         """Remove a worker; do nothing if it is not ranked."""
         self._scored.pop(worker, None)
--- a/chivespoke/decisions/tests/test_ranking.py
+++ b/chivespoke/decisions/tests/test_ranking.py
@@ -11,6 +11,7 @@
 
 WORKERS = 160
 TASKS = 39
+SERVING_HEADROOM = decisions.LatencyHeadroom('s1', 0.5)
 
 
 class WorkerRankingTest(unittest.TestCase):
@@ -46,7 +47,7 @@
         for _ in range(TASKS):
             found = ranking.choose()
             assert found is not None
-            ranking.update(self.give_task(found.worker))
+            ranking.record_task(found, self.give_task(found.worker))
         self.assertEqual(WORKERS + TASKS, self.interference.lookups)
 
     def test_ranking_agrees_with_separate_choices(self) -> None:
@@ -61,9 +62,51 @@
                 self.interference,
                 idle_seconds,
             )
-            self.assertEqual(expected, found)
+            self.assertEqual(
+                expected.worker if expected else '',
+                found.worker if found else '',
+            )
             if found is not None:
-                ranking.update(self.give_task(found.worker))
+                ranking.record_task(found, self.give_task(found.worker))
+
+    def test_serving_tasks_are_ranked_as_by_separate_choices(self) -> None:
+        # Load pattern: dozens of lasting jobs start together. Each task counts
+        # for the whole data centre, and all workers were scored for it.
+        step = msgspec.structs.replace(builders.make_serving(), count=24)
+        candidates = {
+            f'w{number}': builders.make_candidate(
+                f'w{number}', data_centre=f'zone-{number % 5}'
+            )
+            for number in range(WORKERS)
+        }
+        ranking = decisions.WorkerRanking(
+            step, candidates.values(), self.interference
+        )
+        for _ in range(step.count):
+            found = ranking.choose()
+            assert found is not None
+            expected = decisions.choose_worker(
+                step, candidates.values(), self.interference
+            )
+            self.assertEqual(expected, found)
+            remaining = msgspec.structs.replace(
+                found,
+                spare_millis=found.spare_millis - step.cpu_millis,
+                same_step_tasks=0,
+                same_step_in_data_centre=0,
+                headrooms=(*found.headrooms, SERVING_HEADROOM),
+            )
+            ranking.record_task(found, remaining)
+            candidates[found.worker] = msgspec.structs.replace(
+                remaining, same_step_tasks=found.same_step_tasks + 1
+            )
+            for name, candidate in candidates.items():
+                if candidate.data_centre == found.data_centre:
+                    candidates[name] = msgspec.structs.replace(
+                        candidate,
+                        same_step_in_data_centre=found.same_step_in_data_centre
+                        + 1,
+                    )
 
     def test_worker_without_room_or_removed_is_not_chosen(self) -> None:
         step = workloads.Step(count=2, cpu_millis=1000)
@@ -75,8 +118,9 @@
         )
         ranking.update(builders.make_candidate('b', free=full))
         found = ranking.choose()
-        self.assertEqual('a', found.worker if found else '')
-        ranking.remove('a')
+        assert found is not None
+        self.assertEqual('a', found.worker)
+        ranking.record_task(found, None)
         self.assertIsNone(ranking.choose())
 
 
