Drop the result of a run whose leases expired before it was acknowledged

Cause, by the contract: an end is never taken note of if the worker's leases expire before the acknowledgement reaches it. The leader took an end that a worker lists beside later lapsed ones as done, or counted it as a failure.

Change: ends with a lower number than a lapsed one in the same report count as lapsed, so that their tasks start again from the last checkpoint.

Evidence: the new test fails on the code before: the task was done and the next step would have started.

--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -1,5 +1,7 @@
 """Processing of the sidecars' reports."""
 
+import msgspec
+
 from chivespoke.coordination import _engine_state
 from chivespoke.coordination import _fleet
 from chivespoke.coordination import _messages
@@ -47,7 +49,7 @@
         if worker.sidecar_incarnation != report.sidecar_incarnation:
             worker.sidecar_incarnation = report.sidecar_incarnation
             self._resend_orders(worker)
-        for end in report.ended:
+        for end in void_ends_before_lapse(report.ended):
             self._handle_end(worker, end, now, wall_ms)
         if report.lapsed:
             self._state.release_runs(worker, 'leases expired')
@@ -287,3 +289,28 @@
             backoff_seconds = UNHEALTHY_BACKOFF_SECONDS
         worker.blocked_until = now + backoff_seconds
         self._state.release_run(worker, run)
+
+
+def void_ends_before_lapse(
+    ended: tuple[platform.EndedRun, ...],
+) -> tuple[platform.EndedRun, ...]:
+    """Return the unacknowledged ends, without the results that do not count.
+
+    The contract with the platform drops the result of a run for good if the
+    leases of its worker expired before the end was acknowledged. The task has
+    to run again, as if the run had still been at work.
+    """
+    last_lapse = max(
+        (
+            end.number
+            for end in ended
+            if end.cause is platform.EndCause.LEASE_EXPIRED
+        ),
+        default=0,
+    )
+    return tuple(
+        msgspec.structs.replace(end, cause=platform.EndCause.LEASE_EXPIRED)
+        if end.number < last_lapse
+        else end
+        for end in ended
+    )
--- a/chivespoke/coordination/tests/test_runs.py
+++ b/chivespoke/coordination/tests/test_runs.py
@@ -63,6 +63,51 @@
         ]
         self.assertEqual([f'{builders.JOB}.0.1.0'], starts)
 
+    def test_result_that_was_not_acknowledged_before_a_lapse_is_void(
+        self,
+    ) -> None:
+        # Load pattern: no entry leads for seconds, so that leases expire while
+        # ends wait to be acknowledged. Such an end never counts, and the next
+        # step started out of order.
+        self.start_job(
+            workloads.Step(count=2, cpu_millis=1000, estimated_ms=1000),
+            workloads.Step(count=1, depends_on=(0,)),
+        )
+        lapsed = builders.make_end(
+            2, engine_case.SECOND_TASK, platform.EndCause.LEASE_EXPIRED
+        )
+        done = builders.make_end(1, engine_case.FIRST_TASK, checkpoint='c')
+        self.leader.report(builders.make_report(ended=(done, lapsed)))
+        self.leader.plan()
+        directive = self.leader.make_directive()
+        self.assertEqual(2, directive.acknowledged)
+        self.assertEqual(
+            [
+                (engine_case.FIRST_TASK, 2, 'c'),
+                (engine_case.SECOND_TASK, 2, ''),
+            ],
+            sorted(
+                (start.task, start.run, start.checkpoint)
+                for start in directive.starts
+            ),
+        )
+
+    def test_results_after_a_lapse_and_acknowledged_ones_count(self) -> None:
+        self.start_job(
+            workloads.Step(count=2, cpu_millis=1000, estimated_ms=1000),
+            workloads.Step(count=1, depends_on=(0,)),
+        )
+        first = builders.make_end(1, engine_case.FIRST_TASK)
+        self.leader.report(builders.make_report(ended=(first,)))
+        self.leader.plan()
+        lapsed = builders.make_end(
+            2, 'another.0.0.0', platform.EndCause.LEASE_EXPIRED
+        )
+        second = builders.make_end(3, engine_case.SECOND_TASK)
+        self.leader.report(builders.make_report(ended=(lapsed, second)))
+        self.leader.plan()
+        self.assertEqual([f'{builders.JOB}.0.1.0'], self.list_starts())
+
     def test_failure_of_a_later_run_does_not_count_for_a_completed_task(
         self,
     ) -> None:
