--- a/chivespoke/application.py
+++ b/chivespoke/application.py
@@ -4,11 +4,13 @@
 import asyncio
 import collections.abc
 import signal
+import typing
 
 from chivespoke import errors
 from chivespoke import logs
 
 LOGGER = logs.make_logger('application')
+LoopArguments = typing.ParamSpec('LoopArguments')
 
 # A task that still runs this long after its cancellation is cancelled again.
 # The clean-up of every task takes less.
@@ -142,24 +144,28 @@
     def spawn_loop(
         self,
         loop: collections.abc.Callable[
-            [], collections.abc.Coroutine[object, object, None]
+            LoopArguments, collections.abc.Coroutine[object, object, None]
         ],
+        *arguments: LoopArguments.args,
+        **named_arguments: LoopArguments.kwargs,
     ) -> asyncio.Task[None]:
         """Run an endless loop as a task; start it again if it fails.
 
         An InvariantError is not caught, so that it stops the process.
         """
-        return self.spawn(self._run_loop(loop))
+        return self.spawn(self._run_loop(loop, *arguments, **named_arguments))
 
     async def _run_loop(
         self,
         loop: collections.abc.Callable[
-            [], collections.abc.Coroutine[object, object, None]
+            LoopArguments, collections.abc.Coroutine[object, object, None]
         ],
+        *arguments: LoopArguments.args,
+        **named_arguments: LoopArguments.kwargs,
     ) -> None:
         while True:
             try:
-                await loop()
+                await loop(*arguments, **named_arguments)
             except errors.InvariantError:
                 raise
             except Exception as error:
--- a/chivespoke/backend_servers/_announcer.py
+++ b/chivespoke/backend_servers/_announcer.py
@@ -91,8 +91,8 @@
     async def start(self) -> None:
         self._session = aiohttp.ClientSession()
         self._executor.refusal_cause = 'backend server not ready'
-        self._tasks.spawn(self._probe())
-        self._tasks.spawn(self._send_heartbeats())
+        self._tasks.spawn_loop(self._probe)
+        self._tasks.spawn_loop(self._send_heartbeats)
 
     async def drain(self) -> None:
         """Announce the departure; wait until every entry has confirmed it."""
--- a/chivespoke/backend_servers/_home_manager.py
+++ b/chivespoke/backend_servers/_home_manager.py
@@ -130,7 +130,7 @@
         handlers.register(_messages.Farewell, self._handle_farewell)
 
     async def start(self) -> None:
-        self._tasks.spawn(self._run_loop())
+        self._tasks.spawn_loop(self._run_loop)
 
     async def stop(self) -> None:
         await self._tasks.cancel()
--- a/chivespoke/entries/_membership.py
+++ b/chivespoke/entries/_membership.py
@@ -116,8 +116,8 @@
     async def start(self) -> None:
         self._own_address = self._get_own_address()
         await self.follower.start()
-        self._tasks.spawn(self._maintain_announcement())
-        self._tasks.spawn(self._monitor_neighbours())
+        self._tasks.spawn_loop(self._maintain_announcement)
+        self._tasks.spawn_loop(self._monitor_neighbours)
 
     async def drain(self) -> None:
         """Append a leave record, if the log accepts it within the timeout."""
--- a/chivespoke/entries/_membership_versions.py
+++ b/chivespoke/entries/_membership_versions.py
@@ -52,7 +52,7 @@
         handlers.register_loss(self._remove_report)
 
     async def start(self) -> None:
-        self._tasks.spawn(self._notify_sidecars())
+        self._tasks.spawn_loop(self._notify_sidecars)
 
     async def stop(self) -> None:
         await self._tasks.cancel()
--- a/chivespoke/entries/_transport.py
+++ b/chivespoke/entries/_transport.py
@@ -218,8 +218,8 @@
                 'bind messages', self._address.format_tcp(), str(error)
             ) from error
         self._endpoint = str(zmq_socket.getsockopt_string(zmq.LAST_ENDPOINT))
-        self._tasks.spawn(self._receive(zmq_socket))
-        self._tasks.spawn(self._remove_silent_peers())
+        self._tasks.spawn_loop(self._receive, zmq_socket)
+        self._tasks.spawn_loop(self._remove_silent_peers)
 
     async def _receive(self, zmq_socket: zmq.asyncio.Socket) -> None:
         while True:
@@ -239,7 +239,7 @@
         if peer is None:
             peer = ServerPeer(self, routing_id, envelope, now)
             self._peers[peer.incarnation] = peer
-            self._tasks.spawn(self._serve_peer(peer))
+            self._tasks.spawn_loop(self._serve_peer, peer)
         peer.heard_at = now
         return peer
 
@@ -313,7 +313,7 @@
         # Refuse to send while not connected.
         zmq_socket.set(zmq.IMMEDIATE, 1)
         zmq_socket.connect(self.endpoint)
-        self._tasks.spawn(self._receive(zmq_socket))
+        self._tasks.spawn_loop(self._receive, zmq_socket)
 
     def is_alive(self, max_silence_seconds: float) -> bool:
         """Return whether the peer was heard from within the given time."""
--- a/chivespoke/replication/_committer.py
+++ b/chivespoke/replication/_committer.py
@@ -194,7 +194,7 @@
         committed_offset.add_done_callback(_consume_exception)
         if not state.has_task:
             state.has_task = True
-            self._tasks.spawn(self._run(state))
+            self._tasks.spawn_loop(self._run, state)
         state.queue.append(_PendingRecord(kind, record, committed_offset))
         state.queued_bytes += len(record)
         state.has_records.set()
@@ -264,6 +264,14 @@
                 if not item.committed_offset.done():
                     item.committed_offset.set_exception(error)
             return
+        except Exception as error:
+            # The caller of commit must not wait for ever. The records may have
+            # been appended.
+            unknown = errors.UnavailableError(STEP, stream.name, repr(error))
+            for item in items:
+                if not item.committed_offset.done():
+                    item.committed_offset.set_exception(unknown)
+            raise
         finally:
             observed_offset.cancel()
         self.records += len(items)
--- a/chivespoke/replication/_follower.py
+++ b/chivespoke/replication/_follower.py
@@ -135,7 +135,7 @@
         return self._clock.read_monotonic() - read_at
 
     async def start(self) -> None:
-        self._tasks.spawn(self._run())
+        self._tasks.spawn_loop(self._run)
 
     async def stop(self) -> None:
         await self._tasks.cancel()
--- a/chivespoke/replication/_snapshotter.py
+++ b/chivespoke/replication/_snapshotter.py
@@ -75,7 +75,7 @@
         return min(self._retention * MAX_DELAY_SHARE, MAX_DELAY_SECONDS)
 
     async def start(self) -> None:
-        self._tasks.spawn(self._run())
+        self._tasks.spawn_loop(self._run)
 
     async def stop(self) -> None:
         await self._tasks.cancel()
--- a/chivespoke/replication/tests/test_streams.py
+++ b/chivespoke/replication/tests/test_streams.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+from chivespoke import application
 from chivespoke import errors
 from chivespoke import identifiers
 from chivespoke import replication
@@ -67,6 +69,19 @@
         with self.assertRaises(errors.RefusedError):
             await self.commit()
 
+    async def test_commits_go_on_after_an_unexpected_error(self) -> None:
+        # The task of the stream ended: commits were accepted and never ended.
+        append = self.log.append
+        with mock.patch.object(
+            self.log, 'append', side_effect=[KeyError('unexpected')]
+        ):
+            with self.assertRaises(errors.UnavailableError):
+                await self.commit()
+        self.log.append = append  # type: ignore[method-assign]
+        await asyncio.sleep(2 * application.LOOP_RESTART_SECONDS)
+        await self.commit()
+        self.assertEqual({'pages': 1}, self.process.replica.fold.sums)
+
     async def test_full_backlog_is_refused(self) -> None:
         record = builders.build_record('k' * 1024 * 1024)
         with self.assertRaises(errors.RefusedError):
--- a/chivespoke/scheduling/_owner.py
+++ b/chivespoke/scheduling/_owner.py
@@ -182,7 +182,7 @@
     # Lifecycle and ownership.
 
     async def start(self) -> None:
-        self._tasks.spawn(self._run())
+        self._tasks.spawn_loop(self._run)
 
     async def drain(self) -> None:
         """Stop scheduling; others may claim the shard after the timeout."""
--- a/chivespoke/scheduling/tests/test_owner.py
+++ b/chivespoke/scheduling/tests/test_owner.py
@@ -1,9 +1,13 @@
 """Test that tasks run from submission to completion."""
 
+import asyncio
 import unittest
+from unittest import mock
 
+from chivespoke import application
 from chivespoke import identifiers
 from chivespoke import operators
+from chivespoke.scheduling import _placer
 from chivespoke.scheduling.tests import builders
 
 WEB = identifiers.ServiceName('web')
@@ -26,6 +30,20 @@
         ]
         self.assertEqual(len(runs), 30)
 
+    async def test_owner_goes_on_after_an_unexpected_error(self) -> None:
+        # The loop of the owner ended: nothing was placed any more, and nobody
+        # else claims the shard while this process is the only one.
+        cluster = await builders.build_cluster()
+        self.addAsyncCleanup(cluster.stop)
+        with mock.patch.object(
+            _placer.Placer, 'propose_batch', side_effect=KeyError('unexpected')
+        ):
+            await cluster.run(1)
+        await asyncio.sleep(2 * application.LOOP_RESTART_SECONDS)
+        await builders.submit(cluster, 3)
+        await cluster.run(60)
+        self.assertEqual('completed', cluster.get_report().state)
+
 
 class LoadTest(unittest.IsolatedAsyncioTestCase):
     """Own a shard only with a configuration that was read."""
--- a/chivespoke/serving/_watcher.py
+++ b/chivespoke/serving/_watcher.py
@@ -37,7 +37,7 @@
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload_requested.set)
-        self._tasks.spawn(self._watch())
+        self._tasks.spawn_loop(self._watch)
 
     async def stop(self) -> None:
         await self._tasks.cancel()
