Refuse submissions with negative or huge numbers

Callers would have seen every entry fail: a step with a negative target_ms was accepted, and the headroom of the worker that it is placed on is the logarithm of the target, so that each plan of each leader failed on it for as long as the job was known. Numbers beyond 64 bits were answered with 500.

Cause: the adapter checked the types of a submission but not its numbers.

Change: amounts and times of a submission are between 0 and 2**53; others are refused at once with the field's name.

The requests of the second scheduler have had such ranges (scheduling/_requests.py).

--- a/chivespoke/platform/_submissions.py
+++ b/chivespoke/platform/_submissions.py
@@ -1,5 +1,7 @@
 """Decoding of submitted jobs and encoding of responses to callers."""
 
+import typing
+
 import msgspec
 
 from chivespoke import errors
@@ -11,33 +13,39 @@
 HEXADECIMAL = frozenset('0123456789abcdefABCDEF')
 
 
+# Larger numbers lose digits in JSON readers that use floating point.
+MAX_NUMBER = 2**53
+_Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_Milliseconds = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
+
 class _Step(msgspec.Struct):
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimated_ms: int = 0
+    count: _Amount
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
+    estimated_ms: _Amount = 0
     depends_on: list[int] = []
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     requirements: str = ''
     affinity: str = ''
-    anti_affinity: int = 0
+    anti_affinity: _Amount = 0
     allow_duplicates: bool = False
     long_running: bool = False
     image: str = ''
-    target_ms: float = 0
+    target_ms: _Milliseconds = 0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: _Amount = 0
 
 
 class _Submission(msgspec.Struct):
     steps: list[_Step]
     spec: str = ''
-    repeat_count: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    repeat_count: _Amount = 0
+    start_at_ms: _Amount = 0
+    interval_ms: _Amount = 0
 
 
 class _JobStateResponse(msgspec.Struct):
--- a/chivespoke/platform/tests/test_messages.py
+++ b/chivespoke/platform/tests/test_messages.py
@@ -29,6 +29,29 @@
 
 
 class SubmissionTest(unittest.TestCase):
+    def test_impossible_numbers_are_refused_by_name(self) -> None:
+        # Regression: a negative latency target was accepted, and each leader
+        # failed on the logarithm of it, for as long as the job was known.
+        step_fields = (
+            'count',
+            'cpu',
+            'mem_mb',
+            'gpu',
+            'estimated_ms',
+            'anti_affinity',
+            'target_ms',
+            'may_miss',
+        )
+        job_fields = ('repeat_count', 'start_at_ms', 'interval_ms')
+        for value in (-1, 2**53 + 2, 2**64):
+            for name in (*step_fields, *job_fields):
+                with self.subTest(name=name, value=value):
+                    step = {'count': 1}
+                    body: dict[str, object] = {'steps': [step]}
+                    (step if name in step_fields else body)[name] = value
+                    with self.assertRaisesRegex(errors.RefusedError, name):
+                        decode_job(body)
+
     def test_fields_of_a_step_are_decoded(self) -> None:
         step = {
             'count': 4,
