Wait 6 s for a worker whose sidecar is back without it

Cause, by reading: a new leader waits 18.2 s for a worker that never reports to it, as an earlier leader could go on renewing leases for 12 s.

Change: once the sidecar of such a worker reports to this leader without the worker, the wait ends after the longest lease, 6.2 s. The sidecar then obeys this leader alone and renews nothing before it has polled the worker.

Evidence: the new test fails on the code before; a report to a former leader, or of another sidecar, shortens nothing.

--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -85,6 +85,8 @@
 
         Returns None if the report names no worker or an earlier incarnation.
         """
+        if report.incarnation is None and report.epoch == self._epoch:
+            self._state.limit_unreported_leases(report.sidecar, now)
         return self._report_handler.handle(report, now, int(wall * 1000))
 
     def plan(
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -195,6 +195,19 @@
         self.workers.pop(worker.incarnation.key, None)
         self.quarantines.pop(worker.incarnation.key, None)
 
+    def limit_unreported_leases(self, sidecar: str, now: float) -> None:
+        """Bound the wait for a worker whose sidecar reports without it.
+
+        The sidecar obeys this leader, so that no earlier one can have a lease
+        renewed any more. It renews none itself before it describes the worker.
+        """
+        for key, unreported in self.unreported.items():
+            if _messages.is_worker_of(key, sidecar):
+                unreported.expires_at = min(
+                    unreported.expires_at,
+                    now + self.timeouts.max_lease_seconds,
+                )
+
     def expire_leases(self, now: float) -> None:
         """Requeue the tasks of workers whose leases have certainly expired."""
         for worker in tuple(self.workers.values()):
--- a/chivespoke/coordination/_messages.py
+++ b/chivespoke/coordination/_messages.py
@@ -25,12 +25,16 @@
         return f'{self.sidecar}/{self.identifier}@{self.born_ms}'
 
 
+def is_worker_of(key: str, sidecar: str) -> bool:
+    """Return whether a key names a worker beside a sidecar."""
+    return key.partition('/')[0] == sidecar
+
+
 def is_earlier_incarnation(key: str, incarnation: WorkerIncarnation) -> bool:
     """Return whether a key names an earlier worker on the same machine."""
-    sidecar, _, rest = key.partition('/')
-    _, _, born = rest.rpartition('@')
+    _, _, born = key.rpartition('@')
     return (
-        sidecar == incarnation.sidecar
+        is_worker_of(key, incarnation.sidecar)
         and born.isdecimal()
         and int(born) < incarnation.born_ms
     )
--- a/chivespoke/coordination/tests/test_engine.py
+++ b/chivespoke/coordination/tests/test_engine.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from chivespoke import coordination
 from chivespoke.coordination.tests import builders
 from chivespoke.coordination.tests import engine_case
@@ -276,6 +278,36 @@
             self.list_starts('side-2'),
         )
 
+    def test_sidecar_without_its_worker_shortens_the_wait(self) -> None:
+        # Load pattern: a data centre loses power, and some of its workers are
+        # gone for good. Their tasks waited 18 s for a report, although their
+        # sidecars were back after 6 s.
+        without_worker = msgspec.structs.replace(
+            builders.make_report(), incarnation=None
+        )
+        former = msgspec.structs.replace(without_worker, epoch=1)
+        other = msgspec.structs.replace(without_worker, sidecar='side-3')
+        for name, report, expected in (
+            ('obeys this leader', without_worker, [engine_case.FIRST_TASK]),
+            ('obeys a former leader', former, []),
+            ('another sidecar', other, []),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.start_job(engine_case.ONE_TASK_STEP)
+                self.leader = builders.Leader(self.leader.ledger)
+                timeouts = self.leader.engine.state.timeouts
+                self.leader.now += 1.0
+                self.leader.report(report)
+                self.leader.now += timeouts.max_lease_seconds - 0.1
+                self.leader.report(builders.make_report('side-2'))
+                self.leader.plan()
+                self.assertEqual([], self.list_starts('side-2'))
+                self.leader.now += 0.2
+                self.leader.report(builders.make_report('side-2'))
+                self.leader.plan()
+                self.assertEqual(expected, self.list_starts('side-2'))
+
     def test_later_incarnation_of_unreported_worker_ends_the_wait(
         self,
     ) -> None:
