Bound the warnings of stops that a worker never answers

Change: one warning for each twenty failed stops of a run, with their number. The placer decides in one place whether the tasks of a step are counted; no change of behaviour there.

Evidence: the new test expects two warnings for forty failed stops; the code before wrote one each.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -34,6 +34,9 @@
 START_ATTEMPTS = 3
 START_RETRY_SECONDS = 0.2
 STOP_RETRY_SECONDS = 0.3
+# A warning is logged once per this many consecutive failed stops of a run. A
+# worker that is gone for good never answers them.
+STOPS_PER_WARNING = 20
 
 
 class SessionListener(abc.ABC):
@@ -374,17 +377,21 @@
 
     async def _ensure_stopped(self, task: str, run: int) -> None:
         """Stop a run and wait until it has ended and cannot start later."""
+        failures = 0
         while True:
             try:
                 await self._client.stop(task, run, self.epoch)
                 break
             except errors.ChivespokeError as error:
-                LOGGER.warning(
-                    'A stop failed; retrying.',
-                    task=task,
-                    run=run,
-                    error=error,
-                )
+                failures += 1
+                if failures % STOPS_PER_WARNING == 1:
+                    LOGGER.warning(
+                        'A stop failed; retrying.',
+                        task=task,
+                        run=run,
+                        failures=failures,
+                        error=error,
+                    )
                 await self._clock.sleep(STOP_RETRY_SECONDS)
         # The poll in progress may have been sent before the stop was
         # answered; the one after it shows the runs that are left.
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -6,8 +6,10 @@
 from unittest import mock
 
 from chivespoke import agents
+from chivespoke.agents import _session
 from chivespoke import clock
 from chivespoke import coordination
+from chivespoke import errors
 from chivespoke import platform
 from chivespoke import standins
 from chivespoke import telemetry
@@ -117,6 +119,40 @@
         self.assertIs(platform.Refusal.EXPIRED, outcome.refusal)
         self.assertEqual(frozenset(), self.runner.running)
 
+    async def test_stops_that_fail_are_not_logged_each_time(self) -> None:
+        # The sidecar of a worker that was gone for good wrote 680 warnings in
+        # a minute.
+        failure = errors.UnavailableError('stop', 'i-1', 'gone')
+        failures = 2 * _session.STOPS_PER_WARNING
+        stop = platform.WorkerClient.stop
+        calls = 0
+
+        async def fail_at_first(
+            client: platform.WorkerClient, *arguments: typing.Any
+        ) -> None:
+            nonlocal calls
+            calls += 1
+            if calls <= failures:
+                raise failure
+            await stop(client, *arguments)
+
+        with (
+            mock.patch.object(platform.WorkerClient, 'stop', fail_at_first),
+            mock.patch.object(_session, 'STOP_RETRY_SECONDS', 0.0),
+            mock.patch.object(_session, 'LOGGER') as logger,
+        ):
+            self.session.apply_directive(
+                coordination.Directive(
+                    EPOCH,
+                    self.session.incarnation.key,
+                    self.clock_ms + HOUR_MS,
+                    0,
+                    stops=(coordination.StopOrder(TASK, 1),),
+                )
+            )
+            await self.wait_for_outcome()
+        self.assertEqual(2, logger.warning.call_count)
+
     async def test_polls_go_on_after_an_unexpected_error(self) -> None:
         # Polls renew the leases, so that all runs ended after such an error.
         poll = platform.WorkerClient.poll
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -289,9 +289,7 @@
                 for candidate in eligible
                 if self._find_ticket(name, candidate.worker) is not None
             ]
-        if step.max_per_worker or step.long_running:
-            eligible = self._count_same_step(step, name, eligible)
-        return eligible
+        return self._count_same_step(step, name, eligible)
 
     def _list_service_candidates(
         self,
@@ -323,19 +321,21 @@
         if terms is None or self.advice_request is not None:
             return
         step_id = name.format_step()
-        unknown_candidates = [
-            candidate
-            for candidate in self._list_service_candidates(state, candidates)
-            if decisions.can_run_on(step, candidate)
-            and self._find_ticket(name, candidate.worker) is None
-            and not self._state.advice_cache.is_denied(
-                step_id, candidate.worker
-            )
-        ]
-        if step.max_per_worker or step.long_running:
-            unknown_candidates = self._count_same_step(
-                step, name, unknown_candidates
-            )
+        unknown_candidates = self._count_same_step(
+            step,
+            name,
+            [
+                candidate
+                for candidate in self._list_service_candidates(
+                    state, candidates
+                )
+                if decisions.can_run_on(step, candidate)
+                and self._find_ticket(name, candidate.worker) is None
+                and not self._state.advice_cache.is_denied(
+                    step_id, candidate.worker
+                )
+            ],
+        )
         found = decisions.choose_worker(
             step,
             unknown_candidates,
@@ -368,6 +368,12 @@
         name: workloads.TaskName,
         eligible: list[decisions.CandidateWorker],
     ) -> list[decisions.CandidateWorker]:
+        """Add the counts of the step's tasks if its placement depends on them.
+
+        Counting visits the runs of all workers.
+        """
+        if not step.max_per_worker and not step.long_running:
+            return eligible
         in_worker: collections.Counter[str] = collections.Counter()
         in_data_centre: collections.Counter[str] = collections.Counter()
         for key, worker in self._state.workers.items():
