Watch the clean-up of a test too

Found by reading the change: the watchdog let go of a test when unittest stopped it. An asyncio test closes its event loop only after that, so that a hang there, or in the import of a module, was no longer ended, as it was by the limit for the whole module before.

Change: a module is watched from its start, and each test until the next one starts.

--- a/tools/tests.py
+++ b/tools/tests.py
@@ -55,25 +55,20 @@
         self._report_path = report_path
         self._timer: threading.Timer | None = None
 
-    def watch(self, test: str) -> None:
-        """Start to measure the time of a test."""
-        self.release()
-        self._timer = threading.Timer(HANG_SECONDS, self._end, [test])
+    def watch(self, name: str) -> None:
+        """Start to measure the time of a test, instead of the one before."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = threading.Timer(HANG_SECONDS, self._end, [name])
         self._timer.daemon = True
         self._timer.start()
         faulthandler.dump_traceback_later(
             HANG_SECONDS + HANG_REPORT_SECONDS, exit=True
         )
 
-    def release(self) -> None:
-        """Stop measuring; the test has ended."""
-        faulthandler.cancel_dump_traceback_later()
-        if self._timer is not None:
-            self._timer.cancel()
-
-    def _end(self, test: str) -> None:
+    def _end(self, name: str) -> None:
         with self._report_path.open('w', encoding='utf-8') as report:
-            report.write(f'{test} did not end within {HANG_SECONDS:.0f} s\n')
+            report.write(f'{name} did not end within {HANG_SECONDS:.0f} s\n')
             report.flush()
             faulthandler.dump_traceback(report)
             # asyncio.all_tasks() only works in the thread of the event loop.
@@ -84,7 +79,11 @@
 
 
 class WatchedResult(unittest.TextTestResult):
-    """Report hung tests to the watchdog of the process."""
+    """Tell the watchdog of the process which test runs.
+
+    A test is watched until the next one starts: an asyncio test closes its
+    event loop only after unittest has stopped it.
+    """
 
     watchdog: typing.ClassVar[HangWatchdog]
 
@@ -92,10 +91,6 @@
         self.watchdog.watch(test.id())
         super().startTest(test)
 
-    def stopTest(self, test: unittest.TestCase) -> None:
-        super().stopTest(test)
-        self.watchdog.release()
-
 
 def read_known_red() -> frozenset[str]:
     """Return the identifiers of the tests listed as known failures."""
@@ -134,6 +129,7 @@
     if str(ROOT) not in sys.path:
         sys.path.insert(0, str(ROOT))
     WatchedResult.watchdog = HangWatchdog(report_path)
+    WatchedResult.watchdog.watch(module)
     settings.register_profile('ci', derandomize=True, deadline=None)
     settings.load_profile('ci')
     loguru.logger.remove()
