Number directives, and log the evidence on which runs are released

The logs could not tell the hypotheses on two runs at once apart: for a claim that all leases have expired the lease end, the clock reading and its age were missing, and which orders the claim could know of. No logic changes.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -72,6 +72,8 @@
         '_in_progress',
         '_pace_tracker',
         '_directive_received',
+        '_applied',
+        '_lapsed',
         '_telemetry',
     )
 
@@ -118,6 +120,10 @@
             self.incarnation.key, registration.capacity.cpu_millis
         )
         self._directive_received = asyncio.Event()
+        # Number of the last directive of the current epoch that was applied.
+        self._applied = 0
+        # The last report said that all leases have expired.
+        self._lapsed = False
 
     @property
     def incarnation(self) -> coordination.WorkerIncarnation:
@@ -148,6 +154,7 @@
         """
         if directive.epoch > self.epoch:
             self.epoch = directive.epoch
+            self._applied = 0
         self._directive_received.set()
         if directive.incarnation != self.incarnation.key:
             return
@@ -157,6 +164,7 @@
         self._acknowledged_end = max(
             self._acknowledged_end, directive.acknowledged
         )
+        self._applied = directive.number
         self._pace_tracker.update_interference(directive.interference)
         for run in directive.adopted:
             self._pace_tracker.record_run(run)
@@ -175,6 +183,7 @@
         outcomes = tuple(self._outcomes)
         self._outcomes.clear()
         status = self._status or platform.WorkerStatus(0, (), ())
+        self._update_lapsed()
         return coordination.Report(
             sidecar=self._sidecar,
             sidecar_incarnation=sidecar_incarnation,
@@ -182,7 +191,7 @@
             incarnation=self.incarnation if self._status else None,
             draining=self.registration.draining or self.deregistered,
             answering=self._answering,
-            lapsed=self._have_leases_expired(),
+            lapsed=self._lapsed,
             clock_ms=status.clock_ms,
             running=status.running,
             ended=tuple(
@@ -191,8 +200,25 @@
                 if end.number > self._acknowledged_end
             ),
             outcomes=outcomes,
+            applied=self._applied,
+            lease_end_ms=self._lease_sent_ms,
         )
 
+    def _update_lapsed(self) -> None:
+        lapsed = self._have_leases_expired()
+        if lapsed and not self._lapsed and self._status is not None:
+            LOGGER.warning(
+                'All leases of the worker have expired.',
+                worker=self.incarnation.key,
+                clock_ms=self._status.clock_ms,
+                clock_age=self._clock.read_monotonic() - self._status_at,
+                lease_end_ms=self._lease_sent_ms,
+                deregistered=self.deregistered,
+                applied=self._applied,
+                orders=len(self._in_progress),
+            )
+        self._lapsed = lapsed
+
     def _have_leases_expired(self) -> bool:
         if self._answering or self._status is None:
             return False
@@ -240,6 +266,12 @@
             0.0 if is_first else POLL_WAIT_SECONDS,
         )
         previous = self._status
+        if status.born_ms not in (0, self.registration.born_ms):
+            LOGGER.warning(
+                'Another incarnation answered a poll.',
+                worker=self.incarnation.key,
+                born_ms=status.born_ms,
+            )
         self._set_answering(True, '')
         async with self._polled:
             self._status = status
--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -240,6 +240,7 @@
         """
         self.select_orders(worker, now)
         timeouts = self._state.timeouts
+        worker.directives += 1
         starts = []
         stops = []
         adopted = []
@@ -255,6 +256,7 @@
                 adopted.append(make_adopted_run(run))
             elif self._is_start_permitted(worker, now):
                 starts.append(self._make_start_order(run))
+                run.ordered_in = worker.directives
             else:
                 # Selected before a pause of this process; due again.
                 continue
@@ -272,6 +274,7 @@
             stops=tuple(stops),
             interference=self._list_interference(worker),
             adopted=tuple(adopted),
+            number=worker.directives,
         )
 
     def _list_interference(
--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -53,6 +53,7 @@
         'stall_detector',
         'speed_tracker',
         'moving',
+        'ordered_in',
     )
 
     def __init__(
@@ -84,6 +85,8 @@
         self.moving = False
         # This leader or an earlier one has already sent the order.
         self.repeated = False
+        # Number of the last directive that ordered this run to start.
+        self.ordered_in = 0
         # The advisor's permission to start the run; empty if none is needed.
         self.ticket = ''
 
@@ -105,6 +108,7 @@
         'reported_at',
         'leases_expire_at',
         'worker_clock_ms',
+        'directives',
         'runs',
         'reserved',
         'filler_millis',
@@ -133,6 +137,8 @@
         # sidecar reports again.
         self.leases_expire_at = now
         self.worker_clock_ms = 0
+        # Number of directives made for the worker.
+        self.directives = 0
         # Keyed by task id.
         self.runs: dict[str, Run] = {}
         self.reserved = workloads.Resources()
--- a/chivespoke/coordination/_messages.py
+++ b/chivespoke/coordination/_messages.py
@@ -67,6 +67,11 @@
     running: tuple[platform.RunningTask, ...]
     ended: tuple[platform.EndedRun, ...]
     outcomes: tuple[OrderOutcome, ...]
+    # Number of the last directive of this epoch that the sidecar has applied.
+    applied: int = 0
+    # Reading of the worker's clock, in milliseconds, at which the last of its
+    # leases ends.
+    lease_end_ms: int = 0
 
 
 class StartOrder(msgspec.Struct, frozen=True, array_like=True):
@@ -118,6 +123,8 @@
     # Effect of the fillers on the tail latency of the worker's serving tasks.
     interference: tuple[decisions.InterferenceCoefficient, ...] = ()
     adopted: tuple[AdoptedRun, ...] = ()
+    # Counts the directives of an epoch to a worker.
+    number: int = 0
 
 
 REPORT_DECODER = msgspec.msgpack.Decoder(Report)
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -52,6 +52,15 @@
         for end in void_ends_before_lapse(report.ended):
             self._handle_end(worker, end, now, wall_ms)
         if report.lapsed:
+            if worker.runs:
+                LOGGER.warning(
+                    'A sidecar reports that all leases have expired.',
+                    worker=worker.incarnation.key,
+                    clock_ms=report.clock_ms,
+                    lease_end_ms=report.lease_end_ms,
+                    applied=report.applied,
+                    sent=worker.directives,
+                )
             self._state.release_runs(worker, 'leases expired')
         self._reconcile_runs(worker, report.running)
         self._observe_runs(worker, is_new_poll)
@@ -276,6 +285,7 @@
             run=outcome.run,
             worker=worker.incarnation.key,
             refusal=outcome.refusal.value,
+            ordered_in=run.ordered_in,
         )
         backoff_seconds = NO_CAPACITY_BACKOFF_SECONDS
         if outcome.refusal is platform.Refusal.BAD_TICKET:
--- a/chivespoke/platform/_workers.py
+++ b/chivespoke/platform/_workers.py
@@ -115,6 +115,9 @@
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
+    # Start of the incarnation that answered, in milliseconds since 1970; 0 if
+    # the answer does not say.
+    born_ms: int = 0
 
 
 class Refusal(enum.Enum):
@@ -267,6 +270,7 @@
                         decoded.ended_runs
                     )
                 ),
+                decoded.born,
             )
         except (msgspec.MsgspecError, ValueError) as error:
             raise errors.UnavailableError(
