Keep runs ordered since a sidecar found all leases expired

Cause: a report says that all leases of a worker have expired, which is true of the moment in which it was made. The leader applied it to every run that it had given the worker, also to those whose start orders were on their way and carry a lease of their own.

Change: directives are numbered, a report names the last one applied, and the claim releases only runs that were ordered up to that one. The sidecar makes no such claim while a start order may still be sent, because sending it extends the leases, and ignores a directive that a later one has overtaken.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -70,6 +70,7 @@
         '_answering',
         '_outcomes',
         '_in_progress',
+        '_starting',
         '_pace_tracker',
         '_directive_received',
         '_applied',
@@ -116,6 +117,8 @@
         self._answering = False
         self._outcomes: list[coordination.OrderOutcome] = []
         self._in_progress: set[tuple[str, int]] = set()
+        # Number of start orders that may still be sent to the worker.
+        self._starting = 0
         self._pace_tracker = _paces.PaceTracker(
             self.incarnation.key, registration.capacity.cpu_millis
         )
@@ -158,23 +161,27 @@
         self._directive_received.set()
         if directive.incarnation != self.incarnation.key:
             return
+        if 0 < directive.number <= self._applied:
+            LOGGER.info(
+                'A directive that was overtaken is ignored.',
+                worker=self.incarnation.key,
+                number=directive.number,
+                applied=self._applied,
+            )
+            return
         self._lease_limit_ms = max(
             self._lease_limit_ms, directive.lease_until_ms
         )
         self._acknowledged_end = max(
             self._acknowledged_end, directive.acknowledged
         )
-        self._applied = directive.number
+        self._applied = max(self._applied, directive.number)
         self._pace_tracker.update_interference(directive.interference)
         for run in directive.adopted:
             self._pace_tracker.record_run(run)
         for start in directive.starts:
             self._pace_tracker.record_start_order(start)
-            self._spawn_order(
-                start.task,
-                start.run,
-                self._start(start, directive.lease_until_ms),
-            )
+            self._spawn_start(start, directive.lease_until_ms)
         for stop in directive.stops:
             self._spawn_order(stop.task, stop.run, self._stop(stop))
 
@@ -220,7 +227,7 @@
         self._lapsed = lapsed
 
     def _have_leases_expired(self) -> bool:
-        if self._answering or self._status is None:
+        if self._answering or self._status is None or self._starting:
             return False
         if self.deregistered:
             return True
@@ -308,6 +315,19 @@
             )
         self._listener.request_report()
 
+    def _spawn_start(
+        self, order: coordination.StartOrder, lease_until_ms: int
+    ) -> None:
+        if (order.task, order.run) in self._in_progress:
+            # The leader repeats orders without an outcome.
+            return
+        # Counted before the order is sent, so that no report made in between
+        # denies the lease that the order will grant.
+        self._starting += 1
+        self._spawn_order(
+            order.task, order.run, self._start(order, lease_until_ms)
+        )
+
     def _spawn_order(
         self,
         task: str,
@@ -315,8 +335,6 @@
         work: collections.abc.Coroutine[object, object, None],
     ) -> None:
         if (task, run) in self._in_progress:
-            # Another order for this run is in progress; the leader repeats
-            # orders without an outcome.
             work.close()
             return
         self._in_progress.add((task, run))
@@ -353,35 +371,50 @@
     async def _start(
         self, order: coordination.StartOrder, lease_until_ms: int
     ) -> None:
+        try:
+            refusal, may_have_started = await self._try_start(
+                order, lease_until_ms
+            )
+        finally:
+            self._starting -= 1
+        if refusal is not None and may_have_started:
+            await self._ensure_stopped(order.task, order.run)
+        self._report_outcome(order.task, order.run, refusal)
+
+    async def _try_start(
+        self, order: coordination.StartOrder, lease_until_ms: int
+    ) -> tuple[platform.Refusal | None, bool]:
+        """Send a start order until the worker answers.
+
+        Returns the refusal, None if the run has started, and whether it may
+        have started or may still start nevertheless.
+        """
         if self._is_listed(order.task, order.run):
-            self._report_outcome(order.task, order.run, None)
-            return
+            return None, True
         may_have_started = order.repeated
         refusal = platform.Refusal.UNHEALTHY
-        if not (self.registration.draining or self.deregistered):
-            for _ in range(START_ATTEMPTS):
-                try:
-                    await self._send_start(order, lease_until_ms)
-                except platform.OrderRefusedError as error:
-                    refusal = error.refusal
-                    may_have_started |= refusal is platform.Refusal.SUPERSEDED
-                    break
-                except errors.RefusedError:
-                    await self._clock.sleep(START_RETRY_SECONDS)
-                except errors.UnavailableError as error:
-                    LOGGER.warning(
-                        'A start was not answered; it may still take effect.',
-                        task=order.task,
-                        run=order.run,
-                        error=error,
-                    )
-                    may_have_started = True
-                else:
-                    self._report_outcome(order.task, order.run, None)
-                    return
-        if may_have_started:
-            await self._ensure_stopped(order.task, order.run)
-        self._report_outcome(order.task, order.run, refusal)
+        if self.registration.draining or self.deregistered:
+            return refusal, may_have_started
+        for _ in range(START_ATTEMPTS):
+            try:
+                await self._send_start(order, lease_until_ms)
+            except platform.OrderRefusedError as error:
+                refusal = error.refusal
+                may_have_started |= refusal is platform.Refusal.SUPERSEDED
+                break
+            except errors.RefusedError:
+                await self._clock.sleep(START_RETRY_SECONDS)
+            except errors.UnavailableError as error:
+                LOGGER.warning(
+                    'A start was not answered; it may still take effect.',
+                    task=order.task,
+                    run=order.run,
+                    error=error,
+                )
+                may_have_started = True
+            else:
+                return None, True
+        return refusal, may_have_started
 
     async def _send_start(
         self, order: coordination.StartOrder, lease_until_ms: int
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -70,15 +70,25 @@
         )
         self.addAsyncCleanup(self.session.close)
         self.session.start()
+        self.directives = 0
         self.send_directive(lease_ms=0)
         self.clock_ms = (await self.wait_for_report()).clock_ms
 
     def send_directive(
-        self, lease_ms: int, *starts: coordination.StartOrder
+        self,
+        lease_ms: int,
+        *starts: coordination.StartOrder,
+        number: int | None = None,
     ) -> None:
+        self.directives += 1
         self.session.apply_directive(
             coordination.Directive(
-                EPOCH, self.session.incarnation.key, lease_ms, 0, starts
+                EPOCH,
+                self.session.incarnation.key,
+                lease_ms,
+                0,
+                starts,
+                number=self.directives if number is None else number,
             )
         )
 
@@ -173,6 +183,34 @@
                 while self.session.make_report('a').clock_ms <= failed_at_ms:
                     await asyncio.sleep(0.02)
 
+    async def test_leases_have_not_expired_while_a_start_is_in_progress(
+        self,
+    ) -> None:
+        # The start extends the leases when it is sent, after the report.
+        failure = errors.UnavailableError('look', 'i-1', 'cut off')
+        with mock.patch.object(
+            platform.WorkerClient, 'poll', side_effect=failure
+        ):
+            while self.session.make_report('a').answering:
+                await self.wait_for_report()
+            self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+            self.assertFalse(self.session.make_report('a').lapsed)
+            await self.wait_for_outcome()
+        self.assertEqual({TASK}, self.runner.running)
+
+    async def test_directive_that_was_overtaken_is_ignored(self) -> None:
+        # A replaced connection may still deliver what was sent over it.
+        self.send_directive(self.clock_ms + HOUR_MS, number=2)
+        self.send_directive(
+            self.clock_ms + HOUR_MS, self.make_start(), number=1
+        )
+        self.assertEqual(2, self.session.make_report('a').applied)
+        self.send_directive(
+            self.clock_ms + HOUR_MS, self.make_start(), number=3
+        )
+        self.assertIsNone((await self.wait_for_outcome()).refusal)
+        self.assertEqual(1, len(self.runner.began))
+
     async def test_deregistered_worker_gets_no_starts(self) -> None:
         self.session.deregistered = True
         self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -177,16 +177,28 @@
         worker.remove(run.task_id)
         self._requeue_task(run)
 
-    def release_runs(self, worker: _fleet.Worker, cause: str) -> None:
-        """Remove all runs of a worker and requeue their tasks."""
-        if worker.runs:
+    def release_runs(
+        self, worker: _fleet.Worker, cause: str, applied: int | None = None
+    ) -> None:
+        """Remove the runs of a worker and requeue their tasks.
+
+        Keeps the runs ordered in a directive later than the one applied, if a
+        number is given: the evidence for the release does not cover them.
+        """
+        released = [
+            run
+            for run in worker.runs.values()
+            if applied is None or run.ordered_in <= applied
+        ]
+        if released:
             LOGGER.warning(
                 'All runs of a worker ended; their tasks are requeued.',
                 worker=worker.incarnation.key,
                 cause=cause,
-                runs=len(worker.runs),
+                runs=len(released),
+                kept=len(worker.runs) - len(released),
             )
-        for run in tuple(worker.runs.values()):
+        for run in released:
             self.release_run(worker, run)
 
     def remove_worker(self, worker: _fleet.Worker, cause: str) -> None:
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -61,7 +61,7 @@
                     applied=report.applied,
                     sent=worker.directives,
                 )
-            self._state.release_runs(worker, 'leases expired')
+            self._state.release_runs(worker, 'leases expired', report.applied)
         self._reconcile_runs(worker, report.running)
         self._observe_runs(worker, is_new_poll)
         if report.answering and is_new_poll:
--- a/chivespoke/coordination/tests/builders.py
+++ b/chivespoke/coordination/tests/builders.py
@@ -14,6 +14,8 @@
 NOW = 1000.0
 WALL = 1.7e9
 EPOCH = 7
+# Greater than the number of any directive in the tests.
+ALL_DIRECTIVES = 1_000_000
 TERMS = workloads.QueueTerms(service=SERVICE, max_attempts=2, stretch=2.0)
 STEP = workloads.Step(count=2, cpu_millis=1000, estimated_ms=1000)
 
@@ -82,6 +84,7 @@
     lapsed: bool = False,
     answering: bool = True,
     clock_ms: int = 1000,
+    applied: int = ALL_DIRECTIVES,
 ) -> coordination.Report:
     """Return a sidecar's report; the same clock_ms means the same poll."""
     return coordination.Report(
@@ -96,6 +99,7 @@
         running=running,
         ended=ended,
         outcomes=outcomes,
+        applied=applied,
     )
 
 
