Let the stand-in of the worker boot anew and lose or delay calls

A boot is an object of its own: a new one has a clock that starts at 0, a chosen time of birth and, if wanted, another identifier, and knows nothing of the earlier one. Calls for another instance are refused with 421. Starts, stops and polls can be carried out late, also by a later boot under the same identifier, or lose their answer; polls can stall, starts be refused for lack of room, and registrations pause, arrive late or be withdrawn.

--- a/chivespoke/standins/__init__.py
+++ b/chivespoke/standins/__init__.py
@@ -6,10 +6,11 @@
 from chivespoke.standins._log import LogFaults
 from chivespoke.standins._log import MemoryLog
 from chivespoke.standins._log_server import LogServer
+from chivespoke.standins._run_ledger import Ran
+from chivespoke.standins._run_ledger import RunLedger
 from chivespoke.standins._runner import PlatformRunner
-from chivespoke.standins._runner import Ran
-from chivespoke.standins._runner import RunLedger
-from chivespoke.standins._runner import RunnerFaults
+from chivespoke.standins._runner import RunnerRegistration
+from chivespoke.standins._runner_faults import RunnerFaults
 from chivespoke.standins._store import PlatformStore
 from chivespoke.standins._store import StoreFaults
 from chivespoke.standins._worker import Run
@@ -36,6 +37,7 @@
     'Run',
     'RunLedger',
     'RunnerFaults',
+    'RunnerRegistration',
     'StoreFaults',
     'TaskPlan',
     'WorkerAgent',
--- a/chivespoke/standins/_runner.py
+++ b/chivespoke/standins/_runner.py
@@ -11,77 +11,51 @@
 from chivespoke import addresses
 from chivespoke import application
 from chivespoke.standins import _advisor
+from chivespoke.standins import _run_ledger
+from chivespoke.standins import _runner_boot
+from chivespoke.standins import _runner_faults
 from chivespoke import web as chivespoke_web
 
-# Delay between a stop order and the end of the run.
-STOP_DELAY_SECONDS = 0.02
 REGISTRATION_INTERVAL_SECONDS = 0.1
+# Time after which a registration counts as not acknowledged.
+REGISTRATION_TIMEOUT_SECONDS = 1.0
+LEASE_CHECK_INTERVAL_SECONDS = 0.01
 # A task with this payload runs until it is stopped.
 LONG_RUNNING_PAYLOAD = 'serve'
 LONG_RUNNING_SECONDS = 3600.0
+CAPACITY = {'cpu': 8000, 'mem_mb': 32000, 'gpu': 0}
+TARGET_HEADER = 'Chivespoke-Target-Instance'
+# Reason within the stand-in for status 421, which has no body.
+MISDIRECTED = 'misdirected'
 
+Body = dict[str, typing.Any]
 
-class RunnerFaults(msgspec.Struct):
-    """Configure the faults that the worker injects."""
 
-    # Number of starts that get no response and take effect after
-    # ``late_seconds``.
-    late_starts: int = 0
-    late_seconds: float = 0.2
-    # Number of starts that are refused with status 503, as by an unhealthy
-    # worker.
-    unhealthy_starts: int = 0
-    # Whether every task fails at its end.
-    fails_all: bool = False
+class RunnerRegistration(msgspec.Struct, frozen=True):
+    """Hold a registration, which may be sent late or more than once."""
 
-
-class Ran(msgspec.Struct, frozen=True):
-    """Describe a started run."""
-
-    task: str
-    run: int
-    checkpoint: str
-
-
-class _Run:
-    """Hold a run in progress and the timer that ends it."""
-
-    __slots__ = ('number', 'ends', 'checkpoint')
-
-    def __init__(
-        self, number: int, ends: asyncio.TimerHandle, checkpoint: str
-    ) -> None:
-        self.number = number
-        self.ends = ends
-        self.checkpoint = checkpoint
+    identifier: str
+    body: Body
 
 
 class PlatformRunner(chivespoke_web.RouteProvider, application.Component):
     """Run tasks for a fixed time, under a lease and fencing tokens."""
 
     __slots__ = (
-        'identifier',
         'faults',
         'advisor',
         'began',
         'paces',
+        'address',
+        'draining',
+        'seconds',
         '_service',
         '_zone',
-        '_seconds',
-        '_running',
-        '_ended',
-        '_over',
-        '_fence',
-        '_until',
-        '_born',
-        '_sequence',
+        '_boot',
         '_tasks',
-        '_changed',
         '_ledger',
         '_control',
-        'address',
-        'draining',
-        'number',
+        '_session',
     )
 
     def __init__(
@@ -90,46 +64,36 @@
         service: str,
         zone: str,
         seconds: float,
-        ledger: 'RunLedger',
+        ledger: _run_ledger.RunLedger,
+        born_ms: int = 1,
     ) -> None:
-        self.identifier = identifier
-        self.faults = RunnerFaults()
+        self.faults = _runner_faults.RunnerFaults()
         # If set, a start needs a valid ticket of this advisor.
         self.advisor: _advisor.PlatformAdvisor | None = None
-        self.began: list[Ran] = []
+        # The started runs of all boots.
+        self.began: list[_run_ledger.Ran] = []
         # Last requested percentage of the full speed, by task.
         self.paces: dict[str, int] = {}
         self.draining = False
         self.address = ''
-        # Sequence number of the last ended run.
-        self.number = 0
+        # Run time of a task.
+        self.seconds = seconds
         self._service = service
         self._zone = zone
-        # Run time of a task.
-        self._seconds = seconds
-        self._running: dict[str, _Run] = {}
-        # Rows of ``ended_runs`` that are not acknowledged yet.
-        self._ended: list[list[typing.Any]] = []
-        # Highest identifier of a run that was stopped or ended, by task.
-        self._over: dict[str, int] = {}
-        # Highest fencing token seen.
-        self._fence = 0
-        # Clock reading in milliseconds at which the lease expires.
-        self._until = 0.0
-        # Incarnation; a crash increases it.
-        self._born = 1
-        self._sequence = 0
-        self._tasks = application.TaskOwner()
-        self._changed = asyncio.Event()
         self._ledger = ledger
+        self._boot = _runner_boot.RunnerBoot(
+            identifier, born_ms, 0.0, self.faults, ledger, self.began
+        )
+        self._tasks = application.TaskOwner()
         self._control = ''
+        self._session: aiohttp.ClientSession | None = None
 
     def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
         return (
             web.post('/run-start', self._handle_start),
             web.post('/run-stop', self._handle_stop),
-            web.post('/hold', self._renew_lease),
-            web.post('/pace', self._set_pace),
+            web.post('/hold', self._handle_hold),
+            web.post('/pace', self._handle_pace),
         )
 
     def make_server(self) -> chivespoke_web.HttpServer:
@@ -139,6 +103,9 @@
     def register_at(self, control: str) -> None:
         """Start to register at a control address periodically."""
         self._control = control
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=REGISTRATION_TIMEOUT_SECONDS)
+        )
         self._tasks.spawn(self._register_periodically())
 
     async def start(self) -> None:
@@ -146,200 +113,243 @@
 
     async def stop(self) -> None:
         await self._tasks.cancel()
+        if self._session is not None:
+            await self._session.close()
+
+    @property
+    def identifier(self) -> str:
+        """Return the identifier of the current boot."""
+        return self._boot.identifier
+
+    @property
+    def born_ms(self) -> int:
+        """Return the start of the current boot, in milliseconds."""
+        return self._boot.born_ms
+
+    @property
+    def number(self) -> int:
+        """Return the number of runs that have ended in the current boot."""
+        return self._boot.number
 
     @property
     def running(self) -> frozenset[str]:
         """Return the running tasks."""
-        return frozenset(self._running)
+        return self._boot.running
+
+    def read_clock(self) -> int:
+        """Return the reading of the current boot's clock in milliseconds."""
+        return self._boot.read_clock()
 
     def crash(self) -> None:
-        """Lose all state and restart as a new incarnation of the worker."""
-        for task, run in tuple(self._running.items()):
-            run.ends.cancel()
-            self._ledger.record_end(task)
-        self._running.clear()
-        self._ended.clear()
-        self._over.clear()
-        self._fence = 0
-        self._until = 0.0
-        self.number = 0
-        self._sequence = 0
-        self._born += 1
-
-    def _read_clock(self) -> int:
-        return int(asyncio.get_running_loop().time() * 1000)
+        """Lose all state and restart as a new incarnation of the worker.
+
+        The clock runs on.
+        """
+        self._replace_boot(
+            self.identifier, self.born_ms + 1, self._boot.clock_origin
+        )
+
+    def restart(
+        self, born_ms: int | None = None, identifier: str | None = None
+    ) -> None:
+        """Lose all state and start a new boot, whose clock starts at 0.
+
+        The identifier stays the same by default.
+        """
+        self._replace_boot(
+            self.identifier if identifier is None else identifier,
+            self.born_ms + 1 if born_ms is None else born_ms,
+            asyncio.get_running_loop().time(),
+        )
+
+    def exit(self) -> None:
+        """Lose all state and break all connections until a restart."""
+        self._boot.end()
+
+    def make_registration(self) -> RunnerRegistration:
+        """Return the next registration of the current boot."""
+        self._boot.sequence += 1
+        return RunnerRegistration(
+            self.identifier,
+            {
+                'service': self._service,
+                'address': self.address,
+                'zone': self._zone,
+                'version': 'v1',
+                'slots': 8,
+                'state': 'draining' if self.draining else 'ready',
+                'capacity': CAPACITY,
+                'labels': ['a', 'r1-1'],
+                'clock_ms': self.read_clock(),
+                'sequence': self._boot.sequence,
+                'born': self.born_ms,
+            },
+        )
+
+    async def send_registration(
+        self, registration: RunnerRegistration
+    ) -> bool:
+        """Send a registration; return whether it was acknowledged."""
+        return await self._call_control(
+            'PUT', registration.identifier, registration.body
+        )
+
+    async def deregister(self) -> bool:
+        """Send a deregistration; return whether it was acknowledged.
+
+        The worker registers no more and runs on; a test that ends it calls
+        exit().
+        """
+        self.faults.skips_registration = True
+        return await self._call_control('DELETE', self.identifier, None)
+
+    def _replace_boot(
+        self, identifier: str, born_ms: int, clock_origin: float
+    ) -> None:
+        self._boot.end()
+        self._boot = _runner_boot.RunnerBoot(
+            identifier,
+            born_ms,
+            clock_origin,
+            self.faults,
+            self._ledger,
+            self.began,
+        )
 
     async def _register_periodically(self) -> None:
-        async with aiohttp.ClientSession() as session:
-            while True:
-                self._sequence += 1
-                body = {
-                    'service': self._service,
-                    'address': self.address,
-                    'zone': self._zone,
-                    'version': 'v1',
-                    'slots': 8,
-                    'state': 'draining' if self.draining else 'ready',
-                    'capacity': {'cpu': 8000, 'mem_mb': 32000, 'gpu': 0},
-                    'labels': ['a', 'r1-1'],
-                    'sequence': self._sequence,
-                    'born': self._born,
-                }
-                url = f'http://{self._control}/instances/{self.identifier}'
-                try:
-                    async with session.put(url, json=body):
-                        pass
-                except aiohttp.ClientError:
-                    # The control address may not listen yet; retried later.
-                    pass
-                await asyncio.sleep(REGISTRATION_INTERVAL_SECONDS)
+        while True:
+            if not (self.faults.skips_registration or self._boot.ended):
+                # The control address may not listen yet; retried later.
+                await self.send_registration(self.make_registration())
+            await asyncio.sleep(REGISTRATION_INTERVAL_SECONDS)
+
+    async def _call_control(
+        self, method: str, identifier: str, body: Body | None
+    ) -> bool:
+        assert self._session is not None
+        url = f'http://{self._control}/instances/{identifier}'
+        try:
+            async with self._session.request(
+                method, url, json=body
+            ) as response:
+                return response.ok
+        except (aiohttp.ClientError, asyncio.TimeoutError):
+            return False
 
     async def _enforce_lease(self) -> None:
         while True:
-            await asyncio.sleep(0.01)
-            if self._read_clock() > self._until:
-                for task in tuple(self._running):
-                    self._end_run(task, 'lapsed')
+            await asyncio.sleep(LEASE_CHECK_INTERVAL_SECONDS)
+            self._boot.enforce_lease()
 
     async def _handle_start(self, request: web.Request) -> web.Response:
-        body = msgspec.json.decode(await request.read())
-        if self.faults.unhealthy_starts:
-            self.faults.unhealthy_starts -= 1
+        if self.faults.use_up('unhealthy_starts'):
             return web.Response(status=503)
-        if self.faults.late_starts:
-            self.faults.late_starts -= 1
-            asyncio.get_running_loop().call_later(
-                self.faults.late_seconds, self._start_run, body
-            )
-            await asyncio.sleep(3600)
-        reason = self._start_run(body)
-        return self._make_response({'reason': reason} if reason else {})
+        reason = await self._execute(request, 'starts', self._start_run)
+        return self._make_response(reason, {})
 
-    def _start_run(self, body: dict[str, typing.Any]) -> str:
-        task, number = body['task'], body['run_id']
-        if body['fencing_token'] < self._fence:
-            return 'fence'
-        self._fence = body['fencing_token']
-        current = self._running.get(task)
-        if current is not None and current.number == number:
-            return ''
-        if number <= self._over.get(task, 0) or current is not None:
-            return 'old'
-        if body['deadline_ms'] < self._read_clock():
-            return 'late'
-        step, _, _ = task.rpartition('.')
-        if self.advisor is not None and not self.advisor.is_valid(
-            step, self.identifier, body.get('ticket', '')
-        ):
-            return 'ticket'
-        self._until = max(self._until, body['deadline_ms'])
-        checkpoint = body.get('checkpoint', '')
-        cause = 'failed' if self.faults.fails_all else 'done'
-        ends = asyncio.get_running_loop().call_later(
-            LONG_RUNNING_SECONDS
-            if body['spec'] == LONG_RUNNING_PAYLOAD
-            else self._seconds,
-            self._end_run,
-            task,
-            cause,
+    async def _handle_stop(self, request: web.Request) -> web.Response:
+        reason = await self._execute(
+            request, 'stops', lambda body: self._boot.stop_run(body)
         )
-        self._running[task] = _Run(number, ends, checkpoint)
-        self.began.append(Ran(task, number, checkpoint))
-        self._ledger.record_start(task)
-        return ''
-
-    def _end_run(self, task: str, cause: str) -> None:
-        run = self._running.pop(task, None)
-        if run is None:
-            return
-        run.ends.cancel()
-        self._over[task] = max(self._over.get(task, 0), run.number)
-        self.number += 1
-        self._ended.append(
-            [self.number, task, run.number, cause, run.checkpoint]
+        return self._make_response(reason, {})
+
+    async def _handle_hold(self, request: web.Request) -> web.Response:
+        if self.faults.is_hold_stalled():
+            await withhold_response()
+        boot = self._boot
+        reason = await self._execute(
+            request, 'holds', lambda body: self._boot.hold(body)
         )
-        self._ledger.record_end(task)
-        self._changed.set()
-
-    async def _handle_stop(self, request: web.Request) -> web.Response:
+        if reason:
+            return self._make_response(reason, {})
+        wait_ms = msgspec.json.decode(await request.read()).get('wait_ms', 0)
+        boot.changed.clear()
+        if wait_ms and not boot.has_ends():
+            await application.wait_for_event(boot.changed, wait_ms / 1000)
+        if boot.ended:
+            await break_connection(request)
+        return self._make_response('', boot.list_runs())
+
+    async def _handle_pace(self, request: web.Request) -> web.Response:
+        reason = await self._execute(request, 'paces', self._set_pace)
+        return self._make_response(reason, {})
+
+    async def _execute(
+        self,
+        request: web.Request,
+        calls: str,
+        execute: collections.abc.Callable[[Body], str],
+    ) -> str:
+        """Execute a call under the faults of its kind.
+
+        Return the reason of its refusal, or an empty string.
+        """
+        target = request.headers.get(TARGET_HEADER, self.identifier)
         body = msgspec.json.decode(await request.read())
-        if body['fencing_token'] < self._fence:
-            return self._make_response({'reason': 'fence'})
-        self._fence = body['fencing_token']
-        task, number = body['task'], body['run_id']
-        self._over[task] = max(self._over.get(task, 0), number)
-        current = self._running.get(task)
-        if current is not None and current.number <= number:
+        if self._boot.ended:
+            await break_connection(request)
+        if self.faults.use_up(f'late_{calls}'):
             asyncio.get_running_loop().call_later(
-                STOP_DELAY_SECONDS, self._end_run, task, 'stopped'
+                self.faults.late_seconds,
+                self._execute_if_addressed,
+                target,
+                execute,
+                body,
             )
-        return self._make_response({})
+            await withhold_response()
+        reason = self._execute_if_addressed(target, execute, body)
+        if self.faults.use_up(f'lost_{calls}'):
+            await withhold_response()
+        return reason
 
-    async def _renew_lease(self, request: web.Request) -> web.Response:
-        body = msgspec.json.decode(await request.read())
-        if body['fencing_token'] < self._fence:
-            return self._make_response({'reason': 'fence'})
-        self._fence = body['fencing_token']
-        self._until = max(self._until, body.get('deadline_ms', 0))
-        cursor = body['ack_cursor']
-        for row in self._ended:
-            if row[0] <= cursor and row[3] == 'done':
-                self._ledger.record_completion(row[1])
-        self._ended = [row for row in self._ended if row[0] > cursor]
-        self._changed.clear()
-        if not self._ended and body.get('wait_ms', 0):
-            await application.wait_for_event(
-                self._changed, body['wait_ms'] / 1000
-            )
-        return self._make_response(
-            {
-                'running': [
-                    [task, run.number, run.checkpoint, 50, 100]
-                    for task, run in self._running.items()
-                ],
-                'ended_runs': self._ended,
-                'born': self._born,
-            }
+    def _execute_if_addressed(
+        self,
+        target: str,
+        execute: collections.abc.Callable[[Body], str],
+        body: Body,
+    ) -> str:
+        if self._boot.ended or target != self.identifier:
+            return MISDIRECTED
+        return execute(body)
+
+    def _start_run(self, body: Body) -> str:
+        is_long_running = body['spec'] == LONG_RUNNING_PAYLOAD
+        step, _, _ = body['task'].rpartition('.')
+        return self._boot.start_run(
+            body,
+            LONG_RUNNING_SECONDS if is_long_running else self.seconds,
+            self.advisor is None
+            or self.advisor.is_valid(
+                step, self.identifier, body.get('ticket', '')
+            ),
         )
 
-    async def _set_pace(self, request: web.Request) -> web.Response:
-        body = msgspec.json.decode(await request.read())
+    def _set_pace(self, body: Body) -> str:
+        if not self._boot.admit(body):
+            return 'fence'
         self.paces[body['task']] = body['percent']
-        return self._make_response({})
+        return ''
 
-    def _make_response(self, body: dict[str, typing.Any]) -> web.Response:
+    def _make_response(self, reason: str, body: Body) -> web.Response:
+        if reason == MISDIRECTED:
+            return web.Response(status=421)
+        if reason:
+            body = {'reason': reason}
         return web.Response(
-            status=409 if body.get('reason') else 200,
-            body=msgspec.json.encode({'clock_ms': self._read_clock(), **body}),
+            status=409 if reason else 200,
+            body=msgspec.json.encode({'clock_ms': self.read_clock(), **body}),
             content_type='application/json',
         )
 
 
-class RunLedger:
-    """Detect tasks that run twice, across all workers."""
-
-    __slots__ = ('broken', '_running', '_done')
-
-    def __init__(self) -> None:
-        self.broken: list[str] = []
-        self._running: set[str] = set()
-        # Tasks whose completion was acknowledged.
-        self._done: set[str] = set()
-
-    def record_start(self, task: str) -> None:
-        """Record that a run of a task has started."""
-        if task in self._running:
-            self.broken.append(f'{task} has two concurrent runs')
-        if task in self._done:
-            self.broken.append(
-                f'{task} started again after its completion was acknowledged'
-            )
-        self._running.add(task)
+async def withhold_response() -> typing.NoReturn:
+    """Wait until the server stops."""
+    while True:
+        await asyncio.sleep(3600)
 
-    def record_end(self, task: str) -> None:
-        """Record that the run of a task has ended."""
-        self._running.discard(task)
 
-    def record_completion(self, task: str) -> None:
-        """Record that the completion of a task was acknowledged."""
-        self._done.add(task)
+async def break_connection(request: web.Request) -> typing.NoReturn:
+    """Break the connection of a request."""
+    if request.transport is not None:
+        request.transport.abort()
+    await withhold_response()
--- /dev/null
+++ b/chivespoke/standins/_runner_faults.py
@@ -0,0 +1,49 @@
+"""The faults and limits of the fake worker."""
+
+import msgspec
+
+
+class RunnerFaults(msgspec.Struct):
+    """Configure the faults that the worker injects, and its limits.
+
+    A late call gets no response and takes effect after ``late_seconds``, on
+    the boot that then has the identifier that the call names. A lost call
+    takes effect at once and gets no response.
+    """
+
+    # Numbers of calls.
+    late_starts: int = 0
+    late_stops: int = 0
+    late_holds: int = 0
+    late_paces: int = 0
+    lost_starts: int = 0
+    lost_stops: int = 0
+    lost_holds: int = 0
+    lost_paces: int = 0
+    late_seconds: float = 0.2
+    # Number of starts that are refused with status 503, as by an unhealthy
+    # worker.
+    unhealthy_starts: int = 0
+    # Whether every start is refused for lack of capacity.
+    full: bool = False
+    # Whether /hold gets no response and has no effect, after
+    # ``holds_before_stall`` more calls.
+    holds_stall: bool = False
+    holds_before_stall: int = 0
+    # Whether the worker does not register.
+    skips_registration: bool = False
+    # Whether every task fails at its end.
+    fails_all: bool = False
+    # Longest lease, None if leases are not limited.
+    max_hold_ms: int | None = None
+
+    def use_up(self, fault: str) -> bool:
+        """Return whether a counted fault is due, and count it down."""
+        count: int = getattr(self, fault)
+        if count:
+            setattr(self, fault, count - 1)
+        return count > 0
+
+    def is_hold_stalled(self) -> bool:
+        """Return whether the next /hold stalls, and count it."""
+        return self.holds_stall and not self.use_up('holds_before_stall')
