Limit leases in whole-path tests and report progress of runs

The stand-in of the worker reports the progress of a run by its time, so that runs of some seconds do not look stalled, and lists the reasons of refused calls. In whole-path tests leases have the limit of the settings, workers a time of birth like real ones, and some may register later.

--- a/chivespoke/serving/tests/builders.py
+++ b/chivespoke/serving/tests/builders.py
@@ -24,6 +24,9 @@
 HOST = 'queue.example'
 PREFIX = '/jobs/'
 TASK_SECONDS = 0.3
+MAX_HOLD_MS = 10_000
+# Start of each worker's first boot.
+BORN_MS = 1_790_000_000_000
 FIRST_PORT = 7000
 # Part of the loopback addresses: each test process has its own block.
 LOOPBACK_BLOCK = (100 + os.getpid() // 62500 % 100, os.getpid() // 250 % 250)
@@ -40,7 +43,7 @@
 readiness = "{ip}:8167"
 control = "{ip}:8166"
 [bounds]
-max_hold_ms = 10000
+max_hold_ms = {max_hold_ms}
 [platform]
 address = "{store}"
 min_ttl_ms = 1000
@@ -102,6 +105,8 @@
         # Port of the store's server that each entry uses.
         self.store_ports: list[int] = []
         self.sidecars: list[Daemon] = []
+        # Indices of the workers that do not register at first.
+        self.unregistered: frozenset[int] = frozenset()
         self._servers: list[web.HttpServer] = []
         self._folder = tempfile.TemporaryDirectory()
         self._stack = contextlib.AsyncExitStack()
@@ -130,9 +135,16 @@
             )
         for number in range(workers):
             runner = standins.PlatformRunner(
-                f'i-{number}', SERVICE, 'zone-1', TASK_SECONDS, self.ledger
+                f'i-{number}',
+                SERVICE,
+                'zone-1',
+                TASK_SECONDS,
+                self.ledger,
+                BORN_MS,
             )
             runner.advisor = self.advisor
+            runner.faults.max_hold_ms = MAX_HOLD_MS
+            runner.faults.skips_registration = number in self.unregistered
             runner.address = await self._start_server(runner.make_server())
             await runner.start()
             self.runners.append(runner)
@@ -265,6 +277,7 @@
             SETTINGS_TEMPLATE.format(
                 name=name,
                 kind=kind,
+                max_hold_ms=MAX_HOLD_MS,
                 ip=ip,
                 port=FIRST_PORT,
                 worker=worker,
--- a/chivespoke/standins/_runner.py
+++ b/chivespoke/standins/_runner.py
@@ -45,6 +45,7 @@
         'faults',
         'advisor',
         'began',
+        'refusals',
         'paces',
         'address',
         'draining',
@@ -72,6 +73,8 @@
         self.advisor: _advisor.PlatformAdvisor | None = None
         # The started runs of all boots.
         self.began: list[_run_ledger.Ran] = []
+        # Reasons of the refused calls, in order.
+        self.refusals: list[str] = []
         # Last requested percentage of the full speed, by task.
         self.paces: dict[str, int] = {}
         self.draining = False
@@ -331,6 +334,8 @@
         return ''
 
     def _make_response(self, reason: str, body: Body) -> web.Response:
+        if reason:
+            self.refusals.append(reason)
         if reason == MISDIRECTED:
             return web.Response(status=421)
         if reason:
--- a/chivespoke/standins/_runner_boot.py
+++ b/chivespoke/standins/_runner_boot.py
@@ -8,6 +8,8 @@
 
 # Delay between a stop order and the end of the run.
 STOP_DELAY_SECONDS = 0.02
+# Processor time in use, or tail latency, of every run.
+MEASURE = 100
 # Maximum number of ended runs in one response.
 MAX_LISTED_ENDS = 500
 
@@ -15,14 +17,20 @@
 class _Run:
     """Hold a run in progress and the timer that ends it."""
 
-    __slots__ = ('ran', 'ends')
+    __slots__ = ('ran', 'seconds', 'ends')
 
     def __init__(
-        self, ran: _run_ledger.Ran, ends: asyncio.TimerHandle
+        self, ran: _run_ledger.Ran, seconds: float, ends: asyncio.TimerHandle
     ) -> None:
         self.ran = ran
+        self.seconds = seconds
         self.ends = ends
 
+    def measure_progress(self) -> int:
+        """Return the completed percentage of the run."""
+        remaining = self.ends.when() - asyncio.get_running_loop().time()
+        return int(100 * (1 - max(0.0, remaining) / self.seconds))
+
 
 class _End:
     """Hold the end of a run that is not acknowledged yet."""
@@ -157,7 +165,7 @@
         ends = asyncio.get_running_loop().call_later(
             seconds, self._end_run, task, cause
         )
-        self._running[task] = _Run(ran, ends)
+        self._running[task] = _Run(ran, seconds, ends)
         self._began.append(ran)
         self._ledger.record_start(ran)
         return ''
@@ -197,7 +205,13 @@
         """Return the lists of runs as a response shows them."""
         return {
             'running': [
-                [task, run.ran.run, run.ran.checkpoint, 50, 100]
+                [
+                    task,
+                    run.ran.run,
+                    run.ran.checkpoint,
+                    run.measure_progress(),
+                    MEASURE,
+                ]
                 for task, run in self._running.items()
             ],
             'ended_runs': [
--- a/chivespoke/standins/tests/test_runner.py
+++ b/chivespoke/standins/tests/test_runner.py
@@ -170,6 +170,7 @@
         )
         self.assertEqual([], self.runner.began)
         self.assertEqual({}, self.runner.paces)
+        self.assertEqual(['misdirected'] * 4, self.runner.refusals)
 
     async def test_poll_of_an_ended_boot_breaks(self) -> None:
         await self.start_run()
@@ -313,6 +314,18 @@
         self.runner.faults.holds_stall = False
         await self.poll()
 
+    async def test_progress_of_a_run_is_its_share_of_the_time(self) -> None:
+        self.runner.seconds = 0.5
+        await self.start_run()
+        shares = []
+        while self.runner.running:
+            for row in (await self.poll()).running:
+                shares.append(row.progress)
+            await asyncio.sleep(0.05)
+        self.assertEqual(sorted(shares), shares)
+        self.assertLess(shares[0], shares[-1])
+        self.assertLessEqual(shares[-1], 100)
+
     async def test_full_worker_refuses_starts(self) -> None:
         await self.start_run()
         self.runner.faults.full = True
