Stop a run whose refused order was repeated

Awaiting the outcome of the repetition could go on for ever: where reports take longer than the 0.7 s after which orders are repeated, each refusal finds a later repetition on its way. The whole-path test of a repeated order that crosses an unhealthy refusal did not complete its job in 40 s. The run is stopped instead: the stop bars all repetitions, and its outcome releases the task.

--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -273,7 +273,7 @@
             return
         if outcome.refusal is not None and run.ordered_in > applied:
             LOGGER.info(
-                'A refused order was repeated; its outcome is awaited.',
+                'A refused order was repeated; the run is stopped.',
                 task=outcome.task,
                 run=outcome.run,
                 worker=worker.incarnation.key,
@@ -281,6 +281,11 @@
                 ordered_in=run.ordered_in,
                 applied=applied,
             )
+            # Further repetitions could cross each refusal. The outcome of the
+            # stop covers all of them.
+            if run.state is not _fleet.RunState.STOPPING:
+                run.state = _fleet.RunState.STOPPING
+                run.sent_at = None
             return
         self._state.order_window.release(run.order_key)
         if outcome.refusal is None:
