Start nothing on a worker while another life of it has registered

The sidecar now refuses starts, which is true, until the worker has answered another poll, and drops the registration if it has.

--- a/chivespoke/agents/_agent.py
+++ b/chivespoke/agents/_agent.py
@@ -23,9 +23,6 @@
 # Delay of a report after a change, so that runs that end at about the same
 # time share one report.
 BATCH_DELAY_SECONDS = 0.003
-# Time for which a registration of another incarnation is kept: an incarnation
-# that lives registers again within it.
-PENDING_REGISTRATION_SECONDS = 3.0
 # Concurrent calls to the worker: the status poll and the orders of one
 # directive.
 WORKER_CONNECTIONS = 24
@@ -82,9 +79,9 @@
         self._report_due = asyncio.Event()
         self._session: _session.Session | None = None
         self._session_count = 0
-        # Last registration of another incarnation while the session's worker
-        # answered, and the monotonic time of its arrival.
-        self._pending: tuple[platform.Registration, float] | None = None
+        # Registration of another incarnation since the session's worker
+        # answered last.
+        self._pending: platform.Registration | None = None
         self._epoch = 0
         # ZeroMQ routing identity of the leader's connection.
         self._leader_identity: bytes | None = None
@@ -156,18 +153,17 @@
                 identifier=registration.identifier,
                 born_ms=registration.born_ms,
             )
-            self._pending = registration, self._clock.read_monotonic()
+            self._pending = registration
+            session.doubt()
             return
         self._adopt(registration)
 
+    def handle_confirmation(self) -> None:
+        self._pending = None
+
     def handle_silence(self) -> None:
-        pending, self._pending = self._pending, None
-        if pending is None:
-            return
-        registration, received_at = pending
-        age = self._clock.read_monotonic() - received_at
-        if age < PENDING_REGISTRATION_SECONDS:
-            self._adopt(registration)
+        if self._pending is not None:
+            self._adopt(self._pending)
 
     def _adopt(self, registration: platform.Registration) -> None:
         """Replace the session by one with another incarnation."""
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -39,6 +39,10 @@
     def request_report(self) -> None:
         """Request a report to the leader."""
 
+    @abc.abstractmethod
+    def handle_confirmation(self) -> None:
+        """Handle that a worker in doubt has answered."""
+
     @abc.abstractmethod
     def handle_silence(self) -> None:
         """Handle that the session's worker does not answer any more."""
@@ -70,6 +74,7 @@
         '_pace_tracker',
         '_fenced',
         '_replaced',
+        '_doubted',
         '_applied',
         '_lapsed',
         '_telemetry',
@@ -118,6 +123,8 @@
         self._fenced = asyncio.Event()
         # Another incarnation of the worker has answered.
         self._replaced = False
+        # Another incarnation has registered since the last poll was sent.
+        self._doubted = False
         # Number of the last directive of the current epoch that was applied.
         self._applied = 0
         # The last report said that all leases have expired.
@@ -142,6 +149,10 @@
         """Return whether the worker answered the last poll."""
         return self._answering
 
+    def doubt(self) -> None:
+        """Start no runs until the worker has answered another poll."""
+        self._doubted = True
+
     def start(self) -> None:
         """Start polling the worker once the session has a fencing token."""
         self._tasks.spawn_loop(self._poll_repeatedly)
@@ -266,6 +277,7 @@
 
     async def _poll_once(self) -> None:
         is_first = self._status is None
+        was_doubted = self._doubted
         status = await self._client.poll(
             self._fence,
             self._acknowledged_end,
@@ -276,6 +288,9 @@
         if status.born_ms not in (0, self.registration.born_ms):
             self._handle_replacement(status)
             return
+        if was_doubted:
+            self._doubted = False
+            self._listener.handle_confirmation()
         self._set_answering(True, '')
         async with self._polled:
             self._status = status
@@ -405,7 +420,7 @@
             return None, True
         may_have_started = order.repeated
         refusal = platform.Refusal.UNHEALTHY
-        if self.registration.draining or self.deregistered or self._replaced:
+        if not self._accepts_starts():
             return refusal, may_have_started
         for _ in range(START_ATTEMPTS):
             try:
@@ -428,6 +443,14 @@
                 return None, True
         return refusal, may_have_started
 
+    def _accepts_starts(self) -> bool:
+        return not (
+            self.registration.draining
+            or self.deregistered
+            or self._replaced
+            or self._doubted
+        )
+
     async def _send_start(
         self, order: coordination.StartOrder, lease_until_ms: int
     ) -> None:
--- a/chivespoke/agents/tests/test_agent.py
+++ b/chivespoke/agents/tests/test_agent.py
@@ -66,6 +66,8 @@
             type(session), 'answering', mock.PropertyMock(return_value=True)
         ):
             self.agent.handle_registration(make_registration(born_ms=2_000))
+        self.agent.handle_confirmation()
+        self.agent.handle_silence()
         self.assertIs(session, self.agent.session)
 
     async def test_worker_with_an_earlier_start_replaces_a_silent_one(
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -28,11 +28,15 @@
 
     def __init__(self) -> None:
         self.report_requested = asyncio.Event()
+        self.confirmations = 0
         self.silences = 0
 
     def request_report(self) -> None:
         self.report_requested.set()
 
+    def handle_confirmation(self) -> None:
+        self.confirmations += 1
+
     def handle_silence(self) -> None:
         self.silences += 1
 
@@ -293,6 +297,18 @@
         self.assertEqual([], self.runner.began)
         self.assertEqual(1, self.listener.silences)
 
+    async def test_worker_in_doubt_starts_nothing_until_it_answers(
+        self,
+    ) -> None:
+        self.session.doubt()
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        outcome = await self.wait_for_outcome()
+        self.assertIs(platform.Refusal.UNHEALTHY, outcome.refusal)
+        while not self.listener.confirmations:
+            await asyncio.sleep(0.02)
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        self.assertIsNone((await self.wait_for_outcome()).refusal)
+
     async def test_first_call_bars_the_calls_of_earlier_sessions(
         self,
     ) -> None:
