Name the worker's incarnation in each command

What callers would see: a task ran twice at once. It was being evicted from a worker, and started elsewhere while the worker went on with it.

Cause: a stop named the task, the attempt and the owner's epoch, not the worker that should carry it out. Whatever answered at the worker's address said "never started here", and the owner recorded that as the end of the attempt. Another worker may be there, where addresses are given out again, and the attempt's own worker may still hold its lease.

Evidence: test_a_task_runs_twice_as_another_worker_answers_its_stop failed before with "invariant never twice at once (job-1/2): attempt 1 on worker-0 beside attempt 2 on worker-1", and passes now.

Change: stops, checkpoints and throttles name the incarnation on which the attempt was placed, as starts do, and any other one refuses them. A refusal releases nothing: the owner renews first, which shows who answers, and without the worker's own word the task waits for the end of its lease.

--- a/chivespoke/scheduling/_link.py
+++ b/chivespoke/scheduling/_link.py
@@ -126,6 +126,8 @@
                 await self._renew()
             await self._send_commands()
         except errors.RefusedError as error:
+            # Its state is not what this process takes it for.
+            self.renewed_at = float('-inf')
             LOGGER.info('A worker refused a request.', error=error)
         except errors.UnavailableError as error:
             self.failures += 1
@@ -317,6 +319,7 @@
                 attempt=attempt,
                 epoch=self.epoch,
                 checkpoint=save,
+                incarnation=self.incarnation,
             )
         )
         self.tracker.record_status(status, self._owner.read_clock())
@@ -335,6 +338,7 @@
                 attempt=attempt,
                 epoch=self.epoch,
                 throttled=throttled,
+                incarnation=self.incarnation,
             )
         )
         self.tracker.record_status(status, self._owner.read_clock())
@@ -346,7 +350,10 @@
         task_id, attempt = self.tracker.get_name(key)
         status = await self.client.checkpoint(
             workers.CheckpointCommand(
-                task_id=task_id, attempt=attempt, epoch=self.epoch
+                task_id=task_id,
+                attempt=attempt,
+                epoch=self.epoch,
+                incarnation=self.incarnation,
             )
         )
         self.tracker.record_status(status, self._owner.read_clock())
--- a/chivespoke/scheduling/tests/test_faults.py
+++ b/chivespoke/scheduling/tests/test_faults.py
@@ -135,6 +135,25 @@
         )
         self.assertEqual(8, cluster.get_report().attempts)
 
+    async def test_a_task_runs_twice_as_another_worker_answers_its_stop(
+        self,
+    ) -> None:
+        """Evict a task while another worker has its worker's address."""
+        cluster = await self._build(3)
+        await builders.submit(cluster, 3, payload=builders.build_payload(300))
+        await cluster.run(5, STEP_SECONDS)
+        evicted = set(cluster.agents[0].runs)
+        self.assertTrue(evicted)
+        client = cluster.connector.clients['memory://0']
+        client.agent = cluster.agents[1]
+        cluster.publish(builders.take_out(builders.build_document(), 'dc1'))
+        await cluster.run(30, STEP_SECONDS)
+        # It still has a lease, so its tasks may not run elsewhere yet.
+        self.assertEqual(evicted, set(cluster.agents[0].runs))
+        await cluster.run(60, STEP_SECONDS)
+        self.assertFalse(cluster.agents[0].runs)
+        self.assertEqual(3, cluster.get_report().running)
+
     async def test_the_owner_process_dies_and_tasks_keep_running(self) -> None:
         cluster = await self._build(3, 2)
         await builders.submit(cluster, 20, payload=builders.build_payload(20))
--- a/chivespoke/standins/_worker.py
+++ b/chivespoke/standins/_worker.py
@@ -119,12 +119,7 @@
         """Start an attempt, or record that it will never start."""
         self.advance_runs()
         self._check_epoch(command.epoch)
-        if command.incarnation != self.registration.incarnation:
-            raise errors.RefusedError(
-                'start an attempt',
-                self.registration.worker_id,
-                'the permit is for another incarnation',
-            )
+        self._check_incarnation(command.incarnation)
         key = (command.task_id, command.attempt)
         if key in self._tombstones:
             return self._tombstones[key][0]
@@ -148,6 +143,7 @@
         """Stop an attempt; an unknown attempt is barred from starting."""
         self.advance_runs()
         self._check_epoch(command.epoch)
+        self._check_incarnation(command.incarnation)
         key = (command.task_id, command.attempt)
         if key in self._tombstones:
             return self._tombstones[key][0]
@@ -170,13 +166,13 @@
         self, command: workers.CheckpointCommand
     ) -> workers.TaskStatus:
         """Save the progress of an attempt, which keeps running."""
-        run = self._get_run(command.task_id, command.attempt, command.epoch)
+        run = self._get_run(command)
         run.saved = run.progress
         return self._make_status(run)
 
     def throttle(self, command: workers.ThrottleCommand) -> workers.TaskStatus:
         """Throttle an attempt, or restore its full speed."""
-        run = self._get_run(command.task_id, command.attempt, command.epoch)
+        run = self._get_run(command)
         run.throttled = command.throttled
         return self._make_status(run)
 
@@ -305,15 +301,13 @@
         )
 
     def _get_run(
-        self,
-        task_id: identifiers.TaskId,
-        attempt: identifiers.Attempt,
-        epoch: int,
+        self, command: workers.CheckpointCommand | workers.ThrottleCommand
     ) -> Run:
         self.advance_runs()
-        self._check_epoch(epoch)
-        run = self.runs.get(task_id)
-        if run is None or run.command.attempt != attempt:
+        self._check_epoch(command.epoch)
+        self._check_incarnation(command.incarnation)
+        run = self.runs.get(command.task_id)
+        if run is None or run.command.attempt != command.attempt:
             raise errors.RefusedError(
                 'find attempt',
                 self.registration.worker_id,
@@ -321,6 +315,14 @@
             )
         return run
 
+    def _check_incarnation(self, incarnation: identifiers.Incarnation) -> None:
+        if incarnation != self.registration.incarnation:
+            raise errors.RefusedError(
+                'check incarnation',
+                self.registration.worker_id,
+                'the command is for another incarnation',
+            )
+
     def _check_epoch(self, epoch: int) -> None:
         if epoch < self.epoch:
             raise errors.RefusedError(
--- a/chivespoke/workers/_messages.py
+++ b/chivespoke/workers/_messages.py
@@ -106,6 +106,9 @@
     # Owner epoch of the shard at the sender; a lower one is stale.
     epoch: int
     checkpoint: bool = False
+    # Incarnation on which the attempt was placed; any other one refuses the
+    # command, as it cannot tell how the attempt ended.
+    incarnation: identifiers.Incarnation = identifiers.Incarnation('')
 
 
 class CheckpointCommand(
@@ -116,6 +119,7 @@
     task_id: identifiers.TaskId
     attempt: identifiers.Attempt
     epoch: int
+    incarnation: identifiers.Incarnation = identifiers.Incarnation('')
 
 
 class ThrottleCommand(
@@ -127,6 +131,7 @@
     attempt: identifiers.Attempt
     epoch: int
     throttled: bool = True
+    incarnation: identifiers.Incarnation = identifiers.Incarnation('')
 
 
 class TaskPhase(enum.Enum):
