Take only a worker's own refusal for one

What callers would see: the tasks of a dead worker were never started again.

Cause: the client took each status but 200 for the worker's refusal, which by its definition had no effect. A refusal does not count as a failed exchange, so a worker whose address answers 502 or 504, as a proxy does in its place, was neither probed nor given up, and a command that had taken effect behind a 504 was said to have had none.

Evidence: test_an_error_on_the_way_counts_as_the_refusal_of_a_worker failed before for each of the statuses 400, 404, 429, 500, 502, 503 and 504 with RefusedError, and passes now. That unreadable answers count as none was so before; a test shows it now.

Change: only 409, with which agents refuse, is a refusal. All else is an unknown outcome, so that commands are repeated under the same attempt and a worker that does not answer itself loses its lease and is given up. Checked with the tests of workers (3 passed) and test_worker_server (1 passed).

--- a/chivespoke/workers/_client.py
+++ b/chivespoke/workers/_client.py
@@ -13,6 +13,9 @@
 
 REQUEST_TIMEOUT_SECONDS = 5.0
 STATUS_OK = 200
+# With any other status, the answer need not be the worker's own, and the
+# command may have taken effect.
+STATUS_REFUSED = 409
 # Longer than the interval between two lease renewals, so that connections
 # are reused.
 KEEP_ALIVE_SECONDS = 45.0
@@ -155,9 +158,13 @@
             raise errors.UnavailableError(
                 step, self._address, repr(error)
             ) from error
-        if response.status != STATUS_OK:
+        if response.status == STATUS_REFUSED:
             detail = response_body.decode(errors='replace')
             raise errors.RefusedError(step, self._address, detail)
+        if response.status != STATUS_OK:
+            raise errors.UnavailableError(
+                step, self._address, f'status {response.status}'
+            )
         try:
             return msgspec.msgpack.decode(response_body, type=response_type)
         except msgspec.MsgspecError as error:
