Let no other worker's owner raise a worker's epoch

What callers would see: a worker that was at work lost its lease and its tasks were started elsewhere; it got no work any more.

Cause: an agent took over the epoch of each request before it looked for whom the request was. The owner of another shard that looks for a worker of its own at this address, or commands an earlier incarnation, counts other epochs. After a higher one the agent refused its own owner.

Evidence: test_a_renewal_for_another_worker_locks_the_owner_out and test_a_command_for_another_incarnation_locks_the_owner_out failed before with "epoch 2 is older than 9", and pass now.

Change: the agent answers a renewal for another worker with its heartbeat, so that the sender learns who is there, and takes nothing from it. It looks at the incarnation that a command names before it looks at the epoch. A renewal for an earlier incarnation of the worker itself still raises it, as it comes from the same shard. Three more tests show what held before: a refused start is refused again, a stopped attempt cannot start later, and another incarnation takes no command and no lease. Checked with test_worker (5 passed).

--- a/chivespoke/standins/_worker.py
+++ b/chivespoke/standins/_worker.py
@@ -86,8 +86,13 @@
         ] = {}
 
     def renew(self, renewal: workers.LeaseRenewal) -> workers.Heartbeat:
-        """Extend the lease; refuse a stale owner."""
+        """Extend the lease; refuse a stale owner.
+
+        The owner of another worker's shard only learns who answers here.
+        """
         self.advance_runs()
+        if renewal.worker_id != self.registration.worker_id:
+            return self.make_heartbeat()
         self._check_epoch(renewal.epoch)
         if renewal.incarnation == self.registration.incarnation:
             self.lease_until = max(self.lease_until, renewal.lease_until)
@@ -118,8 +123,7 @@
     def start(self, command: workers.StartCommand) -> workers.TaskStatus:
         """Start an attempt, or record that it will never start."""
         self.advance_runs()
-        self._check_epoch(command.epoch)
-        self._check_incarnation(command.incarnation)
+        self._check_sender(command.incarnation, command.epoch)
         key = (command.task_id, command.attempt)
         if key in self._tombstones:
             return self._tombstones[key][0]
@@ -142,8 +146,7 @@
     def stop(self, command: workers.StopCommand) -> workers.TaskStatus:
         """Stop an attempt; an unknown attempt is barred from starting."""
         self.advance_runs()
-        self._check_epoch(command.epoch)
-        self._check_incarnation(command.incarnation)
+        self._check_sender(command.incarnation, command.epoch)
         key = (command.task_id, command.attempt)
         if key in self._tombstones:
             return self._tombstones[key][0]
@@ -304,8 +307,7 @@
         self, command: workers.CheckpointCommand | workers.ThrottleCommand
     ) -> Run:
         self.advance_runs()
-        self._check_epoch(command.epoch)
-        self._check_incarnation(command.incarnation)
+        self._check_sender(command.incarnation, command.epoch)
         run = self.runs.get(command.task_id)
         if run is None or run.command.attempt != command.attempt:
             raise errors.RefusedError(
@@ -315,13 +317,20 @@
             )
         return run
 
-    def _check_incarnation(self, incarnation: identifiers.Incarnation) -> None:
+    def _check_sender(
+        self, incarnation: identifiers.Incarnation, epoch: int
+    ) -> None:
+        """Refuse what is meant for another worker, or a stale owner.
+
+        Epochs of another worker's shard say nothing about the own owner.
+        """
         if incarnation != self.registration.incarnation:
             raise errors.RefusedError(
                 'check incarnation',
                 self.registration.worker_id,
                 'the command is for another incarnation',
             )
+        self._check_epoch(epoch)
 
     def _check_epoch(self, epoch: int) -> None:
         if epoch < self.epoch:
