Let a registration elsewhere end nothing

What callers would see: a task ran twice at once, after another incarnation of its worker had registered while the earlier one was at work, for example because it was only cut off and replaced. By the same way, the late registration of an earlier incarnation took the living one's address: its lease ran out, its work was lost and begun again elsewhere, and it never got work again.

Cause: a registration at another address named the worker's id alone and moved its address there. The owner went there, heard another incarnation, and the shard released the tasks of the earlier one at once. That something answers elsewhere does not show that the earlier incarnation has ended; its lease may run for a minute more.

Evidence: test_a_task_runs_twice_as_its_worker_registers_elsewhere failed before with "invariant never twice at once (job-1/1): attempt 1 on worker-0 beside attempt 2 on worker-1"; test_a_late_registration_cuts_off_the_living_incarnation failed before with no run left of four on the living incarnation.

Change: a registration names its incarnation. One of another incarnation is kept beside the present address as a hint. The owner asks there only while the worker does not answer where it was and has no tasks, and adopts who answers; a replacement heard at another address is refused by the shard while the worker has tasks, so that these are released by the end of their lease only. Heard at the same address it still counts at once, as one process at a time has an address. Incarnations are not ordered, neither by a clock nor by arrival: a dead one does not answer. The price is that a worker that starts again elsewhere with tasks waits for the lease of its earlier incarnation.

--- a/chivespoke/scheduling/_api.py
+++ b/chivespoke/scheduling/_api.py
@@ -122,11 +122,18 @@
         worker_number = shard.worker_numbers.get(registration.worker_id)
         if worker_number is None:
             await self._commit(stream, make_registration(registration))
-        elif shard.workers[worker_number].address != registration.address:
+            return
+        worker = shard.workers[worker_number]
+        known = {worker.address}
+        if registration.incarnation != worker.incarnation:
+            known.add(worker.other_address)
+        if registration.address not in known:
             await self._commit(
                 stream,
                 _records.WorkerAddressChanged(
-                    registration.worker_id, registration.address
+                    registration.worker_id,
+                    registration.address,
+                    registration.incarnation,
                 ),
             )
 
--- a/chivespoke/scheduling/_context.py
+++ b/chivespoke/scheduling/_context.py
@@ -44,6 +44,10 @@
     def may_start_in(self, name: identifiers.DataCentreName) -> bool:
         """Return whether tasks may start in a data centre."""
 
+    @abc.abstractmethod
+    def connect(self, address: str) -> workers.WorkerClient:
+        """Return a client for the worker at an address."""
+
     @abc.abstractmethod
     def propose(self, record: _records.Record) -> None:
         """Queue a record for the next batch; skip recent duplicates."""
--- a/chivespoke/scheduling/_link.py
+++ b/chivespoke/scheduling/_link.py
@@ -76,12 +76,10 @@
         self.giving_up = False
         self._owner = owner
 
-    def change_address(
-        self, address: str, connector: workers.WorkerConnector
-    ) -> None:
+    def change_address(self, address: str) -> None:
         """Use another address of the same worker; its leases stay valid."""
         self.address = address
-        self.client = connector.connect(address)
+        self.client = self._owner.connect(address)
 
     def is_lease_expired(self, now: float) -> bool:
         """Return whether every lease that the worker may hold has expired."""
@@ -114,6 +112,14 @@
     async def exchange(self, renew: bool = False) -> None:
         """Renew the lease if due, then send the commands that are due."""
         self.busy = True
+        try:
+            await self._exchange(renew)
+            if self.failures:
+                await self._look_elsewhere()
+        finally:
+            self.busy = False
+
+    async def _exchange(self, renew: bool) -> None:
         now = self._owner.read_clock()
         self.tried_at = now
         try:
@@ -132,8 +138,36 @@
         except errors.UnavailableError as error:
             self.failures += 1
             LOGGER.debug('A worker did not answer.', error=error)
-        finally:
-            self.busy = False
+
+    async def _look_elsewhere(self) -> None:
+        """Ask who answers at the address of another incarnation.
+
+        An answer there does not show that the present one has ended. While the
+        worker has tasks, they wait for the end of its lease.
+        """
+        worker = self._get_worker()
+        address = worker.other_address
+        if not address or worker.tasks:
+            return
+        try:
+            self._check_ownership()
+            epoch = self.epoch
+            heartbeat = await self._owner.connect(address).renew(
+                workers.LeaseRenewal(
+                    worker_id=worker.worker_id,
+                    epoch=epoch,
+                    lease_until=float('-inf'),
+                    incarnation=self.incarnation,
+                )
+            )
+        except (errors.RefusedError, errors.UnavailableError) as error:
+            LOGGER.debug('No worker answers elsewhere.', error=error)
+            return
+        if (
+            heartbeat.worker_id == worker.worker_id
+            and heartbeat.incarnation != self.incarnation
+        ):
+            self._replace_incarnation(heartbeat, epoch, address)
 
     async def _renew(self) -> None:
         if self.clock_reading is None or not self.contacted:
@@ -151,6 +185,7 @@
         owner = self._owner
         self._check_ownership()
         epoch = self.epoch
+        address = self.address
         self.max_lease_until = max(self.max_lease_until, lease_until)
         heartbeat = await self.client.renew(
             workers.LeaseRenewal(
@@ -169,7 +204,7 @@
                 'another worker answered at its address',
             )
         if heartbeat.incarnation != self.incarnation:
-            self._replace_incarnation(heartbeat, epoch)
+            self._replace_incarnation(heartbeat, epoch, address)
             return
         # A lease of an earlier owner may end later than those of this owner.
         # It cannot be extended, as the worker now knows this epoch.
@@ -211,7 +246,7 @@
         return max(lease, self.max_lease_until)
 
     def _replace_incarnation(
-        self, heartbeat: workers.Heartbeat, epoch: int
+        self, heartbeat: workers.Heartbeat, epoch: int, address: str
     ) -> None:
         worker = self._get_worker()
         self._owner.propose(
@@ -221,7 +256,7 @@
                 worker.data_centre,
                 worker.rack,
                 worker.capacity,
-                worker.address,
+                address,
                 epoch,
                 # The incarnation to which the request was sent. If the shard
                 # has a newer one by now, this late answer must not
--- a/chivespoke/scheduling/_membership.py
+++ b/chivespoke/scheduling/_membership.py
@@ -30,6 +30,8 @@
             return Refusal.STALE_EPOCH
         if record.previous != known.incarnation:
             return Refusal.STALE_INCARNATION
+        if record.address != known.address and known.tasks:
+            return Refusal.WORKER_HAS_TASKS
         _requeue_tasks(shard, number)
     shard.workers[number] = _state.Worker(
         worker_id=record.worker_id,
@@ -124,14 +126,24 @@
 def change_worker_address(
     shard: _state.Shard, record: _records.WorkerAddressChanged, offset: int
 ) -> Refusal | None:
-    """Change a worker's address; its tasks and leases stay valid."""
+    """Change a worker's address; its tasks and leases stay valid.
+
+    Whether the address of another incarnation is that of a later one, its
+    registration does not tell: it may be late itself.
+    """
     del offset
     number = shard.worker_numbers.get(record.worker_id)
     if number is None:
         return Refusal.UNKNOWN_WORKER
-    if shard.workers[number].address == record.address:
+    worker = shard.workers[number]
+    if record.address == worker.address:
         return Refusal.NOTHING_CHANGED
-    shard.workers[number].address = record.address
+    if record.incarnation in ('', worker.incarnation):
+        worker.address = record.address
+    elif record.address == worker.other_address:
+        return Refusal.NOTHING_CHANGED
+    else:
+        worker.other_address = record.address
     return None
 
 
--- a/chivespoke/scheduling/_owner.py
+++ b/chivespoke/scheduling/_owner.py
@@ -163,6 +163,9 @@
         out = _configuration.list_out_of_service(self.document)
         return name not in out and name not in self.shard.out_of_service
 
+    def connect(self, address: str) -> workers.WorkerClient:
+        return self._connector.connect(address)
+
     def propose(self, record: _records.Record) -> None:
         key = _records.encode_record(record)
         now = self.read_clock()
@@ -377,6 +380,8 @@
                     self.shard.worker_numbers[record.worker_id]
                 )
                 self.placer.active_jobs.update(self.shard.jobs)
+            case _records.WorkerAddressChanged():
+                self._check_address(record.worker_id)
             case _records.JobSubmitted():
                 self.placer.active_jobs.add(self.shard.next_job - 1)
             case _records.ConfigurationObserved():
@@ -418,7 +423,7 @@
             if link is None or link.incarnation != worker.incarnation:
                 link = self._open_link(number)
             elif link.address != worker.address and not link.busy:
-                link.change_address(worker.address, self._connector)
+                link.change_address(worker.address)
             if link.is_due(now):
                 self._tasks.spawn(link.exchange())
         self._workers_to_check.clear()
@@ -429,11 +434,19 @@
             self,
             number,
             worker,
-            self._connector.connect(worker.address),
+            self.connect(worker.address),
         )
         self.links[number] = link
         return link
 
+    def _check_address(self, worker_id: identifiers.WorkerId) -> None:
+        """Renew a worker's lease next, as it may be elsewhere by now."""
+        number = self.shard.worker_numbers[worker_id]
+        link = self.links.get(number)
+        if link is not None:
+            link.renewed_at = float('-inf')
+        self._changed_workers.add(number)
+
     def request_heartbeat(self, worker_id: identifiers.WorkerId) -> None:
         """Renew a worker's lease at once to receive its latest heartbeat."""
         number = self.shard.worker_numbers.get(worker_id)
--- a/chivespoke/scheduling/_records.py
+++ b/chivespoke/scheduling/_records.py
@@ -50,7 +50,8 @@
     """Add a worker, or replace its incarnation and requeue its tasks.
 
     Any process may add a new worker. Only the shard's owner may replace an
-    incarnation, after the worker itself has reported the new one.
+    incarnation, after the worker itself has reported the new one. If it did so
+    at another address, the earlier one may still be at work.
     """
 
     worker_id: identifiers.WorkerId
@@ -269,10 +270,15 @@
 class WorkerAddressChanged(
     msgspec.Struct, frozen=True, array_like=True, tag=23
 ):
-    """Change the address at which a worker is reached."""
+    """Change the address at which a worker is reached.
+
+    The address of another incarnation is kept beside that of the present one.
+    """
 
     worker_id: identifiers.WorkerId
     address: str
+    # The incarnation that is reached there; empty for the present one.
+    incarnation: identifiers.Incarnation = identifiers.Incarnation('')
 
 
 class QuotaRequested(msgspec.Struct, frozen=True, array_like=True, tag=21):
--- a/chivespoke/scheduling/_refusal.py
+++ b/chivespoke/scheduling/_refusal.py
@@ -15,6 +15,7 @@
     WORKER_NOT_UP = 'the worker is not up'
     WORKER_UP = 'the worker is up'
     WORKER_QUARANTINED = 'the worker is quarantined'
+    WORKER_HAS_TASKS = 'the worker may still be running its tasks'
     WORKER_FULL = 'the task does not fit on the worker'
     TASK_NOT_PENDING = 'the task does not wait for a placement'
     WRONG_ATTEMPT = 'the attempt is not the next one'
--- a/chivespoke/scheduling/_state.py
+++ b/chivespoke/scheduling/_state.py
@@ -132,6 +132,8 @@
     # Attempts that ended here since the task limit last changed.
     failed: int = 0
     completed: int = 0
+    # Address at which another incarnation registered; empty for none.
+    other_address: str = ''
 
     @property
     def free(self) -> resources.Resources:
--- a/chivespoke/scheduling/tests/builders.py
+++ b/chivespoke/scheduling/tests/builders.py
@@ -96,6 +96,31 @@
         for number in numbers:
             self.connector.clients[f'memory://{number}'].reachable = reachable
 
+    async def register_elsewhere(
+        self, number: int, life: int
+    ) -> standins.WorkerAgent:
+        """Register another incarnation of a worker at another address.
+
+        The earlier one goes on; the checks see both.
+        """
+        earlier = self.agents[number]
+        registration = msgspec.structs.replace(
+            earlier.registration,
+            incarnation=identifiers.Incarnation(f'{number}.{life}'),
+            address=f'memory://{number}.{life}',
+        )
+        agent = standins.WorkerAgent(registration, earlier.clock)
+        self.agents[1000 * life + number] = agent
+        self.connector.add(agent)
+        await self.register(registration)
+        return agent
+
+    async def register(self, registration: workers.Registration) -> None:
+        """Register a worker with the first process."""
+        process = next(iter(self.processes.values()))
+        work = process.api.register(registration)
+        await run_concurrently(self, work, 1.0)
+
     def list_runs(self) -> list[standins.Run]:
         """Return all runs on the current workers."""
         return [run for agent in self.agents.values() for run in agent.history]
--- a/chivespoke/scheduling/tests/test_faults.py
+++ b/chivespoke/scheduling/tests/test_faults.py
@@ -154,6 +154,44 @@
         self.assertFalse(cluster.agents[0].runs)
         self.assertEqual(3, cluster.get_report().running)
 
+    async def test_a_task_runs_twice_as_its_worker_registers_elsewhere(
+        self,
+    ) -> None:
+        """Register another incarnation while the earlier one is at work."""
+        cluster = await self._build(2)
+        await builders.submit(cluster, 4, payload=builders.build_payload(300))
+        await cluster.run(5, STEP_SECONDS)
+        earlier = cluster.agents[0]
+        at_work = set(earlier.runs)
+        self.assertTrue(at_work)
+        later = await cluster.register_elsewhere(0, 2)
+        await cluster.run(30, STEP_SECONDS)
+        self.assertEqual(at_work, set(earlier.runs))
+        cluster.set_reachable(False, 0)
+        await cluster.run(120, STEP_SECONDS)
+        self.assertFalse(earlier.runs)
+        shard = cluster.processes['entry-1'].api.streams['default'].fold.shard
+        self.assertEqual(
+            later.registration.incarnation, shard.workers[0].incarnation
+        )
+        self.assertEqual(4, cluster.get_report().running)
+
+    async def test_a_late_registration_cuts_off_the_living_incarnation(
+        self,
+    ) -> None:
+        cluster = await self._build(1)
+        cluster.set_reachable(False, 0)
+        earlier = cluster.agents[0].registration
+        later = await cluster.register_elsewhere(0, 2)
+        await cluster.run(120, STEP_SECONDS)
+        await builders.submit(cluster, 4, payload=builders.build_payload(300))
+        await cluster.run(10, STEP_SECONDS)
+        self.assertEqual(4, len(later.runs))
+        await cluster.register(earlier)
+        await cluster.run(120, STEP_SECONDS)
+        self.assertEqual(4, len(later.runs))
+        self.assertEqual(0, cluster.get_report().abandoned)
+
     async def test_the_owner_process_dies_and_tasks_keep_running(self) -> None:
         cluster = await self._build(3, 2)
         await builders.submit(cluster, 20, payload=builders.build_payload(20))
--- a/chivespoke/scheduling/tests/test_fold.py
+++ b/chivespoke/scheduling/tests/test_fold.py
@@ -54,6 +54,17 @@
     )
 
 
+def build_replacement(address: str) -> _records.WorkerRegistered:
+    """Return the owner's record of another incarnation at an address."""
+    return msgspec.structs.replace(
+        build_worker(0, 'dc1'),
+        incarnation=identifiers.Incarnation('2'),
+        address=address,
+        epoch=1,
+        previous=identifiers.Incarnation('1'),
+    )
+
+
 PLACED = _records.AttemptPlaced(0, 0, 1, 0, 3)
 BIG_QUOTA = {builders.TEAM: resources.Resources(5_000, 61_440, 0)}
 REFUSALS: tuple[
@@ -119,6 +130,19 @@
         (PLACED, _records.WorkerGivenUp(0, 1, '')),
         _records.AttemptEnded(0, 0, 1, _records.Outcome.COMPLETED),
     ),
+    (
+        Refusal.WORKER_HAS_TASKS,
+        (PLACED,),
+        build_replacement('memory://elsewhere'),
+    ),
+    (
+        Refusal.STALE_INCARNATION,
+        (build_replacement('memory://0'),),
+        msgspec.structs.replace(
+            build_replacement('memory://0'),
+            incarnation=identifiers.Incarnation('3'),
+        ),
+    ),
     (
         Refusal.DUPLICATE_JOB,
         (),
