Register a worker again while no scheduler renews it

What callers would see: a worker that had started again elsewhere got no work.

Cause: it registered once. A late registration of an earlier incarnation, held up on its way, could take the place of its own before an owner had asked there.

Change: the worker registers every 2 s until it holds a lease, and again when its lease has lapsed. A dead incarnation does not, so the living one's registration is the last.

--- a/chivespoke/standins/_worker.py
+++ b/chivespoke/standins/_worker.py
@@ -193,6 +193,10 @@
                     'the lease lapsed',
                 )
 
+    def holds_lease(self) -> bool:
+        """Return whether a scheduler has renewed the lease lately."""
+        return self.clock.read_monotonic() <= self.lease_until
+
     def compute_committed_resources(self) -> resources.Resources:
         """Return the sum of the sizes of the running attempts."""
         return sum(
--- a/chivespoke/standins/_worker_server.py
+++ b/chivespoke/standins/_worker_server.py
@@ -23,6 +23,8 @@
 # Seconds between checks for ended runs, and between registration attempts.
 RUN_CHECK_INTERVAL = 0.1
 REGISTRATION_INTERVAL = 0.5
+# Seconds between registrations of a worker that no scheduler renews.
+REPEATED_REGISTRATION_INTERVAL = 2.0
 REQUEST_TIMEOUT = 12.0
 WORKERS_PER_RACK = 3
 MESSAGE_PACK_TYPE = 'application/msgpack'
@@ -114,11 +116,18 @@
         return handle
 
     async def _register(self) -> None:
-        while not self.registered.is_set():
-            if await self._post('/v1/workers', self._registration):
-                self.registered.set()
-                return
-            await asyncio.sleep(REGISTRATION_INTERVAL)
+        """Register until a lease is held, and again when it has lapsed.
+
+        The late registration of an earlier incarnation may have taken the
+        place of this one's.
+        """
+        interval = REGISTRATION_INTERVAL
+        while True:
+            if not self.agent.holds_lease():
+                if await self._post('/v1/workers', self._registration):
+                    self.registered.set()
+                    interval = REPEATED_REGISTRATION_INTERVAL
+            await asyncio.sleep(interval)
 
     async def _report_ended_runs(self) -> None:
         worker_id = self._registration.worker_id
--- a/chivespoke/standins/tests/test_worker_server.py
+++ b/chivespoke/standins/tests/test_worker_server.py
@@ -16,6 +16,7 @@
 from chivespoke import settings
 from chivespoke import standins
 from chivespoke import web
+from chivespoke import workers
 
 CAPACITY = resources.Resources(4000, 4096, 0)
 TIMEOUT_SECONDS = 30.0
@@ -91,6 +92,48 @@
         runs = [run for worker in self.workers for run in worker.agent.history]
         self.assertEqual((6, 6), (report['completed'], len(runs)))
 
+    async def test_a_late_registration_leaves_a_worker_without_an_owner(
+        self,
+    ) -> None:
+        dead = msgspec.structs.replace(
+            standins.make_worker_registration(
+                'worker-9',
+                identifiers.DataCentreName('colombo'),
+                'rack-1',
+                CAPACITY,
+            ),
+            address='http://127.0.0.1:1',
+        )
+        late = msgspec.structs.replace(
+            dead,
+            incarnation=identifiers.make_incarnation(),
+            address='http://127.0.0.1:2',
+        )
+        await self.register(dead)
+        worker = standins.WorkerServer(
+            msgspec.structs.replace(
+                dead, incarnation=identifiers.make_incarnation()
+            ),
+            settings.Address(),
+            self.entry,
+            clocks.SystemClock(),
+        )
+        await self.start(worker)
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            await worker.registered.wait()
+            await self.register(late)
+            while not worker.agent.holds_lease():
+                await asyncio.sleep(0.1)
+
+    async def register(self, registration: workers.Registration) -> None:
+        url = self.entry.format_http() + '/v1/workers'
+        body = msgspec.json.encode(registration)
+        async with (
+            aiohttp.ClientSession() as http,
+            http.post(url, data=body) as response,
+        ):
+            self.assertEqual(200, response.status)
+
 
 if __name__ == '__main__':
     unittest.main()
