Send a request to the backend server once

What callers would see: a PUT, DELETE or GET ran twice at the backend server, also under a request key, which runs at most once.

Cause: aiohttp sends a request with such a method again by itself when a reused connection breaks, though the first may have run: the server may break off after it has done the work.

Change: a middleware of the sidecar's session turns the errors after which aiohttp would repeat into one after which it does not; the outcome is unknown, as it is for POST. A connection that was never made stays a proof of "not run".

--- a/chivespoke/backend_servers/_http.py
+++ b/chivespoke/backend_servers/_http.py
@@ -79,6 +79,7 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
+            middlewares=(_send_once,),
         )
 
     async def stop(self) -> None:
@@ -141,6 +142,22 @@
             )
 
 
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Hide from aiohttp the errors after which it sends a request again.
+
+    It does so by the method alone, where a reused connection breaks; the
+    request may have run by then.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise aiohttp.ClientConnectionError(repr(error)) from error
+
+
 def filter_end_to_end_headers(
     headers: collections.abc.Iterable[tuple[str, str]],
 ) -> _messages.HeaderPairs:
--- a/chivespoke/backend_servers/tests/builders.py
+++ b/chivespoke/backend_servers/tests/builders.py
@@ -6,6 +6,7 @@
 from chivespoke import clock
 from chivespoke import entries
 from chivespoke import identifiers
+from chivespoke import settings
 from chivespoke import telemetry
 
 SERVICE = identifiers.ServiceName('counting')
@@ -57,6 +58,35 @@
         return backend_servers.ProbeResult.HEALTHY
 
 
+class BreakingServer:
+    """Answer the first request, and break off after each later one."""
+
+    def __init__(self) -> None:
+        self.runs: list[str] = []
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> settings.Address:
+        """Listen, and return the address."""
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return settings.Address(port=port)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while head := await reader.readuntil(b'\r\n\r\n'):
+            self.runs.append(head.split()[1].decode())
+            if len(self.runs) > 1:
+                break
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+        writer.close()
+
+
 class ExecutorHarness:
     """Hold an executor and the peer that stands for an entry."""
 
@@ -81,14 +111,18 @@
 
 
 def build_dispatch(
-    sequence: int, key: str = '', homes_version: int = 0, lookup: bool = False
+    sequence: int,
+    key: str = '',
+    homes_version: int = 0,
+    lookup: bool = False,
+    method: str = 'POST',
 ) -> backend_servers.Dispatch:
     """Return a dispatch whose target contains its sequence."""
     return backend_servers.Dispatch(
         sequence,
         sequence,
         1,
-        'POST',
+        method,
         f'/{sequence}',
         (),
         b'',
