Remember the sequences of an entry that was lost

What callers would see: a request was answered "not run" though it had run, and then ran a second time elsewhere.

Cause: once another incarnation of an entry had answered at its endpoint, the sidecar forgot the sequences that it had met from the earlier one. A revoke of that one, read later, then seemed to come before its dispatch, which proves "not run" to the entry; a second copy of the dispatch ran.

Evidence: test_a_request_of_a_lost_entry_is_denied_or_runs_again failed before with NOT_RUN for a request that was running, and passes now. It hands the messages to the executor; that a socket delivers them in this order was not seen.

Change: the sequences of 10,000 lost entries are kept, the last ones.

--- a/chivespoke/backend_servers/_executor.py
+++ b/chivespoke/backend_servers/_executor.py
@@ -20,6 +20,8 @@
 
 # Interval at which draining checks for requests in flight.
 DRAIN_POLL_SECONDS = 0.02
+# Limit on the lost entries whose last sequences are kept.
+MAX_LOST_ENTRIES = 10_000
 
 
 class Executor(application.Component):
@@ -31,6 +33,7 @@
         '_slots',
         '_tickets',
         '_last_sequences',
+        '_lost_entries',
         '_tasks',
         '_telemetry',
         'refusal_cause',
@@ -59,6 +62,9 @@
         # rise on an ordered connection, so a sequence that is not higher is
         # late or a duplicate.
         self._last_sequences: dict[identifiers.Incarnation, int] = {}
+        # Entries that another incarnation followed, oldest first. Messages of
+        # theirs may still come, also on requests that have run.
+        self._lost_entries: dict[identifiers.Incarnation, None] = {}
         # Why new requests are refused; empty if they are accepted.
         self.refusal_cause = ''
         self.keys = keys
@@ -87,6 +93,7 @@
 
     def accept_sequence(self, peer: entries.Peer, sequence: int) -> bool:
         """Record a sequence; return whether it is new."""
+        self._lost_entries.pop(peer.incarnation, None)
         if sequence <= self._last_sequences.get(peer.incarnation, 0):
             return False
         self._last_sequences[peer.incarnation] = sequence
@@ -260,7 +267,11 @@
             LOGGER.warning('Could not send a reply to an entry.', error=error)
 
     def _handle_peer_loss(self, peer: entries.Peer) -> None:
-        self._last_sequences.pop(peer.incarnation, None)
+        self._lost_entries[peer.incarnation] = None
+        while len(self._lost_entries) > MAX_LOST_ENTRIES:
+            oldest = next(iter(self._lost_entries))
+            del self._lost_entries[oldest]
+            self._last_sequences.pop(oldest, None)
 
 
 def _copy_reply(reply: _messages.Reply, sequence: int) -> _messages.Reply:
--- a/chivespoke/backend_servers/tests/test_races.py
+++ b/chivespoke/backend_servers/tests/test_races.py
@@ -64,6 +64,18 @@
                 await builders.run_ready_tasks()
                 self.assertEqual(runs, harness.backend_server.runs)
 
+    async def test_a_request_of_a_lost_entry_is_denied_or_runs_again(
+        self,
+    ) -> None:
+        harness = builders.ExecutorHarness()
+        await harness.handle_messages(DISPATCH(1))
+        harness.handlers.report_loss(harness.peer)
+        await harness.handle_messages(backend_servers.Revoke(1), DISPATCH(1))
+        harness.backend_server.release.set()
+        await builders.run_ready_tasks()
+        self.assertEqual([UNKNOWN, ANSWERED], harness.peer.list_outcomes())
+        self.assertEqual(['/1'], harness.backend_server.runs)
+
     async def test_repeated_key_gets_the_first_reply(self) -> None:
         harness = builders.ExecutorHarness()
         await harness.handle_messages(DISPATCH(1, 'k'), DISPATCH(2, 'k'))
