Fence a sidecar only when its successor speaks on

What callers would see: a living sidecar got no keyed calls any more. The fence also says that it runs nothing again, so that its list is forgotten after some three minutes instead of after 600 s without a read; by then an entry that has not read the log may still dispatch a key to it that others run elsewhere.

Cause: of two incarnations of a name, the one that an entry heard last was taken for the later one, and the other was fenced at once and for good. An entry that stood still reads what a dead sidecar had sent after what its successor sent.

Change: the order of arrival decides only who gets calls for now. An incarnation has ended when another of its name went on speaking for 5 s while it was silent; a dead one does not speak on. One that speaks again is no longer replaced. A fence after a restart comes 5 s later than before.

--- a/chivespoke/backend_servers/_home_manager.py
+++ b/chivespoke/backend_servers/_home_manager.py
@@ -347,7 +347,7 @@
     ) -> set[identifiers.Incarnation]:
         """Return the removed homes that can run no further request.
 
-        These are homes that departed or were replaced, and homes removed so
+        These are homes that departed or have ended, and homes removed so
         long ago that every entry has either read the removal or stopped
         dispatching keys.
         """
@@ -358,12 +358,12 @@
             + limits.max_deadline_seconds
             + limits.clock_margin_seconds
         )
-        replaced = self._registry.list_replaced()
+        ended = self._registry.list_ended()
         return {
             home
             for home, since in service.removed_since.items()
             if home in self._departed_at
-            or home in replaced
+            or home in ended
             or now - since > fence_delay_seconds
         }
 
--- a/chivespoke/backend_servers/_registry.py
+++ b/chivespoke/backend_servers/_registry.py
@@ -21,9 +21,26 @@
 REPLY_MARGIN_SECONDS = 0.002
 # Limit on the stored incarnations that restarts have replaced.
 MAX_REPLACED_INCARNATIONS = 10_000
+# Time for which another incarnation must be heard after the last message of
+# an earlier one before that counts as ended.
+END_CONFIRMATION_SECONDS = 5.0
 NOT_CONNECTED = 'not connected'
 
 
+class _Replacement:
+    """Hold which incarnation was heard after another, and since when."""
+
+    __slots__ = ('successor', 'since', 'confirmed')
+
+    def __init__(
+        self, successor: identifiers.Incarnation, since: float
+    ) -> None:
+        self.successor = successor
+        self.since = since
+        # Whether the successor was heard long enough.
+        self.confirmed = False
+
+
 class Registry(application.Component):
     """Track backend servers and match their replies to attempts."""
 
@@ -36,7 +53,7 @@
         '_telemetry',
         '_weights',
         '_sent_entries',
-        '_replaced_incarnations',
+        '_replacements',
         '_outlier_detector',
         'ejection_enabled',
     )
@@ -57,8 +74,8 @@
         self._clock = time
         self._telemetry = instruments
         self._weights: dict[str, float] = {}
-        # Incarnations replaced by another one of the same name, oldest first.
-        self._replaced_incarnations: dict[identifiers.Incarnation, None] = {}
+        # By the incarnation replaced, oldest first.
+        self._replacements: dict[identifiers.Incarnation, _Replacement] = {}
         self._outlier_detector = _ejection.OutlierDetector()
         # False for the baseline routing policies.
         self.ejection_enabled = True
@@ -104,8 +121,38 @@
         return list(self._servers.values())
 
     def list_replaced(self) -> frozenset[identifiers.Incarnation]:
-        """Return the incarnations that a restart has replaced."""
-        return frozenset(self._replaced_incarnations)
+        """Return the incarnations after which another one was heard.
+
+        They may still be alive: messages of a dead incarnation that come late
+        put it in the place of the living one.
+        """
+        return frozenset(self._replacements)
+
+    def list_ended(self) -> frozenset[identifiers.Incarnation]:
+        """Return the incarnations that have ended.
+
+        A name belongs to one process at a time, so an incarnation has ended
+        if it was silent while another one went on speaking.
+        """
+        for replacement in self._replacements.values():
+            if not replacement.confirmed:
+                replacement.confirmed = self._is_confirmed(replacement)
+        return frozenset(
+            incarnation
+            for incarnation, replacement in self._replacements.items()
+            if replacement.confirmed
+        )
+
+    def _is_confirmed(self, replacement: _Replacement) -> bool:
+        since = replacement.since
+        successor = replacement.successor
+        while successor in self._replacements:
+            successor = self._replacements[successor].successor
+        server = self._servers.get(successor)
+        return (
+            server is not None
+            and server.last_heartbeat_at - since >= END_CONFIRMATION_SECONDS
+        )
 
     def find(
         self, incarnation: identifiers.Incarnation
@@ -239,12 +286,14 @@
     ) -> _routing.ServerView:
         for other in tuple(self._servers.values()):
             if other.peer.name == peer.name:
-                self._replaced_incarnations[other.peer.incarnation] = None
+                self._replacements[other.peer.incarnation] = _Replacement(
+                    peer.incarnation, now
+                )
                 self._remove(other, 'restarted')
-        while len(self._replaced_incarnations) > MAX_REPLACED_INCARNATIONS:
-            del self._replaced_incarnations[
-                next(iter(self._replaced_incarnations))
-            ]
+        # It speaks, so it has not ended.
+        self._replacements.pop(peer.incarnation, None)
+        while len(self._replacements) > MAX_REPLACED_INCARNATIONS:
+            del self._replacements[next(iter(self._replacements))]
         server = _routing.ServerView(peer, announcement, now)
         server.weight = self._weights.get(peer.name, 1.0)
         self._servers[peer.incarnation] = server
--- a/chivespoke/backend_servers/tests/builders.py
+++ b/chivespoke/backend_servers/tests/builders.py
@@ -6,9 +6,12 @@
 from chivespoke import clock
 from chivespoke import entries
 from chivespoke import identifiers
+from chivespoke import replication
 from chivespoke import settings
+from chivespoke import standins
 from chivespoke import telemetry
 
+HEARTBEAT_SECONDS = 0.5
 SERVICE = identifiers.ServiceName('counting')
 EVENT_LOOP_TURNS = 10
 
@@ -110,6 +113,84 @@
         await run_ready_tasks()
 
 
+class HeartbeatPeer(RecordingPeer):
+    """Record what an entry sends to a sidecar that speaks to it."""
+
+    def __init__(self, incarnation: identifiers.Incarnation) -> None:
+        super().__init__('server-1', incarnation)
+
+    def make_heartbeat(self) -> entries.Message:
+        """Return what the sidecar would send next."""
+        if not self.sent or isinstance(self.sent[-1], entries.Welcome):
+            return build_announcement()
+        return entries.Pulse()
+
+
+class HomesHarness:
+    """Hold the registry and the home lists of one entry."""
+
+    def __init__(self) -> None:
+        self.clock = clock.ManualClock()
+        self.handlers = entries.Handlers()
+        log = standins.MemoryLog(self.clock)
+        self._committer = replication.GroupCommitter(
+            log, self.clock, identifiers.Incarnation('entry-1'), seed=1
+        )
+        self.registry = backend_servers.Registry(
+            self.handlers,
+            entries.EntryDirectory(self.clock),
+            telemetry.Telemetry(),
+            self.clock,
+        )
+        streams = backend_servers.HomeStreams(log, self._committer, self.clock)
+        self.manager = backend_servers.HomeManager(
+            streams,
+            self.registry,
+            self.handlers,
+            self.clock,
+            backend_servers.HomeLimits(),
+        )
+        self._fold = backend_servers.HomesFold()
+        self._follower = replication.Follower(
+            log,
+            replication.Replica(f'homes-{SERVICE}', self._fold),
+            self.clock,
+        )
+
+    @property
+    def fenced(self) -> list[identifiers.Incarnation]:
+        """Return the sidecars that the log says will not run again."""
+        return self._fold.state.fenced
+
+    @property
+    def homes(self) -> tuple[identifiers.Incarnation, ...]:
+        """Return the newest home list."""
+        return self._fold.current.homes
+
+    async def start(self) -> None:
+        """Start to follow and to propose home lists."""
+        await self._follower.start()
+        await self.manager.start()
+
+    async def stop(self) -> None:
+        """Stop the entry."""
+        await self.manager.stop()
+        await self._follower.stop()
+        await self._committer.stop()
+
+    async def announce(self, peer: RecordingPeer) -> None:
+        """Handle an announcement of a sidecar."""
+        await self.handlers.handle(peer, build_announcement())
+
+    async def run(self, seconds: float, *peers: HeartbeatPeer) -> None:
+        """Let time pass while some sidecars send heartbeats."""
+        for _ in range(round(seconds / HEARTBEAT_SECONDS)):
+            for peer in peers:
+                await self.handlers.handle(peer, peer.make_heartbeat())
+            self.clock.advance(HEARTBEAT_SECONDS)
+            await run_ready_tasks()
+
+
 def build_dispatch(
     sequence: int,
     key: str = '',
