Let restarted workers of random runs be met

What it hid: in the random run of faults, an owner that was connected to a restarted worker went on with the dead incarnation, which answered and took leases and starts that no check saw; only a new link met the new one. So no run showed what happens as an owner meets a worker that started again under its id.

Cause: the client of the address was looked up after the new incarnation had replaced it.

Evidence: test_an_owner_goes_on_with_a_dead_incarnation failed before (the shard had incarnation 0.1 after 40 s, not 0.2) and passes now.

Change: the client stays, and reaches the new incarnation.

--- a/chivespoke/bench/_fault_world.py
+++ b/chivespoke/bench/_fault_world.py
@@ -348,9 +348,11 @@
         self.witness.note_killed(old)
         key = str(old.registration.worker_id)
         self._lives[key] += 1
-        agent = self.cluster.add_worker(number, 1 + self._lives[key])
-        client = self.cluster.connector.clients[old.registration.address]
-        client.agent = agent
+        # Who is connected to the address now meets the new incarnation there.
+        clients = self.cluster.connector.clients
+        client = clients[old.registration.address]
+        client.agent = self.cluster.add_worker(number, 1 + self._lives[key])
+        clients[old.registration.address] = client
 
     # Checks.
 
