Take a farewell for whole only with all its keys

What callers would see: a key ran twice, after the sidecar that ran it first had left in a planned way.

Cause: a sidecar with many keys hands them over in several messages, and the entry took the last one for the end of the handover, whether the others had come or not. A key of a lost message counted as not run there. An entry drops messages whose peer's inbox is full, for example.

Change: each message says how many keys there are in all. With fewer, the home counts as one that was killed: its keys are unknown, none is said not to have run.

--- a/chivespoke/backend_servers/_announcer.py
+++ b/chivespoke/backend_servers/_announcer.py
@@ -110,7 +110,9 @@
         for client in self._clients.values():
             for start in range(0, max(1, len(keys)), MAX_KEYS_PER_MESSAGE):
                 end = start + MAX_KEYS_PER_MESSAGE
-                message = _messages.Farewell(keys[start:end], end >= len(keys))
+                message = _messages.Farewell(
+                    keys[start:end], end >= len(keys), len(keys)
+                )
                 try:
                     client.peer.send(message)
                 except errors.RefusedError:
--- a/chivespoke/backend_servers/_home_manager.py
+++ b/chivespoke/backend_servers/_home_manager.py
@@ -127,7 +127,7 @@
         ] = {}
         self._departed_at: dict[identifiers.Incarnation, float] = {}
         self._tasks = application.TaskOwner()
-        handlers.register(_messages.Farewell, self._handle_farewell)
+        handlers.register(_messages.Farewell, self.handle_farewell)
 
     async def start(self) -> None:
         self._tasks.spawn_loop(self._run_loop)
@@ -380,13 +380,15 @@
                 'Could not propose a change of the home list.', error=error
             )
 
-    async def _handle_farewell(
+    async def handle_farewell(
         self, peer: entries.Peer, farewell: _messages.Farewell
     ) -> None:
+        """Store the keys that a leaving sidecar hands over."""
         now = self._clock.read_monotonic()
         keys = self._handed_over_keys.setdefault(peer.incarnation, {})
         for key, seconds in farewell.keys:
             keys[key] = now + seconds
-        if farewell.final:
+        # Otherwise it counts as killed: each key may have run there.
+        if farewell.final and len(keys) >= farewell.total:
             self._departed_at[peer.incarnation] = now
             peer.send(_messages.FarewellNoted())
--- a/chivespoke/backend_servers/_messages.py
+++ b/chivespoke/backend_servers/_messages.py
@@ -58,6 +58,8 @@
     keys: tuple[tuple[str, float], ...]
     # Whether this is the last message of the handover.
     final: bool
+    # Number of keys in all messages of the handover. A message may be lost.
+    total: int
 
 
 class FarewellNoted(entries.Message, frozen=True):
--- a/chivespoke/bench/_requests.py
+++ b/chivespoke/bench/_requests.py
@@ -167,7 +167,7 @@
         keys = sidecar.executor.keys.list_completed(
             self.clock.read_monotonic()
         )
-        message = backend_servers.Farewell(keys, True)
+        message = backend_servers.Farewell(keys, True, len(keys))
         for entry in self.entries.values():
             try:
                 sidecar.process.link_to(entry.process).send(message)
--- a/chivespoke/callers/tests/test_keys.py
+++ b/chivespoke/callers/tests/test_keys.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+from chivespoke import backend_servers
+from chivespoke.backend_servers import _announcer
 from chivespoke.callers.tests import builders
 from chivespoke import clock
+from chivespoke import entries
 from chivespoke import settings
 from chivespoke import standins
 
@@ -84,6 +88,40 @@
             ]
             self.assertEqual({'answered'}, {each.outcome for each in fresh})
 
+    async def test_a_key_of_a_lost_part_of_a_farewell_runs_again(
+        self,
+    ) -> None:
+        """Lose the first message in which a sidecar hands its keys over."""
+        handle = backend_servers.HomeManager.handle_farewell
+        lost: set[backend_servers.HomeManager] = set()
+
+        async def lose_first(
+            manager: backend_servers.HomeManager,
+            peer: entries.Peer,
+            farewell: backend_servers.Farewell,
+        ) -> None:
+            if manager in lost:
+                await handle(manager, peer, farewell)
+            lost.add(manager)
+
+        with (
+            mock.patch.object(_announcer, 'MAX_KEYS_PER_MESSAGE', 1),
+            mock.patch.object(
+                backend_servers.HomeManager, 'handle_farewell', lose_first
+            ),
+        ):
+            async with builders.RequestPath() as path:
+                await self.start_path(path)
+                keys = [f'key-{number}' for number in range(12)]
+                for key in keys:
+                    await path.call('/bill', 'POST', Request_Key=key)
+                await path.stop(path.sidecars[0])
+                await self.wait_for_homes(path, 2)
+                for key in keys:
+                    await path.call('/bill', 'POST', Request_Key=key)
+                self.assertEqual(len(keys), path.count_runs())
+                self.assertEqual(2, len(lost))
+
     async def test_key_without_a_list_is_unknown(self) -> None:
         async with builders.run_request_path() as path:
             answer = await path.call(
