Refuse a dispatch that was held up for a minute

What callers would see: a request under a key ran twice. The first attempt was held up between an entry and the home of the key, the caller repeated it through another entry, and the first one came when the home no longer remembered it.

Cause: a dispatch carried its deadline as a duration, which begins when the sidecar admits it. However long it was on its way, through a cut link or in the socket of a sidecar that stood still, it ran; keys are remembered for 120 s. By the same way it could reach a home that had been off the list for 600 s and was fenced, as running nothing again.

Change: announcements carry the sidecar's clock, at least every 5 s, and a dispatch the latest reading of that clock at which it may start: 60 s after a lower bound of what it shows as the dispatch is sent, which is less than keys are remembered, as is asserted. A pause anywhere makes that end earlier, never later; of two readings the one that gives the higher lower bound counts. Later the sidecar refuses it as not run. ClockReading moves from scheduling to the module clock, unchanged but for its names.

--- a/chivespoke/backend_servers/_announcer.py
+++ b/chivespoke/backend_servers/_announcer.py
@@ -24,6 +24,8 @@
 BALANCER_TIMEOUT_SECONDS = 2.0
 # Heartbeats from one query for the list of entries to the next.
 HEARTBEATS_PER_BALANCER_QUERY = 15
+# Interval at which an entry gets a reading of the sidecar's clock.
+CLOCK_INTERVAL_SECONDS = 5.0
 # Consecutive probes without an answer that make the server unhealthy.
 MAX_FAILED_PROBES = 2
 # Larger handovers are split into several Farewell messages.
@@ -78,7 +80,8 @@
         self._leaving = False
         self._leave_confirmations: set[identifiers.Incarnation] = set()
         self._handover_confirmations: set[identifiers.Incarnation] = set()
-        # Announcement that was last sent to each entry.
+        # Announcement that was last sent to each entry, with its reading of
+        # the clock.
         self._last_announcements: dict[
             identifiers.Incarnation, _messages.Announcement
         ] = {}
@@ -228,22 +231,25 @@
             self._is_healthy(),
             self._leaving,
             self._executor.homes_version,
+            self._clock.read_monotonic(),
         )
         announced: dict[identifiers.Incarnation, _messages.Announcement] = {}
         for client in self._clients.values():
             peer = client.peer
-            unchanged = (
-                self._last_announcements.get(peer.incarnation) == announcement
-            )
+            last = self._last_announcements.get(peer.incarnation)
             # A leaving server announces itself in full until it stops, so
             # that each entry confirms it.
-            send_pulse = unchanged and not self._leaving
+            send_pulse = is_unchanged(last, announcement) and (
+                not self._leaving
+            )
             try:
                 peer.send(entries.Pulse() if send_pulse else announcement)
             except errors.RefusedError:
                 # Not connected; the next heartbeat retries.
                 continue
-            if peer.incarnation:
+            if last is not None and send_pulse:
+                announced[peer.incarnation] = last
+            elif peer.incarnation:
                 announced[peer.incarnation] = announcement
         self._last_announcements = announced
 
@@ -282,6 +288,19 @@
         self._last_announcements.pop(peer.incarnation, None)
 
 
+def is_unchanged(
+    last: _messages.Announcement | None, announcement: _messages.Announcement
+) -> bool:
+    """Return whether an entry needs no full announcement."""
+    if last is None or announcement.clock - last.clock > (
+        CLOCK_INTERVAL_SECONDS
+    ):
+        return False
+    return announcement == msgspec.structs.replace(
+        last, clock=announcement.clock
+    )
+
+
 class KeyHandover(application.Component):
     """Hand over the keys when draining, after the executor is idle.
 
--- a/chivespoke/backend_servers/_executor.py
+++ b/chivespoke/backend_servers/_executor.py
@@ -154,7 +154,10 @@
     def _admit(self, dispatch: _messages.Dispatch) -> _slots.Ticket:
         if self.refusal_cause:
             raise _slots.AdmissionError(self.refusal_cause, 0.0)
-        return self._slots.admit(dispatch, self._clock.read_monotonic())
+        now = self._clock.read_monotonic()
+        if now > dispatch.start_until:
+            raise _slots.AdmissionError('came too late', 0.0)
+        return self._slots.admit(dispatch, now)
 
     async def _handle_revoke(
         self, peer: entries.Peer, revoke: _messages.Revoke
--- a/chivespoke/backend_servers/_messages.py
+++ b/chivespoke/backend_servers/_messages.py
@@ -42,6 +42,8 @@
     leaving: bool
     # Newest home list version that the sidecar knows.
     homes_version: int = 0
+    # Reading of the sidecar's monotonic clock, in seconds.
+    clock: float = 0.0
 
 
 class LeavingNoted(entries.Message, frozen=True):
@@ -99,6 +101,8 @@
     homes_version: int = 0
     # Query the result of the key only; start no run.
     lookup: bool = False
+    # Latest reading of the sidecar's clock at which the run may start.
+    start_until: float = float('inf')
 
 
 class Revoke(entries.Message, frozen=True):
--- a/chivespoke/backend_servers/_registry.py
+++ b/chivespoke/backend_servers/_registry.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import msgspec
+
 from chivespoke import application
 from chivespoke.backend_servers import _ejection
+from chivespoke.backend_servers import _keys
 from chivespoke.backend_servers import _messages
 from chivespoke.backend_servers import _routing
 from chivespoke import clock
@@ -19,6 +22,13 @@
 REVOKE_TIMEOUT_SECONDS = 0.05
 # Time by which the sidecar's deadline precedes the entry's.
 REPLY_MARGIN_SECONDS = 0.002
+# Time for which a dispatch may be on its way. A sidecar remembers a key for
+# longer, so that no copy of it arrives after that.
+DISPATCH_VALIDITY_SECONDS = 60.0
+assert (
+    DISPATCH_VALIDITY_SECONDS * (1 + clock.MAX_CLOCK_DRIFT_SHARE) ** 2
+    < _keys.KEY_RETENTION_SECONDS
+)
 # Limit on the stored incarnations that restarts have replaced.
 MAX_REPLACED_INCARNATIONS = 10_000
 # Time for which another incarnation must be heard after the last message of
@@ -204,8 +214,15 @@
         loop = asyncio.get_running_loop()
         future: asyncio.Future[_messages.Reply] = loop.create_future()
         size = len(dispatch.body)
+        now = self._clock.read_monotonic()
+        start_until = (
+            server.clock_reading.compute_lower_bound(now)
+            + DISPATCH_VALIDITY_SECONDS
+        )
         try:
-            server.peer.send(dispatch)
+            server.peer.send(
+                msgspec.structs.replace(dispatch, start_until=start_until)
+            )
         except errors.RefusedError:
             return _messages.Reply(
                 sequence, _messages.Outcome.NOT_RUN, NOT_CONNECTED
@@ -250,6 +267,7 @@
             server.slow_start_at = now
         server.announcement = announcement
         server.last_heartbeat_at = now
+        server.observe_clock(announcement.clock, now)
         server.reported_outstanding = announcement.outstanding
         if announcement.leaving:
             # The connection keeps the order: all dispatches that may start
--- a/chivespoke/backend_servers/_routing.py
+++ b/chivespoke/backend_servers/_routing.py
@@ -29,6 +29,7 @@
         'announcement',
         'slow_start_at',
         'last_heartbeat_at',
+        'clock_reading',
         'outstanding',
         'outstanding_bytes',
         'reported_outstanding',
@@ -51,6 +52,7 @@
         self.announcement = announcement
         self.slow_start_at = now
         self.last_heartbeat_at = now
+        self.clock_reading = clock.ClockReading(announcement.clock, now)
         # Attempts of this entry without a reply yet.
         self.outstanding = 0
         self.outstanding_bytes = 0
@@ -67,6 +69,11 @@
         # Traffic relative to other servers, in [0, 1].
         self.weight = 1.0
 
+    def observe_clock(self, reading: float, now: float) -> None:
+        """Use a reading of the sidecar's clock unless it came late."""
+        if reading > self.clock_reading.compute_lower_bound(now):
+            self.clock_reading = clock.ClockReading(reading, now)
+
     def eject(self, until: float) -> None:
         """Exclude the server until a time; slow start follows."""
         self.ejected_until = until
--- a/chivespoke/backend_servers/tests/builders.py
+++ b/chivespoke/backend_servers/tests/builders.py
@@ -93,7 +93,12 @@
 class ExecutorHarness:
     """Hold an executor and the peer that stands for an entry."""
 
-    def __init__(self, slots: int = 1, queue_limit: int = 4) -> None:
+    def __init__(
+        self,
+        slots: int = 1,
+        queue_limit: int = 4,
+        time: clock.Clock | None = None,
+    ) -> None:
         self.handlers = entries.Handlers()
         self.backend_server = BlockingServer()
         self.peer = RecordingPeer()
@@ -103,7 +108,7 @@
             backend_servers.KeyTable(),
             self.handlers,
             telemetry.Telemetry(),
-            clock.SystemClock(),
+            time if time is not None else clock.SystemClock(),
         )
 
     async def handle_messages(self, *messages: entries.Message) -> None:
@@ -216,12 +221,12 @@
     )
 
 
-def build_registry() -> tuple[
-    backend_servers.Registry, entries.Handlers, telemetry.Telemetry
-]:
+def build_registry(
+    time: clock.Clock | None = None,
+) -> tuple[backend_servers.Registry, entries.Handlers, telemetry.Telemetry]:
     """Return a registry with its message handlers and telemetry."""
     handlers = entries.Handlers()
-    time = clock.SystemClock()
+    time = time if time is not None else clock.SystemClock()
     instruments = telemetry.Telemetry()
     directory = entries.EntryDirectory(time)
     return (
@@ -231,7 +236,9 @@
     )
 
 
-def build_announcement() -> backend_servers.Announcement:
+def build_announcement(
+    clock_reading: float = 0.0,
+) -> backend_servers.Announcement:
     """Return the announcement of a healthy backend server."""
     return backend_servers.Announcement(
         SERVICE,
@@ -241,4 +248,5 @@
         0,
         True,
         False,
+        clock=clock_reading,
     )
--- a/chivespoke/backend_servers/tests/test_heartbeats.py
+++ b/chivespoke/backend_servers/tests/test_heartbeats.py
@@ -2,7 +2,10 @@
 
 import unittest
 
+import msgspec
+
 from chivespoke import backend_servers
+from chivespoke.backend_servers import _announcer
 from chivespoke.backend_servers import _messages
 from chivespoke import clock as clocks
 from chivespoke import entries
@@ -79,6 +82,23 @@
         await self.send_message(ANNOUNCEMENT)
         self.assertEqual(1, len(self.registry.list_servers(SERVICE)))
 
+    def test_a_reading_of_the_clock_grows_old(self) -> None:
+        """Drift would make every dispatch seem to come too late."""
+        for seconds, outstanding, expected in (
+            (1.0, 0, True),
+            (1.0, 1, False),
+            (_announcer.CLOCK_INTERVAL_SECONDS + 1.0, 0, False),
+        ):
+            with self.subTest(seconds=seconds, outstanding=outstanding):
+                announcement = msgspec.structs.replace(
+                    ANNOUNCEMENT, clock=seconds, outstanding=outstanding
+                )
+                self.assertIs(
+                    expected,
+                    _announcer.is_unchanged(ANNOUNCEMENT, announcement),
+                )
+        self.assertFalse(_announcer.is_unchanged(None, ANNOUNCEMENT))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/chivespoke/bench/_request_model.py
+++ b/chivespoke/bench/_request_model.py
@@ -187,7 +187,7 @@
 class SidecarModel:
     """Run a real executor behind the network."""
 
-    __slots__ = ('process', 'executor', 'ledger', 'leaving')
+    __slots__ = ('process', 'executor', 'ledger', 'leaving', '_clock')
 
     def __init__(
         self,
@@ -199,6 +199,7 @@
         self.process = process
         self.ledger = RunLedger(totals, seed)
         self.leaving = False
+        self._clock = time
         for kind in IGNORED:
             process.handlers.register(kind, _ignore)
         self.executor = backend_servers.Executor(
@@ -221,6 +222,7 @@
             True,
             self.leaving,
             self.executor.homes_version,
+            self._clock.read_monotonic(),
         )
         try:
             self.process.link_to(entry).send(message)
--- a/chivespoke/clock.py
+++ b/chivespoke/clock.py
@@ -5,6 +5,11 @@
 import heapq
 import time
 
+import msgspec
+
+# Largest relative difference between the rates of two clocks.
+MAX_CLOCK_DRIFT_SHARE = 0.001
+
 
 class Clock(abc.ABC):
     """Read the time and sleep."""
@@ -72,3 +77,21 @@
             _, _, future = heapq.heappop(self._sleepers)
             if not future.done():
                 future.set_result(None)
+
+
+class ClockReading(msgspec.Struct, frozen=True):
+    """Hold a reading of another process's clock and when it came."""
+
+    reading: float
+    # Monotonic seconds of this process.
+    received_at: float
+
+    def compute_lower_bound(self, time: float) -> float:
+        """Return a lower bound of that clock at a local time."""
+        elapsed = time - self.received_at
+        rate = (
+            1 - MAX_CLOCK_DRIFT_SHARE
+            if elapsed >= 0
+            else 1 + MAX_CLOCK_DRIFT_SHARE
+        )
+        return self.reading + elapsed * rate
--- a/chivespoke/scheduling/_link.py
+++ b/chivespoke/scheduling/_link.py
@@ -1,5 +1,6 @@
 """Exchange leases, commands and statuses with one worker of a shard."""
 
+from chivespoke import clock as clocks
 from chivespoke import errors
 from chivespoke import identifiers
 from chivespoke import logs
@@ -59,7 +60,7 @@
         self.incarnation = worker.incarnation
         self.address = worker.address
         self.epoch = owner.epoch
-        self.clock_reading: _permits.ClockReading | None = None
+        self.clock_reading: clocks.ClockReading | None = None
         # Latest lease end that the worker may hold, on the worker's clock.
         self.max_lease_until = float('-inf')
         self.renewed_at = float('-inf')
@@ -209,7 +210,7 @@
         # A lease of an earlier owner may end later than those of this owner.
         # It cannot be extended, as the worker now knows this epoch.
         self.max_lease_until = max(self.max_lease_until, heartbeat.lease_until)
-        self.clock_reading = _permits.ClockReading(heartbeat.clock, now)
+        self.clock_reading = clocks.ClockReading(heartbeat.clock, now)
         self.contacted = True
         self.renewed_at = now
         self.tracker.record_statuses(heartbeat, now)
--- a/chivespoke/scheduling/_permits.py
+++ b/chivespoke/scheduling/_permits.py
@@ -4,10 +4,9 @@
 a lower bound of that clock, so they are never later than intended.
 """
 
-import msgspec
+from chivespoke import clock as clocks
 
-# Largest relative difference between the rates of two clocks.
-MAX_CLOCK_DRIFT_SHARE = 0.001
+MAX_CLOCK_DRIFT_SHARE = clocks.MAX_CLOCK_DRIFT_SHARE
 # Validity of a start permit, from the read of the state it is based on.
 START_PERMIT_SECONDS = 2.5
 # Limit on the time from taking a data centre out to the last start there.
@@ -32,30 +31,16 @@
 assert START_PERMIT_SECONDS < LEASE_SECONDS
 
 
-class ClockReading(msgspec.Struct, frozen=True):
-    """Hold a reading of a worker's clock and the time of its receipt."""
-
-    worker_clock: float
-    # Monotonic seconds of this process.
-    received_at: float
-
-    def compute_lower_bound(self, time: float) -> float:
-        """Return a lower bound of the worker's clock at a local time."""
-        elapsed = time - self.received_at
-        rate = (
-            1 - MAX_CLOCK_DRIFT_SHARE
-            if elapsed >= 0
-            else 1 + MAX_CLOCK_DRIFT_SHARE
-        )
-        return self.worker_clock + elapsed * rate
-
-
-def compute_permit_end(clock_reading: ClockReading, read_time: float) -> float:
+def compute_permit_end(
+    clock_reading: clocks.ClockReading, read_time: float
+) -> float:
     """Return the end of a start permit, on the worker's clock."""
     return clock_reading.compute_lower_bound(read_time) + START_PERMIT_SECONDS
 
 
-def compute_lease_end(clock_reading: ClockReading, time: float) -> float:
+def compute_lease_end(
+    clock_reading: clocks.ClockReading, time: float
+) -> float:
     """Return the end of a lease, on the worker's clock."""
     return clock_reading.compute_lower_bound(time) + LEASE_SECONDS
 
