Let no two exchanges with a worker overlap

What callers would see: nothing that was seen; commands to a worker went out twice, and a throttle could end an exchange with an error.

Cause: a link was marked as busy only once its exchange had begun to run. Reports of several ended runs in one turn of the event loop, or a report beside a due exchange, started several, against what the link says.

Evidence: test_exchanges_with_a_worker_overlap failed before with 3 renewals for 3 reports and passes now. By reading, no overlap let a task run twice: commands are idempotent, and a late heartbeat lowers the bound of the worker's clock.

Change: an exchange that finds another one under way does nothing. Checked with the test alone, before the run of the whole package.

--- a/chivespoke/scheduling/_link.py
+++ b/chivespoke/scheduling/_link.py
@@ -111,7 +111,13 @@
         return self._has_commands()
 
     async def exchange(self, renew: bool = False) -> None:
-        """Renew the lease if due, then send the commands that are due."""
+        """Renew the lease if due, then send the commands that are due.
+
+        Do nothing during another exchange, which may have begun since this
+        one was scheduled.
+        """
+        if self.busy:
+            return
         self.busy = True
         try:
             await self._exchange(renew)
--- a/chivespoke/scheduling/tests/test_owner.py
+++ b/chivespoke/scheduling/tests/test_owner.py
@@ -9,6 +9,7 @@
 from chivespoke import operators
 from chivespoke.scheduling import _placer
 from chivespoke.scheduling.tests import builders
+from chivespoke import standins
 
 WEB = identifiers.ServiceName('web')
 
@@ -45,6 +46,26 @@
         self.assertEqual('completed', cluster.get_report().state)
 
 
+    async def test_exchanges_with_a_worker_overlap(self) -> None:
+        cluster = await builders.build_cluster(1)
+        self.addAsyncCleanup(cluster.stop)
+        await cluster.run(5)
+        process = cluster.processes['entry-1']
+        owner = process.get_owner()
+        process.connector.delay = 1.0
+        worker_id = cluster.agents[0].registration.worker_id
+        with mock.patch.object(
+            standins.WorkerAgent,
+            'renew',
+            autospec=True,
+            side_effect=standins.WorkerAgent.renew,
+        ) as renew:
+            for _ in range(3):
+                owner.request_heartbeat(worker_id)
+            await cluster.run(1.5)
+        self.assertEqual(1, renew.call_count)
+
+
 class LoadTest(unittest.IsolatedAsyncioTestCase):
     """Own a shard only with a configuration that was read."""
 
