Fence the epoch of the process that restarted

What callers would see: after the restart of the only scheduling process, tasks of a worker that could not be reached were not started again for two hours.

Cause: a process states that the epochs of its earlier incarnations have ended, but an epoch can be fenced only once another one has been claimed. A restarted process claims in the same step; from then on it is the owner and states nothing. So it waited for leases that its earlier incarnation might renew without the log, for BLIND_LIMIT.

Evidence: test_a_restarted_owner_forgets_its_leases_or_waits_for_hours failed before: nothing was abandoned 105 s after the restart, though the worker had stopped its tasks at about 55 s. It passes now, and shows that nothing is released in the first 45 s, while the worker runs on under the lease of the earlier incarnation, of which the new one knows nothing.

Change: the claim is followed by the fence of the epoch that it ends. A second test, test_a_thawed_owner_renews_while_its_successor_gives_up, shows what held before: an owner that lost its claim while frozen goes on renewing without the log, and its successor waits until it is fenced and its leases have lapsed.

--- a/chivespoke/scheduling/_claims.py
+++ b/chivespoke/scheduling/_claims.py
@@ -47,6 +47,9 @@
         )
     if claims:
         records.append(_records.OwnerClaimed(shard.epoch + 1, identity))
+        if was_own:
+            # An epoch can be fenced once another one has been claimed.
+            records.append(_records.OwnerFenced(shard.epoch))
     return records
 
 
--- a/chivespoke/scheduling/tests/test_faults.py
+++ b/chivespoke/scheduling/tests/test_faults.py
@@ -226,6 +226,48 @@
         self.assertEqual(first.get_owner().epoch, 0)
         self._check_finished(cluster, 12)
 
+    async def test_a_restarted_owner_forgets_its_leases_or_waits_for_hours(
+        self,
+    ) -> None:
+        """Restart the owner's process while a worker is cut off."""
+        cluster = await self._build(2)
+        await builders.submit(cluster, 8, payload=builders.build_payload(300))
+        await cluster.run(5, STEP_SECONDS)
+        cluster.set_reachable(False, 0)
+        await cluster.processes['entry-1'].die()
+        await cluster.add_process('entry-1', 2)
+        await cluster.run(45, STEP_SECONDS)
+        self.assertTrue(cluster.agents[0].runs)
+        self.assertEqual(0, cluster.get_report().abandoned)
+        await cluster.run(60, STEP_SECONDS)
+        self.assertGreater(cluster.get_report().abandoned, 0)
+
+    async def test_a_thawed_owner_renews_while_its_successor_gives_up(
+        self,
+    ) -> None:
+        """Let an owner that lost its claim while frozen go on blindly."""
+        cluster = await self._build(2, 2)
+        await builders.submit(cluster, 8, payload=builders.build_payload(600))
+        await cluster.run(5, STEP_SECONDS)
+        first = cluster.processes['entry-1']
+        first.gate.close()
+        cluster.set_reachable(False, 0)
+        await cluster.run(30, STEP_SECONDS)
+        self.assertEqual(2, cluster.processes['entry-2'].get_owner().epoch)
+        first.log.reachable = False
+        first.gate.open()
+        link = first.get_owner().links[0]
+        for _ in range(10):
+            cluster.set_reachable(True, 0)
+            await link.exchange(renew=True)
+            cluster.set_reachable(False, 0)
+            await cluster.run(20, STEP_SECONDS)
+        self.assertTrue(cluster.agents[0].runs)
+        self.assertEqual(0, cluster.get_report().abandoned)
+        first.log.reachable = True
+        await cluster.run(120, STEP_SECONDS)
+        self.assertGreater(cluster.get_report().abandoned, 0)
+
     async def test_a_successor_waits_for_the_longer_earlier_lease(
         self,
     ) -> None:
--- a/chivespoke/scheduling/tests/test_owner.py
+++ b/chivespoke/scheduling/tests/test_owner.py
@@ -45,7 +45,6 @@
         await cluster.run(60)
         self.assertEqual('completed', cluster.get_report().state)
 
-
     async def test_exchanges_with_a_worker_overlap(self) -> None:
         cluster = await builders.build_cluster(1)
         self.addAsyncCleanup(cluster.stop)
