Replace workers elsewhere in random runs

The random run of faults restarted workers at their address only, and at once. Now another incarnation also registers at another address while the earlier one is at work, and may be reached, until it dies some seconds or minutes later. The checks see both.

A client of a worker that is gone for good no longer reaches it when a cut that had been made before is repaired.

--- a/chivespoke/bench/_cluster.py
+++ b/chivespoke/bench/_cluster.py
@@ -140,6 +140,8 @@
         self.plan = plan
         self.connector = standins.MemoryWorkerConnector()
         self.agents: dict[int, standins.WorkerAgent] = {}
+        # Lives that go on beside a later one.
+        self.replaced: list[standins.WorkerAgent] = []
         self.processes: dict[str, SchedulerProcess] = {}
         self._steps = 0
         for number in range(workers_count):
@@ -155,6 +157,7 @@
         life: int = 1,
         drift: float = 0.0,
         capacity: resources.Resources = CAPACITY,
+        address: str = '',
     ) -> standins.WorkerAgent:
         """Add a worker, or its next life; data centres go in turn."""
         place = number % len(DATA_CENTRES)
@@ -168,7 +171,7 @@
                 rack=identifiers.RackName(f'rack-{place}-{rack}'),
                 capacity=capacity,
                 group=group,
-                address=f'memory://{number}',
+                address=address or f'memory://{number}',
             ),
             _gates.SkewedClock(self.clock, 500.0 * number + life, drift),
         )
@@ -176,6 +179,24 @@
         self.connector.add(agent)
         return agent
 
+    def add_worker_elsewhere(
+        self, number: int, life: int
+    ) -> standins.WorkerAgent:
+        """Add a worker's next life at another address; the earlier goes on."""
+        self.replaced.append(self.agents[number])
+        return self.add_worker(
+            number, life, address=f'memory://{number}.{life}'
+        )
+
+    def remove_agent(self, agent: standins.WorkerAgent) -> None:
+        """Let a replaced life of a worker be gone."""
+        self.replaced.remove(agent)
+        self.connector.clients[agent.registration.address].ended = True
+
+    def list_agents(self) -> list[standins.WorkerAgent]:
+        """Return the agents of all lives that may be at work."""
+        return [*self.agents.values(), *self.replaced]
+
     async def add_process(
         self,
         name: str = 'entry-1',
@@ -214,7 +235,7 @@
             if process.gate.is_open and process.log.reachable:
                 if not self.log.faults.read_down:
                     process.configuration.poll(now)
-        for agent in self.agents.values():
+        for agent in self.list_agents():
             running = len(agent.runs)
             agent.advance_runs()
             if len(agent.runs) < running:
--- a/chivespoke/bench/_fault_actions.py
+++ b/chivespoke/bench/_fault_actions.py
@@ -13,6 +13,7 @@
     CANCEL_WAVE = 'cancellation wave'
     CUT_WORKER = 'worker cut off'
     RESTART_WORKER = 'worker restarted'
+    REPLACE_WORKER = 'worker replaced elsewhere while it runs'
     CUT_RACK = 'rack cut off'
     LOSE_WORKER_ANSWERS = 'worker answers lost'
     BREAK_WORKER = 'worker fails everything'
@@ -41,6 +42,7 @@
     ActionKind.CANCEL_WAVE: 6,
     ActionKind.CUT_WORKER: 10,
     ActionKind.RESTART_WORKER: 4,
+    ActionKind.REPLACE_WORKER: 2,
     ActionKind.CUT_RACK: 2,
     ActionKind.LOSE_WORKER_ANSWERS: 10,
     ActionKind.BREAK_WORKER: 1,
--- a/chivespoke/bench/_fault_checks.py
+++ b/chivespoke/bench/_fault_checks.py
@@ -63,7 +63,7 @@
     def check(self) -> None:
         """Check every run that began since the last call, in order."""
         fresh: list[tuple[float, standins.Run, standins.WorkerAgent]] = []
-        for agent in self._cluster.agents.values():
+        for agent in self._cluster.list_agents():
             fresh.extend(self._take_fresh(agent))
         self._check_runs(fresh)
 
--- a/chivespoke/bench/_fault_world.py
+++ b/chivespoke/bench/_fault_world.py
@@ -95,7 +95,7 @@
     def _check_quota(self) -> None:
         running = sum(
             agent.compute_committed_resources().millicores
-            for agent in self.cluster.agents.values()
+            for agent in self.cluster.list_agents()
         )
         self.witness.checks['quota never over-run'] += 1
         errors.check_invariant(
@@ -324,6 +324,8 @@
                 )
             case Kind.RESTART_WORKER:
                 self._restart_worker(number)
+            case Kind.REPLACE_WORKER:
+                self._replace_worker(number, action.duration)
             case Kind.LOSE_WORKER_ANSWERS:
                 client.lost_answers += 1 + int(action.size * 4)
             case Kind.BREAK_WORKER:
@@ -351,8 +353,37 @@
         # Who is connected to the address now meets the new incarnation there.
         clients = self.cluster.connector.clients
         client = clients[old.registration.address]
-        client.agent = self.cluster.add_worker(number, 1 + self._lives[key])
-        clients[old.registration.address] = client
+        address = old.registration.address
+        client.agent = self.cluster.add_worker(
+            number, 1 + self._lives[key], address=address
+        )
+        clients[address] = client
+
+    def _replace_worker(self, number: int, seconds: float) -> None:
+        """Register another incarnation; the earlier one dies only later."""
+        old = self.cluster.agents[number]
+        key = str(old.registration.worker_id)
+        self._lives[key] += 1
+        agent = self.cluster.add_worker_elsewhere(number, 1 + self._lives[key])
+        self._register_elsewhere(agent)
+
+        def kill() -> None:
+            self.witness.note_killed(old)
+            self.cluster.remove_agent(old)
+            self._register_elsewhere(agent)
+
+        self._end_after(seconds, kill)
+
+    def _register_elsewhere(self, agent: standins.WorkerAgent) -> None:
+        registration = agent.registration
+        for process in self.cluster.processes.values():
+            process.api.streams[registration.group].propose(
+                _records.WorkerAddressChanged(
+                    registration.worker_id,
+                    registration.address,
+                    registration.incarnation,
+                )
+            )
 
     # Checks.
 
--- a/chivespoke/standins/_worker_client.py
+++ b/chivespoke/standins/_worker_client.py
@@ -12,11 +12,13 @@
 class MemoryWorkerClient(workers.WorkerClient):
     """Call an agent in the same process, with injected network faults."""
 
-    __slots__ = ('agent', 'reachable', 'lost_answers')
+    __slots__ = ('agent', 'reachable', 'ended', 'lost_answers')
 
     def __init__(self, agent: _worker.WorkerAgent) -> None:
         self.agent = agent
         self.reachable = True
+        # Whether the agent is gone for good.
+        self.ended = False
         # Number of answers still to drop after the command took effect.
         self.lost_answers = 0
 
@@ -45,7 +47,7 @@
         return self._deliver(self.agent.throttle(command))
 
     def _check_reachable(self) -> None:
-        if not self.reachable:
+        if self.ended or not self.reachable:
             raise errors.UnavailableError(
                 'reach',
                 self.agent.registration.worker_id,
