--- a/chivespoke/backend_servers/_registry.py
+++ b/chivespoke/backend_servers/_registry.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import msgspec
+
 from chivespoke import application
 from chivespoke.backend_servers import _ejection
+from chivespoke.backend_servers import _keys
 from chivespoke.backend_servers import _messages
 from chivespoke.backend_servers import _routing
 from chivespoke import clock
@@ -19,11 +22,35 @@
 REVOKE_TIMEOUT_SECONDS = 0.05
 # Time by which the sidecar's deadline precedes the entry's.
 REPLY_MARGIN_SECONDS = 0.002
+# Time for which a dispatch may be on its way. A sidecar remembers a key for
+# longer, so that no copy of it arrives after that.
+DISPATCH_VALIDITY_SECONDS = 60.0
+assert (
+    DISPATCH_VALIDITY_SECONDS * (1 + clock.MAX_CLOCK_DRIFT_SHARE) ** 2
+    < _keys.KEY_RETENTION_SECONDS
+)
 # Limit on the stored incarnations that restarts have replaced.
 MAX_REPLACED_INCARNATIONS = 10_000
+# Time for which another incarnation must be heard after the last message of
+# an earlier one before that counts as ended.
+END_CONFIRMATION_SECONDS = 5.0
 NOT_CONNECTED = 'not connected'
 
 
+class _Replacement:
+    """Hold which incarnation was heard after another, and since when."""
+
+    __slots__ = ('successor', 'since', 'confirmed')
+
+    def __init__(
+        self, successor: identifiers.Incarnation, since: float
+    ) -> None:
+        self.successor = successor
+        self.since = since
+        # Whether the successor was heard long enough.
+        self.confirmed = False
+
+
 class Registry(application.Component):
     """Track backend servers and match their replies to attempts."""
 
@@ -36,7 +63,7 @@
         '_telemetry',
         '_weights',
         '_sent_entries',
-        '_replaced_incarnations',
+        '_replacements',
         '_outlier_detector',
         'ejection_enabled',
     )
@@ -57,8 +84,8 @@
         self._clock = time
         self._telemetry = instruments
         self._weights: dict[str, float] = {}
-        # Incarnations replaced by another one of the same name, oldest first.
-        self._replaced_incarnations: dict[identifiers.Incarnation, None] = {}
+        # By the incarnation replaced, oldest first.
+        self._replacements: dict[identifiers.Incarnation, _Replacement] = {}
         self._outlier_detector = _ejection.OutlierDetector()
         # False for the baseline routing policies.
         self.ejection_enabled = True
@@ -104,8 +131,38 @@
         return list(self._servers.values())
 
     def list_replaced(self) -> frozenset[identifiers.Incarnation]:
-        """Return the incarnations that a restart has replaced."""
-        return frozenset(self._replaced_incarnations)
+        """Return the incarnations after which another one was heard.
+
+        They may still be alive: messages of a dead incarnation that come late
+        put it in the place of the living one.
+        """
+        return frozenset(self._replacements)
+
+    def list_ended(self) -> frozenset[identifiers.Incarnation]:
+        """Return the incarnations that have ended.
+
+        A name belongs to one process at a time, so an incarnation has ended
+        if it was silent while another one went on speaking.
+        """
+        for replacement in self._replacements.values():
+            if not replacement.confirmed:
+                replacement.confirmed = self._is_confirmed(replacement)
+        return frozenset(
+            incarnation
+            for incarnation, replacement in self._replacements.items()
+            if replacement.confirmed
+        )
+
+    def _is_confirmed(self, replacement: _Replacement) -> bool:
+        since = replacement.since
+        successor = replacement.successor
+        while successor in self._replacements:
+            successor = self._replacements[successor].successor
+        server = self._servers.get(successor)
+        return (
+            server is not None
+            and server.last_heartbeat_at - since >= END_CONFIRMATION_SECONDS
+        )
 
     def find(
         self, incarnation: identifiers.Incarnation
@@ -157,8 +214,15 @@
         loop = asyncio.get_running_loop()
         future: asyncio.Future[_messages.Reply] = loop.create_future()
         size = len(dispatch.body)
+        now = self._clock.read_monotonic()
+        start_until = (
+            server.clock_reading.compute_lower_bound(now)
+            + DISPATCH_VALIDITY_SECONDS
+        )
         try:
-            server.peer.send(dispatch)
+            server.peer.send(
+                msgspec.structs.replace(dispatch, start_until=start_until)
+            )
         except errors.RefusedError:
             return _messages.Reply(
                 sequence, _messages.Outcome.NOT_RUN, NOT_CONNECTED
@@ -203,6 +267,7 @@
             server.slow_start_at = now
         server.announcement = announcement
         server.last_heartbeat_at = now
+        server.observe_clock(announcement.clock, now)
         server.reported_outstanding = announcement.outstanding
         if announcement.leaving:
             # The connection keeps the order: all dispatches that may start
@@ -239,12 +304,14 @@
     ) -> _routing.ServerView:
         for other in tuple(self._servers.values()):
             if other.peer.name == peer.name:
-                self._replaced_incarnations[other.peer.incarnation] = None
+                self._replacements[other.peer.incarnation] = _Replacement(
+                    peer.incarnation, now
+                )
                 self._remove(other, 'restarted')
-        while len(self._replaced_incarnations) > MAX_REPLACED_INCARNATIONS:
-            del self._replaced_incarnations[
-                next(iter(self._replaced_incarnations))
-            ]
+        # It speaks, so it has not ended.
+        self._replacements.pop(peer.incarnation, None)
+        while len(self._replacements) > MAX_REPLACED_INCARNATIONS:
+            del self._replacements[next(iter(self._replacements))]
         server = _routing.ServerView(peer, announcement, now)
         server.weight = self._weights.get(peer.name, 1.0)
         self._servers[peer.incarnation] = server
--- a/chivespoke/scheduling/_link.py
+++ b/chivespoke/scheduling/_link.py
@@ -1,5 +1,6 @@
 """Exchange leases, commands and statuses with one worker of a shard."""
 
+from chivespoke import clock as clocks
 from chivespoke import errors
 from chivespoke import identifiers
 from chivespoke import logs
@@ -59,7 +60,7 @@
         self.incarnation = worker.incarnation
         self.address = worker.address
         self.epoch = owner.epoch
-        self.clock_reading: _permits.ClockReading | None = None
+        self.clock_reading: clocks.ClockReading | None = None
         # Latest lease end that the worker may hold, on the worker's clock.
         self.max_lease_until = float('-inf')
         self.renewed_at = float('-inf')
@@ -76,12 +77,10 @@
         self.giving_up = False
         self._owner = owner
 
-    def change_address(
-        self, address: str, connector: workers.WorkerConnector
-    ) -> None:
+    def change_address(self, address: str) -> None:
         """Use another address of the same worker; its leases stay valid."""
         self.address = address
-        self.client = connector.connect(address)
+        self.client = self._owner.connect(address)
 
     def is_lease_expired(self, now: float) -> bool:
         """Return whether every lease that the worker may hold has expired."""
@@ -112,8 +111,22 @@
         return self._has_commands()
 
     async def exchange(self, renew: bool = False) -> None:
-        """Renew the lease if due, then send the commands that are due."""
+        """Renew the lease if due, then send the commands that are due.
+
+        Do nothing during another exchange, which may have begun since this
+        one was scheduled.
+        """
+        if self.busy:
+            return
         self.busy = True
+        try:
+            await self._exchange(renew)
+            if self.failures:
+                await self._look_elsewhere()
+        finally:
+            self.busy = False
+
+    async def _exchange(self, renew: bool) -> None:
         now = self._owner.read_clock()
         self.tried_at = now
         try:
@@ -126,12 +139,42 @@
                 await self._renew()
             await self._send_commands()
         except errors.RefusedError as error:
+            # Its state is not what this process takes it for.
+            self.renewed_at = float('-inf')
             LOGGER.info('A worker refused a request.', error=error)
         except errors.UnavailableError as error:
             self.failures += 1
             LOGGER.debug('A worker did not answer.', error=error)
-        finally:
-            self.busy = False
+
+    async def _look_elsewhere(self) -> None:
+        """Ask who answers at the address of another incarnation.
+
+        An answer there does not show that the present one has ended. While the
+        worker has tasks, they wait for the end of its lease.
+        """
+        worker = self._get_worker()
+        address = worker.other_address
+        if not address or worker.tasks:
+            return
+        try:
+            self._check_ownership()
+            epoch = self.epoch
+            heartbeat = await self._owner.connect(address).renew(
+                workers.LeaseRenewal(
+                    worker_id=worker.worker_id,
+                    epoch=epoch,
+                    lease_until=float('-inf'),
+                    incarnation=self.incarnation,
+                )
+            )
+        except (errors.RefusedError, errors.UnavailableError) as error:
+            LOGGER.debug('No worker answers elsewhere.', error=error)
+            return
+        if (
+            heartbeat.worker_id == worker.worker_id
+            and heartbeat.incarnation != self.incarnation
+        ):
+            self._replace_incarnation(heartbeat, epoch, address)
 
     async def _renew(self) -> None:
         if self.clock_reading is None or not self.contacted:
@@ -149,6 +192,7 @@
         owner = self._owner
         self._check_ownership()
         epoch = self.epoch
+        address = self.address
         self.max_lease_until = max(self.max_lease_until, lease_until)
         heartbeat = await self.client.renew(
             workers.LeaseRenewal(
@@ -167,12 +211,12 @@
                 'another worker answered at its address',
             )
         if heartbeat.incarnation != self.incarnation:
-            self._replace_incarnation(heartbeat, epoch)
+            self._replace_incarnation(heartbeat, epoch, address)
             return
         # A lease of an earlier owner may end later than those of this owner.
         # It cannot be extended, as the worker now knows this epoch.
         self.max_lease_until = max(self.max_lease_until, heartbeat.lease_until)
-        self.clock_reading = _permits.ClockReading(heartbeat.clock, now)
+        self.clock_reading = clocks.ClockReading(heartbeat.clock, now)
         self.contacted = True
         self.renewed_at = now
         self.tracker.record_statuses(heartbeat, now)
@@ -209,7 +253,7 @@
         return max(lease, self.max_lease_until)
 
     def _replace_incarnation(
-        self, heartbeat: workers.Heartbeat, epoch: int
+        self, heartbeat: workers.Heartbeat, epoch: int, address: str
     ) -> None:
         worker = self._get_worker()
         self._owner.propose(
@@ -219,7 +263,7 @@
                 worker.data_centre,
                 worker.rack,
                 worker.capacity,
-                worker.address,
+                address,
                 epoch,
                 # The incarnation to which the request was sent. If the shard
                 # has a newer one by now, this late answer must not
@@ -317,6 +361,7 @@
                 attempt=attempt,
                 epoch=self.epoch,
                 checkpoint=save,
+                incarnation=self.incarnation,
             )
         )
         self.tracker.record_status(status, self._owner.read_clock())
@@ -335,6 +380,7 @@
                 attempt=attempt,
                 epoch=self.epoch,
                 throttled=throttled,
+                incarnation=self.incarnation,
             )
         )
         self.tracker.record_status(status, self._owner.read_clock())
@@ -346,7 +392,10 @@
         task_id, attempt = self.tracker.get_name(key)
         status = await self.client.checkpoint(
             workers.CheckpointCommand(
-                task_id=task_id, attempt=attempt, epoch=self.epoch
+                task_id=task_id,
+                attempt=attempt,
+                epoch=self.epoch,
+                incarnation=self.incarnation,
             )
         )
         self.tracker.record_status(status, self._owner.read_clock())
--- a/chivespoke/scheduling/tests/test_faults.py
+++ b/chivespoke/scheduling/tests/test_faults.py
@@ -135,6 +135,63 @@
         )
         self.assertEqual(8, cluster.get_report().attempts)
 
+    async def test_a_task_runs_twice_as_another_worker_answers_its_stop(
+        self,
+    ) -> None:
+        """Evict a task while another worker has its worker's address."""
+        cluster = await self._build(3)
+        await builders.submit(cluster, 3, payload=builders.build_payload(300))
+        await cluster.run(5, STEP_SECONDS)
+        evicted = set(cluster.agents[0].runs)
+        self.assertTrue(evicted)
+        client = cluster.connector.clients['memory://0']
+        client.agent = cluster.agents[1]
+        cluster.publish(builders.take_out(builders.build_document(), 'dc1'))
+        await cluster.run(30, STEP_SECONDS)
+        # It still has a lease, so its tasks may not run elsewhere yet.
+        self.assertEqual(evicted, set(cluster.agents[0].runs))
+        await cluster.run(60, STEP_SECONDS)
+        self.assertFalse(cluster.agents[0].runs)
+        self.assertEqual(3, cluster.get_report().running)
+
+    async def test_a_task_runs_twice_as_its_worker_registers_elsewhere(
+        self,
+    ) -> None:
+        """Register another incarnation while the earlier one is at work."""
+        cluster = await self._build(2)
+        await builders.submit(cluster, 4, payload=builders.build_payload(300))
+        await cluster.run(5, STEP_SECONDS)
+        earlier = cluster.agents[0]
+        at_work = set(earlier.runs)
+        self.assertTrue(at_work)
+        later = await cluster.register_elsewhere(0, 2)
+        await cluster.run(30, STEP_SECONDS)
+        self.assertEqual(at_work, set(earlier.runs))
+        cluster.set_reachable(False, 0)
+        await cluster.run(120, STEP_SECONDS)
+        self.assertFalse(earlier.runs)
+        shard = cluster.processes['entry-1'].api.streams['default'].fold.shard
+        self.assertEqual(
+            later.registration.incarnation, shard.workers[0].incarnation
+        )
+        self.assertEqual(4, cluster.get_report().running)
+
+    async def test_a_late_registration_cuts_off_the_living_incarnation(
+        self,
+    ) -> None:
+        cluster = await self._build(1)
+        cluster.set_reachable(False, 0)
+        earlier = cluster.agents[0].registration
+        later = await cluster.register_elsewhere(0, 2)
+        await cluster.run(120, STEP_SECONDS)
+        await builders.submit(cluster, 4, payload=builders.build_payload(300))
+        await cluster.run(10, STEP_SECONDS)
+        self.assertEqual(4, len(later.runs))
+        await cluster.register(earlier)
+        await cluster.run(120, STEP_SECONDS)
+        self.assertEqual(4, len(later.runs))
+        self.assertEqual(0, cluster.get_report().abandoned)
+
     async def test_the_owner_process_dies_and_tasks_keep_running(self) -> None:
         cluster = await self._build(3, 2)
         await builders.submit(cluster, 20, payload=builders.build_payload(20))
@@ -169,6 +226,48 @@
         self.assertEqual(first.get_owner().epoch, 0)
         self._check_finished(cluster, 12)
 
+    async def test_a_restarted_owner_forgets_its_leases_or_waits_for_hours(
+        self,
+    ) -> None:
+        """Restart the owner's process while a worker is cut off."""
+        cluster = await self._build(2)
+        await builders.submit(cluster, 8, payload=builders.build_payload(300))
+        await cluster.run(5, STEP_SECONDS)
+        cluster.set_reachable(False, 0)
+        await cluster.processes['entry-1'].die()
+        await cluster.add_process('entry-1', 2)
+        await cluster.run(45, STEP_SECONDS)
+        self.assertTrue(cluster.agents[0].runs)
+        self.assertEqual(0, cluster.get_report().abandoned)
+        await cluster.run(60, STEP_SECONDS)
+        self.assertGreater(cluster.get_report().abandoned, 0)
+
+    async def test_a_thawed_owner_renews_while_its_successor_gives_up(
+        self,
+    ) -> None:
+        """Let an owner that lost its claim while frozen go on blindly."""
+        cluster = await self._build(2, 2)
+        await builders.submit(cluster, 8, payload=builders.build_payload(600))
+        await cluster.run(5, STEP_SECONDS)
+        first = cluster.processes['entry-1']
+        first.gate.close()
+        cluster.set_reachable(False, 0)
+        await cluster.run(30, STEP_SECONDS)
+        self.assertEqual(2, cluster.processes['entry-2'].get_owner().epoch)
+        first.log.reachable = False
+        first.gate.open()
+        link = first.get_owner().links[0]
+        for _ in range(10):
+            cluster.set_reachable(True, 0)
+            await link.exchange(renew=True)
+            cluster.set_reachable(False, 0)
+            await cluster.run(20, STEP_SECONDS)
+        self.assertTrue(cluster.agents[0].runs)
+        self.assertEqual(0, cluster.get_report().abandoned)
+        first.log.reachable = True
+        await cluster.run(120, STEP_SECONDS)
+        self.assertGreater(cluster.get_report().abandoned, 0)
+
     async def test_a_successor_waits_for_the_longer_earlier_lease(
         self,
     ) -> None:
--- a/chivespoke/standins/_worker.py
+++ b/chivespoke/standins/_worker.py
@@ -86,8 +86,13 @@
         ] = {}
 
     def renew(self, renewal: workers.LeaseRenewal) -> workers.Heartbeat:
-        """Extend the lease; refuse a stale owner."""
+        """Extend the lease; refuse a stale owner.
+
+        The owner of another worker's shard only learns who answers here.
+        """
         self.advance_runs()
+        if renewal.worker_id != self.registration.worker_id:
+            return self.make_heartbeat()
         self._check_epoch(renewal.epoch)
         if renewal.incarnation == self.registration.incarnation:
             self.lease_until = max(self.lease_until, renewal.lease_until)
@@ -118,13 +123,7 @@
     def start(self, command: workers.StartCommand) -> workers.TaskStatus:
         """Start an attempt, or record that it will never start."""
         self.advance_runs()
-        self._check_epoch(command.epoch)
-        if command.incarnation != self.registration.incarnation:
-            raise errors.RefusedError(
-                'start an attempt',
-                self.registration.worker_id,
-                'the permit is for another incarnation',
-            )
+        self._check_sender(command.incarnation, command.epoch)
         key = (command.task_id, command.attempt)
         if key in self._tombstones:
             return self._tombstones[key][0]
@@ -147,7 +146,7 @@
     def stop(self, command: workers.StopCommand) -> workers.TaskStatus:
         """Stop an attempt; an unknown attempt is barred from starting."""
         self.advance_runs()
-        self._check_epoch(command.epoch)
+        self._check_sender(command.incarnation, command.epoch)
         key = (command.task_id, command.attempt)
         if key in self._tombstones:
             return self._tombstones[key][0]
@@ -170,13 +169,13 @@
         self, command: workers.CheckpointCommand
     ) -> workers.TaskStatus:
         """Save the progress of an attempt, which keeps running."""
-        run = self._get_run(command.task_id, command.attempt, command.epoch)
+        run = self._get_run(command)
         run.saved = run.progress
         return self._make_status(run)
 
     def throttle(self, command: workers.ThrottleCommand) -> workers.TaskStatus:
         """Throttle an attempt, or restore its full speed."""
-        run = self._get_run(command.task_id, command.attempt, command.epoch)
+        run = self._get_run(command)
         run.throttled = command.throttled
         return self._make_status(run)
 
@@ -194,6 +193,10 @@
                     'the lease lapsed',
                 )
 
+    def holds_lease(self) -> bool:
+        """Return whether a scheduler has renewed the lease lately."""
+        return self.clock.read_monotonic() <= self.lease_until
+
     def compute_committed_resources(self) -> resources.Resources:
         """Return the sum of the sizes of the running attempts."""
         return sum(
@@ -305,15 +308,12 @@
         )
 
     def _get_run(
-        self,
-        task_id: identifiers.TaskId,
-        attempt: identifiers.Attempt,
-        epoch: int,
+        self, command: workers.CheckpointCommand | workers.ThrottleCommand
     ) -> Run:
         self.advance_runs()
-        self._check_epoch(epoch)
-        run = self.runs.get(task_id)
-        if run is None or run.command.attempt != attempt:
+        self._check_sender(command.incarnation, command.epoch)
+        run = self.runs.get(command.task_id)
+        if run is None or run.command.attempt != command.attempt:
             raise errors.RefusedError(
                 'find attempt',
                 self.registration.worker_id,
@@ -321,6 +321,21 @@
             )
         return run
 
+    def _check_sender(
+        self, incarnation: identifiers.Incarnation, epoch: int
+    ) -> None:
+        """Refuse what is meant for another worker, or a stale owner.
+
+        Epochs of another worker's shard say nothing about the own owner.
+        """
+        if incarnation != self.registration.incarnation:
+            raise errors.RefusedError(
+                'check incarnation',
+                self.registration.worker_id,
+                'the command is for another incarnation',
+            )
+        self._check_epoch(epoch)
+
     def _check_epoch(self, epoch: int) -> None:
         if epoch < self.epoch:
             raise errors.RefusedError(
