Acknowledge no ends after a failed poll

Found by review. What callers could see: a task that runs again after its end was acknowledged. Cause: the numbers of ends start anew with each life of a worker, and the first poll that reaches a new life under the same identifier still carried the number acknowledged to the earlier one, so that the new life forgot ends that no one had read. Change: after a poll without an answer the next one acknowledges nothing; numbers are cumulative, so nothing is lost.

Failed before: test_end_on_the_next_incarnation_is_not_acknowledged ([the task] != []). A life that starts between two answered polls, 0.02 to 0.3 s apart, is not covered. 18 tests of the session pass.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -280,7 +280,9 @@
         was_doubted = self._doubted
         status = await self._client.poll(
             self._fence,
-            self._acknowledged_end,
+            # After a failed poll another incarnation may answer, whose ends
+            # have numbers of their own.
+            self._acknowledged_end if self._answering else 0,
             self._extend_leases(),
             0.0 if is_first else POLL_WAIT_SECONDS,
         )
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -297,6 +297,38 @@
         self.assertEqual([], self.runner.began)
         self.assertEqual(1, self.listener.silences)
 
+    async def test_end_on_the_next_incarnation_is_not_acknowledged(
+        self,
+    ) -> None:
+        self.session.apply_directive(
+            coordination.Directive(
+                EPOCH,
+                self.session.incarnation.key,
+                self.clock_ms + HOUR_MS,
+                acknowledged=3,
+                number=10,
+                session=SESSION,
+                fence=FENCE,
+            )
+        )
+        self.directives = 10
+        self.runner.seconds = 0.1
+        self.runner.faults.holds_stall = True
+        self.runner.restart()
+        while self.session.answering:
+            await self.wait_for_report()
+        # The next incarnation carries out an order for the earlier one.
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        await self.wait_for_outcome()
+        while self.runner.running:
+            await asyncio.sleep(0.02)
+        lease_end_ms = self.session.make_report('a').lease_end_ms
+        self.runner.faults.holds_stall = False
+        while self.session.make_report('a').lease_end_ms >= lease_end_ms:
+            await asyncio.sleep(0.02)
+        status = await self.client.poll(FENCE, 0, None, 0.0)
+        self.assertEqual([TASK], [end.task for end in status.ended])
+
     async def test_worker_in_doubt_starts_nothing_until_it_answers(
         self,
     ) -> None:
