Refuse a session that is earlier than the current one of its process

Found by review, by reading and a test of the function: a first report that a new leader reads late made an earlier session the current one, and the reports of the living one would have been ignored for the rest of the term. Sessions of one process are counted, and a lower count is not admitted (test_earlier_session_that_is_heard_late_is_not_admitted).

--- a/chivespoke/agents/_agent.py
+++ b/chivespoke/agents/_agent.py
@@ -89,7 +89,9 @@
 
     @property
     def _session_identifier(self) -> str:
-        return f'{self._sidecar_incarnation}/{self._session_count}'
+        return coordination.format_session(
+            self._sidecar_incarnation, self._session_count
+        )
 
     @property
     def session(self) -> _session.Session | None:
--- a/chivespoke/coordination/__init__.py
+++ b/chivespoke/coordination/__init__.py
@@ -6,6 +6,7 @@
 from chivespoke.coordination._engine_state import LeaderTimeouts
 from chivespoke.coordination._engine_state import MAX_UNANSWERED_ORDER_BYTES
 from chivespoke.coordination._engine_state import ORDER_RESEND_SECONDS
+from chivespoke.coordination._fences import format_session
 from chivespoke.coordination._followers import TopicFold
 from chivespoke.coordination._followers import TopicFollower
 from chivespoke.coordination._links import open_socket
@@ -61,5 +62,6 @@
     'encode_entry_departure',
     'encode_job',
     'encode_sidecar',
+    'format_session',
     'open_socket',
 ]
--- a/chivespoke/coordination/_fences.py
+++ b/chivespoke/coordination/_fences.py
@@ -4,6 +4,23 @@
 SESSIONS_PER_EPOCH = 65_536
 
 
+def format_session(sidecar_incarnation: str, count: int) -> str:
+    """Return the identifier of a session of a sidecar's process."""
+    return f'{sidecar_incarnation}/{count}'
+
+
+def is_earlier(session: str, other: str) -> bool:
+    """Return whether a session is earlier than another of its process."""
+    process, _, count = session.rpartition('/')
+    other_process, _, other_count = other.rpartition('/')
+    return (
+        process == other_process
+        and count.isdecimal()
+        and other_count.isdecimal()
+        and int(count) < int(other_count)
+    )
+
+
 class SessionFences:
     """Assign each session of a sidecar a higher token than the one before.
 
@@ -24,6 +41,8 @@
         """Record a session; return whether no later one has replaced it."""
         sessions = self._sessions.setdefault(sidecar, [])
         if session not in sessions:
+            if sessions and is_earlier(session, sessions[-1]):
+                return False
             sessions.append(session)
         return sessions[-1] == session
 
--- a/chivespoke/coordination/tests/test_incarnations.py
+++ b/chivespoke/coordination/tests/test_incarnations.py
@@ -56,7 +56,9 @@
         self,
     ) -> None:
         # The time of day was set back before the worker started again.
-        self.leader.report(builders.make_report(born_ms=0))
+        self.leader.report(
+            builders.make_report(sidecar_incarnation='b', born_ms=0)
+        )
         self.assertEqual([FIRST_TASK], self.list_starts_elsewhere())
 
     def test_report_of_an_earlier_session_has_no_effect(self) -> None:
@@ -83,6 +85,12 @@
                 self.assertEqual(session, fences.find_session('side-1'))
         self.assertEqual(sorted(set(tokens)), tokens)
 
+    def test_earlier_session_that_is_heard_late_is_not_admitted(self) -> None:
+        fences = _fences.SessionFences(7)
+        self.assertTrue(fences.admit('side-1', 'a/10'))
+        self.assertFalse(fences.admit('side-1', 'a/9'))
+        self.assertEqual('a/10', fences.find_session('side-1'))
+
     def test_replaced_session_is_not_admitted(self) -> None:
         fences = _fences.SessionFences(7)
         fences.admit('side-1', 'a/1')
