Do not carry out orders queued for an earlier process of the sidecar

Found by review: a restarted sidecar carried out orders that were queued for its predecessor before it had a token, so that the worker refused them and runs of earlier orders were stopped (test_orders_for_an_earlier_process_are_not_carried_out).

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -175,6 +175,9 @@
             self._fenced.set()
         if directive.incarnation != self.incarnation.key:
             return
+        if directive.session not in ('', self.identifier):
+            # Its orders are for an earlier process of the sidecar.
+            return
         if 0 < directive.number <= self._applied:
             LOGGER.info(
                 'A directive that was overtaken is ignored.',
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -329,6 +329,26 @@
         status = await self.client.poll(FENCE, 0, None, 0.0)
         self.assertEqual([TASK], [end.task for end in status.ended])
 
+    async def test_orders_for_an_earlier_process_are_not_carried_out(
+        self,
+    ) -> None:
+        self.session.apply_directive(
+            coordination.Directive(
+                EPOCH,
+                self.session.incarnation.key,
+                self.clock_ms + HOUR_MS,
+                0,
+                (self.make_start(),),
+                number=10,
+                session='z/1',
+                fence=FENCE - 1,
+            )
+        )
+        self.assertLess(self.session.make_report('a').applied, 10)
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        self.assertIsNone((await self.wait_for_outcome()).refusal)
+        self.assertEqual(1, len(self.runner.began))
+
     async def test_worker_in_doubt_starts_nothing_until_it_answers(
         self,
     ) -> None:
