Believe sidecars that do not number directives

Found by review: a report of an older sidecar names no directive, so that no refusal or lapse released anything; in the review's engine test a task was not started again within 30 s. Entries are replaced before sidecars, so both meet. Such a report counts for all orders, as before (test_sidecar_that_does_not_number_directives_is_believed).

--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -224,17 +224,17 @@
         self._requeue_task(run)
 
     def release_runs(
-        self, worker: _fleet.Worker, cause: str, applied: int | None = None
+        self, worker: _fleet.Worker, cause: str, covered: int | None = None
     ) -> None:
         """Remove the runs of a worker and requeue their tasks.
 
-        Keeps the runs ordered in a directive later than the one applied, if a
-        number is given: the evidence for the release does not cover them.
+        If the number of a directive is given, the evidence for the release
+        does not cover the runs ordered later, which are kept.
         """
         released = [
             run
             for run in worker.runs.values()
-            if applied is None or run.ordered_in <= applied
+            if covered is None or run.ordered_in <= covered
         ]
         if released:
             LOGGER.warning(
--- a/chivespoke/coordination/_messages.py
+++ b/chivespoke/coordination/_messages.py
@@ -62,9 +62,15 @@
     # Reading of the worker's clock, in milliseconds, at which the last of its
     # leases ends.
     lease_end_ms: int = 0
-    # Identifies the sidecar's process and the worker's incarnation.
+    # Identifies the sidecar's process and the worker's incarnation; empty from
+    # a sidecar of a version that does not number directives.
     session: str = ''
 
+    @property
+    def covered(self) -> int | None:
+        """Return the last directive that the report covers, None for all."""
+        return self.applied if self.session else None
+
 
 class StartOrder(msgspec.Struct, frozen=True, array_like=True):
     """Order the start of a run, with the details that pacing needs."""
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -63,14 +63,14 @@
                     applied=report.applied,
                     sent=worker.directives,
                 )
-            self._state.release_runs(worker, 'leases expired', report.applied)
+            self._state.release_runs(worker, 'leases expired', report.covered)
         self._reconcile_runs(worker, report.running)
         self._observe_runs(worker, is_new_poll)
         if report.answering and is_new_poll:
             _fleet.learn_tails(worker, self._state.interference)
             worker.candidate = None
         for outcome in report.outcomes:
-            self._handle_outcome(worker, outcome, report.applied, now)
+            self._handle_outcome(worker, outcome, report.covered, now)
         return worker
 
     def _find_worker(
@@ -265,13 +265,17 @@
         self,
         worker: _fleet.Worker,
         outcome: _messages.OrderOutcome,
-        applied: int,
+        covered: int | None,
         now: float,
     ) -> None:
         run = worker.runs.get(outcome.task)
         if run is None or run.number != outcome.run:
             return
-        if outcome.refusal is not None and run.ordered_in > applied:
+        if (
+            outcome.refusal is not None
+            and covered is not None
+            and run.ordered_in > covered
+        ):
             LOGGER.info(
                 'A refused order was repeated; the run is stopped.',
                 task=outcome.task,
@@ -279,7 +283,7 @@
                 worker=worker.incarnation.key,
                 refusal=outcome.refusal.value,
                 ordered_in=run.ordered_in,
-                applied=applied,
+                applied=covered,
             )
             # Further repetitions could cross each refusal. The outcome of the
             # stop covers all of them.
--- a/chivespoke/coordination/tests/builders.py
+++ b/chivespoke/coordination/tests/builders.py
@@ -86,6 +86,7 @@
     clock_ms: int = 1000,
     applied: int = ALL_DIRECTIVES,
     lease_end_ms: int = 0,
+    session: str | None = None,
 ) -> coordination.Report:
     """Return a sidecar's report; the same clock_ms means the same poll."""
     return coordination.Report(
@@ -102,7 +103,9 @@
         outcomes=outcomes,
         applied=applied,
         lease_end_ms=lease_end_ms,
-        session=f'{sidecar_incarnation}/{born_ms}',
+        session=f'{sidecar_incarnation}/{born_ms}'
+        if session is None
+        else session,
     )
 
 
--- a/chivespoke/coordination/tests/test_crossings.py
+++ b/chivespoke/coordination/tests/test_crossings.py
@@ -75,11 +75,29 @@
         self.leader.report(self.make_refusal(applied=self.directive.number))
         self.assertEqual([FIRST_TASK], self.list_starts_elsewhere())
 
-    def make_refusal(self, applied: int) -> coordination.Report:
+    def test_sidecar_that_does_not_number_directives_is_believed(self) -> None:
+        # Sidecars are replaced after the entries.
+        cases = {
+            'refusal': self.make_refusal(applied=0, session=''),
+            'lapse': builders.make_report(
+                answering=False, lapsed=True, applied=0, session=''
+            ),
+        }
+        for name, report in cases.items():
+            with self.subTest(name):
+                self.setUp()
+                self.leader.report(report)
+                self.assertEqual([FIRST_TASK], self.list_starts_elsewhere())
+
+    def make_refusal(
+        self, applied: int, session: str | None = None
+    ) -> coordination.Report:
         outcome = coordination.OrderOutcome(
             FIRST_TASK, 1, platform.Refusal.NO_CAPACITY
         )
-        return builders.make_report(outcomes=(outcome,), applied=applied)
+        return builders.make_report(
+            outcomes=(outcome,), applied=applied, session=session
+        )
 
 
 if __name__ == '__main__':
