Let moves compete with waiting tasks in the order of placement

Cause: moves used only the room that waiting tasks had left, and every 0.5 s only. While anything waited, no worker had room left for them.

Change: the slow runs found every 0.5 s are placed with the waiting steps of each plan, sorted by the same key. The room of a move is kept until its run has stopped; the estimate of the worker counts the moved filler, also its effect on serving tasks. Gain, cost of the restart and number of moves are unchanged.

Evidence: test_held_filler_moves_before_tasks_of_later_jobs_start failed before (the task of the later job started instead); its counterpart with the job that came earlier passed before and after.

_fleet.py loses the mark of a moving run, which only the placer used.

--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -52,7 +52,6 @@
         'last_sample',
         'stall_detector',
         'speed_tracker',
-        'moving',
     )
 
     def __init__(
@@ -80,8 +79,6 @@
         self.last_sample: TailSample | None = None
         self.stall_detector: decisions.StallDetector | None = None
         self.speed_tracker: decisions.SpeedTracker | None = None
-        # The run is being stopped so that its task starts on another worker.
-        self.moving = False
         # This leader or an earlier one has already sent the order.
         self.repeated = False
         # The advisor's permission to start the run; empty if none is needed.
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -2,7 +2,9 @@
 
 import collections
 import collections.abc
+import functools
 import math
+import typing
 
 import msgspec
 
@@ -36,8 +38,32 @@
     valid_until: float = math.inf
 
 
+# Descriptions of the workers that accept tasks, by worker.
+Candidates: typing.TypeAlias = dict[str, decisions.CandidateWorker]
+
+
+class Claimant(typing.NamedTuple):
+    """Hold a step or a run that needs room, and what is done to place it."""
+
+    pending_step: decisions.PendingStep
+    place: collections.abc.Callable[[Candidates], None]
+
+
+class SlowRun(typing.NamedTuple):
+    """Hold a run that may finish earlier on another worker."""
+
+    forecast: decisions.RunForecast
+    worker: _fleet.Worker
+    run: _fleet.Run
+
+    @property
+    def is_current(self) -> bool:
+        """Return whether the run still exists on the worker."""
+        return self.worker.runs.get(self.run.task_id) is self.run
+
+
 class Placer:
-    """Assign waiting tasks to workers."""
+    """Assign waiting tasks to workers and move slow runs."""
 
     __slots__ = (
         'advice_request',
@@ -47,6 +73,9 @@
         '_now',
         '_version',
         '_moves_checked_at',
+        '_slow_runs',
+        '_moves',
+        '_claimed_steps',
         '_shortages',
     )
 
@@ -61,6 +90,12 @@
         # Version of the configuration that decisions are based on.
         self._version = 0
         self._moves_checked_at = float('-inf')
+        # The slow runs of the last check.
+        self._slow_runs: list[SlowRun] = []
+        # Runs that are being stopped to move their tasks.
+        self._moves: list[SlowRun] = []
+        # Steps of the runs that the current plan moves to a worker.
+        self._claimed_steps: dict[str, list[workloads.Step]] = {}
         # Demands that the current plan could not meet.
         self._shortages = decisions.ShortageTracker()
 
@@ -74,77 +109,48 @@
         self.complete = True
         self._shortages = decisions.ShortageTracker()
         self._version = desired_state.configuration.version
-        pending_steps = sorted(
-            self._list_pending_steps(wall),
-            key=lambda item: decisions.make_sort_key(item[0], wall),
-        )
+        self._claimed_steps = {}
+        claimants = list(self._list_pending_steps(wall))
         are_moves_due = now >= self._moves_checked_at + MOVE_INTERVAL_SECONDS
-        if not pending_steps and not are_moves_due:
+        if not claimants and not are_moves_due:
             return ()
+        if are_moves_due:
+            self._moves_checked_at = now
+            self._slow_runs = self._find_slow_runs(wall)
+        claimants += self._list_moves()
+        # Moves compete with waiting tasks. If they used only what these leave,
+        # a run that is held down would stay for as long as later jobs wait.
+        claimants.sort(
+            key=lambda item: decisions.make_sort_key(item.pending_step, wall)
+        )
         candidates = {
-            worker.incarnation.key: _fleet.describe_candidate(
-                worker, self._state.interference
-            )
+            worker.incarnation.key: self._describe_candidate(worker)
             for worker in self._state.workers.values()
             if self._accepts_tasks(worker, desired_state, now)
         }
-        for _, state, occurrence, step_number in pending_steps:
-            self._place_step(state, occurrence, step_number, candidates)
+        for claimant in claimants:
+            claimant.place(candidates)
             if not self.complete:
-                return tuple(self._decided_runs)
-        if are_moves_due:
-            # Moves use only what the waiting tasks have left.
-            self._moves_checked_at = now
-            self._move_slow_runs(candidates)
+                break
         return tuple(self._decided_runs)
 
-    def _move_slow_runs(
-        self, candidates: dict[str, decisions.CandidateWorker]
-    ) -> None:
-        """Stop fillers that would finish much earlier on another worker."""
+    def _find_slow_runs(self, wall: float) -> list[SlowRun]:
+        """Return the slow runs to try to move, in the order of placement."""
         slow_runs = sorted(
             self._list_slow_runs(),
-            key=lambda item: item[0].remaining_seconds,
-            reverse=True,
+            key=lambda item: decisions.make_sort_key(
+                self._describe_run(item.run), wall
+            ),
         )
-        moves_left = MAX_MOVES - self._count_moving_runs()
-        for forecast, worker, run in slow_runs[:MAX_MOVE_TRIES]:
-            if moves_left <= 0:
-                return
-            state = self._state.jobs[run.name.job]
-            others = dict(candidates)
-            others.pop(worker.incarnation.key, None)
-            found = self._choose_candidate(state, run.step, run.name, others)
-            if found is None:
-                continue
-            speed = decisions.estimate_speed(
-                run.step, found, self._state.interference
-            )
-            if not decisions.is_move_worthwhile(forecast, speed):
-                continue
-            candidates[found.worker] = deduct_task(found, run.step)
-            run.state = _fleet.RunState.STOPPING
-            run.sent_at = None
-            run.moving = True
-            moves_left -= 1
-            LOGGER.info(
-                'A slow run is stopped, to start on a faster worker.',
-                task=run.task_id,
-                run=run.number,
-                worker=worker.incarnation.key,
-                speed=round(forecast.speed, 2),
-                remaining_seconds=round(forecast.remaining_seconds, 1),
-                elsewhere=found.worker,
-                speed_elsewhere=round(speed, 2),
-            )
+        return slow_runs[:MAX_MOVE_TRIES]
 
-    def _list_slow_runs(
-        self,
-    ) -> collections.abc.Iterator[
-        tuple[decisions.RunForecast, _fleet.Worker, _fleet.Run]
-    ]:
+    def _list_slow_runs(self) -> collections.abc.Iterator[SlowRun]:
         for worker in self._state.workers.values():
-            if not worker.is_heard(self._now) or worker.draining:
+            if (
+                not worker.filler_millis
+                or not worker.is_heard(self._now)
+                or worker.draining
+            ):
                 continue
             for run in worker.runs.values():
                 if (
@@ -164,37 +170,119 @@
                 if forecast is not None and decisions.is_move_worthwhile(
                     forecast, speed_elsewhere=1.0
                 ):
-                    yield forecast, worker, run
+                    yield SlowRun(forecast, worker, run)
+
+    def _list_moves(self) -> collections.abc.Iterator[Claimant]:
+        """Yield the moves under way, and the slow runs that may move."""
+        self._moves = [move for move in self._moves if move.is_current]
+        for move in self._moves:
+            if self._may_continue(move):
+                yield Claimant(
+                    self._describe_run(move.run),
+                    functools.partial(self._claim_room, move),
+                )
+        for slow_run in self._slow_runs:
+            if (
+                slow_run.is_current
+                and slow_run.run.state is _fleet.RunState.RUNNING
+                and self._may_continue(slow_run)
+            ):
+                yield Claimant(
+                    self._describe_run(slow_run.run),
+                    functools.partial(self._move_slow_run, slow_run),
+                )
 
-    def _count_moving_runs(self) -> int:
-        return sum(
-            run.moving
-            for worker in self._state.workers.values()
-            for run in worker.runs.values()
+    def _may_continue(self, slow_run: SlowRun) -> bool:
+        return (
+            slow_run.worker.is_heard(self._now)
+            and slow_run.run.name.job in self._state.jobs
+        )
+
+    def _describe_run(self, run: _fleet.Run) -> decisions.PendingStep:
+        return describe_pending_step(
+            self._state.jobs[run.name.job], run.name.occurrence, run.name.step
         )
 
+    def _claim_room(self, move: SlowRun, candidates: Candidates) -> None:
+        """Keep room for the task of a run that is being stopped."""
+        found = self._choose_elsewhere(move, candidates)
+        if found is not None:
+            self._record_claim(found.worker, move.run.step, candidates)
+
+    def _move_slow_run(
+        self, slow_run: SlowRun, candidates: Candidates
+    ) -> None:
+        """Stop a run if it would finish much earlier on another worker."""
+        forecast, worker, run = slow_run
+        state = self._state.jobs[run.name.job]
+        if len(self._moves) >= MAX_MOVES or self._shortages.covers(
+            self._describe_demand(state, run.step)
+        ):
+            return
+        found = self._choose_elsewhere(slow_run, candidates)
+        if found is None:
+            return
+        speed = decisions.estimate_speed(
+            run.step, found, self._state.interference
+        )
+        if not decisions.is_move_worthwhile(forecast, speed):
+            return
+        self._record_claim(found.worker, run.step, candidates)
+        run.state = _fleet.RunState.STOPPING
+        run.sent_at = None
+        self._moves.append(slow_run)
+        LOGGER.info(
+            'A slow run is stopped, to start on a faster worker.',
+            task=run.task_id,
+            run=run.number,
+            worker=worker.incarnation.key,
+            speed=round(forecast.speed, 2),
+            remaining_seconds=round(forecast.remaining_seconds, 1),
+            elsewhere=found.worker,
+            speed_elsewhere=round(speed, 2),
+        )
+
+    def _choose_elsewhere(
+        self, slow_run: SlowRun, candidates: Candidates
+    ) -> decisions.CandidateWorker | None:
+        run = slow_run.run
+        others = dict(candidates)
+        others.pop(slow_run.worker.incarnation.key, None)
+        state = self._state.jobs[run.name.job]
+        return self._choose_candidate(state, run.step, run.name, others)
+
+    def _record_claim(
+        self, worker_key: str, step: workloads.Step, candidates: Candidates
+    ) -> None:
+        self._claimed_steps.setdefault(worker_key, []).append(step)
+        candidates[worker_key] = decisions.deduct_filler(
+            step, candidates[worker_key], self._state.interference
+        )
+
+    def _describe_candidate(
+        self, worker: _fleet.Worker
+    ) -> decisions.CandidateWorker:
+        """Return a worker without the room that moving runs have claimed."""
+        candidate = _fleet.describe_candidate(worker, self._state.interference)
+        for step in self._claimed_steps.get(worker.incarnation.key, ()):
+            candidate = decisions.deduct_filler(
+                step, candidate, self._state.interference
+            )
+        return candidate
+
     def _list_pending_steps(
         self, wall: float
-    ) -> collections.abc.Iterator[
-        tuple[decisions.PendingStep, _jobs.JobState, int, int]
-    ]:
+    ) -> collections.abc.Iterator[Claimant]:
         for state in self._state.jobs.values():
             if state.final:
                 continue
             for occurrence, step_number in state.list_ready(wall):
-                step = state.job.steps[step_number]
-                starts_at = state.compute_occurrence_start(occurrence)
-                pending_step = decisions.PendingStep(
-                    job=state.job.identifier,
-                    priority=state.terms.priority,
-                    long_running=step.long_running,
-                    deadline=max(
-                        state.deadline, starts_at + state.objective_seconds
+                yield Claimant(
+                    describe_pending_step(state, occurrence, step_number),
+                    functools.partial(
+                        self._place_step, state, occurrence, step_number
                     ),
-                    remaining_seconds=state.remaining_paths[step_number],
-                    objective_seconds=state.objective_seconds,
                 )
-                yield pending_step, state, occurrence, step_number
 
     def _accepts_tasks(
         self, worker: _fleet.Worker, desired_state: DesiredState, now: float
@@ -214,7 +302,7 @@
         state: _jobs.JobState,
         occurrence: int,
         step_number: int,
-        candidates: dict[str, decisions.CandidateWorker],
+        candidates: Candidates,
     ) -> None:
         step = state.job.steps[step_number]
         names = state.list_waiting(occurrence, step_number)
@@ -256,7 +344,7 @@
         state: _jobs.JobState,
         step: workloads.Step,
         name: workloads.TaskName,
-        candidates: dict[str, decisions.CandidateWorker],
+        candidates: Candidates,
     ) -> decisions.WorkerRanking:
         return decisions.WorkerRanking(
             step,
@@ -269,7 +357,7 @@
         state: _jobs.JobState,
         step: workloads.Step,
         name: workloads.TaskName,
-        candidates: dict[str, decisions.CandidateWorker],
+        candidates: Candidates,
     ) -> decisions.CandidateWorker | None:
         ranking = self._rank_workers(state, step, name, candidates)
         return ranking.choose(state.measure_idle_time(self._now))
@@ -279,7 +367,7 @@
         state: _jobs.JobState,
         step: workloads.Step,
         name: workloads.TaskName,
-        candidates: dict[str, decisions.CandidateWorker],
+        candidates: Candidates,
     ) -> list[decisions.CandidateWorker]:
         """Return the workers whose use for a task is not ruled out."""
         eligible = self._list_service_candidates(state, candidates)
@@ -294,7 +382,7 @@
     def _list_service_candidates(
         self,
         state: _jobs.JobState,
-        candidates: dict[str, decisions.CandidateWorker],
+        candidates: Candidates,
     ) -> list[decisions.CandidateWorker]:
         return [
             candidate
@@ -315,7 +403,7 @@
         state: _jobs.JobState,
         step: workloads.Step,
         name: workloads.TaskName,
-        candidates: dict[str, decisions.CandidateWorker],
+        candidates: Candidates,
     ) -> None:
         terms = state.terms.advice
         if terms is None or self.advice_request is not None:
@@ -399,7 +487,7 @@
         state: _jobs.JobState,
         step: workloads.Step,
         names: list[workloads.TaskName],
-        candidates: dict[str, decisions.CandidateWorker],
+        candidates: Candidates,
     ) -> None:
         tasks = state.progress.tasks[names[0].occurrence][names[0].step]
         run_number = max(task.run for task in tasks) + 1
@@ -430,7 +518,7 @@
         step: workloads.Step,
         name: workloads.TaskName,
         candidate: decisions.CandidateWorker,
-        candidates: dict[str, decisions.CandidateWorker],
+        candidates: Candidates,
         run_number: int,
     ) -> None:
         task = state.find_task(name)
@@ -443,9 +531,7 @@
             run.ticket = self._find_ticket(name, candidate.worker) or ''
         worker.add(run)
         self._decided_runs.append(run)
-        candidates[candidate.worker] = _fleet.describe_candidate(
-            worker, self._state.interference
-        )
+        candidates[candidate.worker] = self._describe_candidate(worker)
         quarantine = self._state.quarantines.get(candidate.worker)
         if quarantine is not None and quarantine.is_quarantined:
             # A quarantined worker gets one task at a time as a probe.
@@ -461,6 +547,21 @@
         )
 
 
+def describe_pending_step(
+    state: _jobs.JobState, occurrence: int, step_number: int
+) -> decisions.PendingStep:
+    """Return a step in the form that the order of placement uses."""
+    starts_at = state.compute_occurrence_start(occurrence)
+    return decisions.PendingStep(
+        job=state.job.identifier,
+        priority=state.terms.priority,
+        long_running=state.job.steps[step_number].long_running,
+        deadline=max(state.deadline, starts_at + state.objective_seconds),
+        remaining_seconds=state.remaining_paths[step_number],
+        objective_seconds=state.objective_seconds,
+    )
+
+
 def deduct_task(
     candidate: decisions.CandidateWorker, step: workloads.Step
 ) -> decisions.CandidateWorker:
--- a/chivespoke/coordination/tests/test_moves.py
+++ b/chivespoke/coordination/tests/test_moves.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from chivespoke.coordination.tests import builders
 from chivespoke import platform
 from chivespoke import workloads
@@ -127,5 +129,132 @@
             self.assertEqual((), self.leader.make_directive().stops)
 
 
+class CompetingMoveTest(unittest.TestCase):
+    """Replay moves while tasks of another job wait for the same room.
+
+    On the recorded day fillers stayed held down for seconds, while each worker
+    that became free took tasks of jobs that came later.
+    """
+
+    OTHER_JOB = '00000000000000b1'
+
+    def setUp(self) -> None:
+        self.leader = builders.Leader()
+        self.clock_ms = 1000
+        # Run number and worker by task id.
+        self.running: dict[str, tuple[int, str]] = {}
+        self.ends = {'side-1': 0, 'side-2': 0}
+        self.draining: set[str] = set()
+        self.report_workers()
+
+    def submit(self, identifier: str, count: int, later_ms: int) -> None:
+        step = msgspec.structs.replace(FILLER, count=count)
+        job = builders.make_job(step, identifier=identifier)
+        accepted_ms = job.accepted_ms + later_ms
+        self.leader.submit(
+            msgspec.structs.replace(job, accepted_ms=accepted_ms)
+        )
+
+    def report_workers(self) -> None:
+        """Report all runs; those of `builders.JOB` are held down."""
+        for sidecar in self.ends:
+            self.report_worker(sidecar)
+
+    def report_worker(self, sidecar: str, *ended: platform.EndedRun) -> None:
+        listed = tuple(
+            platform.RunningTask(task, run, 'c', 0.0, 0.0)
+            if task.startswith(builders.JOB)
+            else platform.RunningTask(
+                task, run, 'c', self.clock_ms / 1000, 4000.0
+            )
+            for task, (run, worker) in self.running.items()
+            if worker == sidecar
+        )
+        self.leader.report(
+            builders.make_report(
+                sidecar,
+                running=listed,
+                ended=ended,
+                draining=sidecar in self.draining,
+                clock_ms=self.clock_ms,
+            )
+        )
+
+    def end_run(
+        self,
+        task: str,
+        cause: platform.EndCause = platform.EndCause.DONE,
+        checkpoint: str = '',
+    ) -> None:
+        """Report the end of a run."""
+        run, sidecar = self.running.pop(task)
+        self.ends[sidecar] += 1
+        end = builders.make_end(
+            self.ends[sidecar], task, cause, run, checkpoint
+        )
+        self.report_worker(sidecar, end)
+
+    def plan(self) -> tuple[list[str], list[str]]:
+        """Plan; return the tasks started and those stopped."""
+        self.leader.plan()
+        started, stopped = [], []
+        for sidecar in self.ends:
+            directive = self.leader.make_directive(sidecar)
+            for start in directive.starts:
+                self.running[start.task] = start.run, sidecar
+                started.append(start.task)
+            stopped += [stop.task for stop in directive.stops]
+        return started, stopped
+
+    def pass_time(self, seconds: float) -> None:
+        """Report and plan twice a second."""
+        for _ in range(int(seconds / 0.5)):
+            self.leader.now += 0.5
+            self.clock_ms += 500
+            self.report_workers()
+            self.assertEqual(([], []), self.plan())
+
+    def start_jobs(self, later_ms: int) -> str:
+        """Fill both workers; return a task of the other job on side-2.
+
+        One more task of the other job, which is accepted later by a time,
+        waits.
+        """
+        self.submit(builders.JOB, 1, 0)
+        self.plan()
+        self.submit(self.OTHER_JOB, 4, later_ms)
+        self.plan()
+        self.assertEqual(4, len(self.running))
+        self.assertEqual('side-1', self.running[TASK][1])
+        self.pass_time(3.0)
+        return next(
+            task
+            for task, (_, sidecar) in self.running.items()
+            if sidecar == 'side-2'
+        )
+
+    def test_held_filler_moves_before_tasks_of_later_jobs_start(self) -> None:
+        finished = self.start_jobs(later_ms=1000)
+        self.end_run(finished)
+        self.assertEqual(([], [TASK]), self.plan())
+        # The room stays reserved until the run has stopped.
+        self.leader.now += 0.1
+        self.report_worker('side-2')
+        self.assertEqual(([], []), self.plan())
+        self.draining.add('side-1')
+        self.end_run(TASK, platform.EndCause.STOPPED, 'd')
+        self.assertEqual(([TASK], []), self.plan())
+        self.assertEqual((2, 'side-2'), self.running[TASK])
+
+    def test_tasks_of_earlier_jobs_start_before_a_held_filler_moves(
+        self,
+    ) -> None:
+        finished = self.start_jobs(later_ms=-1000)
+        self.end_run(finished)
+        started, stopped = self.plan()
+        self.assertEqual([f'{self.OTHER_JOB}.0.0.3'], started)
+        self.assertEqual([], stopped)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -25,6 +25,7 @@
 from chivespoke.decisions._placement import can_run_on
 from chivespoke.decisions._placement import CandidateWorker
 from chivespoke.decisions._placement import choose_worker
+from chivespoke.decisions._placement import deduct_filler
 from chivespoke.decisions._placement import estimate_spare_millis
 from chivespoke.decisions._placement import estimate_speed
 from chivespoke.decisions._placement import LatencyHeadroom
@@ -67,6 +68,7 @@
     'WorkerRanking',
     'can_run_on',
     'choose_worker',
+    'deduct_filler',
     'estimate_spare_millis',
     'estimate_speed',
     'is_move_worthwhile',
--- a/chivespoke/decisions/_placement.py
+++ b/chivespoke/decisions/_placement.py
@@ -91,6 +91,30 @@
     return speed
 
 
+def deduct_filler(
+    step: workloads.Step,
+    candidate: CandidateWorker,
+    interference: _interference.InterferenceModel,
+) -> CandidateWorker:
+    """Return what a worker can offer beside one more filler of a step."""
+    share = step.cpu_millis / max(1, candidate.capacity.cpu_millis)
+    headrooms = tuple(
+        LatencyHeadroom(
+            headroom.image,
+            headroom.log_headroom
+            - interference.find_coefficient(headroom.image, step.image)
+            * share,
+        )
+        for headroom in candidate.headrooms
+    )
+    return msgspec.structs.replace(
+        candidate,
+        free=candidate.free.add(workloads.compute_reservation(step), -1),
+        spare_millis=candidate.spare_millis - step.cpu_millis,
+        headrooms=headrooms,
+    )
+
+
 def can_run_on(step: workloads.Step, candidate: CandidateWorker) -> bool:
     """Return whether a worker satisfies the constraints of a step."""
     if not candidate.free.covers(workloads.compute_reservation(step)):
