Do not place a moved task on the worker that it left

Cause: the estimate that chose the worker at first still favours it once the run has stopped. The room that the move was decided for is no more attractive.

Evidence: test_moved_task_does_not_return_to_its_worker failed before (start order for the same worker). The test of moves that compete no longer drains the first worker, and expects the later job's task there; it failed before, too.

--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -24,6 +24,9 @@
 # leader of hundreds of workers spends on moves.
 MOVE_INTERVAL_SECONDS = 0.5
 MAX_MOVE_TRIES = 16
+# Time for which a task is not placed again on the worker that it was moved
+# from: the estimates still favour that worker, since they did at first.
+AVOIDANCE_SECONDS = 10.0
 # Number of tasks from which on a plan is cut short. Making a plan holds up
 # everything else in the process, the renewal of its leadership included.
 MAX_PLAN_TASKS = 200
@@ -76,6 +79,7 @@
         '_slow_runs',
         '_moves',
         '_claimed_steps',
+        '_avoided_workers',
         '_shortages',
     )
 
@@ -96,6 +100,9 @@
         self._moves: list[SlowRun] = []
         # Steps of the runs that the current plan moves to a worker.
         self._claimed_steps: dict[str, list[workloads.Step]] = {}
+        # Worker that a task was moved from, and time until which the task
+        # avoids it, by task id.
+        self._avoided_workers: dict[str, tuple[str, float]] = {}
         # Demands that the current plan could not meet.
         self._shortages = decisions.ShortageTracker()
 
@@ -117,6 +124,11 @@
         if are_moves_due:
             self._moves_checked_at = now
             self._slow_runs = self._find_slow_runs(wall)
+            self._avoided_workers = {
+                task_id: (worker, until)
+                for task_id, (worker, until) in self._avoided_workers.items()
+                if now < until
+            }
         claimants += self._list_moves()
         # Moves compete with waiting tasks. If they used only what these leave,
         # a run that is held down would stay for as long as later jobs wait.
@@ -231,6 +243,10 @@
         run.state = _fleet.RunState.STOPPING
         run.sent_at = None
         self._moves.append(slow_run)
+        self._avoided_workers[run.task_id] = (
+            worker.incarnation.key,
+            self._now + AVOIDANCE_SECONDS,
+        )
         LOGGER.info(
             'A slow run is stopped, to start on a faster worker.',
             task=run.task_id,
@@ -319,7 +335,14 @@
             if len(self._decided_runs) >= MAX_PLAN_TASKS:
                 self.complete = False
                 return
-            candidate = ranking.choose(state.measure_idle_time(self._now))
+            avoided = self._find_avoided_worker(name)
+            idle_seconds = state.measure_idle_time(self._now)
+            candidate = ranking.choose(idle_seconds, avoided)
+            if candidate is None and avoided:
+                if decisions.may_wait_for_speed(step, idle_seconds):
+                    # Other tasks of the step may still run on that worker.
+                    continue
+                candidate = ranking.choose(idle_seconds)
             if candidate is None:
                 self._shortages.record(self._describe_demand(state, step))
                 self._prepare_advice_request(state, step, name, candidates)
@@ -327,6 +350,13 @@
             self._assign(state, step, name, candidate, candidates, 0)
             ranking.record_task(candidate, candidates.get(candidate.worker))
 
+    def _find_avoided_worker(self, name: workloads.TaskName) -> str:
+        """Return the worker that a task was moved from; empty if none."""
+        if not self._avoided_workers:
+            return ''
+        worker, until = self._avoided_workers.get(name.format(), ('', 0.0))
+        return worker if self._now < until else ''
+
     def _describe_demand(
         self, state: _jobs.JobState, step: workloads.Step
     ) -> decisions.StepDemand:
--- a/chivespoke/decisions/_placement.py
+++ b/chivespoke/decisions/_placement.py
@@ -213,8 +213,13 @@
         """Remove a worker; do nothing if it is not ranked."""
         self._scored.pop(worker, None)
 
-    def choose(self, idle_seconds: float = 0.0) -> CandidateWorker | None:
-        """Return the best worker for a task, or None if it must wait."""
+    def choose(
+        self, idle_seconds: float = 0.0, avoided: str = ''
+    ) -> CandidateWorker | None:
+        """Return the best worker for a task, or None if it must wait.
+
+        The avoided worker is not chosen.
+        """
         min_speed = 0.0
         if may_wait_for_speed(self._step, idle_seconds):
             min_speed = MIN_SPEED_SHARE
@@ -222,7 +227,7 @@
             (
                 scored
                 for scored in self._scored.values()
-                if scored[0].speed >= min_speed
+                if scored[0].speed >= min_speed and scored[1].worker != avoided
             ),
             key=lambda scored: scored[0].key,
             default=None,
