Place a moved task before what came after the decision

Cause: a run that is stopped for a move gives up its worker for room that was free at the decision. What stands earlier in the order and comes while the run is being stopped takes that room, and a job that has become late in the meantime stands behind everything that comes later, too.

Change: until 10 s after the decision, moves under way claim their room, and the tasks of stopped runs are placed, before the waiting steps of each plan. A move is still decided in the order of placement; at most eight are under way.

Evidence: test_moved_task_keeps_its_room failed before (a job that came after the decision started in the room).

--- a/chivespoke/coordination/_jobs.py
+++ b/chivespoke/coordination/_jobs.py
@@ -70,6 +70,11 @@
         except IndexError:
             return None
 
+    def is_waiting(self, name: workloads.TaskName) -> bool:
+        """Return whether a task waits for a worker."""
+        task = self.find_task(name)
+        return task is not None and task.status is workloads.TaskStatus.WAITING
+
     def list_ready(
         self, wall: float
     ) -> collections.abc.Iterator[tuple[int, int]]:
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -24,9 +24,10 @@
 # leader of hundreds of workers spends on moves.
 MOVE_INTERVAL_SECONDS = 0.5
 MAX_MOVE_TRIES = 16
-# Time for which a task is not placed again on the worker that it was moved
-# from: the estimates still favour that worker, since they did at first.
-AVOIDANCE_SECONDS = 10.0
+# Time for which a moved task goes before others, and is not placed again on
+# the worker that it has left: the estimates still favour that worker, since
+# they did at first.
+MOVE_MEMORY_SECONDS = 10.0
 # Number of tasks from which on a plan is cut short. Making a plan holds up
 # everything else in the process, the renewal of its leadership included.
 MAX_PLAN_TASKS = 200
@@ -79,7 +80,6 @@
         '_slow_runs',
         '_moves',
         '_claimed_steps',
-        '_avoided_workers',
         '_shortages',
     )
 
@@ -96,13 +96,11 @@
         self._moves_checked_at = float('-inf')
         # The slow runs of the last check.
         self._slow_runs: list[SlowRun] = []
-        # Runs that are being stopped to move their tasks.
-        self._moves: list[SlowRun] = []
+        # Runs that were stopped to move their tasks, and the times until which
+        # they are remembered, by task id.
+        self._moves: dict[str, tuple[SlowRun, float]] = {}
         # Steps of the runs that the current plan moves to a worker.
         self._claimed_steps: dict[str, list[workloads.Step]] = {}
-        # Worker that a task was moved from, and time until which the task
-        # avoids it, by task id.
-        self._avoided_workers: dict[str, tuple[str, float]] = {}
         # Demands that the current plan could not meet.
         self._shortages = decisions.ShortageTracker()
 
@@ -124,11 +122,7 @@
         if are_moves_due:
             self._moves_checked_at = now
             self._slow_runs = self._find_slow_runs(wall)
-            self._avoided_workers = {
-                task_id: (worker, until)
-                for task_id, (worker, until) in self._avoided_workers.items()
-                if now < until
-            }
+            self._forget_moves()
         claimants += self._list_moves()
         # Moves compete with waiting tasks. If they used only what these leave,
         # a run that is held down would stay for as long as later jobs wait.
@@ -140,6 +134,7 @@
             for worker in self._state.workers.values()
             if self._accepts_tasks(worker, desired_state, now)
         }
+        self._complete_moves(candidates)
         for claimant in claimants:
             claimant.place(candidates)
             if not self.complete:
@@ -185,28 +180,50 @@
                     yield SlowRun(forecast, worker, run)
 
     def _list_moves(self) -> collections.abc.Iterator[Claimant]:
-        """Yield the moves under way, and the slow runs that may move."""
-        self._moves = [move for move in self._moves if move.is_current]
-        for move in self._moves:
-            if self._may_continue(move):
-                yield Claimant(
-                    self._describe_run(move.run),
-                    functools.partial(self._claim_room, move),
-                )
+        """Yield the slow runs that may move."""
         for slow_run in self._slow_runs:
             if (
-                slow_run.is_current
-                and slow_run.run.state is _fleet.RunState.RUNNING
-                and self._may_continue(slow_run)
+                slow_run.run.state is _fleet.RunState.RUNNING
+                and self._still_runs(slow_run)
             ):
                 yield Claimant(
                     self._describe_run(slow_run.run),
                     functools.partial(self._move_slow_run, slow_run),
                 )
 
-    def _may_continue(self, slow_run: SlowRun) -> bool:
+    def _forget_moves(self) -> None:
+        self._moves = {
+            task_id: (slow_run, until)
+            for task_id, (slow_run, until) in self._moves.items()
+            if slow_run.is_current or self._now < until
+        }
+
+    def _complete_moves(self, candidates: Candidates) -> None:
+        """Place the tasks of stopped runs, and keep room for the others.
+
+        They go before all that waits: what came after the decision would
+        otherwise take the room, and the task would have no worker at all.
+        """
+        for slow_run, until in self._moves.values():
+            run = slow_run.run
+            state = self._state.jobs.get(run.name.job)
+            if state is None or state.final or self._now >= until:
+                continue
+            is_waiting = not slow_run.is_current and state.is_waiting(run.name)
+            if not is_waiting and not self._still_runs(slow_run):
+                continue
+            found = self._choose_elsewhere(slow_run, candidates)
+            if found is None:
+                continue
+            if is_waiting:
+                self._assign(state, run.step, run.name, found, candidates, 0)
+            else:
+                self._record_claim(found.worker, run.step, candidates)
+
+    def _still_runs(self, slow_run: SlowRun) -> bool:
         return (
-            slow_run.worker.is_heard(self._now)
+            slow_run.is_current
+            and slow_run.worker.is_heard(self._now)
             and slow_run.run.name.job in self._state.jobs
         )
 
@@ -215,19 +232,14 @@
             self._state.jobs[run.name.job], run.name.occurrence, run.name.step
         )
 
-    def _claim_room(self, move: SlowRun, candidates: Candidates) -> None:
-        """Keep room for the task of a run that is being stopped."""
-        found = self._choose_elsewhere(move, candidates)
-        if found is not None:
-            self._record_claim(found.worker, move.run.step, candidates)
-
     def _move_slow_run(
         self, slow_run: SlowRun, candidates: Candidates
     ) -> None:
         """Stop a run if it would finish much earlier on another worker."""
         forecast, worker, run = slow_run
         state = self._state.jobs[run.name.job]
-        if len(self._moves) >= MAX_MOVES or self._shortages.covers(
+        moving = sum(item.is_current for item, _ in self._moves.values())
+        if moving >= MAX_MOVES or self._shortages.covers(
             self._describe_demand(state, run.step)
         ):
             return
@@ -242,11 +254,8 @@
         self._record_claim(found.worker, run.step, candidates)
         run.state = _fleet.RunState.STOPPING
         run.sent_at = None
-        self._moves.append(slow_run)
-        self._avoided_workers[run.task_id] = (
-            worker.incarnation.key,
-            self._now + AVOIDANCE_SECONDS,
-        )
+        until = self._now + MOVE_MEMORY_SECONDS
+        self._moves[run.task_id] = slow_run, until
         LOGGER.info(
             'A slow run is stopped, to start on a faster worker.',
             task=run.task_id,
@@ -352,10 +361,12 @@
 
     def _find_avoided_worker(self, name: workloads.TaskName) -> str:
         """Return the worker that a task was moved from; empty if none."""
-        if not self._avoided_workers:
+        if not self._moves:
+            return ''
+        slow_run, until = self._moves.get(name.format(), (None, 0.0))
+        if slow_run is None or self._now >= until:
             return ''
-        worker, until = self._avoided_workers.get(name.format(), ('', 0.0))
-        return worker if self._now < until else ''
+        return slow_run.worker.incarnation.key
 
     def _describe_demand(
         self, state: _jobs.JobState, step: workloads.Step
--- a/chivespoke/coordination/tests/test_moves.py
+++ b/chivespoke/coordination/tests/test_moves.py
@@ -271,6 +271,17 @@
         waiting = f'{self.OTHER_JOB}.0.0.3'
         self.assertEqual((1, 'side-1'), self.running[waiting])
 
+    def test_moved_task_keeps_its_room(self) -> None:
+        # Regression test: a task waited for 26 s after its run was stopped,
+        # as tasks of other jobs took the room that it was to move to.
+        self.end_run(self.start_jobs(later_ms=1000))
+        self.assertEqual(([], [TASK]), self.plan())
+        self.submit('00000000000000c1', 4, later_ms=-1000)
+        self.assertEqual(([], []), self.plan())
+        self.end_run(TASK, platform.EndCause.STOPPED, 'd')
+        self.plan()
+        self.assertEqual((2, 'side-2'), self.running[TASK])
+
     def test_tasks_of_earlier_jobs_start_before_a_held_filler_moves(
         self,
     ) -> None:
