Let the run of a stalled job move to a slower worker

Cause: a job that is too late to have a value stands last in the order, so that the workers on which a move would run at 60% of full speed always go to others. Waiting tasks of a job with no running task accept any speed after 1.5 s; a job whose runs are all held down has as little at work, but its moves did not.

Change: if all runs of a job are below a tenth of their speed, its moves accept any speed that gains enough, and are among the sixteen that are tried.

Evidence: test_stalled_job_moves_to_a_slow_worker failed before (no stop), and test_job_with_another_run_at_work_waits_for_a_fast_worker passed before and after.

--- a/chivespoke/coordination/_jobs.py
+++ b/chivespoke/coordination/_jobs.py
@@ -70,6 +70,11 @@
         except IndexError:
             return None
 
+    @property
+    def assigned_count(self) -> int:
+        """Return the number of tasks that are assigned to a worker."""
+        return self._assigned_count
+
     def is_waiting(self, name: workloads.TaskName) -> bool:
         """Return whether a task waits for a worker."""
         task = self.find_task(name)
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -59,6 +59,8 @@
     forecast: decisions.RunForecast
     worker: _fleet.Worker
     run: _fleet.Run
+    # All runs of its job are held down.
+    is_stalled: bool = False
 
     @property
     def is_current(self) -> bool:
@@ -142,12 +144,27 @@
         return tuple(self._decided_runs)
 
     def _find_slow_runs(self, wall: float) -> list[SlowRun]:
-        """Return the slow runs to try to move, in the order of placement."""
-        slow_runs = sorted(
-            self._list_slow_runs(),
-            key=lambda item: decisions.make_sort_key(
-                self._describe_run(item.run), wall
-            ),
+        """Return the slow runs to try to move.
+
+        Those of stalled jobs come first. Such a job has nothing at work, and
+        if it is late, all that waits is placed before it.
+        """
+        slow_runs = list(self._list_slow_runs())
+        held_counts = collections.Counter(
+            item.run.name.job for item in slow_runs if item.forecast.is_held
+        )
+        slow_runs = [
+            item._replace(
+                is_stalled=held_counts[item.run.name.job]
+                == self._state.jobs[item.run.name.job].assigned_count
+            )
+            for item in slow_runs
+        ]
+        slow_runs.sort(
+            key=lambda item: (
+                not item.is_stalled,
+                decisions.make_sort_key(self._describe_run(item.run), wall),
+            )
         )
         return slow_runs[:MAX_MOVE_TRIES]
 
@@ -236,11 +253,13 @@
         self, slow_run: SlowRun, candidates: Candidates
     ) -> None:
         """Stop a run if it would finish much earlier on another worker."""
-        forecast, worker, run = slow_run
+        forecast, worker, run = slow_run[:3]
         state = self._state.jobs[run.name.job]
         moving = sum(item.is_current for item, _ in self._moves.values())
         if moving >= MAX_MOVES or self._shortages.covers(
-            self._describe_demand(state, run.step)
+            self._describe_demand(
+                state, run.step, self._measure_idle_time(slow_run)
+            )
         ):
             return
         found = self._choose_elsewhere(slow_run, candidates)
@@ -274,7 +293,15 @@
         others = dict(candidates)
         others.pop(slow_run.worker.incarnation.key, None)
         state = self._state.jobs[run.name.job]
-        return self._choose_candidate(state, run.step, run.name, others)
+        ranking = self._rank_workers(state, run.step, run.name, others)
+        return ranking.choose(self._measure_idle_time(slow_run))
+
+    def _measure_idle_time(self, slow_run: SlowRun) -> float:
+        if slow_run.is_stalled:
+            # Its task accepts any speed, as if the job had no running task.
+            return math.inf
+        state = self._state.jobs[slow_run.run.name.job]
+        return state.measure_idle_time(self._now)
 
     def _record_claim(
         self, worker_key: str, step: workloads.Step, candidates: Candidates
@@ -337,7 +364,10 @@
             if len(names) == step.count:
                 self._place_gang(state, step, names, candidates)
             return
-        if self._shortages.covers(self._describe_demand(state, step)):
+        demand = self._describe_demand(
+            state, step, state.measure_idle_time(self._now)
+        )
+        if self._shortages.covers(demand):
             return
         ranking = self._rank_workers(state, step, names[0], candidates)
         for name in names:
@@ -353,7 +383,9 @@
                     continue
                 candidate = ranking.choose(idle_seconds)
             if candidate is None:
-                self._shortages.record(self._describe_demand(state, step))
+                self._shortages.record(
+                    self._describe_demand(state, step, idle_seconds)
+                )
                 self._prepare_advice_request(state, step, name, candidates)
                 return
             self._assign(state, step, name, candidate, candidates, 0)
@@ -369,14 +401,12 @@
         return slow_run.worker.incarnation.key
 
     def _describe_demand(
-        self, state: _jobs.JobState, step: workloads.Step
+        self, state: _jobs.JobState, step: workloads.Step, idle_seconds: float
     ) -> decisions.StepDemand:
         return decisions.StepDemand(
             step,
             state.terms.service,
-            decisions.may_wait_for_speed(
-                step, state.measure_idle_time(self._now)
-            ),
+            decisions.may_wait_for_speed(step, idle_seconds),
             needs_advice=state.terms.advice is not None,
         )
 
--- a/chivespoke/coordination/tests/test_moves.py
+++ b/chivespoke/coordination/tests/test_moves.py
@@ -17,6 +17,13 @@
     estimated_ms=5000,
     checkpointing=True,
 )
+SERVING = workloads.Step(
+    count=1,
+    cpu_millis=4000,
+    long_running=True,
+    target_latency_ms=18,
+    image='s1',
+)
 
 
 class MoveTest(unittest.TestCase):
@@ -37,6 +44,14 @@
         self.leader.plan()
         self.leader.make_directive()
 
+    def occupy(self, sidecar: str) -> None:
+        """Start a serving task, beside which the filler runs at half speed."""
+        self.leader.report(builders.make_report(sidecar))
+        self.leader.submit(
+            builders.make_job(SERVING, identifier='00000000000000b1')
+        )
+        self.leader.plan()
+
     def pass_time(self, seconds: float, used_millis: float) -> list[str]:
         """Report the run's use of processor time; return the runs stopped."""
         stopped = []
@@ -108,6 +123,36 @@
             self.leader.now += 0.5
         self.assertEqual({TASK}, started)
 
+    def test_stalled_job_moves_to_a_slow_worker(self) -> None:
+        # Regression test: the last run of a step was held down for 20 s, as no
+        # other worker promised 60% of full speed.
+        self.occupy('side-2')
+        self.start_filler()
+        self.assertIn(TASK, self.pass_time(4.0, 0.0))
+
+    def test_job_with_another_run_at_work_waits_for_a_fast_worker(
+        self,
+    ) -> None:
+        self.occupy('side-2')
+        self.start_filler(msgspec.structs.replace(FILLER, count=2))
+        other = f'{builders.JOB}.0.0.1'
+        for _ in range(8):
+            self.leader.now += 0.5
+            self.clock_ms += 500
+            self.progress += 4.0
+            running = (
+                platform.RunningTask(TASK, 1, 'c', 0.0, 0.0),
+                platform.RunningTask(other, 1, 'c', self.progress, 4000.0),
+            )
+            self.leader.report(
+                builders.make_report(running=running, clock_ms=self.clock_ms)
+            )
+            self.leader.report(
+                builders.make_report('side-2', clock_ms=self.clock_ms)
+            )
+            self.leader.plan()
+            self.assertEqual((), self.leader.make_directive().stops)
+
     def test_filler_at_full_speed_stays(self) -> None:
         self.start_filler()
         self.assertEqual([], self.pass_time(10.0, 4000.0))
--- a/chivespoke/decisions/_moves.py
+++ b/chivespoke/decisions/_moves.py
@@ -22,6 +22,9 @@
 MIN_GAIN_SECONDS = 2.0
 # Speed below which the remaining time no longer distinguishes runs.
 MIN_SPEED = 0.01
+# Speed below which a run counts as held down. A run that pacing lets work for
+# one interval in ten is still below it.
+HELD_SPEED = 0.1
 # Progress from which a run's own speed replaces the submitter's estimate,
 # which may be wrong by 90%.
 MIN_PROGRESS_PERCENT = 5.0
@@ -43,6 +46,11 @@
         """Return the time until the end at the current speed."""
         return self.work_seconds / max(MIN_SPEED, self.speed)
 
+    @property
+    def is_held(self) -> bool:
+        """Return whether the run makes hardly any progress."""
+        return self.speed < HELD_SPEED
+
 
 class SpeedTracker:
     """Track the speed of a run from its use of processor time."""
