--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -52,7 +52,6 @@
         'last_sample',
         'stall_detector',
         'speed_tracker',
-        'moving',
         'ordered_in',
     )
 
@@ -81,8 +80,6 @@
         self.last_sample: TailSample | None = None
         self.stall_detector: decisions.StallDetector | None = None
         self.speed_tracker: decisions.SpeedTracker | None = None
-        # The run is being stopped so that its task starts on another worker.
-        self.moving = False
         # This leader or an earlier one has already sent the order.
         self.repeated = False
         # Number of the last directive that ordered this run to start.
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -7,6 +7,7 @@
 from chivespoke.decisions._interference import InterferenceCoefficient
 from chivespoke.decisions._interference import InterferenceModel
 from chivespoke.decisions._interference import LearnedInterferenceModel
+from chivespoke.decisions._moves import HELD_SPEED
 from chivespoke.decisions._moves import is_move_worthwhile
 from chivespoke.decisions._moves import RunForecast
 from chivespoke.decisions._moves import SpeedTracker
@@ -25,6 +26,7 @@
 from chivespoke.decisions._placement import can_run_on
 from chivespoke.decisions._placement import CandidateWorker
 from chivespoke.decisions._placement import choose_worker
+from chivespoke.decisions._placement import deduct_filler
 from chivespoke.decisions._placement import estimate_spare_millis
 from chivespoke.decisions._placement import estimate_speed
 from chivespoke.decisions._placement import LatencyHeadroom
@@ -44,6 +46,7 @@
     'CandidateWorker',
     'FULL_PACE_PERCENT',
     'FixedInterferenceModel',
+    'HELD_SPEED',
     'InterferenceCoefficient',
     'InterferenceModel',
     'LatencyHeadroom',
@@ -67,6 +70,7 @@
     'WorkerRanking',
     'can_run_on',
     'choose_worker',
+    'deduct_filler',
     'estimate_spare_millis',
     'estimate_speed',
     'is_move_worthwhile',
--- a/chivespoke/decisions/_placement.py
+++ b/chivespoke/decisions/_placement.py
@@ -91,6 +91,30 @@
     return speed
 
 
+def deduct_filler(
+    step: workloads.Step,
+    candidate: CandidateWorker,
+    interference: _interference.InterferenceModel,
+) -> CandidateWorker:
+    """Return what a worker can offer beside one more filler of a step."""
+    share = step.cpu_millis / max(1, candidate.capacity.cpu_millis)
+    headrooms = tuple(
+        LatencyHeadroom(
+            headroom.image,
+            headroom.log_headroom
+            - interference.find_coefficient(headroom.image, step.image)
+            * share,
+        )
+        for headroom in candidate.headrooms
+    )
+    return msgspec.structs.replace(
+        candidate,
+        free=candidate.free.add(workloads.compute_reservation(step), -1),
+        spare_millis=candidate.spare_millis - step.cpu_millis,
+        headrooms=headrooms,
+    )
+
+
 def can_run_on(step: workloads.Step, candidate: CandidateWorker) -> bool:
     """Return whether a worker satisfies the constraints of a step."""
     if not candidate.free.covers(workloads.compute_reservation(step)):
@@ -189,8 +213,13 @@
         """Remove a worker; do nothing if it is not ranked."""
         self._scored.pop(worker, None)
 
-    def choose(self, idle_seconds: float = 0.0) -> CandidateWorker | None:
-        """Return the best worker for a task, or None if it must wait."""
+    def choose(
+        self, idle_seconds: float = 0.0, avoided: str = ''
+    ) -> CandidateWorker | None:
+        """Return the best worker for a task, or None if it must wait.
+
+        The avoided worker is not chosen.
+        """
         min_speed = 0.0
         if may_wait_for_speed(self._step, idle_seconds):
             min_speed = MIN_SPEED_SHARE
@@ -198,7 +227,7 @@
             (
                 scored
                 for scored in self._scored.values()
-                if scored[0].speed >= min_speed
+                if scored[0].speed >= min_speed and scored[1].worker != avoided
             ),
             key=lambda scored: scored[0].key,
             default=None,
