--- a/chivespoke/standins/_runner.py
+++ b/chivespoke/standins/_runner.py
@@ -248,34 +248,36 @@
         if self.faults.use_up('unhealthy_starts'):
             return web.Response(status=503)
         reason = await self._execute(request, 'starts', self._start_run)
-        return self._make_response(reason, {})
+        return await self._respond('starts', reason, {})
 
     async def _handle_stop(self, request: web.Request) -> web.Response:
         reason = await self._execute(
             request, 'stops', lambda body: self._boot.stop_run(body)
         )
-        return self._make_response(reason, {})
+        return await self._respond('stops', reason, {})
 
     async def _handle_hold(self, request: web.Request) -> web.Response:
         if self.faults.is_hold_stalled():
             await withhold_response()
+        if self.faults.use_up('slow_holds'):
+            await asyncio.sleep(self.faults.slow_seconds)
         boot = self._boot
         reason = await self._execute(
             request, 'holds', lambda body: self._boot.hold(body)
         )
         if reason:
-            return self._make_response(reason, {})
+            return await self._respond('holds', reason, {})
         wait_ms = msgspec.json.decode(await request.read()).get('wait_ms', 0)
         boot.changed.clear()
         if wait_ms and not boot.has_ends():
             await application.wait_for_event(boot.changed, wait_ms / 1000)
         if boot.ended:
             await break_connection(request)
-        return self._make_response('', boot.list_runs())
+        return await self._respond('holds', '', boot.list_runs())
 
     async def _handle_pace(self, request: web.Request) -> web.Response:
         reason = await self._execute(request, 'paces', self._set_pace)
-        return self._make_response(reason, {})
+        return await self._respond('paces', reason, {})
 
     async def _execute(
         self,
@@ -283,7 +285,7 @@
         calls: str,
         execute: collections.abc.Callable[[Body], str],
     ) -> str:
-        """Execute a call under the faults of its kind.
+        """Execute a call at once, or late without a response.
 
         Return the reason of its refusal, or an empty string.
         """
@@ -300,10 +302,7 @@
                 body,
             )
             await withhold_response()
-        reason = self._execute_if_addressed(target, execute, body)
-        if self.faults.use_up(f'lost_{calls}'):
-            await withhold_response()
-        return reason
+        return self._execute_if_addressed(target, execute, body)
 
     def _execute_if_addressed(
         self,
@@ -333,7 +332,12 @@
         self.paces[body['task']] = body['percent']
         return ''
 
-    def _make_response(self, reason: str, body: Body) -> web.Response:
+    async def _respond(
+        self, calls: str, reason: str, body: Body
+    ) -> web.Response:
+        """Return the response to a call, unless it is lost."""
+        if self.faults.use_up(f'lost_{calls}'):
+            await withhold_response()
         if reason:
             self.refusals.append(reason)
         if reason == MISDIRECTED:
--- a/chivespoke/standins/_runner_boot.py
+++ b/chivespoke/standins/_runner_boot.py
@@ -6,8 +6,6 @@
 from chivespoke.standins import _run_ledger
 from chivespoke.standins import _runner_faults
 
-# Delay between a stop order and the end of the run.
-STOP_DELAY_SECONDS = 0.02
 # Processor time in use, or tail latency, of every run.
 MEASURE = 100
 # Maximum number of ended runs in one response.
@@ -180,7 +178,7 @@
         current = self._running.get(task)
         if current is not None and current.ran.run <= number:
             asyncio.get_running_loop().call_later(
-                STOP_DELAY_SECONDS, self._finish_stop, current
+                self._faults.stop_seconds, self._finish_stop, current
             )
         return ''
 
--- a/chivespoke/standins/_runner_faults.py
+++ b/chivespoke/standins/_runner_faults.py
@@ -30,6 +30,11 @@
     # ``holds_before_stall`` more calls.
     holds_stall: bool = False
     holds_before_stall: int = 0
+    # Number of /hold calls that are executed after ``slow_seconds``.
+    slow_holds: int = 0
+    slow_seconds: float = 0.8
+    # Delay between a stop order and the end of the run.
+    stop_seconds: float = 0.02
     # Whether the worker does not register.
     skips_registration: bool = False
     # Whether every task fails at its end.
--- a/chivespoke/standins/tests/test_runner.py
+++ b/chivespoke/standins/tests/test_runner.py
@@ -281,6 +281,13 @@
         await asyncio.sleep(2 * LATE_SECONDS)
         self.assertEqual([], self.runner.began)
 
+    async def test_stop_takes_some_time(self) -> None:
+        self.runner.faults.stop_seconds = 0.3
+        await self.start_run()
+        await self.client.stop(TASK, 1, EPOCH)
+        self.assertEqual({TASK}, self.runner.running)
+        await self.wait_until_idle()
+
     async def test_late_stop_and_late_hold_take_effect(self) -> None:
         await self.start_run()
         self.runner.faults.late_stops = 1
@@ -326,6 +333,17 @@
         self.assertLess(shares[0], shares[-1])
         self.assertLessEqual(shares[-1], 100)
 
+    async def test_slow_poll_is_executed_and_answered_late(self) -> None:
+        self.runner.faults.slow_holds = 1
+        self.runner.faults.slow_seconds = 0.3
+        await self.start_run(lease_ms=100)
+        sent_ms = self.runner.read_clock()
+        status = await self.poll(lease_ms=LEASE_MS)
+        self.assertGreaterEqual(status.clock_ms, sent_ms + 300)
+        # The lease expired before the poll was executed.
+        self.assertEqual((), status.running)
+        self.assertEqual(0, self.runner.faults.slow_holds)
+
     async def test_full_worker_refuses_starts(self) -> None:
         await self.start_run()
         self.runner.faults.full = True
@@ -385,12 +403,14 @@
 
     async def test_deregistered_worker_runs_on_until_it_exits(self) -> None:
         await self.start_run()
-        await self.pause()
         for status, acknowledged in ((503, False), (200, True)):
             self.control.status = status
             self.assertIs(acknowledged, await self.runner.deregister())
+        deleted = [call for call in self.control.calls if call[0] == 'DELETE']
+        self.assertEqual([('DELETE', 'i-1', {})] * 2, deleted)
+        self.control.calls.clear()
         await asyncio.sleep(0.3)
-        self.assertEqual([('DELETE', 'i-1', {})] * 2, self.control.calls)
+        self.assertEqual([], self.control.calls)
         self.assertEqual({TASK}, self.runner.running)
         self.runner.exit()
         self.assertEqual(frozenset(), self.runner.running)
