Test a slow first poll of a restarted sidecar

The disruptions end sooner: tasks that start again take little time, and stops take long enough not to hide a concurrent run.

--- a/chivespoke/serving/tests/test_disruptions.py
+++ b/chivespoke/serving/tests/test_disruptions.py
@@ -25,6 +25,13 @@
 # Run time of a task that works on after its lease, but not after the longest
 # one.
 BEYOND_LEASE_SECONDS = 9.0
+# Time for the first poll, just below its timeout.
+SLOW_POLL_SECONDS = 0.9
+# Time that a stop takes, so that it does not hide a concurrent run.
+STOP_SECONDS = 0.5
+# Time after which a poll is answered if no run ends.
+POLL_SECONDS = 0.3
+MANY_CALLS = 1000
 # Time for which polls stall: shorter than a lease.
 STALL_SECONDS = 3.0
 # Longer than it takes until a task of a replaced worker runs elsewhere.
@@ -50,6 +57,8 @@
         """Start the daemons; only the first worker registers."""
         self.platform.unregistered = frozenset(range(1, workers))
         await self.run_with_timeout(self.platform.start(1, workers))
+        for runner in self.platform.runners:
+            runner.faults.stop_seconds = STOP_SECONDS
 
     async def stop(self) -> None:
         async with asyncio.timeout(TIMEOUT_SECONDS):
@@ -93,6 +102,8 @@
         first = self.platform.runners[0]
         await self.submit_long_tasks(seconds)
         await self.wait_until(lambda: len(first.running) == TASK_COUNT)
+        for runner in self.platform.runners:
+            runner.seconds = builders.TASK_SECONDS
 
     def register_others(self) -> None:
         """Let the other workers register, so that tasks may move there."""
@@ -217,6 +228,24 @@
         first.faults.holds_stall = False
         await self.assert_completed_once()
 
+    async def test_first_poll_of_a_restarted_sidecar_is_slow(self) -> None:
+        # The worker reads its clock at the end of the poll.
+        await self.start()
+        await self.start_long_runs(BEYOND_LEASE_SECONDS)
+        first, sidecar = self.platform.runners[0], self.platform.sidecars[0]
+        await sidecar.kill()
+        first.faults.slow_holds = 1
+        first.faults.slow_seconds = SLOW_POLL_SECONDS
+        await sidecar.start()
+        await self.wait_until(lambda: not first.faults.slow_holds)
+        # The later polls extend the leases, but their answers are lost.
+        await asyncio.sleep(SLOW_POLL_SECONDS + POLL_SECONDS / 2)
+        first.faults.lost_holds = MANY_CALLS
+        self.register_others()
+        await self.wait_until(lambda: not first.running)
+        first.faults.lost_holds = 0
+        await self.assert_completed_once()
+
     async def test_deregistered_worker_runs_on_while_polls_stall(
         self,
     ) -> None:
