--- a/chivespoke/serving/tests/builders.py
+++ b/chivespoke/serving/tests/builders.py
@@ -24,6 +24,7 @@
 HOST = 'queue.example'
 PREFIX = '/jobs/'
 TASK_SECONDS = 0.3
+# The limit of leases in the settings.
 MAX_HOLD_MS = 10_000
 # Start of each worker's first boot.
 BORN_MS = 1_790_000_000_000
@@ -43,7 +44,7 @@
 readiness = "{ip}:8167"
 control = "{ip}:8166"
 [bounds]
-max_hold_ms = {max_hold_ms}
+max_hold_ms = 10000
 [platform]
 address = "{store}"
 min_ttl_ms = 1000
@@ -277,7 +278,6 @@
             SETTINGS_TEMPLATE.format(
                 name=name,
                 kind=kind,
-                max_hold_ms=MAX_HOLD_MS,
                 ip=ip,
                 port=FIRST_PORT,
                 worker=worker,
