--- a/chivespoke/serving/tests/test_disruptions.py
+++ b/chivespoke/serving/tests/test_disruptions.py
@@ -276,6 +276,24 @@
         first.faults.holds_stall = False
         await self.assert_completed_once()
 
+    async def test_late_orders_begin_on_a_new_boot_whose_polls_stall(
+        self,
+    ) -> None:
+        # No token bars them before the first poll of the new boot, and the
+        # leases of the earlier one say nothing of it.
+        await self.start()
+        first = self.platform.runners[0]
+        await asyncio.sleep(BEYOND_LEASE_SECONDS)
+        first.faults.late_starts = TASK_COUNT
+        first.faults.late_seconds = BEYOND_LEASE_SECONDS
+        await self.start_long_runs(BEYOND_LEASE_SECONDS)
+        first.faults.holds_stall = True
+        first.restart()
+        self.register_others()
+        await asyncio.sleep(BEYOND_LEASE_SECONDS)
+        first.faults.holds_stall = False
+        await self.assert_completed_once()
+
     async def test_repeated_start_order_crosses_a_refusal_for_room(
         self,
     ) -> None:
