--- a/chivespoke/coordination/_messages.py
+++ b/chivespoke/coordination/_messages.py
@@ -57,7 +57,8 @@
     running: tuple[platform.RunningTask, ...]
     ended: tuple[platform.EndedRun, ...]
     outcomes: tuple[OrderOutcome, ...]
-    # Number of the last directive of this epoch that the sidecar has applied.
+    # Number of the last directive of this epoch that the session has applied.
+    # What the report says of leases and outcomes does not cover later orders.
     applied: int = 0
     # Reading of the worker's clock, in milliseconds, at which the last of its
     # leases ends.
--- a/chivespoke/coordination/tests/test_incarnations.py
+++ b/chivespoke/coordination/tests/test_incarnations.py
@@ -55,7 +55,8 @@
     def test_incarnation_with_an_earlier_start_replaces_the_known_one(
         self,
     ) -> None:
-        # The time of day was set back before the worker started again.
+        # The time of day was set back before the worker started again; the
+        # sidecar has restarted as well.
         self.leader.report(
             builders.make_report(sidecar_incarnation='b', born_ms=0)
         )
