Give a deregistered worker up once nothing listens at its address

Cause: since a deregistered worker was given up only with its leases.

Change: a connection that the worker's machine refuses after the deregistration shows that the process has ended. A poll without an answer still does not.

test_deregistered_worker_that_has_ended_is_given_up_at_once; the tests of workers that run on after a deregistration hold.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -74,6 +74,7 @@
         '_pace_tracker',
         '_fenced',
         '_replaced',
+        '_has_ended',
         '_doubted',
         '_applied',
         '_lapsed',
@@ -123,6 +124,8 @@
         self._fenced = asyncio.Event()
         # Another incarnation of the worker has answered.
         self._replaced = False
+        # The worker has deregistered, and nothing listens at its address.
+        self._has_ended = False
         # Another incarnation has registered since the last poll was sent.
         self._doubted = False
         # Number of the last directive of the current epoch that was applied.
@@ -244,7 +247,7 @@
                     self._clock.read_monotonic()
                 ),
                 lease_end_ms=self._leases.end_ms,
-                deregistered=self.deregistered,
+                has_ended=self._has_ended,
                 applied=self._applied,
                 orders=len(self._in_progress),
             )
@@ -253,7 +256,9 @@
     def _have_leases_expired(self) -> bool:
         if self._answering or self._status is None or self._starting:
             return False
-        return self._leases.have_expired(self._clock.read_monotonic())
+        return self._has_ended or self._leases.have_expired(
+            self._clock.read_monotonic()
+        )
 
     def _extend_leases(self) -> int | None:
         """Advance the end of the leases and return it, None if unchanged."""
@@ -273,6 +278,7 @@
                 await self._poll_once()
             except errors.ChivespokeError as error:
                 self._set_answering(False, str(error))
+                self._check_end(error)
                 await self._clock.sleep(POLL_RETRY_SECONDS)
         # The calls of this session would reach the incarnation that has
         # replaced its worker. It ends when that one registers.
@@ -314,6 +320,20 @@
             # The worker answers at once while ended runs are unacknowledged.
             await self._clock.sleep(UNACKNOWLEDGED_PAUSE_SECONDS)
 
+    def _check_end(self, error: errors.ChivespokeError) -> None:
+        # A deregistration alone does not show the end: it may be late, and a
+        # worker runs on for a while if it is not acknowledged.
+        has_ended = self.deregistered and isinstance(
+            error, platform.NotListeningError
+        )
+        if has_ended and not self._has_ended:
+            LOGGER.info(
+                'The deregistered worker has ended.',
+                worker=self.incarnation.key,
+            )
+            self._listener.request_report()
+        self._has_ended = has_ended
+
     def _handle_replacement(self, status: platform.WorkerStatus) -> None:
         """Stop calling a worker that has started again."""
         LOGGER.warning(
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -48,6 +48,7 @@
             'i-1', 's', 'z', 30.0, self.ledger
         )
         server = self.runner.make_server()
+        self.server = server
         await server.start()
         self.addAsyncCleanup(server.stop)
         await self.runner.start()
@@ -232,6 +233,17 @@
         self.assertEqual({TASK}, self.runner.running)
         self.assertFalse(report.lapsed)
 
+    async def test_deregistered_worker_that_has_ended_is_given_up_at_once(
+        self,
+    ) -> None:
+        # Its sidecar stops a second later, and the leader would wait for the
+        # leases.
+        self.session.deregistered = True
+        await self.server.stop()
+        while not (report := self.session.make_report('a')).lapsed:
+            await self.wait_for_report()
+        self.assertGreater(report.lease_end_ms, report.clock_ms + 5_000)
+
     async def test_leases_are_not_extended_after_a_deregistration(
         self,
     ) -> None:
--- a/chivespoke/platform/__init__.py
+++ b/chivespoke/platform/__init__.py
@@ -33,6 +33,7 @@
 from chivespoke.platform._submissions import encode_phase
 from chivespoke.platform._submissions import is_job_identifier
 from chivespoke.platform._submissions import READINESS_PATH
+from chivespoke.platform._transport import NotListeningError
 from chivespoke.platform._transport import Transport
 from chivespoke.platform._workers import decode_registration
 from chivespoke.platform._workers import EndCause
@@ -46,6 +47,7 @@
 from chivespoke.platform._workers import WorkerStatus
 
 __all__ = [
+    'NotListeningError',
     'Advice',
     'AdvisorClient',
     'Bounds',
--- a/chivespoke/platform/_transport.py
+++ b/chivespoke/platform/_transport.py
@@ -25,6 +25,10 @@
     body: bytes
 
 
+class NotListeningError(errors.RefusedError):
+    """Report that no process listens at the peer's address."""
+
+
 class Transport(application.Component):
     """Make HTTP calls over a pool of connections to one peer."""
 
@@ -65,8 +69,8 @@
 
         The timeout limits the whole call, or, as an idle timeout, each wait
         for more of the answer, for answers of unlimited size. Raise
-        RefusedError if the call was not sent, UnavailableError if it may have
-        taken effect.
+        RefusedError if the call was not sent, NotListeningError if the machine
+        refused the connection, UnavailableError if it may have taken effect.
         """
         if self._session is None:
             raise errors.RefusedError(
@@ -94,6 +98,10 @@
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                raise NotListeningError(
+                    step, self._base_url, repr(error)
+                ) from error
             raise errors.RefusedError(
                 step, self._base_url, repr(error)
             ) from error
