--- a/chivespoke/agents/_leases.py
+++ b/chivespoke/agents/_leases.py
@@ -48,17 +48,16 @@
     def record_reading(self, clock_ms: int, received_at: float) -> None:
         """Record a reading of the worker's clock."""
         if self._read_at is None:
-            self.record_restart(clock_ms, received_at)
+            # Others may have renewed the leases, and the worker shortens any
+            # lease to its longest.
+            self.end_ms = clock_ms + int(self._max_lease_seconds * 1000)
         self.clock_ms = clock_ms
         self._read_at = received_at
 
     def record_restart(self, clock_ms: int, received_at: float) -> None:
         """Record a reading on a worker whose leases are not known."""
-        # Others may have renewed the leases, and the worker shortens any lease
-        # to its longest.
-        self.end_ms = clock_ms + int(self._max_lease_seconds * 1000)
-        self.clock_ms = clock_ms
-        self._read_at = received_at
+        self._read_at = None
+        self.record_reading(clock_ms, received_at)
 
     def raise_limit(self, limit_ms: int) -> None:
         """Allow leases up to a reading of the worker's clock."""
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -370,27 +370,27 @@
     def _spawn_start(
         self, order: coordination.StartOrder, lease_until_ms: int
     ) -> None:
-        if (order.task, order.run) in self._in_progress:
-            # The leader repeats orders without an outcome.
-            return
-        # Counted before the order is sent, so that no report made in between
-        # denies the lease that the order will grant.
-        self._starting += 1
-        self._spawn_order(
+        if self._spawn_order(
             order.task, order.run, self._start(order, lease_until_ms)
-        )
+        ):
+            # Counted before the order is sent, so that no report made in
+            # between denies the lease that the order will grant.
+            self._starting += 1
 
     def _spawn_order(
         self,
         task: str,
         run: int,
         work: collections.abc.Coroutine[object, object, None],
-    ) -> None:
+    ) -> bool:
+        """Begin an order unless another one for the run is in progress."""
         if (task, run) in self._in_progress:
+            # The leader repeats orders without an outcome.
             work.close()
-            return
+            return False
         self._in_progress.add((task, run))
         self._tasks.spawn(self._run_order(task, run, work))
+        return True
 
     async def _run_order(
         self,
