--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -3,6 +3,13 @@
 from chivespoke.decisions._advice import AdviceCache
 from chivespoke.decisions._advice import AdviceRequest
 from chivespoke.decisions._advice import MAX_REQUEST_WORKERS
+from chivespoke.decisions._crashes import describe_crashes
+from chivespoke.decisions._crashes import find_suspects
+from chivespoke.decisions._crashes import is_conclusive
+from chivespoke.decisions._crashes import is_hopeless
+from chivespoke.decisions._crashes import LostRun
+from chivespoke.decisions._crashes import MAX_CRASHES
+from chivespoke.decisions._crashes import SUSPECT_AGE_SECONDS
 from chivespoke.decisions._interference import FixedInterferenceModel
 from chivespoke.decisions._interference import InterferenceCoefficient
 from chivespoke.decisions._interference import InterferenceModel
@@ -51,6 +58,8 @@
     'InterferenceModel',
     'LatencyHeadroom',
     'LearnedInterferenceModel',
+    'LostRun',
+    'MAX_CRASHES',
     'MAX_NEIGHBOURS',
     'MAX_REQUEST_WORKERS',
     'NeighbourSelector',
@@ -59,6 +68,7 @@
     'Pacer',
     'PendingStep',
     'RunForecast',
+    'SUSPECT_AGE_SECONDS',
     'SendWindow',
     'ShortageTracker',
     'SpeedTracker',
@@ -71,8 +81,12 @@
     'can_run_on',
     'choose_worker',
     'deduct_filler',
+    'describe_crashes',
     'estimate_spare_millis',
     'estimate_speed',
+    'find_suspects',
+    'is_conclusive',
+    'is_hopeless',
     'is_move_worthwhile',
     'make_sort_key',
     'may_wait_for_speed',
--- a/chivespoke/workloads/__init__.py
+++ b/chivespoke/workloads/__init__.py
@@ -3,6 +3,7 @@
 from chivespoke.workloads._model import AdviceTiming
 from chivespoke.workloads._model import compute_reservation
 from chivespoke.workloads._model import Configuration
+from chivespoke.workloads._model import Crash
 from chivespoke.workloads._model import Job
 from chivespoke.workloads._model import JobPhase
 from chivespoke.workloads._model import JobProgress
@@ -20,6 +21,7 @@
 __all__ = [
     'AdviceTiming',
     'Configuration',
+    'Crash',
     'Job',
     'JobPhase',
     'JobProgress',
--- a/chivespoke/workloads/_model.py
+++ b/chivespoke/workloads/_model.py
@@ -147,6 +147,20 @@
     DONE = 2
 
 
+class Crash(msgspec.Struct, frozen=True, array_like=True):
+    """Hold a crash of a worker of which a task is suspected."""
+
+    worker: str
+    # Where the worker ran; a later incarnation at the same place has the same.
+    place: str
+    # Wall-clock time, in milliseconds since 1970.
+    at_ms: int
+    # Number of the run that was lost.
+    run: int
+    # Tasks of no other job were suspects.
+    conclusive: bool
+
+
 class TaskProgress(msgspec.Struct, array_like=True):
     """Hold the recorded state of one task."""
 
@@ -156,6 +170,9 @@
     worker: str = ''
     failures: int = 0
     checkpoint: str = ''
+    # Crashes of workers of which the task is suspected; an entry of an earlier
+    # version stores none.
+    crashes: tuple[Crash, ...] = ()
 
 
 class JobProgress(msgspec.Struct, array_like=True):
@@ -167,6 +184,8 @@
     # Wall-clock time at which the phase became final, in milliseconds since
     # 1970.
     finished_ms: int = 0
+    # Why the job failed; empty if a task has failed too often.
+    reason: str = ''
 
 
 def make_initial_progress(job: Job) -> JobProgress:
