Report the crash of a worker, with the runs that had just started

A log could not tell whether a worker had crashed, was cut off or had left, nor how old each run was at that time.

A sidecar records since when each run may be at work, and when its worker last answered. A cut, a lapsed lease, a departure and a late registration of an earlier incarnation are no crashes; the sidecar that fails together with its worker reports none.

The field stands at the end of the report, so that entries of the earlier version read it.

--- a/chivespoke/agents/_agent.py
+++ b/chivespoke/agents/_agent.py
@@ -6,6 +6,7 @@
 import zmq
 import zmq.asyncio
 
+from chivespoke.agents import _crashes
 from chivespoke.agents import _registration
 from chivespoke.agents import _session
 from chivespoke import application
@@ -52,6 +53,7 @@
         '_session',
         '_session_count',
         '_pending',
+        '_crash_log',
         '_epoch',
         '_leader_identity',
         '_transport',
@@ -82,6 +84,7 @@
         # Registration of another incarnation since the session's worker
         # answered last.
         self._pending: platform.Registration | None = None
+        self._crash_log = _crashes.CrashLog()
         self._epoch = 0
         # ZeroMQ routing identity of the leader's connection.
         self._leader_identity: bytes | None = None
@@ -189,6 +192,10 @@
 
     def _replace_session(self, registration: platform.Registration) -> None:
         old_session, old_transport = self._session, self._transport
+        if old_session is not None:
+            self._crash_log.record_replacement(
+                old_session.describe_crash(), self._clock.read_monotonic()
+            )
         transport = platform.Transport(
             self._machine.worker_address or registration.address,
             WORKER_CONNECTIONS,
@@ -300,7 +307,15 @@
                 session=self._session_identifier,
             )
         else:
-            report = self._session.make_report(self._sidecar_incarnation)
+            report = self._session.make_report(
+                self._sidecar_incarnation,
+                self._crash_log.list_reports(
+                    self._session.incarnation.key,
+                    self._clock.read_monotonic(),
+                )
+                if self._session.has_answered
+                else (),
+            )
         await socket.send_multipart(
             [peer, coordination.ENCODER.encode(report)]
         )
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -6,6 +6,7 @@
 
 from chivespoke.agents import _leases
 from chivespoke.agents import _paces
+from chivespoke.agents import _run_ages
 from chivespoke import application
 from chivespoke import clock
 from chivespoke import coordination
@@ -78,6 +79,7 @@
         '_doubted',
         '_applied',
         '_lapsed',
+        '_run_ages',
         '_telemetry',
     )
 
@@ -132,6 +134,7 @@
         self._applied = 0
         # The last report said that all leases have expired.
         self._lapsed = False
+        self._run_ages = _run_ages.RunAges()
 
     @property
     def incarnation(self) -> coordination.WorkerIncarnation:
@@ -152,6 +155,31 @@
         """Return whether the worker answered the last poll."""
         return self._answering
 
+    @property
+    def has_answered(self) -> bool:
+        """Return whether the worker has answered any poll."""
+        return self._status is not None
+
+    def describe_crash(self) -> coordination.CrashReport | None:
+        """Return the report to make if another incarnation takes over.
+
+        Returns None if the worker was about to leave or never answered.
+        """
+        last_sign_at = self._run_ages.last_sign_at
+        if (
+            last_sign_at is None
+            or self.registration.draining
+            or self.deregistered
+        ):
+            return None
+        silent_seconds = self._clock.read_monotonic() - last_sign_at
+        return coordination.CrashReport(
+            self.incarnation.key,
+            int(silent_seconds * 1000),
+            self._run_ages.count_runs(),
+            self._run_ages.list_suspects(),
+        )
+
     def doubt(self) -> None:
         """Start no runs until the worker has answered another poll."""
         self._doubted = True
@@ -203,7 +231,11 @@
         for stop in directive.stops:
             self._spawn_order(stop.task, stop.run, self._stop(stop))
 
-    def make_report(self, sidecar_incarnation: str) -> coordination.Report:
+    def make_report(
+        self,
+        sidecar_incarnation: str,
+        crashes: tuple[coordination.CrashReport, ...] = (),
+    ) -> coordination.Report:
         """Return a report to the leader and clear the reported outcomes."""
         # Another order for the run is in progress, whose outcome is the one
         # that counts.
@@ -234,6 +266,7 @@
             applied=self._applied,
             lease_end_ms=self._leases.end_ms,
             session=self.identifier,
+            crashes=crashes,
         )
 
     def _update_lapsed(self) -> None:
@@ -305,9 +338,9 @@
         self._set_answering(True, '')
         async with self._polled:
             self._status = status
-            self._leases.record_reading(
-                status.clock_ms, self._clock.read_monotonic()
-            )
+            now = self._clock.read_monotonic()
+            self._leases.record_reading(status.clock_ms, now)
+            self._run_ages.record_status(status, now)
             self._poll_count += 1
             self._polled.notify_all()
         if previous is None or have_ends_changed(previous, status):
@@ -417,6 +450,8 @@
         self._telemetry.order_outcomes.add(
             1, {'outcome': refusal.value if refusal else 'taken'}
         )
+        if refusal is not None:
+            self._run_ages.record_refusal(task, run)
         self._outcomes.append(coordination.OrderOutcome(task, run, refusal))
         self._listener.request_report()
 
@@ -483,6 +518,9 @@
         # longer expects its run. The lease that is sent ends no later than the
         # order's own, so that the worker refuses a delayed order as expired.
         self._extend_leases()
+        self._run_ages.record_order(
+            order.task, order.run, self._clock.read_monotonic()
+        )
         await self._client.start(
             order.task,
             order.run,
@@ -492,6 +530,7 @@
             order.checkpoint,
             order.ticket,
         )
+        self._run_ages.record_sign(self._clock.read_monotonic())
 
     async def _stop(self, order: coordination.StopOrder) -> None:
         await self._ensure_stopped(order.task, order.run)
--- a/chivespoke/coordination/__init__.py
+++ b/chivespoke/coordination/__init__.py
@@ -11,13 +11,16 @@
 from chivespoke.coordination._followers import TopicFollower
 from chivespoke.coordination._links import open_socket
 from chivespoke.coordination._messages import AdoptedRun
+from chivespoke.coordination._messages import CrashReport
 from chivespoke.coordination._messages import Directive
 from chivespoke.coordination._messages import DIRECTIVE_DECODER
 from chivespoke.coordination._messages import ENCODER
+from chivespoke.coordination._messages import MAX_SUSPECTS
 from chivespoke.coordination._messages import OrderOutcome
 from chivespoke.coordination._messages import Report
 from chivespoke.coordination._messages import StartOrder
 from chivespoke.coordination._messages import StopOrder
+from chivespoke.coordination._messages import SuspectRun
 from chivespoke.coordination._messages import WorkerIncarnation
 from chivespoke.coordination._placer import DesiredState
 from chivespoke.coordination._records import CANCEL_PREFIX
@@ -36,6 +39,7 @@
     'AdoptedRun',
     'CANCEL_PREFIX',
     'Coordinator',
+    'CrashReport',
     'DIRECTIVE_DECODER',
     'Directive',
     'ENCODER',
@@ -44,6 +48,7 @@
     'JOB_PREFIX',
     'Ledger',
     'LeaderTimeouts',
+    'MAX_SUSPECTS',
     'MAX_TASK_RECORD_BYTES',
     'MAX_UNANSWERED_ORDER_BYTES',
     'ORDER_RESEND_SECONDS',
@@ -53,6 +58,7 @@
     'SYSTEM_TOPIC',
     'StartOrder',
     'StopOrder',
+    'SuspectRun',
     'TopicFold',
     'TopicFollower',
     'WorkerIncarnation',
--- a/chivespoke/coordination/_messages.py
+++ b/chivespoke/coordination/_messages.py
@@ -38,6 +38,34 @@
     refusal: platform.Refusal | None = None
 
 
+# Maximum number of suspects in the report of a crash.
+MAX_SUSPECTS = 32
+
+
+class SuspectRun(msgspec.Struct, frozen=True, array_like=True):
+    """Report a run that had just started when its worker crashed."""
+
+    task: str
+    run: int
+    # Time between the order to start and the last answer of the worker.
+    age_ms: int
+
+
+class CrashReport(msgspec.Struct, frozen=True, array_like=True):
+    """Report that a worker ended without notice and was replaced.
+
+    The incarnation that replaced it has answered.
+    """
+
+    # Key of the incarnation that crashed.
+    worker: str
+    # Time since its last answer.
+    silent_ms: int
+    lost_runs: int
+    # The youngest runs, up to MAX_SUSPECTS.
+    suspects: tuple[SuspectRun, ...]
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True):
     """Report the state of a worker to the leader."""
 
@@ -66,6 +94,8 @@
     # Identifies the sidecar's process and the worker's incarnation; empty from
     # a sidecar of a version that does not number directives.
     session: str = ''
+    # Recent crashes of earlier incarnations of the worker.
+    crashes: tuple[CrashReport, ...] = ()
 
     @property
     def covered(self) -> int | None:
--- a/chivespoke/coordination/tests/builders.py
+++ b/chivespoke/coordination/tests/builders.py
@@ -87,6 +87,7 @@
     applied: int = ALL_DIRECTIVES,
     lease_end_ms: int = 0,
     session: str | None = None,
+    crashes: tuple[coordination.CrashReport, ...] = (),
 ) -> coordination.Report:
     """Return a sidecar's report; the same clock_ms means the same poll."""
     return coordination.Report(
@@ -106,6 +107,21 @@
         session=f'{sidecar_incarnation}/{born_ms}'
         if session is None
         else session,
+        crashes=crashes,
+    )
+
+
+def make_crash(
+    sidecar: str, *suspects: tuple[str, int], born_ms: int = 1
+) -> coordination.CrashReport:
+    """Return the report of a crash just after the start of some runs."""
+    return coordination.CrashReport(
+        make_incarnation(sidecar, born_ms).key,
+        silent_ms=3000,
+        lost_runs=len(suspects),
+        suspects=tuple(
+            coordination.SuspectRun(task, run, 10) for task, run in suspects
+        ),
     )
 
 
