Give up jobs whose tasks crash each worker that starts them

Cause: a crash under a run was counted nowhere. Only ends with the cause failed were counted; the runs of a crashed worker were requeued and forgotten.

Change: the leader blames the runs that were young at a crash, and records the crash in the progress of their tasks, so that the next leader knows of it. A suspect starts again where no task of another job has just started, nor starts until it has survived, preferably at another place and where little is at stake; at most half of the workers are kept for suspects. So the next crash has one culprit: with crashes at two places, the last one conclusive, the job is failed, and with four crashes in any case. A task that is at work after a second is cleared. An outage of a rack or data centre blames nobody.

--- /dev/null
+++ b/chivespoke/coordination/_crashes.py
@@ -0,0 +1,157 @@
+"""Processing of the sidecars' reports of crashed workers."""
+
+import collections
+import typing
+
+from chivespoke.coordination import _engine_state
+from chivespoke.coordination import _fleet
+from chivespoke.coordination import _messages
+from chivespoke import decisions
+from chivespoke import logs
+from chivespoke import workloads
+
+LOGGER = logs.make_logger('crashes')
+
+# Number of the latest crashes and silences that are remembered.
+MAX_REMEMBERED = 4096
+
+
+class _Silence(typing.NamedTuple):
+    """Hold when a worker ceased to answer, in monotonic seconds."""
+
+    at: float
+    sidecar: str
+
+
+class CrashHandler:
+    """Blame tasks for the crashes of workers, and give up hopeless jobs."""
+
+    __slots__ = ('_state', '_handled', '_silences')
+
+    def __init__(self, state: _engine_state.State) -> None:
+        self._state = state
+        # Keys of the crashed workers, which are reported repeatedly.
+        self._handled: collections.deque[str] = collections.deque(
+            maxlen=MAX_REMEMBERED
+        )
+        self._silences: collections.deque[_Silence] = collections.deque(
+            maxlen=MAX_REMEMBERED
+        )
+
+    def record_silence(self, worker: _fleet.Worker, now: float) -> None:
+        """Record that a worker has ceased to answer."""
+        self._silences.append(_Silence(now, worker.sidecar))
+
+    def handle(
+        self, report: _messages.Report, now: float, wall_ms: int
+    ) -> None:
+        """Apply the crashes in a report that were not applied before."""
+        for crash in report.crashes:
+            if crash.worker not in self._handled:
+                self._handled.append(crash.worker)
+                self._handle_crash(report.sidecar, crash, now, wall_ms)
+
+    def _handle_crash(
+        self,
+        sidecar: str,
+        crash: _messages.CrashReport,
+        now: float,
+        wall_ms: int,
+    ) -> None:
+        suspects = self._find_suspects(crash)
+        is_outage = self._is_outage(sidecar, now - crash.silent_ms / 1000)
+        # The list may have been cut off.
+        is_conclusive = len(
+            crash.suspects
+        ) < _messages.MAX_SUSPECTS and decisions.is_conclusive(suspects)
+        LOGGER.warning(
+            'A worker crashed.',
+            worker=crash.worker,
+            silent_ms=crash.silent_ms,
+            lost_runs=crash.lost_runs,
+            suspects={run.task: run.age_seconds for run in suspects},
+            is_conclusive=is_conclusive,
+            is_outage=is_outage,
+        )
+        self._state.record_crash(is_outage, len(suspects), is_conclusive)
+        if is_outage:
+            return
+        for run in suspects:
+            self._blame(
+                run,
+                workloads.Crash(
+                    crash.worker,
+                    sidecar,
+                    wall_ms - crash.silent_ms,
+                    run.run,
+                    is_conclusive,
+                ),
+                wall_ms,
+            )
+
+    def _find_suspects(
+        self, crash: _messages.CrashReport
+    ) -> tuple[decisions.LostRun, ...]:
+        names = [workloads.parse_task_name(run.task) for run in crash.suspects]
+        return decisions.find_suspects(
+            decisions.LostRun(name.job, run.task, run.run, run.age_ms / 1000)
+            for name, run in zip(names, crash.suspects, strict=True)
+            if name is not None
+        )
+
+    def _is_outage(self, sidecar: str, crashed_at: float) -> bool:
+        silent = {
+            silence.sidecar
+            for silence in self._silences
+            if abs(silence.at - crashed_at) < decisions.OUTAGE_SECONDS
+        }
+        worker = self._state.find_worker_of(sidecar)
+        if worker is None:
+            return False
+        others = [
+            other
+            for other in self._state.workers.values()
+            if other.sidecar != sidecar
+        ]
+        in_rack = [
+            other
+            for other in others
+            if worker.rack and other.rack == worker.rack
+        ]
+        in_data_centre = [
+            other
+            for other in others
+            if other.incarnation.data_centre == worker.incarnation.data_centre
+        ]
+        return any(
+            decisions.is_outage(
+                sum(other.sidecar in silent for other in near), len(near)
+            )
+            for near in (in_rack, in_data_centre)
+        )
+
+    def _blame(
+        self, run: decisions.LostRun, crash: workloads.Crash, wall_ms: int
+    ) -> None:
+        name = workloads.parse_task_name(run.task)
+        state = self._state.jobs.get(run.job)
+        task = state.find_task(name) if state and name else None
+        if state is None or name is None or task is None or state.final:
+            return
+        if task.status is workloads.TaskStatus.DONE or run.run > task.run:
+            return
+        if any(known.run == crash.run for known in task.crashes):
+            # An earlier leader has counted it.
+            return
+        state.record_crash(name, crash)
+        self._state.suspects.add(name)
+        if not decisions.is_hopeless(task.crashes):
+            return
+        reason = decisions.describe_crashes(run.task, task.crashes)
+        LOGGER.warning(
+            'A job is given up because it crashes workers.',
+            job=run.job,
+            reason=reason,
+        )
+        state.fail(reason, wall_ms)
+        self._state.handle_final_job(state)
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -1,5 +1,7 @@
 """The leader's state: jobs, workers and the assignment of tasks."""
 
+import enum
+
 import msgspec
 
 from chivespoke.coordination import _fences
@@ -7,6 +9,7 @@
 from chivespoke.coordination import _jobs
 from chivespoke.coordination import _messages
 from chivespoke.coordination import _records
+from chivespoke.coordination import _suspects
 from chivespoke import decisions
 from chivespoke import logs
 from chivespoke import workloads
@@ -46,6 +49,17 @@
         return clock_ms / 1000 * (1 + 2 * self.clock_drift_share)
 
 
+class CrashBlame(enum.Enum):
+    """What the crash of a worker is put down to."""
+
+    ONE_JOB = 'one-job'
+    SEVERAL_JOBS = 'several-jobs'
+    # Many workers near it crashed at the same time.
+    OUTAGE = 'outage'
+    # No task had just started there.
+    NONE = 'none'
+
+
 class UnreportedWorker:
     """Hold the recorded runs of a worker that has not reported yet."""
 
@@ -71,11 +85,16 @@
         'advice_cache',
         'order_window',
         'fences',
+        'suspects',
+        '_crash_blames',
     )
 
     def __init__(self, epoch: int, timeouts: LeaderTimeouts) -> None:
         self.timeouts = timeouts
         self.fences = _fences.SessionFences(epoch)
+        self.suspects = _suspects.SuspectTasks()
+        # What the crashes since the last look were put down to.
+        self._crash_blames: list[CrashBlame] = []
         self.jobs: dict[str, _jobs.JobState] = {}
         self.workers: dict[str, _fleet.Worker] = {}
         self.unreported: dict[str, UnreportedWorker] = {}
@@ -96,6 +115,7 @@
             return
         state = _jobs.JobState(entry.job, entry.copy_progress())
         self.jobs[entry.job.identifier] = state
+        self.suspects.load(state)
         expires_at = (
             now
             + self.timeouts.predecessor_renewal_seconds
@@ -253,6 +273,33 @@
         self.workers.pop(worker.incarnation.key, None)
         self.quarantines.pop(worker.incarnation.key, None)
 
+    def find_worker_of(self, sidecar: str) -> _fleet.Worker | None:
+        """Return the worker beside a sidecar, None if none is known."""
+        for worker in self.workers.values():
+            if worker.sidecar == sidecar:
+                return worker
+        return None
+
+    def record_crash(
+        self, is_outage: bool, suspect_count: int, is_conclusive: bool
+    ) -> None:
+        """Record the crash of a worker for the metrics."""
+        if is_outage:
+            blame = CrashBlame.OUTAGE
+        elif is_conclusive:
+            blame = CrashBlame.ONE_JOB
+        elif suspect_count:
+            blame = CrashBlame.SEVERAL_JOBS
+        else:
+            blame = CrashBlame.NONE
+        self._crash_blames.append(blame)
+
+    def take_crash_blames(self) -> tuple[CrashBlame, ...]:
+        """Return and forget what the latest crashes were put down to."""
+        blames = tuple(self._crash_blames)
+        self._crash_blames.clear()
+        return blames
+
     def limit_unreported_leases(self, sidecar: str, now: float) -> None:
         """Bound the wait for a worker whose sidecar reports without it.
 
--- a/chivespoke/coordination/_jobs.py
+++ b/chivespoke/coordination/_jobs.py
@@ -80,6 +80,11 @@
         task = self.find_task(name)
         return task is not None and task.status is workloads.TaskStatus.WAITING
 
+    def is_suspect(self, name: workloads.TaskName) -> bool:
+        """Return whether a task is suspected of crashing workers."""
+        task = self.find_task(name)
+        return task is not None and bool(task.crashes)
+
     def list_ready(
         self, wall: float
     ) -> collections.abc.Iterator[tuple[int, int]]:
@@ -117,22 +122,31 @@
             if task.status is workloads.TaskStatus.WAITING
         ]
 
-    def list_assigned(
+    def list_tasks(
         self,
     ) -> collections.abc.Iterator[
         tuple[workloads.TaskName, workloads.TaskProgress]
     ]:
-        """Yield the tasks that are assigned to a worker."""
+        """Yield all tasks."""
         for occurrence, steps in enumerate(self.progress.tasks):
             for number, tasks in enumerate(steps):
                 for index, task in enumerate(tasks):
-                    if task.status is workloads.TaskStatus.ASSIGNED:
-                        yield (
-                            workloads.TaskName(
-                                self.job.identifier, occurrence, number, index
-                            ),
-                            task,
-                        )
+                    yield (
+                        workloads.TaskName(
+                            self.job.identifier, occurrence, number, index
+                        ),
+                        task,
+                    )
+
+    def list_assigned(
+        self,
+    ) -> collections.abc.Iterator[
+        tuple[workloads.TaskName, workloads.TaskProgress]
+    ]:
+        """Yield the tasks that are assigned to a worker."""
+        for name, task in self.list_tasks():
+            if task.status is workloads.TaskStatus.ASSIGNED:
+                yield name, task
 
     def measure_idle_time(self, now: float) -> float:
         """Return for how many seconds no task of the job has been assigned.
@@ -215,6 +229,25 @@
             return
         self.finalize(workloads.JobPhase.FAILED, now_ms)
 
+    def record_crash(
+        self, name: workloads.TaskName, crash: workloads.Crash
+    ) -> None:
+        """Record a crash of a worker of which a task is suspected."""
+        task = self._require(name)
+        task.crashes = (*task.crashes, crash)
+        self.dirty = True
+
+    def clear_crashes(self, name: workloads.TaskName) -> None:
+        """Forget the crashes of which a task was suspected."""
+        self._require(name).crashes = ()
+        self.dirty = True
+
+    def fail(self, reason: str, now_ms: int) -> None:
+        """Fail the job for a reason, unless it has a final phase."""
+        if not self.final:
+            self.progress.reason = reason
+            self.finalize(workloads.JobPhase.FAILED, now_ms)
+
     def finalize(self, phase: workloads.JobPhase, now_ms: int) -> None:
         """Set the final phase of the job, unless it has one."""
         if self.final:
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -11,6 +11,7 @@
 from chivespoke.coordination import _engine_state
 from chivespoke.coordination import _fleet
 from chivespoke.coordination import _jobs
+from chivespoke.coordination import _probes
 from chivespoke import decisions
 from chivespoke import logs
 from chivespoke import workloads
@@ -42,8 +43,7 @@
     valid_until: float = math.inf
 
 
-# Descriptions of the workers that accept tasks, by worker.
-Candidates: typing.TypeAlias = dict[str, decisions.CandidateWorker]
+Candidates: typing.TypeAlias = _probes.Candidates
 
 
 class Claimant(typing.NamedTuple):
@@ -85,6 +85,7 @@
         'advice_request',
         'complete',
         '_state',
+        '_probes',
         '_decided_runs',
         '_now',
         '_version',
@@ -102,6 +103,7 @@
         # All waiting tasks were considered for the latest plan.
         self.complete = True
         self._state = state
+        self._probes = _probes.ProbePlanner(state)
         self._decided_runs: list[_fleet.Run] = []
         self._now = 0.0
         # Version of the configuration that decisions are based on.
@@ -149,6 +151,7 @@
             for worker in self._state.workers.values()
             if self._accepts_tasks(worker, desired_state, now)
         }
+        self._probes.begin_plan(candidates, now)
         self._complete_moves(candidates)
         for claimant in claimants:
             claimant.place(candidates)
@@ -386,11 +389,15 @@
     ) -> None:
         step = state.job.steps[step_number]
         names = state.list_waiting(occurrence, step_number)
-        if not names:
-            return
+        suspects = [name for name in names if state.is_suspect(name)]
         if step.gang:
             if len(names) == step.count:
-                self._place_gang(state, step, names, candidates)
+                self._place_gang(state, step, names, candidates, suspects)
+            return
+        if suspects:
+            self._place_suspects(state, step, suspects, candidates)
+            names = [name for name in names if name not in suspects]
+        if not names:
             return
         demand = self._describe_demand(
             state, step, state.measure_idle_time(self._now)
@@ -419,6 +426,49 @@
             self._assign(state, step, name, candidate, candidates, 0)
             ranking.record_task(candidate, candidates.get(candidate.worker))
 
+    def _place_suspects(
+        self,
+        state: _jobs.JobState,
+        step: workloads.Step,
+        names: list[workloads.TaskName],
+        candidates: Candidates,
+    ) -> None:
+        """Place tasks so that the next crash shows which one causes it."""
+        for name in names:
+            idle_seconds = state.measure_idle_time(self._now)
+            pool = self._probes.list_candidates(name, candidates)
+            found = next(
+                (
+                    candidate
+                    for candidate in self._list_eligible(
+                        state, step, name, pool
+                    )
+                    if decisions.choose_worker(
+                        step,
+                        (candidate,),
+                        self._state.interference,
+                        idle_seconds,
+                    )
+                ),
+                None,
+            )
+            if found is None:
+                self._probes.reserve(
+                    name,
+                    [
+                        candidate
+                        for candidate in self._list_eligible(
+                            state, step, name, candidates
+                        )
+                        if decisions.can_run_on(step, candidate)
+                    ],
+                    candidates,
+                )
+                self._prepare_advice_request(state, step, name, pool)
+                continue
+            self._assign(state, step, name, found, candidates, 0)
+            self._probes.record_start(found.worker, name, candidates)
+
     def _find_avoided_worker(self, name: workloads.TaskName) -> str:
         """Return the worker that a task was moved from; empty if none."""
         move = self._moves.get(name.format()) if self._moves else None
@@ -585,6 +635,7 @@
         step: workloads.Step,
         names: list[workloads.TaskName],
         candidates: Candidates,
+        suspects: list[workloads.TaskName],
     ) -> None:
         tasks = state.progress.tasks[names[0].occurrence][names[0].step]
         run_number = max(task.run for task in tasks) + 1
@@ -592,6 +643,12 @@
         # start from the same one.
         checkpoint = max((task.checkpoint for task in tasks), default='')
         trial_candidates = dict(candidates)
+        if suspects and decisions.may_wait_for_proof(
+            state.measure_idle_time(self._now)
+        ):
+            trial_candidates = self._probes.list_candidates(
+                suspects[0], candidates
+            )
         chosen = []
         for name in names:
             candidate = self._choose_candidate(
@@ -608,6 +665,9 @@
             task.checkpoint = checkpoint
         for name, candidate in zip(names, chosen, strict=True):
             self._assign(state, step, name, candidate, candidates, run_number)
+        if suspects:
+            for name, candidate in zip(names, chosen, strict=True):
+                self._probes.record_start(candidate.worker, name, candidates)
 
     def _assign(
         self,
--- a/chivespoke/coordination/_records.py
+++ b/chivespoke/coordination/_records.py
@@ -135,6 +135,11 @@
             return workloads.JobPhase.CANCELLED
         return phase
 
+    @property
+    def reason(self) -> str:
+        """Return why the job failed; empty if there is nothing to add."""
+        return self.progress.reason if self.progress else ''
+
 
 class LedgerListener(abc.ABC):
     """Handle changes of the ledger."""
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -2,9 +2,11 @@
 
 import msgspec
 
+from chivespoke.coordination import _crashes
 from chivespoke.coordination import _engine_state
 from chivespoke.coordination import _fleet
 from chivespoke.coordination import _messages
+from chivespoke.coordination import _suspects
 from chivespoke import decisions
 from chivespoke import logs
 from chivespoke import platform
@@ -22,10 +24,11 @@
 class ReportHandler:
     """Apply reports to the leader's state."""
 
-    __slots__ = ('_state',)
+    __slots__ = ('_state', '_crash_handler')
 
     def __init__(self, state: _engine_state.State) -> None:
         self._state = state
+        self._crash_handler = _crashes.CrashHandler(state)
 
     def handle(
         self, report: _messages.Report, now: float, wall_ms: int
@@ -37,9 +40,12 @@
         if report.incarnation is None:
             return None
         worker = self._find_worker(report, report.incarnation, now)
+        self._crash_handler.handle(report, now, wall_ms)
         timeouts = self._state.timeouts
         worker.reported_at = now
         worker.draining = report.draining
+        if worker.answering and not report.answering:
+            self._crash_handler.record_silence(worker, now)
         worker.answering = report.answering and not report.lapsed
         # A heartbeat may repeat the result of the previous poll.
         is_new_poll = report.clock_ms != worker.worker_clock_ms
@@ -231,6 +237,8 @@
             row = run.last_listing
             if run.state is not _fleet.RunState.RUNNING or row is None:
                 continue
+            if is_new_poll and worker.answering and row.progress:
+                self._clear_survivor(run, now)
             if run.step.long_running:
                 continue
             if run.speed_tracker is None or run.stall_detector is None:
@@ -247,6 +255,22 @@
                 ):
                     self._stop_stalled_run(worker, run)
 
+    def _clear_survivor(self, run: _fleet.Run, now: float) -> None:
+        """Drop the suspicion against a task that is at work for a while."""
+        if not self._state.suspects or _suspects.is_young(run, now):
+            return
+        state = self._state.jobs.get(run.name.job)
+        task = state.find_task(run.name) if state else None
+        if state is None or task is None or not task.crashes:
+            return
+        LOGGER.info(
+            'A task is not suspected of crashes any more.',
+            task=run.task_id,
+            run=run.number,
+            crashes=len(task.crashes),
+        )
+        self._state.suspects.clear(state, run.name)
+
     def _stop_stalled_run(
         self, worker: _fleet.Worker, run: _fleet.Run
     ) -> None:
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -198,6 +198,8 @@
         for end in report.ended:
             if worker is not None and end.number > worker.acknowledged:
                 self._telemetry.run_ends.add(1, {'cause': end.cause.value})
+        for blame in self._engine.state.take_crash_blames():
+            self._telemetry.worker_crashes.add(1, {'blame': blame.value})
         if worker is not None:
             self._workers_by_sidecar[report.sidecar] = worker
         if report.ended or report.outcomes or report.lapsed:
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -7,8 +7,11 @@
 from chivespoke.decisions._crashes import find_suspects
 from chivespoke.decisions._crashes import is_conclusive
 from chivespoke.decisions._crashes import is_hopeless
+from chivespoke.decisions._crashes import is_outage
 from chivespoke.decisions._crashes import LostRun
 from chivespoke.decisions._crashes import MAX_CRASHES
+from chivespoke.decisions._crashes import may_wait_for_proof
+from chivespoke.decisions._crashes import OUTAGE_SECONDS
 from chivespoke.decisions._crashes import SUSPECT_AGE_SECONDS
 from chivespoke.decisions._interference import FixedInterferenceModel
 from chivespoke.decisions._interference import InterferenceCoefficient
@@ -63,6 +66,7 @@
     'MAX_NEIGHBOURS',
     'MAX_REQUEST_WORKERS',
     'NeighbourSelector',
+    'OUTAGE_SECONDS',
     'PaceChange',
     'PacedRun',
     'Pacer',
@@ -87,8 +91,10 @@
     'find_suspects',
     'is_conclusive',
     'is_hopeless',
+    'is_outage',
     'is_move_worthwhile',
     'make_sort_key',
+    'may_wait_for_proof',
     'may_wait_for_speed',
     'measure_critical_path',
     'measure_remaining_paths',
--- a/chivespoke/decisions/_crashes.py
+++ b/chivespoke/decisions/_crashes.py
@@ -19,6 +19,13 @@
 # Different places at which a task must have crashed workers before its job is
 # given up. A single crash may have been the worker's own.
 MIN_CRASH_PLACES = 2
+# Workers of a rack or a data centre that cease to answer within this time of
+# each other have lost something that they share.
+OUTAGE_SECONDS = 1.0
+# Number of other workers that must have ceased to answer.
+MIN_OUTAGE_WORKERS = 2
+# Time for which a gang with a suspect waits for workers without others.
+MAX_PROOF_WAIT_SECONDS = 2.0
 # Number of crashes after which a job is given up even if other tasks were
 # suspects each time, so that no task crashes one worker after the other.
 MAX_CRASHES = 4
@@ -48,6 +55,19 @@
     return len({run.job for run in suspects}) == 1
 
 
+def may_wait_for_proof(idle_seconds: float) -> bool:
+    """Return whether a gang with a suspect waits to start without others."""
+    return idle_seconds < MAX_PROOF_WAIT_SECONDS
+
+
+def is_outage(silent: int, total: int) -> bool:
+    """Return whether a crash is part of an outage of a rack or data centre.
+
+    Counts the other workers there: those that ceased to answer, and all.
+    """
+    return silent >= MIN_OUTAGE_WORKERS and 2 * silent >= total
+
+
 def is_hopeless(crashes: collections.abc.Sequence[workloads.Crash]) -> bool:
     """Return whether a task with these crashes must not start again.
 
--- a/chivespoke/standins/_runner.py
+++ b/chivespoke/standins/_runner.py
@@ -25,6 +25,8 @@
 LONG_RUNNING_SECONDS = 3600.0
 CAPACITY = {'cpu': 8000, 'mem_mb': 32000, 'gpu': 0}
 TARGET_HEADER = 'Chivespoke-Target-Instance'
+# Time between the start of a deadly task and the crash.
+CRASH_DELAY_SECONDS = 0.01
 # Reason within the stand-in for status 421, which has no body.
 MISDIRECTED = 'misdirected'
 
@@ -45,6 +47,7 @@
         'faults',
         'advisor',
         'began',
+        'crashes',
         'refusals',
         'paces',
         'address',
@@ -73,6 +76,8 @@
         self.advisor: _advisor.PlatformAdvisor | None = None
         # The started runs of all boots.
         self.began: list[_run_ledger.Ran] = []
+        # Deadly tasks whose starts have crashed the worker, in order.
+        self.crashes: list[str] = []
         # Reasons of the refused calls, in order.
         self.refusals: list[str] = []
         # Last requested percentage of the full speed, by task.
@@ -169,6 +174,14 @@
         """Lose all state and break all connections until a restart."""
         self._boot.end()
 
+    def crash_for(self, seconds: float) -> None:
+        """Exit, and restart under another identifier after some seconds."""
+        self.exit()
+        born_ms = self.born_ms + 1
+        asyncio.get_running_loop().call_later(
+            seconds, self.restart, born_ms, f'{self.identifier}+'
+        )
+
     def make_registration(self) -> RunnerRegistration:
         """Return the next registration of the current boot."""
         self._boot.sequence += 1
@@ -317,7 +330,7 @@
     def _start_run(self, body: Body) -> str:
         is_long_running = body['spec'] == LONG_RUNNING_PAYLOAD
         step, _, _ = body['task'].rpartition('.')
-        return self._boot.start_run(
+        reason = self._boot.start_run(
             body,
             LONG_RUNNING_SECONDS if is_long_running else self.seconds,
             self.advisor is None
@@ -325,6 +338,16 @@
                 step, self.identifier, body.get('ticket', '')
             ),
         )
+        if not reason and body['task'] in self.faults.deadly_tasks:
+            asyncio.get_running_loop().call_later(
+                CRASH_DELAY_SECONDS, self._crash_under, self._boot, body
+            )
+        return reason
+
+    def _crash_under(self, boot: _runner_boot.RunnerBoot, body: Body) -> None:
+        if boot is self._boot and not boot.ended:
+            self.crashes.append(body['task'])
+            self.crash_for(self.faults.crash_seconds)
 
     def _set_pace(self, body: Body) -> str:
         if not self._boot.admit(body):
--- a/chivespoke/standins/_runner_faults.py
+++ b/chivespoke/standins/_runner_faults.py
@@ -39,6 +39,10 @@
     skips_registration: bool = False
     # Whether every task fails at its end.
     fails_all: bool = False
+    # Tasks that crash the worker shortly after their start.
+    deadly_tasks: frozenset[str] = frozenset()
+    # Time after which the worker starts again, under another identifier.
+    crash_seconds: float = 0.5
     # Longest lease, None if leases are not limited.
     max_hold_ms: int | None = None
 
--- a/chivespoke/telemetry.py
+++ b/chivespoke/telemetry.py
@@ -37,6 +37,7 @@
         'start_wait',
         'run_ends',
         'order_outcomes',
+        'worker_crashes',
     )
 
     def __init__(self) -> None:
@@ -110,6 +111,10 @@
             'chivespoke_order_outcomes',
             description='Orders to the worker, by what came of them',
         )
+        self.worker_crashes = self.meter.create_counter(
+            'chivespoke_worker_crashes',
+            description='Crashes of workers, by what they are put down to',
+        )
         self.dropped_messages = self.meter.create_counter(
             'chivespoke_dropped_messages',
             description='Messages dropped, by cause',
