Tell callers why a job was given up

The answer to a query of a failed job holds the reason if it crashed workers: the task, the workers and the times. Jobs that failed otherwise are answered as before.

--- a/chivespoke/intake/_job_routes.py
+++ b/chivespoke/intake/_job_routes.py
@@ -237,7 +237,7 @@
             return self._respond_unknown(identifier)
         return _responses.make_response(
             _responses.Outcome.ACCEPTED,
-            platform.encode_phase(entry.phase),
+            platform.encode_phase(entry.phase, entry.reason),
             closing=self.closing,
         )
 
--- a/chivespoke/platform/_submissions.py
+++ b/chivespoke/platform/_submissions.py
@@ -48,8 +48,9 @@
     interval_ms: _Amount = 0
 
 
-class _JobStateResponse(msgspec.Struct):
+class _JobStateResponse(msgspec.Struct, omit_defaults=True):
     state: str
+    reason: str = ''
 
 
 class _QueueResponse(msgspec.Struct):
@@ -123,9 +124,9 @@
     )
 
 
-def encode_phase(phase: workloads.JobPhase) -> bytes:
+def encode_phase(phase: workloads.JobPhase, reason: str = '') -> bytes:
     """Return the response body to a query of a job's state."""
-    return msgspec.json.encode(_JobStateResponse(phase.value))
+    return msgspec.json.encode(_JobStateResponse(phase.value, reason))
 
 
 def encode_pending(count: int) -> bytes:
