Blame tasks for a crash that took the sidecar along

Cause: the crash of a worker is reported by the sidecar beside it, so that one whose sidecar was killed before the next incarnation answered was not counted.

The leader describes such a crash by its own view of the runs. It never counts as conclusive, as the whole machine may have failed; the suspects only start apart. The test failed before (0 crashes on record instead of 1).

--- a/chivespoke/coordination/_crashes.py
+++ b/chivespoke/coordination/_crashes.py
@@ -4,6 +4,7 @@
 import typing
 
 from chivespoke.coordination import _engine_state
+from chivespoke.coordination import _fences
 from chivespoke.coordination import _fleet
 from chivespoke.coordination import _messages
 from chivespoke import decisions
@@ -48,8 +49,32 @@
         """Apply the crashes in a report that were not applied before."""
         for crash in report.crashes:
             if crash.worker not in self._handled:
-                self._handled.append(crash.worker)
-                self._handle_crash(report.sidecar, crash, now, wall_ms)
+                # A longer list was cut off, and may have shown other jobs.
+                is_complete = len(crash.suspects) < _messages.MAX_SUSPECTS
+                self._handle_crash(
+                    report.sidecar, crash, now, wall_ms, is_complete
+                )
+
+    def handle_replacement(
+        self,
+        worker: _fleet.Worker,
+        crash: _messages.CrashReport,
+        report: _messages.Report,
+        now: float,
+        wall_ms: int,
+    ) -> None:
+        """Apply the crash of a worker if its sidecar was lost as well.
+
+        Such a sidecar cannot report it. If the whole machine failed, no task
+        is to blame, so that this alone proves nothing.
+        """
+        if (
+            worker.draining
+            or worker.incarnation.key in self._handled
+            or _fences.is_same_process(worker.session, report.session)
+        ):
+            return
+        self._handle_crash(report.sidecar, crash, now, wall_ms, False)
 
     def _handle_crash(
         self,
@@ -57,13 +82,12 @@
         crash: _messages.CrashReport,
         now: float,
         wall_ms: int,
+        is_complete: bool,
     ) -> None:
+        self._handled.append(crash.worker)
         suspects = self._find_suspects(crash)
         is_outage = self._is_outage(sidecar, now - crash.silent_ms / 1000)
-        # The list may have been cut off.
-        is_conclusive = len(
-            crash.suspects
-        ) < _messages.MAX_SUSPECTS and decisions.is_conclusive(suspects)
+        is_conclusive = is_complete and decisions.is_conclusive(suspects)
         LOGGER.warning(
             'A worker crashed.',
             worker=crash.worker,
@@ -155,3 +179,23 @@
         )
         state.fail(reason, wall_ms)
         self._state.handle_final_job(state)
+
+
+def describe_crash(worker: _fleet.Worker, now: float) -> _messages.CrashReport:
+    """Return the report of a worker's crash by what the leader knows."""
+    ages = [
+        (run, max(0.0, worker.answered_at - run.started_at))
+        if run.started_at is not None
+        else (run, 0.0)
+        for run in worker.runs.values()
+    ]
+    ages.sort(key=lambda item: item[1])
+    return _messages.CrashReport(
+        worker.incarnation.key,
+        int((now - worker.answered_at) * 1000),
+        len(ages),
+        tuple(
+            _messages.SuspectRun(run.task_id, run.number, int(age * 1000))
+            for run, age in ages[: _messages.MAX_SUSPECTS]
+        ),
+    )
--- a/chivespoke/coordination/_fences.py
+++ b/chivespoke/coordination/_fences.py
@@ -9,6 +9,11 @@
     return f'{sidecar_incarnation}/{count}'
 
 
+def is_same_process(session: str, other: str) -> bool:
+    """Return whether two sessions are of one process of a sidecar."""
+    return session.rpartition('/')[0] == other.rpartition('/')[0]
+
+
 def is_earlier(session: str, other: str) -> bool:
     """Return whether a session is earlier than another of its process."""
     process, _, count = session.rpartition('/')
--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -103,6 +103,7 @@
         'draining',
         'answering',
         'reported_at',
+        'answered_at',
         'leases_expire_at',
         'worker_clock_ms',
         'directives',
@@ -131,6 +132,8 @@
         self.draining = False
         self.answering = True
         self.reported_at = now
+        # Time of the last report of a poll that the worker answered.
+        self.answered_at = now
         # Time at which all leases on the worker have expired, unless its
         # sidecar reports again.
         self.leases_expire_at = now
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -39,8 +39,15 @@
         """
         if report.incarnation is None:
             return None
+        replaced = self._find_replaced(report, report.incarnation)
+        # Described before its runs are released.
+        lost = _crashes.describe_crash(replaced, now) if replaced else None
         worker = self._find_worker(report, report.incarnation, now)
         self._crash_handler.handle(report, now, wall_ms)
+        if replaced is not None and lost is not None:
+            self._crash_handler.handle_replacement(
+                replaced, lost, report, now, wall_ms
+            )
         timeouts = self._state.timeouts
         worker.reported_at = now
         worker.draining = report.draining
@@ -73,12 +80,23 @@
         self._reconcile_runs(worker, report.running)
         self._observe_runs(worker, is_new_poll)
         if report.answering and is_new_poll:
+            worker.answered_at = now
             _fleet.learn_tails(worker, self._state.interference)
             worker.candidate = None
         for outcome in report.outcomes:
             self._handle_outcome(worker, outcome, report.covered, now)
         return worker
 
+    def _find_replaced(
+        self,
+        report: _messages.Report,
+        incarnation: _messages.WorkerIncarnation,
+    ) -> _fleet.Worker | None:
+        """Return the worker that a new incarnation replaces, if any."""
+        if incarnation.key in self._state.workers:
+            return None
+        return self._state.find_worker_of(report.sidecar)
+
     def _find_worker(
         self,
         report: _messages.Report,
--- a/chivespoke/coordination/tests/test_crashes.py
+++ b/chivespoke/coordination/tests/test_crashes.py
@@ -181,6 +181,19 @@
         self.report_crash((FIRST_TASK, 1))
         self.assertEqual((), self.list_crashes())
 
+    def test_sidecar_that_was_lost_too_hides_the_crash(self) -> None:
+        for sidecar_incarnation, expected in (('a', 0), ('b', 1)):
+            with self.subTest(sidecar_incarnation):
+                self.setUp()
+                self.leader.report(
+                    builders.make_report(
+                        born_ms=2, sidecar_incarnation=sidecar_incarnation
+                    )
+                )
+                crashes = self.list_crashes()
+                self.assertEqual(expected, len(crashes))
+                self.assertFalse(any(crash.conclusive for crash in crashes))
+
     def test_many_suspects_hide_the_other_jobs(self) -> None:
         # The report lists the youngest runs, and these may be of one job.
         self.report_crash(
