Look for suspects only while there are any

Each plan asked for each waiting task whether it is a suspect, and a leader that takes over built the names of all tasks of a job. Both grow with the work that waits, and there are suspects only after a crash.

--- a/chivespoke/coordination/_jobs.py
+++ b/chivespoke/coordination/_jobs.py
@@ -1,6 +1,7 @@
 """The leader's state of one job."""
 
 import collections.abc
+import typing
 
 from chivespoke import decisions
 from chivespoke import errors
@@ -10,6 +11,10 @@
 # ordered by their time of acceptance.
 MIN_OBJECTIVE_SECONDS = 0.1
 
+NamedTasks: typing.TypeAlias = collections.abc.Iterator[
+    tuple[workloads.TaskName, workloads.TaskProgress]
+]
+
 
 class JobState:
     """Track the progress of a job's tasks."""
@@ -122,31 +127,15 @@
             if task.status is workloads.TaskStatus.WAITING
         ]
 
-    def list_tasks(
-        self,
-    ) -> collections.abc.Iterator[
-        tuple[workloads.TaskName, workloads.TaskProgress]
-    ]:
-        """Yield all tasks."""
-        for occurrence, steps in enumerate(self.progress.tasks):
-            for number, tasks in enumerate(steps):
-                for index, task in enumerate(tasks):
-                    yield (
-                        workloads.TaskName(
-                            self.job.identifier, occurrence, number, index
-                        ),
-                        task,
-                    )
-
-    def list_assigned(
-        self,
-    ) -> collections.abc.Iterator[
-        tuple[workloads.TaskName, workloads.TaskProgress]
-    ]:
+    def list_assigned(self) -> NamedTasks:
         """Yield the tasks that are assigned to a worker."""
-        for name, task in self.list_tasks():
-            if task.status is workloads.TaskStatus.ASSIGNED:
-                yield name, task
+        return self._list_tasks(
+            lambda task: task.status is workloads.TaskStatus.ASSIGNED
+        )
+
+    def list_suspects(self) -> NamedTasks:
+        """Yield the tasks that are suspected of crashing workers."""
+        return self._list_tasks(lambda task: bool(task.crashes))
 
     def measure_idle_time(self, now: float) -> float:
         """Return for how many seconds no task of the job has been assigned.
@@ -256,6 +245,21 @@
         self.progress.finished_ms = now_ms
         self.dirty = True
 
+    def _list_tasks(
+        self,
+        condition: collections.abc.Callable[[workloads.TaskProgress], bool],
+    ) -> NamedTasks:
+        for occurrence, steps in enumerate(self.progress.tasks):
+            for number, tasks in enumerate(steps):
+                for index, task in enumerate(tasks):
+                    if condition(task):
+                        yield (
+                            workloads.TaskName(
+                                self.job.identifier, occurrence, number, index
+                            ),
+                            task,
+                        )
+
     def _require(self, name: workloads.TaskName) -> workloads.TaskProgress:
         task = self.find_task(name)
         if task is None:
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -389,7 +389,7 @@
     ) -> None:
         step = state.job.steps[step_number]
         names = state.list_waiting(occurrence, step_number)
-        suspects = [name for name in names if state.is_suspect(name)]
+        suspects = self._find_suspects(state, names)
         if step.gang:
             if len(names) == step.count:
                 self._place_gang(state, step, names, candidates, suspects)
@@ -426,6 +426,13 @@
             self._assign(state, step, name, candidate, candidates, 0)
             ranking.record_task(candidate, candidates.get(candidate.worker))
 
+    def _find_suspects(
+        self, state: _jobs.JobState, names: list[workloads.TaskName]
+    ) -> list[workloads.TaskName]:
+        if not self._state.suspects:
+            return []
+        return [name for name in names if state.is_suspect(name)]
+
     def _place_suspects(
         self,
         state: _jobs.JobState,
--- a/chivespoke/coordination/_suspects.py
+++ b/chivespoke/coordination/_suspects.py
@@ -29,9 +29,8 @@
 
     def load(self, state: _jobs.JobState) -> None:
         """Add the suspects of a job from the ledger."""
-        for name, task in state.list_tasks():
-            if task.crashes:
-                self.add(name)
+        for name, _ in state.list_suspects():
+            self.add(name)
 
     def clear(self, state: _jobs.JobState, name: workloads.TaskName) -> None:
         """Drop the suspicion against a task that has not crashed a worker."""
