Keep a task that a late call may still start

What callers saw: nothing yet; the known failing test serving.test_disruptions.test_late_orders_begin_on_a_new_boot_whose_polls_stall shows a task that starts again after its end was acknowledged.

Cause: an order is up to three calls to the worker, and its outcome is that of the last. An earlier call without an answer may be executed up to 12 s late, by a worker that has started again under its identifier: it has seen no fencing token before its first poll, knows no end of the run, and judges the lease end in the call by a clock that starts anew. The leader released the runs of the earlier life by the leases of that life, and knew nothing of the call, as the order had an outcome.

Change: a sidecar reports the start calls of its process that got no answer, with their age, and the start orders in progress. When leases have expired, the leader keeps a run while such a call, or an order that no report of its session covers, may still be executed, and stops it meanwhile. All other runs are released as before, and at once if a new incarnation answers a poll: the token of that poll bars all earlier calls. A worker that answers the stop ends the wait as well.

Why it works: the task has no other run as long as the call can start one. If it does, the first answered poll lists the run, or its end, before the task is given away, which existing code handles.

Weighed: a task that waits has no run for up to 14 s after the call (16.5 s after an order that no report covers) instead of 6.24 s after the last report. It can only wait beyond that if a call for it went unanswered in the 14 s before, its worker does not come back, and all else is calm; a refused connection, a refusal or an answer is no such call. A wait for all released runs, or for the unreported ones of a new leader, would delay calm restarts, and is not made.

--- a/chivespoke/agents/_agent.py
+++ b/chivespoke/agents/_agent.py
@@ -8,6 +8,7 @@
 
 from chivespoke.agents import _registration
 from chivespoke.agents import _session
+from chivespoke.agents import _unanswered
 from chivespoke import application
 from chivespoke import clock
 from chivespoke import coordination
@@ -56,6 +57,7 @@
         '_leader_identity',
         '_transport',
         '_telemetry',
+        '_unanswered',
     )
 
     def __init__(
@@ -86,6 +88,7 @@
         # ZeroMQ routing identity of the leader's connection.
         self._leader_identity: bytes | None = None
         self._transport: platform.Transport | None = None
+        self._unanswered = _unanswered.UnansweredStarts(time)
 
     @property
     def _session_identifier(self) -> str:
@@ -204,6 +207,7 @@
             self._holder.machine.bounds.max_lease_seconds,
             self._epoch,
             self._telemetry,
+            self._unanswered,
         )
         # Set before the switch runs, because the next registration is compared
         # with this session.
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -6,6 +6,7 @@
 
 from chivespoke.agents import _leases
 from chivespoke.agents import _paces
+from chivespoke.agents import _unanswered
 from chivespoke import application
 from chivespoke import clock
 from chivespoke import coordination
@@ -79,6 +80,7 @@
         '_applied',
         '_lapsed',
         '_telemetry',
+        '_unanswered',
     )
 
     def __init__(
@@ -92,8 +94,12 @@
         max_lease_seconds: float,
         epoch: int,
         instruments: telemetry.Telemetry,
+        unanswered: _unanswered.UnansweredStarts,
     ) -> None:
         self._telemetry = instruments
+        # Shared with the earlier sessions of the process, as calls of theirs
+        # may be executed by the incarnation of this one.
+        self._unanswered = unanswered
         self.registration = registration
         # Unique among the sessions of all processes of the sidecar.
         self.identifier = identifier
@@ -116,8 +122,8 @@
         self._answering = False
         self._outcomes: list[coordination.OrderOutcome] = []
         self._in_progress: set[tuple[str, int]] = set()
-        # Number of start orders that may still be sent to the worker.
-        self._starting = 0
+        # Start orders that may still be sent to the worker: task and run.
+        self._starting: set[tuple[str, int]] = set()
         self._pace_tracker = _paces.PaceTracker(
             self.incarnation.key, registration.capacity.cpu_millis
         )
@@ -234,6 +240,7 @@
             applied=self._applied,
             lease_end_ms=self._leases.end_ms,
             session=self.identifier,
+            unanswered=self._unanswered.list_starts(self._starting),
         )
 
     def _update_lapsed(self) -> None:
@@ -373,9 +380,9 @@
         if self._spawn_order(
             order.task, order.run, self._start(order, lease_until_ms)
         ):
-            # Counted before the order is sent, so that no report made in
+            # Noted before the order is sent, so that no report made in
             # between denies the lease that the order will grant.
-            self._starting += 1
+            self._starting.add((order.task, order.run))
 
     def _spawn_order(
         self,
@@ -428,7 +435,7 @@
                 order, lease_until_ms
             )
         finally:
-            self._starting -= 1
+            self._starting.discard((order.task, order.run))
         if refusal is not None and may_have_started:
             await self._ensure_stopped(order.task, order.run)
         self._report_outcome(order.task, order.run, refusal)
@@ -483,15 +490,16 @@
         # longer expects its run. The lease that is sent ends no later than the
         # order's own, so that the worker refuses a delayed order as expired.
         self._extend_leases()
-        await self._client.start(
-            order.task,
-            order.run,
-            order.payload,
-            min(self._leases.sent_ms, lease_until_ms),
-            self._fence,
-            order.checkpoint,
-            order.ticket,
-        )
+        with self._unanswered.record_call(order.task, order.run):
+            await self._client.start(
+                order.task,
+                order.run,
+                order.payload,
+                min(self._leases.sent_ms, lease_until_ms),
+                self._fence,
+                order.checkpoint,
+                order.ticket,
+            )
 
     async def _stop(self, order: coordination.StopOrder) -> None:
         await self._ensure_stopped(order.task, order.run)
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -7,6 +7,7 @@
 
 from chivespoke import agents
 from chivespoke.agents import _session
+from chivespoke.agents import _unanswered
 from chivespoke import clock
 from chivespoke import coordination
 from chivespoke import errors
@@ -92,6 +93,7 @@
             MAX_LEASE_SECONDS,
             EPOCH,
             telemetry.Telemetry(),
+            _unanswered.UnansweredStarts(time),
         )
 
     def send_directive(
@@ -151,6 +153,27 @@
         self.assertIs(platform.Refusal.EXPIRED, outcome.refusal)
         self.assertEqual(frozenset(), self.runner.running)
 
+    async def test_call_without_an_answer_is_reported_once_a_later_one_has_one(
+        self,
+    ) -> None:
+        # The worker may still execute it, in its next incarnation.
+        start = platform.WorkerClient.start
+        failures = [errors.UnavailableError('start', 'i-1', 'lost')]
+
+        async def fail_once(
+            client: platform.WorkerClient, *arguments: typing.Any
+        ) -> None:
+            if failures:
+                raise failures.pop()
+            await start(client, *arguments)
+
+        with mock.patch.object(platform.WorkerClient, 'start', fail_once):
+            self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+            outcome = await self.wait_for_outcome()
+        self.assertIsNone(outcome.refusal)
+        (unanswered,) = self.session.make_report('a').unanswered
+        self.assertEqual((TASK, 1), (unanswered.task, unanswered.run))
+
     async def test_stops_that_fail_are_not_logged_each_time(self) -> None:
         # The sidecar of a worker that was gone for good wrote 680 warnings in
         # a minute.
--- a/chivespoke/coordination/__init__.py
+++ b/chivespoke/coordination/__init__.py
@@ -18,6 +18,7 @@
 from chivespoke.coordination._messages import Report
 from chivespoke.coordination._messages import StartOrder
 from chivespoke.coordination._messages import StopOrder
+from chivespoke.coordination._messages import UnansweredStart
 from chivespoke.coordination._messages import WorkerIncarnation
 from chivespoke.coordination._placer import DesiredState
 from chivespoke.coordination._records import CANCEL_PREFIX
@@ -55,6 +56,7 @@
     'StopOrder',
     'TopicFold',
     'TopicFollower',
+    'UnansweredStart',
     'WorkerIncarnation',
     'announce_address',
     'encode_cancel',
--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -87,6 +87,7 @@
         """
         if not self._state.fences.admit(report.sidecar, report.session):
             return None
+        self._state.late_starts.record_report(report, now)
         if report.incarnation is None and report.epoch == self._epoch:
             self._state.limit_unreported_leases(report.sidecar, now)
         return self._report_handler.handle(report, now, int(wall * 1000))
@@ -243,6 +244,7 @@
         self.select_orders(worker, now)
         timeouts = self._state.timeouts
         worker.directives += 1
+        session = self._state.fences.find_session(worker.sidecar)
         starts = []
         stops = []
         adopted = []
@@ -259,6 +261,9 @@
             elif self._is_start_permitted(worker, now):
                 starts.append(self._make_start_order(run))
                 run.ordered_in = worker.directives
+                self._state.late_starts.record_order(
+                    run, worker.sidecar, session, worker.directives, now
+                )
             else:
                 # Selected before a pause of this process; due again.
                 continue
@@ -277,7 +282,7 @@
             interference=self._list_interference(worker),
             adopted=tuple(adopted),
             number=worker.directives,
-            session=self._state.fences.find_session(worker.sidecar),
+            session=session,
             fence=self._state.fences.find_token(worker.sidecar),
         )
 
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -5,6 +5,7 @@
 from chivespoke.coordination import _fences
 from chivespoke.coordination import _fleet
 from chivespoke.coordination import _jobs
+from chivespoke.coordination import _late_starts
 from chivespoke.coordination import _messages
 from chivespoke.coordination import _records
 from chivespoke import decisions
@@ -33,6 +34,11 @@
     clock_drift_share: float = 0.02
     # Longest time for which an earlier leader may continue to renew leases.
     predecessor_renewal_seconds: float = 12.0
+    # Longest time from the beginning of a call that gets no answer to its
+    # execution: 1 s for the call, 12 s on its way, and a margin.
+    late_call_seconds: float = 14.0
+    # Longest time from a start order to the sidecar's last call for it.
+    start_order_seconds: float = 2.5
     # Time for which the records of a final job are kept.
     final_job_retention_seconds: float = 180.0
 
@@ -71,11 +77,15 @@
         'advice_cache',
         'order_window',
         'fences',
+        'late_starts',
     )
 
     def __init__(self, epoch: int, timeouts: LeaderTimeouts) -> None:
         self.timeouts = timeouts
         self.fences = _fences.SessionFences(epoch)
+        self.late_starts = _late_starts.LateStarts(
+            timeouts.late_call_seconds, timeouts.start_order_seconds
+        )
         self.jobs: dict[str, _jobs.JobState] = {}
         self.workers: dict[str, _fleet.Worker] = {}
         self.unreported: dict[str, UnreportedWorker] = {}
@@ -224,17 +234,23 @@
         self._requeue_task(run)
 
     def release_runs(
-        self, worker: _fleet.Worker, cause: str, covered: int | None = None
+        self,
+        worker: _fleet.Worker,
+        cause: str,
+        covered: int | None = None,
+        late: frozenset[str] = frozenset(),
     ) -> None:
         """Remove the runs of a worker and requeue their tasks.
 
         If the number of a directive is given, the evidence for the release
-        does not cover the runs ordered later, which are kept.
+        does not cover the runs ordered later, which are kept. So are the runs
+        of the tasks that may start late.
         """
         released = [
             run
             for run in worker.runs.values()
-            if covered is None or run.ordered_in <= covered
+            if (covered is None or run.ordered_in <= covered)
+            and run.task_id not in late
         ]
         if released:
             LOGGER.warning(
@@ -247,6 +263,45 @@
         for run in released:
             self.release_run(worker, run)
 
+    def release_lapsed_runs(
+        self, worker: _fleet.Worker, covered: int | None, now: float
+    ) -> None:
+        """Requeue the tasks of a worker whose sidecar says leases expired."""
+        self.release_runs(
+            worker,
+            'leases expired',
+            covered,
+            self._stop_late_runs(
+                worker.incarnation.key,
+                [
+                    run
+                    for run in worker.runs.values()
+                    if covered is None or run.ordered_in <= covered
+                ],
+                now,
+            ),
+        )
+
+    def _stop_late_runs(
+        self, key: str, runs: list[_fleet.Run], now: float
+    ) -> frozenset[str]:
+        """Stop those of the runs that may start late; return their tasks.
+
+        The worker that answers the stop executes no call for the run any more.
+        """
+        late = [run for run in runs if self.late_starts.may_begin(run, now)]
+        for run in late:
+            if run.state is not _fleet.RunState.STOPPING:
+                LOGGER.warning(
+                    'A run may start late; its task waits.',
+                    task=run.task_id,
+                    run=run.number,
+                    worker=key,
+                )
+                run.state = _fleet.RunState.STOPPING
+                run.sent_at = None
+        return frozenset(run.task_id for run in late)
+
     def remove_worker(self, worker: _fleet.Worker, cause: str) -> None:
         """Remove a worker incarnation that has ended and requeue its tasks."""
         self.release_runs(worker, cause)
@@ -270,25 +325,40 @@
         """Requeue the tasks of workers whose leases have certainly expired."""
         for worker in tuple(self.workers.values()):
             if now >= worker.leases_expire_at:
+                late = self._stop_late_runs(
+                    worker.incarnation.key, list(worker.runs.values()), now
+                )
                 self.release_runs(
-                    worker, 'its leases expired without a report'
+                    worker, 'its leases expired without a report', late=late
                 )
                 worker.answering = False
         for key, unreported in tuple(self.unreported.items()):
             if now >= unreported.expires_at:
+                late = self._stop_late_runs(key, unreported.runs, now)
                 self._release_unreported(
-                    key, 'its leases expired without a first report'
+                    key, 'its leases expired without a first report', late
                 )
+        self.late_starts.forget_past(now)
 
-    def _release_unreported(self, key: str, cause: str) -> None:
-        unreported = self.unreported.pop(key)
-        LOGGER.warning(
-            'All runs of a worker ended; their tasks are requeued.',
-            worker=key,
-            cause=cause,
-            runs=len(unreported.runs),
-        )
-        for run in unreported.runs:
+    def _release_unreported(
+        self, key: str, cause: str, late: frozenset[str] = frozenset()
+    ) -> None:
+        unreported = self.unreported[key]
+        released = [run for run in unreported.runs if run.task_id not in late]
+        unreported.runs = [
+            run for run in unreported.runs if run.task_id in late
+        ]
+        if not unreported.runs:
+            del self.unreported[key]
+        if released:
+            LOGGER.warning(
+                'All runs of a worker ended; their tasks are requeued.',
+                worker=key,
+                cause=cause,
+                runs=len(released),
+                kept=len(unreported.runs),
+            )
+        for run in released:
             self._requeue_task(run)
 
     def _requeue_task(self, run: _fleet.Run) -> None:
--- /dev/null
+++ b/chivespoke/coordination/_late_starts.py
@@ -0,0 +1,92 @@
+"""Starts that may still take effect although all leases have expired."""
+
+import msgspec
+
+from chivespoke.coordination import _fleet
+from chivespoke.coordination import _messages
+
+
+class UncoveredOrder(msgspec.Struct, frozen=True):
+    """Hold an order to start a run that no report covers yet."""
+
+    session: str
+    # Number of the directive with the order.
+    directive: int
+    # Time until which a call for the order may be executed.
+    until: float
+
+    def is_covered(self, report: _messages.Report) -> bool:
+        """Return whether a report of the sidecar covers the order."""
+        return report.covered is None or (
+            report.session == self.session and self.directive <= report.covered
+        )
+
+
+class LateStarts:
+    """Tell which runs may still begin after all leases have expired.
+
+    A call that got no answer may be executed late. The worker that executes it
+    may have started again since, so that it knows neither the end of the run
+    nor a fencing token that bars the call, and its clock starts anew.
+    """
+
+    __slots__ = ('_call_seconds', '_order_seconds', '_reported', '_ordered')
+
+    def __init__(self, call_seconds: float, order_seconds: float) -> None:
+        # Longest time from the beginning of a call to its execution.
+        self._call_seconds = call_seconds
+        # Longest time from a start order to the last call for it.
+        self._order_seconds = order_seconds
+        # Time until which a call that a sidecar reported may be executed, by
+        # task and run.
+        self._reported: dict[tuple[str, int], float] = {}
+        # By sidecar, task and run.
+        self._ordered: dict[str, dict[tuple[str, int], UncoveredOrder]] = {}
+
+    def record_order(
+        self,
+        run: _fleet.Run,
+        sidecar: str,
+        session: str,
+        directive: int,
+        now: float,
+    ) -> None:
+        """Record an order to start a run."""
+        until = now + self._order_seconds + self._call_seconds
+        orders = self._ordered.setdefault(sidecar, {})
+        orders[run.task_id, run.number] = UncoveredOrder(
+            session, directive, until
+        )
+
+    def record_report(self, report: _messages.Report, now: float) -> None:
+        """Record the calls without an answer that a sidecar reports."""
+        for start in report.unanswered:
+            key = start.task, start.run
+            until = now + self._call_seconds - start.age_ms / 1000
+            if start.in_progress:
+                until += self._order_seconds
+            self._reported[key] = max(until, self._reported.get(key, until))
+        orders = self._ordered.get(report.sidecar, {})
+        for key, order in tuple(orders.items()):
+            if order.is_covered(report):
+                del orders[key]
+
+    def may_begin(self, run: _fleet.Run, now: float) -> bool:
+        """Return whether a call to start a run may still be executed."""
+        key = run.task_id, run.number
+        return now < self._reported.get(key, now) or any(
+            key in orders and now < orders[key].until
+            for orders in self._ordered.values()
+        )
+
+    def forget_past(self, now: float) -> None:
+        """Forget the calls that can no longer be executed."""
+        self._reported = {
+            key: until for key, until in self._reported.items() if now < until
+        }
+        for sidecar, orders in tuple(self._ordered.items()):
+            for key, order in tuple(orders.items()):
+                if now >= order.until:
+                    del orders[key]
+            if not orders:
+                del self._ordered[sidecar]
--- a/chivespoke/coordination/_messages.py
+++ b/chivespoke/coordination/_messages.py
@@ -38,6 +38,17 @@
     refusal: platform.Refusal | None = None
 
 
+class UnansweredStart(msgspec.Struct, frozen=True, array_like=True):
+    """Report a call to start a run that got no answer so far."""
+
+    task: str
+    run: int
+    # Time since the last such call began, in milliseconds.
+    age_ms: int
+    # Further calls may follow.
+    in_progress: bool
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True):
     """Report the state of a worker to the leader."""
 
@@ -66,6 +77,9 @@
     # Identifies the sidecar's process and the worker's incarnation; empty from
     # a sidecar of a version that does not number directives.
     session: str = ''
+    # Covers all orders up to the applied directive that this process of the
+    # sidecar has received.
+    unanswered: tuple[UnansweredStart, ...] = ()
 
     @property
     def covered(self) -> int | None:
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -63,7 +63,7 @@
                     applied=report.applied,
                     sent=worker.directives,
                 )
-            self._state.release_runs(worker, 'leases expired', report.covered)
+            self._state.release_lapsed_runs(worker, report.covered, now)
         self._reconcile_runs(worker, report.running)
         self._observe_runs(worker, is_new_poll)
         if report.answering and is_new_poll:
--- a/chivespoke/coordination/tests/builders.py
+++ b/chivespoke/coordination/tests/builders.py
@@ -87,6 +87,7 @@
     applied: int = ALL_DIRECTIVES,
     lease_end_ms: int = 0,
     session: str | None = None,
+    unanswered: tuple[coordination.UnansweredStart, ...] = (),
 ) -> coordination.Report:
     """Return a sidecar's report; the same clock_ms means the same poll."""
     return coordination.Report(
@@ -106,6 +107,7 @@
         session=f'{sidecar_incarnation}/{born_ms}'
         if session is None
         else session,
+        unanswered=unanswered,
     )
 
 
