Make no start call past the lease end of its order

What callers saw: nothing yet; found by asking which calls may reach a worker that has started again, after the fault of late calls.

Cause: a sidecar repeats a start call up to three times, and relies on the worker to refuse it once the lease end in the order has passed. If the process stands still between two calls, the worker may have started again under its identifier, with a clock that starts anew, and accepts the call, while the leader has long given the task away.

Fix: the sidecar compares the lease end with its own reckoning of the worker's clock before each call. The leader gives a task away only after that end, so that no call begins later.

Evidence: agents.test_session.test_process_that_stood_still_makes_no_call_ past_the_lease_end failed before (3 calls instead of 1).

--- a/chivespoke/agents/_leases.py
+++ b/chivespoke/agents/_leases.py
@@ -82,6 +82,12 @@
         self.end_ms = max(self.end_ms, extended_ms)
         return extended_ms
 
+    def is_past(self, end_ms: int, now: float) -> bool:
+        """Return whether the worker's clock has probably passed a reading."""
+        if self._read_at is None:
+            return False
+        return self.clock_ms + (now - self._read_at) * 1000 > end_ms
+
     def have_expired(self, now: float) -> bool:
         """Return whether all leases have certainly expired."""
         if self._read_at is None:
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -455,6 +455,13 @@
         if not self._accepts_starts():
             return refusal, may_have_started
         for _ in range(START_ATTEMPTS):
+            if self._leases.is_past(
+                lease_until_ms, self._clock.read_monotonic()
+            ):
+                # This process stood still, and the worker may have started
+                # again, with a clock by which the order has not expired.
+                refusal = platform.Refusal.EXPIRED
+                break
             try:
                 await self._send_start(order, lease_until_ms)
             except platform.OrderRefusedError as error:
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -174,6 +174,38 @@
         (unanswered,) = self.session.make_report('a').unanswered
         self.assertEqual((TASK, 1), (unanswered.task, unanswered.run))
 
+    async def test_process_that_stood_still_makes_no_call_past_the_lease_end(
+        self,
+    ) -> None:
+        # The worker may have started again, with a clock that does not show
+        # that the order has expired.
+        time = clock.ManualClock()
+        client = mock.create_autospec(platform.WorkerClient, instance=True)
+
+        async def answer(*arguments: typing.Any) -> typing.Any:
+            await asyncio.sleep(0.02)
+            return platform.WorkerStatus(1000, (), ())
+
+        client.poll.side_effect = answer
+
+        async def stand_still(*arguments: typing.Any) -> None:
+            client.poll.side_effect = errors.UnavailableError(
+                'look', 'i-1', 'cut off'
+            )
+            time.advance(10.0)
+            raise errors.UnavailableError('start', 'i-1', 'lost')
+
+        client.start.side_effect = stand_still
+        self.session = self.make_session(client, time)
+        self.addAsyncCleanup(self.session.close)
+        self.session.start()
+        self.send_directive(lease_ms=0)
+        await self.wait_for_report()
+        self.send_directive(7000, self.make_start())
+        while not client.stop.await_count:
+            await asyncio.sleep(0.02)
+        self.assertEqual(1, client.start.await_count)
+
     async def test_stops_that_fail_are_not_logged_each_time(self) -> None:
         # The sidecar of a worker that was gone for good wrote 680 warnings in
         # a minute.
