Let a stop overtake the start of the same run

Cause: a sidecar carried out one order for a run at a time and dropped the others, as the leader repeats them. A stop that arrived while a start got no answer was dropped, and up to two more start calls were made, for 3 s, although the leader had withdrawn the run because another one had completed the task. A pace that got no answer held up a stop as well.

Change: a stop is carried out beside a start; the start makes no further call, and the stop reports the outcome. It bars the calls that may be executed late.

Tests: test_start_calls_go_on_after_a_stop and test_stop_waits_for_a_start_without_an_answer in chivespoke.agents.tests .test_session failed before (unhealthy instead of superseded; the run began) and pass; 41 tests of the agents pass.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import collections.abc
+import enum
 
 from chivespoke.agents import _leases
 from chivespoke.agents import _paces
@@ -33,6 +34,12 @@
 STOPS_PER_WARNING = 20
 
 
+class _OrderKind(enum.Enum):
+    START = 'start'
+    STOP = 'stop'
+    PACE = 'pace'
+
+
 class SessionListener(abc.ABC):
     """Receive the changes of a session."""
 
@@ -71,6 +78,7 @@
         '_answering',
         '_outcomes',
         '_in_progress',
+        '_withdrawn',
         '_starting',
         '_pace_tracker',
         '_fenced',
@@ -121,7 +129,10 @@
         self._polled = asyncio.Condition()
         self._answering = False
         self._outcomes: list[coordination.OrderOutcome] = []
-        self._in_progress: set[tuple[str, int]] = set()
+        # Kind, task and run of each order.
+        self._in_progress: set[tuple[_OrderKind, str, int]] = set()
+        # Task and run of the starts in progress that a stop has overtaken.
+        self._withdrawn: set[tuple[str, int]] = set()
         # Start orders that may still be sent to the worker: task and run.
         self._starting: set[tuple[str, int]] = set()
         self._pace_tracker = _paces.PaceTracker(
@@ -207,7 +218,7 @@
             self._pace_tracker.record_start_order(start)
             self._spawn_start(start, directive.lease_until_ms)
         for stop in directive.stops:
-            self._spawn_order(stop.task, stop.run, self._stop(stop))
+            self._spawn_stop(stop)
 
     def make_report(self, sidecar_incarnation: str) -> coordination.Report:
         """Return a report to the leader and clear the reported outcomes."""
@@ -216,7 +227,7 @@
         outcomes = tuple(
             outcome
             for outcome in self._outcomes
-            if (outcome.task, outcome.run) not in self._in_progress
+            if not self._awaits_outcome(outcome.task, outcome.run)
         )
         self._outcomes.clear()
         status = self._status or platform.WorkerStatus(0, (), ())
@@ -322,7 +333,9 @@
         for change in self._pace_tracker.adjust(
             status, self._clock.read_monotonic()
         ):
-            self._spawn_order(change.task, change.run, self._pace(change))
+            self._spawn_order(
+                _OrderKind.PACE, change.task, change.run, self._pace(change)
+            )
         if status.ended:
             # The worker answers at once while ended runs are unacknowledged.
             await self._clock.sleep(UNACKNOWLEDGED_PAUSE_SECONDS)
@@ -378,29 +391,53 @@
         self, order: coordination.StartOrder, lease_until_ms: int
     ) -> None:
         if self._spawn_order(
-            order.task, order.run, self._start(order, lease_until_ms)
+            _OrderKind.START,
+            order.task,
+            order.run,
+            self._start(order, lease_until_ms),
         ):
             # Noted before the order is sent, so that no report made in
             # between denies the lease that the order will grant.
             self._starting.add((order.task, order.run))
 
+    def _spawn_stop(self, order: coordination.StopOrder) -> None:
+        """Begin a stop, and let a start of the run in progress end."""
+        if (order.task, order.run) in self._starting:
+            LOGGER.info(
+                'A start in progress is overtaken by a stop.',
+                task=order.task,
+                run=order.run,
+                worker=self.incarnation.key,
+            )
+            self._withdrawn.add((order.task, order.run))
+        self._spawn_order(
+            _OrderKind.STOP, order.task, order.run, self._stop(order)
+        )
+
     def _spawn_order(
         self,
+        kind: _OrderKind,
         task: str,
         run: int,
         work: collections.abc.Coroutine[object, object, None],
     ) -> bool:
-        """Begin an order unless another one for the run is in progress."""
-        if (task, run) in self._in_progress:
+        """Begin an order unless another one for the run is in progress.
+
+        A stop does not wait for a start: the calls of that may be executed
+        late, and the stop bars them.
+        """
+        blocking = (kind,) if kind is _OrderKind.STOP else tuple(_OrderKind)
+        if any((other, task, run) in self._in_progress for other in blocking):
             # The leader repeats orders without an outcome.
             work.close()
             return False
-        self._in_progress.add((task, run))
-        self._tasks.spawn(self._run_order(task, run, work))
+        self._in_progress.add((kind, task, run))
+        self._tasks.spawn(self._run_order(kind, task, run, work))
         return True
 
     async def _run_order(
         self,
+        kind: _OrderKind,
         task: str,
         run: int,
         work: collections.abc.Coroutine[object, object, None],
@@ -408,7 +445,14 @@
         try:
             await work
         finally:
-            self._in_progress.discard((task, run))
+            self._in_progress.discard((kind, task, run))
+
+    def _awaits_outcome(self, task: str, run: int) -> bool:
+        """Return whether an order in progress will report an outcome."""
+        is_starting = (_OrderKind.START, task, run) in self._in_progress
+        return (_OrderKind.STOP, task, run) in self._in_progress or (
+            is_starting and (task, run) not in self._withdrawn
+        )
 
     def _report_outcome(
         self, task: str, run: int, refusal: platform.Refusal | None
@@ -436,9 +480,15 @@
             )
         finally:
             self._starting.discard((order.task, order.run))
-        if refusal is not None and may_have_started:
-            await self._ensure_stopped(order.task, order.run)
-        self._report_outcome(order.task, order.run, refusal)
+        try:
+            if (order.task, order.run) in self._withdrawn:
+                # The stop reports the outcome.
+                return
+            if refusal is not None and may_have_started:
+                await self._ensure_stopped(order.task, order.run)
+            self._report_outcome(order.task, order.run, refusal)
+        finally:
+            self._withdrawn.discard((order.task, order.run))
 
     async def _try_start(
         self, order: coordination.StartOrder, lease_until_ms: int
@@ -455,6 +505,8 @@
         if not self._accepts_starts():
             return refusal, may_have_started
         for _ in range(START_ATTEMPTS):
+            if (order.task, order.run) in self._withdrawn:
+                break
             if self._leases.is_past(
                 lease_until_ms, self._clock.read_monotonic()
             ):
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -22,6 +22,8 @@
 FENCE = 70
 HOUR_MS = 3600 * 1000
 MAX_LEASE_SECONDS = 10.0
+# Calls to start a run before its order is reported as refused.
+START_ATTEMPTS = 3
 
 
 class Listener(agents.SessionListener):
@@ -100,6 +102,7 @@
         self,
         lease_ms: int,
         *starts: coordination.StartOrder,
+        stops: tuple[coordination.StopOrder, ...] = (),
         number: int | None = None,
     ) -> None:
         self.directives += 1
@@ -110,6 +113,7 @@
                 lease_ms,
                 0,
                 starts,
+                stops,
                 number=self.directives if number is None else number,
                 session=SESSION,
                 fence=FENCE,
@@ -453,6 +457,33 @@
             await self.wait_for_outcome()
         self.assertEqual({TASK}, self.runner.running)
 
+    async def test_start_calls_go_on_after_a_stop(self) -> None:
+        # Another run has completed the task, and its end is acknowledged.
+        self.runner.faults.late_starts = START_ATTEMPTS
+        self.runner.faults.late_seconds = HOUR_MS / 1000
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        while self.runner.faults.late_starts == START_ATTEMPTS:
+            await asyncio.sleep(0.01)
+        self.send_directive(
+            self.clock_ms + HOUR_MS, stops=(coordination.StopOrder(TASK, 1),)
+        )
+        outcome = await self.wait_for_outcome()
+        self.assertIs(platform.Refusal.SUPERSEDED, outcome.refusal)
+        self.assertEqual(START_ATTEMPTS - 1, self.runner.faults.late_starts)
+
+    async def test_stop_waits_for_a_start_without_an_answer(self) -> None:
+        # The stop bars the call that may be executed late.
+        self.runner.faults.late_starts = START_ATTEMPTS
+        self.runner.faults.late_seconds = 0.5
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        while self.runner.faults.late_starts == START_ATTEMPTS:
+            await asyncio.sleep(0.01)
+        self.send_directive(
+            self.clock_ms + HOUR_MS, stops=(coordination.StopOrder(TASK, 1),)
+        )
+        await self.wait_for_outcome()
+        self.assertEqual([], self.runner.began)
+
     async def test_refusal_is_not_reported_while_the_order_is_repeated(
         self,
     ) -> None:
