--- a/chivespoke/agents/_agent.py
+++ b/chivespoke/agents/_agent.py
@@ -9,6 +9,7 @@
 from chivespoke.agents import _crashes
 from chivespoke.agents import _registration
 from chivespoke.agents import _session
+from chivespoke.agents import _unanswered
 from chivespoke import application
 from chivespoke import clock
 from chivespoke import coordination
@@ -58,6 +59,7 @@
         '_leader_identity',
         '_transport',
         '_telemetry',
+        '_unanswered',
     )
 
     def __init__(
@@ -89,6 +91,7 @@
         # ZeroMQ routing identity of the leader's connection.
         self._leader_identity: bytes | None = None
         self._transport: platform.Transport | None = None
+        self._unanswered = _unanswered.UnansweredStarts(time)
 
     @property
     def _session_identifier(self) -> str:
@@ -211,6 +214,7 @@
             self._holder.machine.bounds.max_lease_seconds,
             self._epoch,
             self._telemetry,
+            self._unanswered,
         )
         # Set before the switch runs, because the next registration is compared
         # with this session.
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -3,10 +3,12 @@
 import abc
 import asyncio
 import collections.abc
+import enum
 
 from chivespoke.agents import _leases
 from chivespoke.agents import _paces
 from chivespoke.agents import _run_ages
+from chivespoke.agents import _unanswered
 from chivespoke import application
 from chivespoke import clock
 from chivespoke import coordination
@@ -33,6 +35,12 @@
 STOPS_PER_WARNING = 20
 
 
+class _OrderKind(enum.Enum):
+    START = 'start'
+    STOP = 'stop'
+    PACE = 'pace'
+
+
 class SessionListener(abc.ABC):
     """Receive the changes of a session."""
 
@@ -71,6 +79,7 @@
         '_answering',
         '_outcomes',
         '_in_progress',
+        '_withdrawn',
         '_starting',
         '_pace_tracker',
         '_fenced',
@@ -81,6 +90,7 @@
         '_lapsed',
         '_run_ages',
         '_telemetry',
+        '_unanswered',
     )
 
     def __init__(
@@ -94,8 +104,12 @@
         max_lease_seconds: float,
         epoch: int,
         instruments: telemetry.Telemetry,
+        unanswered: _unanswered.UnansweredStarts,
     ) -> None:
         self._telemetry = instruments
+        # Shared with the earlier sessions of the process, as calls of theirs
+        # may be executed by the incarnation of this one.
+        self._unanswered = unanswered
         self.registration = registration
         # Unique among the sessions of all processes of the sidecar.
         self.identifier = identifier
@@ -117,9 +131,12 @@
         self._polled = asyncio.Condition()
         self._answering = False
         self._outcomes: list[coordination.OrderOutcome] = []
-        self._in_progress: set[tuple[str, int]] = set()
-        # Number of start orders that may still be sent to the worker.
-        self._starting = 0
+        # Kind, task and run of each order.
+        self._in_progress: set[tuple[_OrderKind, str, int]] = set()
+        # Task and run of the starts in progress that a stop has overtaken.
+        self._withdrawn: set[tuple[str, int]] = set()
+        # Start orders that may still be sent to the worker: task and run.
+        self._starting: set[tuple[str, int]] = set()
         self._pace_tracker = _paces.PaceTracker(
             self.incarnation.key, registration.capacity.cpu_millis
         )
@@ -229,7 +246,7 @@
             self._pace_tracker.record_start_order(start)
             self._spawn_start(start, directive.lease_until_ms)
         for stop in directive.stops:
-            self._spawn_order(stop.task, stop.run, self._stop(stop))
+            self._spawn_stop(stop)
 
     def make_report(
         self,
@@ -242,7 +259,7 @@
         outcomes = tuple(
             outcome
             for outcome in self._outcomes
-            if (outcome.task, outcome.run) not in self._in_progress
+            if not self._awaits_outcome(outcome.task, outcome.run)
         )
         self._outcomes.clear()
         status = self._status or platform.WorkerStatus(0, (), ())
@@ -267,6 +284,7 @@
             lease_end_ms=self._leases.end_ms,
             session=self.identifier,
             crashes=crashes,
+            unanswered=self._unanswered.list_starts(self._starting),
         )
 
     def _update_lapsed(self) -> None:
@@ -348,7 +366,9 @@
         for change in self._pace_tracker.adjust(
             status, self._clock.read_monotonic()
         ):
-            self._spawn_order(change.task, change.run, self._pace(change))
+            self._spawn_order(
+                _OrderKind.PACE, change.task, change.run, self._pace(change)
+            )
         if status.ended:
             # The worker answers at once while ended runs are unacknowledged.
             await self._clock.sleep(UNACKNOWLEDGED_PAUSE_SECONDS)
@@ -404,29 +424,53 @@
         self, order: coordination.StartOrder, lease_until_ms: int
     ) -> None:
         if self._spawn_order(
-            order.task, order.run, self._start(order, lease_until_ms)
+            _OrderKind.START,
+            order.task,
+            order.run,
+            self._start(order, lease_until_ms),
         ):
-            # Counted before the order is sent, so that no report made in
+            # Noted before the order is sent, so that no report made in
             # between denies the lease that the order will grant.
-            self._starting += 1
+            self._starting.add((order.task, order.run))
+
+    def _spawn_stop(self, order: coordination.StopOrder) -> None:
+        """Begin a stop, and let a start of the run in progress end."""
+        if (order.task, order.run) in self._starting:
+            LOGGER.info(
+                'A start in progress is overtaken by a stop.',
+                task=order.task,
+                run=order.run,
+                worker=self.incarnation.key,
+            )
+            self._withdrawn.add((order.task, order.run))
+        self._spawn_order(
+            _OrderKind.STOP, order.task, order.run, self._stop(order)
+        )
 
     def _spawn_order(
         self,
+        kind: _OrderKind,
         task: str,
         run: int,
         work: collections.abc.Coroutine[object, object, None],
     ) -> bool:
-        """Begin an order unless another one for the run is in progress."""
-        if (task, run) in self._in_progress:
+        """Begin an order unless another one for the run is in progress.
+
+        A stop does not wait for a start: the calls of that may be executed
+        late, and the stop bars them.
+        """
+        blocking = (kind,) if kind is _OrderKind.STOP else tuple(_OrderKind)
+        if any((other, task, run) in self._in_progress for other in blocking):
             # The leader repeats orders without an outcome.
             work.close()
             return False
-        self._in_progress.add((task, run))
-        self._tasks.spawn(self._run_order(task, run, work))
+        self._in_progress.add((kind, task, run))
+        self._tasks.spawn(self._run_order(kind, task, run, work))
         return True
 
     async def _run_order(
         self,
+        kind: _OrderKind,
         task: str,
         run: int,
         work: collections.abc.Coroutine[object, object, None],
@@ -434,7 +478,14 @@
         try:
             await work
         finally:
-            self._in_progress.discard((task, run))
+            self._in_progress.discard((kind, task, run))
+
+    def _awaits_outcome(self, task: str, run: int) -> bool:
+        """Return whether an order in progress will report an outcome."""
+        is_starting = (_OrderKind.START, task, run) in self._in_progress
+        return (_OrderKind.STOP, task, run) in self._in_progress or (
+            is_starting and (task, run) not in self._withdrawn
+        )
 
     def _report_outcome(
         self, task: str, run: int, refusal: platform.Refusal | None
@@ -463,10 +514,16 @@
                 order, lease_until_ms
             )
         finally:
-            self._starting -= 1
-        if refusal is not None and may_have_started:
-            await self._ensure_stopped(order.task, order.run)
-        self._report_outcome(order.task, order.run, refusal)
+            self._starting.discard((order.task, order.run))
+        try:
+            if (order.task, order.run) in self._withdrawn:
+                # The stop reports the outcome.
+                return
+            if refusal is not None and may_have_started:
+                await self._ensure_stopped(order.task, order.run)
+            self._report_outcome(order.task, order.run, refusal)
+        finally:
+            self._withdrawn.discard((order.task, order.run))
 
     async def _try_start(
         self, order: coordination.StartOrder, lease_until_ms: int
@@ -483,6 +540,15 @@
         if not self._accepts_starts():
             return refusal, may_have_started
         for _ in range(START_ATTEMPTS):
+            if (order.task, order.run) in self._withdrawn:
+                break
+            if self._leases.is_past(
+                lease_until_ms, self._clock.read_monotonic()
+            ):
+                # This process stood still, and the worker may have started
+                # again, with a clock by which the order has not expired.
+                refusal = platform.Refusal.EXPIRED
+                break
             try:
                 await self._send_start(order, lease_until_ms)
             except platform.OrderRefusedError as error:
@@ -521,15 +587,16 @@
         self._run_ages.record_order(
             order.task, order.run, self._clock.read_monotonic()
         )
-        await self._client.start(
-            order.task,
-            order.run,
-            order.payload,
-            min(self._leases.sent_ms, lease_until_ms),
-            self._fence,
-            order.checkpoint,
-            order.ticket,
-        )
+        with self._unanswered.record_call(order.task, order.run):
+            await self._client.start(
+                order.task,
+                order.run,
+                order.payload,
+                min(self._leases.sent_ms, lease_until_ms),
+                self._fence,
+                order.checkpoint,
+                order.ticket,
+            )
         self._run_ages.record_sign(self._clock.read_monotonic())
 
     async def _stop(self, order: coordination.StopOrder) -> None:
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -7,6 +7,7 @@
 
 from chivespoke import agents
 from chivespoke.agents import _session
+from chivespoke.agents import _unanswered
 from chivespoke import clock
 from chivespoke import coordination
 from chivespoke import errors
@@ -21,6 +22,8 @@
 FENCE = 70
 HOUR_MS = 3600 * 1000
 MAX_LEASE_SECONDS = 10.0
+# Calls to start a run before its order is reported as refused.
+START_ATTEMPTS = 3
 
 
 class Listener(agents.SessionListener):
@@ -92,12 +95,14 @@
             MAX_LEASE_SECONDS,
             EPOCH,
             telemetry.Telemetry(),
+            _unanswered.UnansweredStarts(time),
         )
 
     def send_directive(
         self,
         lease_ms: int,
         *starts: coordination.StartOrder,
+        stops: tuple[coordination.StopOrder, ...] = (),
         number: int | None = None,
     ) -> None:
         self.directives += 1
@@ -108,6 +113,7 @@
                 lease_ms,
                 0,
                 starts,
+                stops,
                 number=self.directives if number is None else number,
                 session=SESSION,
                 fence=FENCE,
@@ -151,6 +157,59 @@
         self.assertIs(platform.Refusal.EXPIRED, outcome.refusal)
         self.assertEqual(frozenset(), self.runner.running)
 
+    async def test_call_without_an_answer_is_reported_once_a_later_one_has_one(
+        self,
+    ) -> None:
+        # The worker may still execute it, in its next incarnation.
+        start = platform.WorkerClient.start
+        failures = [errors.UnavailableError('start', 'i-1', 'lost')]
+
+        async def fail_once(
+            client: platform.WorkerClient, *arguments: typing.Any
+        ) -> None:
+            if failures:
+                raise failures.pop()
+            await start(client, *arguments)
+
+        with mock.patch.object(platform.WorkerClient, 'start', fail_once):
+            self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+            outcome = await self.wait_for_outcome()
+        self.assertIsNone(outcome.refusal)
+        (unanswered,) = self.session.make_report('a').unanswered
+        self.assertEqual((TASK, 1), (unanswered.task, unanswered.run))
+
+    async def test_process_that_stood_still_makes_no_call_past_the_lease_end(
+        self,
+    ) -> None:
+        # The worker may have started again, with a clock that does not show
+        # that the order has expired.
+        time = clock.ManualClock()
+        client = mock.create_autospec(platform.WorkerClient, instance=True)
+
+        async def answer(*arguments: typing.Any) -> typing.Any:
+            await asyncio.sleep(0.02)
+            return platform.WorkerStatus(1000, (), ())
+
+        client.poll.side_effect = answer
+
+        async def stand_still(*arguments: typing.Any) -> None:
+            client.poll.side_effect = errors.UnavailableError(
+                'look', 'i-1', 'cut off'
+            )
+            time.advance(10.0)
+            raise errors.UnavailableError('start', 'i-1', 'lost')
+
+        client.start.side_effect = stand_still
+        self.session = self.make_session(client, time)
+        self.addAsyncCleanup(self.session.close)
+        self.session.start()
+        self.send_directive(lease_ms=0)
+        await self.wait_for_report()
+        self.send_directive(7000, self.make_start())
+        while not client.stop.await_count:
+            await asyncio.sleep(0.02)
+        self.assertEqual(1, client.start.await_count)
+
     async def test_stops_that_fail_are_not_logged_each_time(self) -> None:
         # The sidecar of a worker that was gone for good wrote 680 warnings in
         # a minute.
@@ -398,6 +457,33 @@
             await self.wait_for_outcome()
         self.assertEqual({TASK}, self.runner.running)
 
+    async def test_start_calls_go_on_after_a_stop(self) -> None:
+        # Another run has completed the task, and its end is acknowledged.
+        self.runner.faults.late_starts = START_ATTEMPTS
+        self.runner.faults.late_seconds = HOUR_MS / 1000
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        while self.runner.faults.late_starts == START_ATTEMPTS:
+            await asyncio.sleep(0.01)
+        self.send_directive(
+            self.clock_ms + HOUR_MS, stops=(coordination.StopOrder(TASK, 1),)
+        )
+        outcome = await self.wait_for_outcome()
+        self.assertIs(platform.Refusal.SUPERSEDED, outcome.refusal)
+        self.assertEqual(START_ATTEMPTS - 1, self.runner.faults.late_starts)
+
+    async def test_stop_waits_for_a_start_without_an_answer(self) -> None:
+        # The stop bars the call that may be executed late.
+        self.runner.faults.late_starts = START_ATTEMPTS
+        self.runner.faults.late_seconds = 0.5
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        while self.runner.faults.late_starts == START_ATTEMPTS:
+            await asyncio.sleep(0.01)
+        self.send_directive(
+            self.clock_ms + HOUR_MS, stops=(coordination.StopOrder(TASK, 1),)
+        )
+        await self.wait_for_outcome()
+        self.assertEqual([], self.runner.began)
+
     async def test_refusal_is_not_reported_while_the_order_is_repeated(
         self,
     ) -> None:
--- a/chivespoke/coordination/__init__.py
+++ b/chivespoke/coordination/__init__.py
@@ -21,6 +21,7 @@
 from chivespoke.coordination._messages import StartOrder
 from chivespoke.coordination._messages import StopOrder
 from chivespoke.coordination._messages import SuspectRun
+from chivespoke.coordination._messages import UnansweredStart
 from chivespoke.coordination._messages import WorkerIncarnation
 from chivespoke.coordination._placer import DesiredState
 from chivespoke.coordination._records import CANCEL_PREFIX
@@ -61,6 +62,7 @@
     'SuspectRun',
     'TopicFold',
     'TopicFollower',
+    'UnansweredStart',
     'WorkerIncarnation',
     'announce_address',
     'encode_cancel',
--- a/chivespoke/coordination/_messages.py
+++ b/chivespoke/coordination/_messages.py
@@ -66,6 +66,17 @@
     suspects: tuple[SuspectRun, ...]
 
 
+class UnansweredStart(msgspec.Struct, frozen=True, array_like=True):
+    """Report a call to start a run that got no answer so far."""
+
+    task: str
+    run: int
+    # Time since the last such call began, in milliseconds.
+    age_ms: int
+    # Further calls may follow.
+    in_progress: bool
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True):
     """Report the state of a worker to the leader."""
 
@@ -96,6 +107,9 @@
     session: str = ''
     # Recent crashes of earlier incarnations of the worker.
     crashes: tuple[CrashReport, ...] = ()
+    # Covers all orders up to the applied directive that this process of the
+    # sidecar has received.
+    unanswered: tuple[UnansweredStart, ...] = ()
 
     @property
     def covered(self) -> int | None:
--- a/chivespoke/coordination/tests/builders.py
+++ b/chivespoke/coordination/tests/builders.py
@@ -88,6 +88,7 @@
     lease_end_ms: int = 0,
     session: str | None = None,
     crashes: tuple[coordination.CrashReport, ...] = (),
+    unanswered: tuple[coordination.UnansweredStart, ...] = (),
 ) -> coordination.Report:
     """Return a sidecar's report; the same clock_ms means the same poll."""
     return coordination.Report(
@@ -108,6 +109,7 @@
         if session is None
         else session,
         crashes=crashes,
+        unanswered=unanswered,
     )
 
 
