Let the fake worker's capacity change while it runs

Tests could not show a worker that shrinks or grows: the stand-in registered a fixed capacity and knew nothing of what tasks take. Its capacity may now change while it runs; it enforces it or not, and records the starts that exceed it, those beside runs that are being stopped included.

--- a/chivespoke/standins/_runner.py
+++ b/chivespoke/standins/_runner.py
@@ -13,6 +13,7 @@
 from chivespoke.standins import _advisor
 from chivespoke.standins import _run_ledger
 from chivespoke.standins import _runner_boot
+from chivespoke.standins import _runner_capacity
 from chivespoke.standins import _runner_faults
 from chivespoke import web as chivespoke_web
 
@@ -23,7 +24,6 @@
 # A task with this payload runs until it is stopped.
 LONG_RUNNING_PAYLOAD = 'serve'
 LONG_RUNNING_SECONDS = 3600.0
-CAPACITY = {'cpu': 8000, 'mem_mb': 32000, 'gpu': 0}
 TARGET_HEADER = 'Chivespoke-Target-Instance'
 # Reason within the stand-in for status 421, which has no body.
 MISDIRECTED = 'misdirected'
@@ -43,6 +43,7 @@
 
     __slots__ = (
         'faults',
+        'capacity',
         'advisor',
         'began',
         'refusals',
@@ -69,6 +70,7 @@
         born_ms: int = 1,
     ) -> None:
         self.faults = _runner_faults.RunnerFaults()
+        self.capacity = _runner_capacity.RunnerCapacity()
         # If set, a start needs a valid ticket of this advisor.
         self.advisor: _advisor.PlatformAdvisor | None = None
         # The started runs of all boots.
@@ -85,7 +87,13 @@
         self._zone = zone
         self._ledger = ledger
         self._boot = _runner_boot.RunnerBoot(
-            identifier, born_ms, 0.0, self.faults, ledger, self.began
+            identifier,
+            born_ms,
+            0.0,
+            self.faults,
+            self.capacity,
+            ledger,
+            self.began,
         )
         self._tasks = application.TaskOwner()
         self._control = ''
@@ -172,6 +180,7 @@
     def make_registration(self) -> RunnerRegistration:
         """Return the next registration of the current boot."""
         self._boot.sequence += 1
+        capacity = self.capacity.current
         return RunnerRegistration(
             self.identifier,
             {
@@ -181,7 +190,11 @@
                 'version': 'v1',
                 'slots': 8,
                 'state': 'draining' if self.draining else 'ready',
-                'capacity': CAPACITY,
+                'capacity': {
+                    'cpu': capacity.cpu_millis,
+                    'mem_mb': capacity.memory_mb,
+                    'gpu': capacity.accelerators,
+                },
                 'labels': ['a', 'r1-1'],
                 'clock_ms': self.read_clock(),
                 'sequence': self._boot.sequence,
@@ -215,6 +228,7 @@
             born_ms,
             clock_origin,
             self.faults,
+            self.capacity,
             self._ledger,
             self.began,
         )
--- a/chivespoke/standins/_runner_boot.py
+++ b/chivespoke/standins/_runner_boot.py
@@ -4,6 +4,7 @@
 import typing
 
 from chivespoke.standins import _run_ledger
+from chivespoke.standins import _runner_capacity
 from chivespoke.standins import _runner_faults
 
 # Processor time in use, or tail latency, of every run.
@@ -58,6 +59,7 @@
         'changed',
         'ended',
         '_faults',
+        '_capacity',
         '_ledger',
         '_began',
         '_running',
@@ -73,6 +75,7 @@
         born_ms: int,
         clock_origin: float,
         faults: _runner_faults.RunnerFaults,
+        capacity: _runner_capacity.RunnerCapacity,
         ledger: _run_ledger.RunLedger,
         began: list[_run_ledger.Ran],
     ) -> None:
@@ -88,6 +91,7 @@
         self.changed = asyncio.Event()
         self.ended = False
         self._faults = faults
+        self._capacity = capacity
         self._ledger = ledger
         # The started runs of all boots of the worker.
         self._began = began
@@ -146,7 +150,7 @@
             return 'old'
         if body['deadline_ms'] < self.read_clock():
             return 'late'
-        if self._faults.full:
+        if self._faults.full or not self._capacity.admits(task, self._running):
             self._extend_lease(body)
             return 'room'
         if not has_ticket:
@@ -163,6 +167,7 @@
         ends = asyncio.get_running_loop().call_later(
             seconds, self._end_run, task, cause
         )
+        self._capacity.record_start(task, self._running)
         self._running[task] = _Run(ran, seconds, ends)
         self._began.append(ran)
         self._ledger.record_start(ran)
--- a/chivespoke/standins/tests/test_runner.py
+++ b/chivespoke/standins/tests/test_runner.py
@@ -13,6 +13,7 @@
 from chivespoke import platform
 from chivespoke import standins
 from chivespoke import web as chivespoke_web
+from chivespoke import workloads
 
 TASK = '00000000000000a1.0.0.0'
 OTHER_TASK = '00000000000000a1.0.0.1'
@@ -281,6 +282,32 @@
         await asyncio.sleep(2 * LATE_SECONDS)
         self.assertEqual([], self.runner.began)
 
+    async def test_capacity_that_changes_is_registered(self) -> None:
+        capacity = self.runner.capacity
+        before = self.runner.make_registration()
+        capacity.change(workloads.Resources(1000, 2000, 3))
+        after = self.runner.make_registration()
+        self.assertEqual(8000, before.body['capacity']['cpu'])
+        self.assertEqual(
+            {'cpu': 1000, 'mem_mb': 2000, 'gpu': 3}, after.body['capacity']
+        )
+        self.assertEqual(before.body['born'], after.body['born'])
+
+    async def test_what_is_being_stopped_takes_capacity(self) -> None:
+        capacity = self.runner.capacity
+        step = TASK.rpartition('.')[0]
+        capacity.sizes[step] = capacity.current
+        self.runner.faults.stop_seconds = 30.0
+        await self.start_run()
+        await self.client.stop(TASK, 1, EPOCH)
+        await self.assert_refused(
+            platform.Refusal.NO_CAPACITY, self.start_run(OTHER_TASK)
+        )
+        self.assertEqual([], capacity.exceeded)
+        capacity.enforced = False
+        await self.start_run(OTHER_TASK)
+        self.assertEqual(1, len(capacity.exceeded))
+
     async def test_stop_takes_some_time(self) -> None:
         self.runner.faults.stop_seconds = 0.3
         await self.start_run()
