Use the capacity that a worker has now

What callers see: a worker that shrinks while it runs is filled as before, so that one that starts whatever it is told to holds more than it has; one that guards its capacity refuses; one that grows is never used beyond its first size.

Cause: the leader kept the description of a worker's first report. The sidecar takes the capacity from the latest status report, but ReportHandler returned the known worker and dropped it.

Why it works: the description is replaced and the cached candidate dropped with each change, and everything that places tasks, moves runs or keeps claims reads these. Nothing is stopped; a worker with too little room offers negative room, so nothing starts there until enough has ended. A change of capacity changes the shares that fillers use without any change of their use, so the tail samples before it are not compared with those after.

--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -169,6 +169,16 @@
         """Return whether the worker answers and its sidecar reports."""
         return self.answering and self.has_recent_report(now)
 
+    def change_capacity(
+        self, incarnation: _messages.WorkerIncarnation
+    ) -> None:
+        """Replace the description by one with another capacity."""
+        self.incarnation = incarnation
+        self.candidate = None
+        for run in self.runs.values():
+            # The share that fillers use changes without a change of their use.
+            run.last_sample = None
+
     def add(self, run: Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.task_id] = run
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -81,6 +81,15 @@
     ) -> _fleet.Worker:
         existing = self._state.workers.get(incarnation.key)
         if existing is not None:
+            if existing.incarnation.capacity != incarnation.capacity:
+                LOGGER.info(
+                    'The capacity of a worker changed.',
+                    worker=incarnation.key,
+                    before=existing.incarnation.capacity,
+                    capacity=incarnation.capacity,
+                    reserved=existing.reserved,
+                )
+                existing.change_capacity(incarnation)
             return existing
         worker = _fleet.Worker(
             incarnation, report.sidecar, report.session, now
--- /dev/null
+++ b/chivespoke/serving/tests/test_capacity.py
@@ -0,0 +1,87 @@
+"""Tests of workers whose capacity changes while they run."""
+
+import asyncio
+import collections.abc
+import unittest
+
+from chivespoke.serving.tests import builders
+from chivespoke import standins
+from chivespoke import workloads
+
+JOB = '00000000000000a1'
+TASK_COUNT = 16
+TASK_CPU_MILLIS = 1000
+ONE_STEP_JOB = {
+    'spec': 'work',
+    'steps': [
+        {'count': TASK_COUNT, 'cpu': TASK_CPU_MILLIS, 'estimated_ms': 300}
+    ],
+}
+INITIAL_ROOM = 8
+# Shorter than the time after which the platform counts a shrunk capacity.
+NOTICE_SECONDS = 0.5
+TIMEOUT_SECONDS = 40.0
+
+
+class CapacityTest(unittest.IsolatedAsyncioTestCase):
+    """Change the capacity of a worker that starts whatever it is told to."""
+
+    async def asyncSetUp(self) -> None:
+        self.platform = builders.Platform()
+        self.addAsyncCleanup(self.stop)
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            await self.platform.start(1, 1)
+        self.runner: standins.PlatformRunner = self.platform.runners[0]
+        self.runner.capacity.enforced = False
+        self.runner.capacity.notice_seconds = NOTICE_SECONDS
+        self.runner.capacity.sizes[f'{JOB}.0.0'] = workloads.Resources(
+            TASK_CPU_MILLIS
+        )
+
+    async def stop(self) -> None:
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            await self.platform.stop()
+
+    async def submit(self) -> None:
+        status, _ = await self.platform.request('POST', JOB, ONE_STEP_JOB)
+        self.assertEqual(200, status)
+
+    async def wait_until(
+        self, condition: collections.abc.Callable[[], bool]
+    ) -> None:
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    def change_room(self, tasks: int) -> None:
+        """Change the worker's capacity to that for a number of tasks."""
+        self.runner.capacity.change(
+            workloads.Resources(tasks * TASK_CPU_MILLIS, 32000)
+        )
+
+    async def test_shrunk_worker_is_not_filled_as_before(self) -> None:
+        # Regression: the capacity of the first report counted for good.
+        self.runner.seconds = 1.0
+        await self.submit()
+        await self.wait_until(lambda: len(self.runner.running) == INITIAL_ROOM)
+        self.change_room(3)
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            await self.platform.wait_for_state(JOB, 'completed')
+        self.assertEqual([], self.runner.capacity.exceeded)
+        # Nothing was stopped for the lack of room.
+        self.assertEqual(TASK_COUNT, len(self.runner.began))
+
+    async def test_worker_that_grows_again_is_used_again(self) -> None:
+        self.runner.seconds = 1.0
+        await self.submit()
+        await self.wait_until(lambda: len(self.runner.running) == INITIAL_ROOM)
+        self.change_room(1)
+        await self.wait_until(lambda: len(self.runner.running) == 1)
+        self.runner.seconds = 60.0
+        self.change_room(5)
+        await self.wait_until(lambda: len(self.runner.running) == 5)
+        self.assertEqual([], self.runner.capacity.exceeded)
+
+
+if __name__ == '__main__':
+    unittest.main()
