Start nothing on a worker that has shrunk since the order

What callers see: a worker that starts whatever it is told to is brought over its capacity by orders decided before it shrank; one that guards its capacity refuses them, which is priced.

Cause: between the decision and the start lie an append, the link and up to three attempts. The sidecar hears of the shrink first, and did not compare.

Evidence: the new tests of test_session failed (2), and the one of serving.tests.test_capacity, in which the leader hears 1.2 s late: starts over the capacity.

Why it works: each directive says what all runs of the worker reserve, what it starts and what is being stopped included (Directive.reserved, the last field; None from an earlier leader, which is then not compared). So a restarted sidecar need not know what the listed runs hold, and the check is right for workers that guard their capacity as well: it refuses only what these would refuse.

A run that may have started already is looked for in the listing before it is stopped, after the first poll if there was none yet. A first form waited for another poll each time; an order without an answer then started late on the shrunk worker (test_start_is_not_repeated_on_a_worker_that_has_shrunk failed).

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -14,6 +14,7 @@
 from chivespoke import logs
 from chivespoke import platform
 from chivespoke import telemetry
+from chivespoke import workloads
 
 LOGGER = logs.make_logger('session')
 
@@ -78,6 +79,7 @@
         '_doubted',
         '_applied',
         '_lapsed',
+        '_reserved',
         '_telemetry',
     )
 
@@ -132,6 +134,9 @@
         self._applied = 0
         # The last report said that all leases have expired.
         self._lapsed = False
+        # What all runs on the worker reserve, the ordered ones included; None
+        # if the leader has not said.
+        self._reserved: workloads.Resources | None = None
 
     @property
     def incarnation(self) -> coordination.WorkerIncarnation:
@@ -194,6 +199,7 @@
             self._acknowledged_end, directive.acknowledged
         )
         self._applied = max(self._applied, directive.number)
+        self._reserved = directive.reserved
         self._pace_tracker.update_interference(directive.interference)
         for run in directive.adopted:
             self._pace_tracker.record_run(run)
@@ -429,6 +435,14 @@
             )
         finally:
             self._starting -= 1
+        if refusal is platform.Refusal.NO_CAPACITY and may_have_started:
+            # It may be one of the runs that leave no room for another. A stop
+            # bars copies of the order that may still arrive, so no longer
+            # wait than for the first poll.
+            async with self._polled:
+                await self._polled.wait_for(lambda: self._status is not None)
+            if self._is_listed(order.task, order.run):
+                refusal = None
         if refusal is not None and may_have_started:
             await self._ensure_stopped(order.task, order.run)
         self._report_outcome(order.task, order.run, refusal)
@@ -448,6 +462,9 @@
         if not self._accepts_starts():
             return refusal, may_have_started
         for _ in range(START_ATTEMPTS):
+            if not self._has_room():
+                refusal = platform.Refusal.NO_CAPACITY
+                break
             try:
                 await self._send_start(order, lease_until_ms)
             except platform.OrderRefusedError as error:
@@ -476,6 +493,15 @@
             or self._doubted
         )
 
+    def _has_room(self) -> bool:
+        """Return whether what was ordered fits the worker's capacity now.
+
+        The worker may have shrunk since the order, and need not refuse.
+        """
+        return self._reserved is None or self.registration.capacity.covers(
+            self._reserved
+        )
+
     async def _send_start(
         self, order: coordination.StartOrder, lease_until_ms: int
     ) -> None:
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -5,6 +5,8 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from chivespoke import agents
 from chivespoke.agents import _session
 from chivespoke import clock
@@ -99,6 +101,7 @@
         lease_ms: int,
         *starts: coordination.StartOrder,
         number: int | None = None,
+        reserved: workloads.Resources | None = None,
     ) -> None:
         self.directives += 1
         self.session.apply_directive(
@@ -111,9 +114,16 @@
                 number=self.directives if number is None else number,
                 session=SESSION,
                 fence=FENCE,
+                reserved=reserved,
             )
         )
 
+    def change_capacity(self, cpu_millis: int) -> None:
+        self.session.registration = msgspec.structs.replace(
+            self.session.registration,
+            capacity=workloads.Resources(cpu_millis, 8000),
+        )
+
     def make_start(self, repeated: bool = False) -> coordination.StartOrder:
         return coordination.StartOrder(
             TASK, 1, 'work', '', '', 0, False, repeated
@@ -151,6 +161,100 @@
         self.assertIs(platform.Refusal.EXPIRED, outcome.refusal)
         self.assertEqual(frozenset(), self.runner.running)
 
+    async def test_start_does_not_exceed_a_capacity_that_has_shrunk(
+        self,
+    ) -> None:
+        # The leader hears of the change after the sidecar.
+        for cpu_millis, refusal, began in (
+            (3999, platform.Refusal.NO_CAPACITY, 0),
+            (4000, None, 1),
+        ):
+            with self.subTest(cpu_millis=cpu_millis):
+                self.change_capacity(cpu_millis)
+                self.send_directive(
+                    self.clock_ms + HOUR_MS,
+                    self.make_start(),
+                    reserved=workloads.Resources(4000),
+                )
+                outcome = await self.wait_for_outcome()
+                self.assertIs(refusal, outcome.refusal)
+                self.assertEqual(began, len(self.runner.began))
+
+    async def test_start_by_an_earlier_leader_is_not_compared(self) -> None:
+        self.change_capacity(0)
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        self.assertIsNone((await self.wait_for_outcome()).refusal)
+
+    async def test_start_is_not_repeated_on_a_worker_that_has_shrunk(
+        self,
+    ) -> None:
+        self.runner.faults.late_starts = 1
+        self.runner.faults.late_seconds = 1.5
+        self.send_directive(
+            self.clock_ms + HOUR_MS,
+            self.make_start(),
+            reserved=workloads.Resources(4000),
+        )
+        self.change_capacity(4000)
+        while self.runner.faults.late_starts:
+            await asyncio.sleep(0.01)
+        self.change_capacity(3999)
+        outcome = await self.wait_for_outcome()
+        self.assertIs(platform.Refusal.NO_CAPACITY, outcome.refusal)
+        # Nor does the order without an answer start it later.
+        await asyncio.sleep(2 * self.runner.faults.late_seconds)
+        self.assertEqual([], self.runner.began)
+
+    async def test_run_that_has_started_stays_on_a_worker_that_has_shrunk(
+        self,
+    ) -> None:
+        self.runner.faults.lost_starts = 1
+        self.send_directive(
+            self.clock_ms + HOUR_MS,
+            self.make_start(),
+            reserved=workloads.Resources(4000),
+        )
+        while not self.runner.running:
+            await asyncio.sleep(0.01)
+        self.change_capacity(3999)
+        outcome = await self.wait_for_outcome()
+        self.assertIsNone(outcome.refusal)
+        self.assertEqual({TASK}, self.runner.running)
+        self.assertEqual(1, len(self.runner.began))
+
+    async def test_restarted_sidecar_stops_no_run_on_a_shrunk_worker(
+        self,
+    ) -> None:
+        # An order may be repeated before the first poll has listed its run.
+        await self.client.start(
+            TASK, 1, 'work', self.clock_ms + HOUR_MS, FENCE, '', ''
+        )
+        session = self.make_session(self.client, clock.SystemClock())
+        self.addAsyncCleanup(session.close)
+        session.registration = msgspec.structs.replace(
+            session.registration, capacity=workloads.Resources(3999, 8000)
+        )
+        session.apply_directive(
+            coordination.Directive(
+                EPOCH,
+                session.incarnation.key,
+                self.clock_ms + HOUR_MS,
+                0,
+                (self.make_start(repeated=True),),
+                number=1,
+                session=SESSION,
+                fence=FENCE,
+                reserved=workloads.Resources(4000),
+            )
+        )
+        await asyncio.sleep(0.05)
+        session.start()
+        async with asyncio.timeout(20.0):
+            while not (outcomes := session.make_report('a').outcomes):
+                await asyncio.sleep(0.01)
+        self.assertIsNone(outcomes[0].refusal)
+        self.assertEqual({TASK}, self.runner.running)
+
     async def test_stops_that_fail_are_not_logged_each_time(self) -> None:
         # The sidecar of a worker that was gone for good wrote 680 warnings in
         # a minute.
--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -279,6 +279,7 @@
             number=worker.directives,
             session=self._state.fences.find_session(worker.sidecar),
             fence=self._state.fences.find_token(worker.sidecar),
+            reserved=worker.reserved,
         )
 
     def make_empty_directive(self, sidecar: str) -> _messages.Directive:
--- a/chivespoke/coordination/_messages.py
+++ b/chivespoke/coordination/_messages.py
@@ -127,6 +127,9 @@
     # Session of the sidecar that the fencing token is for.
     session: str = ''
     fence: int = 0
+    # What all runs assigned to the worker reserve, the starts included; None
+    # from a leader of a version that does not say.
+    reserved: workloads.Resources | None = None
 
 
 REPORT_DECODER = msgspec.msgpack.Decoder(Report)
--- a/chivespoke/coordination/tests/test_capacity.py
+++ b/chivespoke/coordination/tests/test_capacity.py
@@ -146,6 +146,23 @@
         self.report_room(10, running)
         self.assertEqual(2, len(self.start()))
 
+    def test_directive_says_what_all_runs_reserve(self) -> None:
+        self.report_room(8)
+        self.submit(make_step(count=3))
+        running = self.start()
+        self.report_room(8, running)
+        self.leader.submit(
+            builders.make_job(make_step(count=2), identifier=f'{1:016x}')
+        )
+        self.leader.plan()
+        self.leader.cancel()
+        directive = self.leader.make_directive()
+        self.assertEqual(2, len(directive.starts))
+        self.assertEqual(3, len(directive.stops))
+        self.assertEqual(
+            workloads.Resources(5 * TASK_CPU_MILLIS), directive.reserved
+        )
+
     def test_change_of_capacity_is_not_learned_as_one_of_use(self) -> None:
         self.report_room(8)
         self.submit(make_step(count=1))
--- a/chivespoke/serving/tests/test_capacity.py
+++ b/chivespoke/serving/tests/test_capacity.py
@@ -3,7 +3,10 @@
 import asyncio
 import collections.abc
 import unittest
+from unittest import mock
 
+from chivespoke import coordination
+from chivespoke.coordination import _term
 from chivespoke.serving.tests import builders
 from chivespoke import standins
 from chivespoke import workloads
@@ -20,6 +23,8 @@
 INITIAL_ROOM = 8
 # Shorter than the time after which the platform counts a shrunk capacity.
 NOTICE_SECONDS = 0.5
+# Delay of the reports to the leader.
+REPORT_DELAY_SECONDS = 1.2
 TIMEOUT_SECONDS = 40.0
 
 
@@ -82,6 +87,30 @@
         await self.wait_until(lambda: len(self.runner.running) == 5)
         self.assertEqual([], self.runner.capacity.exceeded)
 
+    async def test_order_decided_before_the_shrink_starts_nothing(
+        self,
+    ) -> None:
+        # Regression: the sidecar hears of the shrink before the leader, and
+        # started what it was told to.
+        handle_report = _term.Term.handle_report
+
+        def handle_later(
+            term: _term.Term, report: coordination.Report
+        ) -> None:
+            asyncio.get_running_loop().call_later(
+                REPORT_DELAY_SECONDS, handle_report, term, report
+            )
+
+        with mock.patch.object(_term.Term, 'handle_report', handle_later):
+            await asyncio.sleep(2 * REPORT_DELAY_SECONDS)
+            self.change_room(3)
+            await asyncio.sleep(NOTICE_SECONDS)
+            await self.submit()
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                await self.platform.wait_for_state(JOB, 'completed')
+        self.assertEqual([], self.runner.capacity.exceeded)
+        self.assertEqual(TASK_COUNT, len(self.runner.began))
+
 
 if __name__ == '__main__':
     unittest.main()
