Count runs that are not recorded against the capacity

What callers see: a worker holds a run that its leader did not assign to it, for example of a late order, and is brought over its capacity by orders that were decided before the leader knew.

Cause: a worker that lists such a run gets no new tasks, but what it holds was reserved nowhere, so orders under way were not held up.

Why it works: what the directive says is reserved includes these runs, and the sidecar compares it before each start. One whose step the leader does not know may hold all of the worker. The run is stopped as before.

--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -279,9 +279,21 @@
             number=worker.directives,
             session=self._state.fences.find_session(worker.sidecar),
             fence=self._state.fences.find_token(worker.sidecar),
-            reserved=worker.reserved,
+            reserved=self._measure_reserved(worker),
         )
 
+    def _measure_reserved(self, worker: _fleet.Worker) -> workloads.Resources:
+        """Return what the runs on a worker may hold, ordered ones included."""
+        reserved = worker.reserved
+        for task_id in worker.unrecorded_runs:
+            step = self._state.find_step(task_id)
+            reserved = reserved.add(
+                workloads.compute_reservation(step)
+                if step is not None
+                else worker.incarnation.capacity
+            )
+        return reserved
+
     def make_empty_directive(self, sidecar: str) -> _messages.Directive:
         """Return a directive to a sidecar whose worker is not known."""
         return _messages.Directive(
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -210,6 +210,15 @@
             run.last_listing = None
             worker.add(run)
 
+    def find_step(self, task_id: str) -> workloads.Step | None:
+        """Return the step of a task; None if it is not known."""
+        name = workloads.parse_task_name(task_id)
+        state = self.jobs.get(name.job) if name else None
+        if name is None or state is None:
+            return None
+        steps = state.job.steps
+        return steps[name.step] if name.step < len(steps) else None
+
     def find_quarantine(
         self, worker: _fleet.Worker
     ) -> decisions.WorkerQuarantine:
--- a/chivespoke/coordination/tests/test_capacity.py
+++ b/chivespoke/coordination/tests/test_capacity.py
@@ -163,6 +163,30 @@
             workloads.Resources(5 * TASK_CPU_MILLIS), directive.reserved
         )
 
+    def test_runs_that_are_not_recorded_count_for_orders_under_way(
+        self,
+    ) -> None:
+        # Regression: they reserved nothing, and orders decided before the
+        # leader knew of them went out.
+        unknown = f'{1:016x}.0.0.0'
+        for case, listed, expected_millis in (
+            ('earlier run', engine_case.FIRST_TASK, 9000),
+            ('step not known', f'{builders.JOB}.0.1.0', 16000),
+            ('job not known', unknown, 16000),
+        ):
+            with self.subTest(case=case):
+                self.setUp()
+                self.report_room(8)
+                self.submit(make_step(count=8))
+                self.leader.plan()
+                self.report_room(8, (builders.make_running(listed, 7),))
+                directive = self.leader.make_directive()
+                self.assertEqual(8, len(directive.starts))
+                assert directive.reserved is not None
+                self.assertEqual(
+                    expected_millis, directive.reserved.cpu_millis
+                )
+
     def test_change_of_capacity_is_not_learned_as_one_of_use(self) -> None:
         self.report_room(8)
         self.submit(make_step(count=1))
