Pace fillers by the capacity that a worker has now

What callers see: on a worker that has shrunk fillers are throttled too far or too little, since their share of it is computed from its first capacity.

Cause: the tracker of paces got the capacity once, when the session began.

Evidence: test_pacing_uses_a_capacity_that_has_changed failed: 3000 != 8000.

--- a/chivespoke/agents/_paces.py
+++ b/chivespoke/agents/_paces.py
@@ -22,7 +22,6 @@
 
     __slots__ = (
         '_worker',
-        '_capacity_millis',
         '_pacer',
         '_interference',
         '_runs',
@@ -31,9 +30,8 @@
         '_new_tasks',
     )
 
-    def __init__(self, worker: str, capacity_millis: int) -> None:
+    def __init__(self, worker: str) -> None:
         self._worker = worker
-        self._capacity_millis = capacity_millis
         self._pacer = decisions.Pacer()
         self._interference = decisions.FixedInterferenceModel()
         # The current runs, by task.
@@ -80,16 +78,20 @@
         self._current_paces[change.task] = change.percent
 
     def adjust(
-        self, status: platform.WorkerStatus, now: float
+        self,
+        status: platform.WorkerStatus,
+        capacity_millis: int,
+        now: float,
     ) -> list[decisions.PaceChange]:
         """Return the changes of pace for the runs that a poll listed.
 
-        now is the monotonic time in seconds.
+        capacity_millis is the worker's processor capacity, in thousandths of a
+        core, and now the monotonic time in seconds.
         """
         self._drop_unlisted(status)
         runs = self._list_runs(status)
         changes = self._pacer.adjust(
-            runs, self._interference, self._capacity_millis, now
+            runs, self._interference, capacity_millis, now
         )
         if changes:
             LOGGER.info(
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -120,9 +120,7 @@
         self._in_progress: set[tuple[str, int]] = set()
         # Number of start orders that may still be sent to the worker.
         self._starting = 0
-        self._pace_tracker = _paces.PaceTracker(
-            self.incarnation.key, registration.capacity.cpu_millis
-        )
+        self._pace_tracker = _paces.PaceTracker(self.incarnation.key)
         self._fenced = asyncio.Event()
         # Another incarnation of the worker has answered.
         self._replaced = False
@@ -319,7 +317,9 @@
         if previous is None or have_ends_changed(previous, status):
             self._listener.request_report()
         for change in self._pace_tracker.adjust(
-            status, self._clock.read_monotonic()
+            status,
+            self.registration.capacity.cpu_millis,
+            self._clock.read_monotonic(),
         ):
             self._spawn_order(change.task, change.run, self._pace(change))
         if status.ended:
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -11,6 +11,7 @@
 from chivespoke.agents import _session
 from chivespoke import clock
 from chivespoke import coordination
+from chivespoke import decisions
 from chivespoke import errors
 from chivespoke import platform
 from chivespoke import standins
@@ -255,6 +256,23 @@
         self.assertIsNone(outcomes[0].refusal)
         self.assertEqual({TASK}, self.runner.running)
 
+    async def test_pacing_uses_a_capacity_that_has_changed(self) -> None:
+        # Regression: the capacity at the begin of the session counted.
+        self.change_capacity(3000)
+        capacity: object = None
+        paced = asyncio.Event()
+
+        def record(*arguments: object) -> list[decisions.PaceChange]:
+            nonlocal capacity
+            capacity = arguments[-2]
+            paced.set()
+            return []
+
+        with mock.patch.object(decisions.Pacer, 'adjust', record):
+            async with asyncio.timeout(20.0):
+                await paced.wait()
+        self.assertEqual(3000, capacity)
+
     async def test_stops_that_fail_are_not_logged_each_time(self) -> None:
         # The sidecar of a worker that was gone for good wrote 680 warnings in
         # a minute.
