Test that what is being stopped takes room on a shrunk worker

The whole path on the stand-ins: a cancelled job's tasks take a second to stop on a worker that has shrunk, while another job waits.

--- a/chivespoke/serving/tests/test_capacity.py
+++ b/chivespoke/serving/tests/test_capacity.py
@@ -12,6 +12,7 @@
 from chivespoke import workloads
 
 JOB = '00000000000000a1'
+OTHER_JOB = '00000000000000a2'
 TASK_COUNT = 16
 TASK_CPU_MILLIS = 1000
 ONE_STEP_JOB = {
@@ -23,6 +24,8 @@
 INITIAL_ROOM = 8
 # Shorter than the time after which the platform counts a shrunk capacity.
 NOTICE_SECONDS = 0.5
+# Time that a stop takes.
+STOP_SECONDS = 1.0
 # Delay of the reports to the leader.
 REPORT_DELAY_SECONDS = 1.2
 TIMEOUT_SECONDS = 40.0
@@ -39,16 +42,19 @@
         self.runner: standins.PlatformRunner = self.platform.runners[0]
         self.runner.capacity.enforced = False
         self.runner.capacity.notice_seconds = NOTICE_SECONDS
-        self.runner.capacity.sizes[f'{JOB}.0.0'] = workloads.Resources(
-            TASK_CPU_MILLIS
-        )
+        for job in (JOB, OTHER_JOB):
+            self.runner.capacity.sizes[f'{job}.0.0'] = workloads.Resources(
+                TASK_CPU_MILLIS
+            )
 
     async def stop(self) -> None:
         async with asyncio.timeout(TIMEOUT_SECONDS):
             await self.platform.stop()
 
-    async def submit(self) -> None:
-        status, _ = await self.platform.request('POST', JOB, ONE_STEP_JOB)
+    async def submit(self, identifier: str = JOB) -> None:
+        status, _ = await self.platform.request(
+            'POST', identifier, ONE_STEP_JOB
+        )
         self.assertEqual(200, status)
 
     async def wait_until(
@@ -87,6 +93,22 @@
         await self.wait_until(lambda: len(self.runner.running) == 5)
         self.assertEqual([], self.runner.capacity.exceeded)
 
+    async def test_tasks_that_are_being_stopped_take_room_on_a_shrunk_worker(
+        self,
+    ) -> None:
+        self.runner.seconds = 60.0
+        self.runner.faults.stop_seconds = STOP_SECONDS
+        await self.submit()
+        await self.wait_until(lambda: len(self.runner.running) == INITIAL_ROOM)
+        self.change_room(5)
+        await asyncio.sleep(NOTICE_SECONDS)
+        self.runner.seconds = builders.TASK_SECONDS
+        await self.submit(OTHER_JOB)
+        await self.platform.request('DELETE', JOB)
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            await self.platform.wait_for_state(OTHER_JOB, 'completed')
+        self.assertEqual([], self.runner.capacity.exceeded)
+
     async def test_order_decided_before_the_shrink_starts_nothing(
         self,
     ) -> None:
