--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -17,6 +17,7 @@
 from chivespoke import logs
 from chivespoke import platform
 from chivespoke import telemetry
+from chivespoke import workloads
 
 LOGGER = logs.make_logger('session')
 
@@ -89,6 +90,7 @@
         '_applied',
         '_lapsed',
         '_run_ages',
+        '_reserved',
         '_telemetry',
         '_unanswered',
     )
@@ -137,9 +139,7 @@
         self._withdrawn: set[tuple[str, int]] = set()
         # Start orders that may still be sent to the worker: task and run.
         self._starting: set[tuple[str, int]] = set()
-        self._pace_tracker = _paces.PaceTracker(
-            self.incarnation.key, registration.capacity.cpu_millis
-        )
+        self._pace_tracker = _paces.PaceTracker(self.incarnation.key)
         self._fenced = asyncio.Event()
         # Another incarnation of the worker has answered.
         self._replaced = False
@@ -152,6 +152,9 @@
         # The last report said that all leases have expired.
         self._lapsed = False
         self._run_ages = _run_ages.RunAges()
+        # What all runs on the worker reserve, the ordered ones included; None
+        # if the leader has not said.
+        self._reserved: workloads.Resources | None = None
 
     @property
     def incarnation(self) -> coordination.WorkerIncarnation:
@@ -239,6 +242,7 @@
             self._acknowledged_end, directive.acknowledged
         )
         self._applied = max(self._applied, directive.number)
+        self._reserved = directive.reserved
         self._pace_tracker.update_interference(directive.interference)
         for run in directive.adopted:
             self._pace_tracker.record_run(run)
@@ -364,7 +368,9 @@
         if previous is None or have_ends_changed(previous, status):
             self._listener.request_report()
         for change in self._pace_tracker.adjust(
-            status, self._clock.read_monotonic()
+            status,
+            self.registration.capacity.cpu_millis,
+            self._clock.read_monotonic(),
         ):
             self._spawn_order(
                 _OrderKind.PACE, change.task, change.run, self._pace(change)
@@ -519,6 +525,16 @@
             if (order.task, order.run) in self._withdrawn:
                 # The stop reports the outcome.
                 return
+            if refusal is platform.Refusal.NO_CAPACITY and may_have_started:
+                # It may be one of the runs that leave no room for another. A
+                # stop bars copies of the order that may still arrive, so no
+                # longer wait than for the first poll.
+                async with self._polled:
+                    await self._polled.wait_for(
+                        lambda: self._status is not None
+                    )
+                if self._is_listed(order.task, order.run):
+                    refusal = None
             if refusal is not None and may_have_started:
                 await self._ensure_stopped(order.task, order.run)
             self._report_outcome(order.task, order.run, refusal)
@@ -549,6 +565,9 @@
                 # again, with a clock by which the order has not expired.
                 refusal = platform.Refusal.EXPIRED
                 break
+            if not self._has_room():
+                refusal = platform.Refusal.NO_CAPACITY
+                break
             try:
                 await self._send_start(order, lease_until_ms)
             except platform.OrderRefusedError as error:
@@ -577,6 +596,15 @@
             or self._doubted
         )
 
+    def _has_room(self) -> bool:
+        """Return whether what was ordered fits the worker's capacity now.
+
+        The worker may have shrunk since the order, and need not refuse.
+        """
+        return self._reserved is None or self.registration.capacity.covers(
+            self._reserved
+        )
+
     async def _send_start(
         self, order: coordination.StartOrder, lease_until_ms: int
     ) -> None:
--- a/chivespoke/standins/_runner.py
+++ b/chivespoke/standins/_runner.py
@@ -13,6 +13,7 @@
 from chivespoke.standins import _advisor
 from chivespoke.standins import _run_ledger
 from chivespoke.standins import _runner_boot
+from chivespoke.standins import _runner_capacity
 from chivespoke.standins import _runner_faults
 from chivespoke import web as chivespoke_web
 
@@ -23,7 +24,6 @@
 # A task with this payload runs until it is stopped.
 LONG_RUNNING_PAYLOAD = 'serve'
 LONG_RUNNING_SECONDS = 3600.0
-CAPACITY = {'cpu': 8000, 'mem_mb': 32000, 'gpu': 0}
 TARGET_HEADER = 'Chivespoke-Target-Instance'
 # Time between the start of a deadly task and the crash.
 CRASH_DELAY_SECONDS = 0.01
@@ -45,6 +45,7 @@
 
     __slots__ = (
         'faults',
+        'capacity',
         'advisor',
         'began',
         'crashes',
@@ -72,6 +73,7 @@
         born_ms: int = 1,
     ) -> None:
         self.faults = _runner_faults.RunnerFaults()
+        self.capacity = _runner_capacity.RunnerCapacity()
         # If set, a start needs a valid ticket of this advisor.
         self.advisor: _advisor.PlatformAdvisor | None = None
         # The started runs of all boots.
@@ -90,7 +92,13 @@
         self._zone = zone
         self._ledger = ledger
         self._boot = _runner_boot.RunnerBoot(
-            identifier, born_ms, 0.0, self.faults, ledger, self.began
+            identifier,
+            born_ms,
+            0.0,
+            self.faults,
+            self.capacity,
+            ledger,
+            self.began,
         )
         self._tasks = application.TaskOwner()
         self._control = ''
@@ -185,6 +193,7 @@
     def make_registration(self) -> RunnerRegistration:
         """Return the next registration of the current boot."""
         self._boot.sequence += 1
+        capacity = self.capacity.current
         return RunnerRegistration(
             self.identifier,
             {
@@ -194,7 +203,11 @@
                 'version': 'v1',
                 'slots': 8,
                 'state': 'draining' if self.draining else 'ready',
-                'capacity': CAPACITY,
+                'capacity': {
+                    'cpu': capacity.cpu_millis,
+                    'mem_mb': capacity.memory_mb,
+                    'gpu': capacity.accelerators,
+                },
                 'labels': ['a', 'r1-1'],
                 'clock_ms': self.read_clock(),
                 'sequence': self._boot.sequence,
@@ -228,6 +241,7 @@
             born_ms,
             clock_origin,
             self.faults,
+            self.capacity,
             self._ledger,
             self.began,
         )
