--- a/chivespoke/standins/_backend_server.py
+++ b/chivespoke/standins/_backend_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import weakref
 
 from aiohttp import web
 
@@ -18,7 +19,8 @@
 
     The query of a request may set ``ms`` (its run time), ``status``,
     ``size`` (minimum size of the response body in bytes) and ``fault``
-    (``hang``: never respond, ``cut``: abort the connection half-way).
+    (``hang``: never respond, ``cut``: abort the connection half-way,
+    ``crash``: abort all connections and refuse new ones until a restart).
     """
 
     __slots__ = (
@@ -27,7 +29,10 @@
         'most_running',
         'slowness',
         'healthy',
+        'crashes',
         '_server',
+        '_transports',
+        '_crash',
     )
 
     def __init__(self, address: settings.Address) -> None:
@@ -37,7 +42,12 @@
         # Factor applied to every run time.
         self.slowness = 1.0
         self.healthy = True
+        self.crashes = 0
         self._server = chivespoke_web.HttpServer(address, (self,), 0.1)
+        self._transports: weakref.WeakSet[asyncio.Transport] = (
+            weakref.WeakSet()
+        )
+        self._crash: asyncio.Task[None] | None = None
 
     @property
     def address(self) -> settings.Address:
@@ -61,9 +71,35 @@
             await asyncio.sleep(0.02)
 
     async def stop(self) -> None:
+        if self._crash is not None:
+            await self._crash
+            return
         await self._server.stop()
 
+    async def restart(self) -> None:
+        """Listen again at the same address after a crash."""
+        if self._crash is None:
+            return
+        await self._crash
+        self._crash = None
+        self._server = chivespoke_web.HttpServer(self.address, (self,), 0.1)
+        await self._server.start()
+
+    def crash(self) -> None:
+        """Abort all connections and stop listening."""
+        if self._crash is not None:
+            return
+        self.crashes += 1
+        for transport in self._transports:
+            transport.abort()
+        self._crash = asyncio.create_task(self._server.stop())
+
+    def _track(self, request: web.Request) -> None:
+        if isinstance(request.transport, asyncio.Transport):
+            self._transports.add(request.transport)
+
     async def _answer_health(self, request: web.Request) -> web.Response:
+        self._track(request)
         return web.Response(status=200 if self.healthy else 503)
 
     async def _set_slowness(self, request: web.Request) -> web.Response:
@@ -71,6 +107,7 @@
         return web.Response()
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
+        self._track(request)
         self.runs[request.path] += 1
         self.running += 1
         self.most_running = max(self.most_running, self.running)
@@ -87,6 +124,8 @@
             await asyncio.sleep(seconds * self.slowness)
         if query.get('fault') == 'hang':
             await asyncio.Event().wait()
+        if query.get('fault') == 'crash':
+            self.crash()
         if query.get('fault') == 'cut':
             return await _abort_response(request)
         text = body or request.method.encode() + b' ' + request.path.encode()
