--- a/chivespoke/callers/tests/builders.py
+++ b/chivespoke/callers/tests/builders.py
@@ -181,6 +181,10 @@
         """Return the total number of runs at all backend servers."""
         return sum(sum(server.runs.values()) for server in self.servers)
 
+    def count_crashes(self) -> int:
+        """Return the total number of crashes of all backend servers."""
+        return sum(server.crashes for server in self.servers)
+
 
 @contextlib.asynccontextmanager
 async def run_request_path(
--- a/chivespoke/telemetry.py
+++ b/chivespoke/telemetry.py
@@ -33,6 +33,7 @@
         'dropped_messages',
         'expired_in_queue',
         'refusals',
+        'deadly_requests',
         'store_latency',
         'start_wait',
         'run_ends',
@@ -89,6 +90,10 @@
         self.refusals = self.meter.create_counter(
             'chivespoke_refusals', description='Refused requests, by cause'
         )
+        self.deadly_requests = self.meter.create_counter(
+            'chivespoke_deadly_requests',
+            description='Requests kept from crashing servers, by decision',
+        )
         self.expired_in_queue = self.meter.create_counter(
             'chivespoke_expired_in_queue',
             description='Accepted requests whose deadline passed in a queue',
