Refuse requests under which servers went down, at every entry

Cause: no part remembered what a request without a key had done to a server, and a sidecar reported a crash and a single broken connection alike.

Fix: a sidecar whose connection breaks probes its backend server. If that is down, the requests which had run for less than a second are suspects, as with tasks. The sidecar announces the crash with their fingerprints (tenant, method, target, body) for 120 s, so that all entries count the same crashes, later ones too. An entry refuses a request by the rule for tasks: crashes at two servers, the last without another suspect, or four crashes. An answer clears it. The home of a key is still asked first, so that a key that ran is answered as before.

--- a/chivespoke/backend_servers/__init__.py
+++ b/chivespoke/backend_servers/__init__.py
@@ -2,6 +2,11 @@
 
 from chivespoke.backend_servers._announcer import Announcer
 from chivespoke.backend_servers._announcer import KeyHandover
+from chivespoke.backend_servers._crashes import compute_fingerprint
+from chivespoke.backend_servers._crashes import CrashHistory
+from chivespoke.backend_servers._crashes import CrashLog
+from chivespoke.backend_servers._crashes import ServerCrash
+from chivespoke.backend_servers._crashes import Suspicion
 from chivespoke.backend_servers._executor import Executor
 from chivespoke.backend_servers._home_manager import HomeLimits
 from chivespoke.backend_servers._home_manager import HomeManager
@@ -47,6 +52,8 @@
     'BackendServer',
     'Change',
     'ChoiceOfTwo',
+    'CrashHistory',
+    'CrashLog',
     'DISPATCH_NOT_RECEIVED',
     'Dispatch',
     'Executor',
@@ -77,8 +84,11 @@
     'RoutingPolicy',
     'RunResult',
     'STALE_HOME_LIST',
+    'ServerCrash',
     'ServerView',
     'Slots',
+    'Suspicion',
+    'compute_fingerprint',
     'filter_end_to_end_headers',
     'find_key_homes',
     'make_policy',
--- a/chivespoke/backend_servers/_announcer.py
+++ b/chivespoke/backend_servers/_announcer.py
@@ -85,6 +85,7 @@
         self._last_announcements: dict[
             identifiers.Incarnation, _messages.Announcement
         ] = {}
+        executor.crash_log.listener = self._announce
         handlers.register(entries.Welcome, self._handle_welcome)
         handlers.register(entries.Pulse, self._handle_pulse)
         handlers.register(_messages.LeavingNoted, self._handle_leaving_noted)
@@ -232,6 +233,7 @@
             self._leaving,
             self._executor.homes_version,
             self._clock.read_monotonic(),
+            self._executor.crash_log.list_recent(),
         )
         announced: dict[identifiers.Incarnation, _messages.Announcement] = {}
         for client in self._clients.values():
--- a/chivespoke/backend_servers/_executor.py
+++ b/chivespoke/backend_servers/_executor.py
@@ -5,11 +5,13 @@
 import msgspec
 
 from chivespoke import application
+from chivespoke.backend_servers import _crashes
 from chivespoke.backend_servers import _http
 from chivespoke.backend_servers import _keys
 from chivespoke.backend_servers import _messages
 from chivespoke.backend_servers import _slots
 from chivespoke import clock
+from chivespoke import decisions
 from chivespoke import entries
 from chivespoke import errors
 from chivespoke import identifiers
@@ -39,6 +41,8 @@
         'refusal_cause',
         'keys',
         'homes_version',
+        'crash_log',
+        '_crash_check',
     )
 
     def __init__(
@@ -71,6 +75,9 @@
         # Newest home list version that this sidecar knows. A key dispatched
         # with an older version is refused: it may have another home by now.
         self.homes_version = 0
+        self.crash_log = _crashes.CrashLog(time)
+        # Runs that broke off while it is checked whether the server is down.
+        self._crash_check: asyncio.Task[None] | None = None
         handlers.register(_messages.HomesVersion, self._handle_homes_version)
         handlers.register(_messages.Dispatch, self._handle_dispatch)
         handlers.register(_messages.Revoke, self._handle_revoke)
@@ -224,6 +231,8 @@
             result = await self._backend_server.run(
                 ticket.dispatch, timeout_seconds
             )
+            if result.broke_off:
+                self._check_for_crash()
         finally:
             now = self._clock.read_monotonic()
             self._slots.release(ticket, now)
@@ -239,6 +248,36 @@
             run_seconds=now - ticket.started_at,
         )
 
+    def _check_for_crash(self) -> None:
+        """Find out whether the server went down, and under which requests.
+
+        A crash breaks off all running requests; the first starts the check.
+        """
+        if self._crash_check is not None and not self._crash_check.done():
+            return
+        now = self._clock.read_monotonic()
+        lost_runs = [
+            decisions.LostRun(
+                _crashes.compute_fingerprint(
+                    ticket.dispatch.tenant,
+                    ticket.dispatch.method,
+                    ticket.dispatch.target,
+                    ticket.dispatch.body,
+                ),
+                '',
+                ticket.dispatch.sequence,
+                now - ticket.started_at,
+            )
+            for ticket in self._tickets.values()
+            if ticket.state is _slots.TicketState.RUNNING
+        ]
+        self._crash_check = self._tasks.spawn(self._record_crash(lost_runs))
+
+    async def _record_crash(self, lost_runs: list[decisions.LostRun]) -> None:
+        result = await self._backend_server.probe()
+        if result is _http.ProbeResult.UNRESPONSIVE:
+            self.crash_log.record(lost_runs)
+
     def _expire(self, ticket: _slots.Ticket) -> None:
         self._slots.withdraw(ticket, _slots.EXPIRED_IN_QUEUE)
 
--- a/chivespoke/backend_servers/_http.py
+++ b/chivespoke/backend_servers/_http.py
@@ -44,6 +44,8 @@
     status: int = 0
     headers: _messages.HeaderPairs = ()
     body: bytes = b''
+    # The connection broke, so that the backend server may have gone down.
+    broke_off: bool = False
 
 
 class BackendServer(abc.ABC):
@@ -101,8 +103,10 @@
                 _messages.Outcome.NOT_RUN, 'backend server unreachable'
             )
         except (aiohttp.ClientError, ValueError, OSError) as error:
-            return _make_unknown_result(
-                f'backend server broke off: {type(error).__name__}'
+            return RunResult(
+                _messages.Outcome.UNKNOWN,
+                f'backend server broke off: {type(error).__name__}',
+                broke_off=True,
             )
 
     async def probe(self) -> ProbeResult:
--- a/chivespoke/backend_servers/_messages.py
+++ b/chivespoke/backend_servers/_messages.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from chivespoke.backend_servers import _crashes
 from chivespoke import entries
 from chivespoke import identifiers
 
@@ -44,6 +45,8 @@
     homes_version: int = 0
     # Reading of the sidecar's monotonic clock, in seconds.
     clock: float = 0.0
+    # Recent crashes of the backend server, oldest first.
+    crashes: tuple[_crashes.ServerCrash, ...] = ()
 
 
 class LeavingNoted(entries.Message, frozen=True):
--- a/chivespoke/backend_servers/_registry.py
+++ b/chivespoke/backend_servers/_registry.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from chivespoke import application
+from chivespoke.backend_servers import _crashes
 from chivespoke.backend_servers import _ejection
 from chivespoke.backend_servers import _keys
 from chivespoke.backend_servers import _messages
@@ -66,6 +67,7 @@
         '_replacements',
         '_outlier_detector',
         'ejection_enabled',
+        'crash_history',
     )
 
     def __init__(
@@ -89,6 +91,7 @@
         self._outlier_detector = _ejection.OutlierDetector()
         # False for the baseline routing policies.
         self.ejection_enabled = True
+        self.crash_history = _crashes.CrashHistory(time)
         # Entries that were last sent to each sidecar.
         self._sent_entries: dict[
             identifiers.Incarnation, tuple[entries.EntryAddress, ...]
@@ -269,6 +272,12 @@
         server.last_heartbeat_at = now
         server.observe_clock(announcement.clock, now)
         server.reported_outstanding = announcement.outstanding
+        self.crash_history.observe(
+            announcement.service,
+            peer.name,
+            peer.incarnation,
+            announcement.crashes,
+        )
         if announcement.leaving:
             # The connection keeps the order: all dispatches that may start
             # a run precede this.
--- a/chivespoke/backend_servers/tests/builders.py
+++ b/chivespoke/backend_servers/tests/builders.py
@@ -61,6 +61,27 @@
         return backend_servers.ProbeResult.HEALTHY
 
 
+class CrashingServer(BlockingServer):
+    """Break all requests off at the release event."""
+
+    def __init__(self, is_down: bool = True) -> None:
+        super().__init__()
+        self._is_down = is_down
+
+    async def run(
+        self, dispatch: backend_servers.Dispatch, timeout: float
+    ) -> backend_servers.RunResult:
+        await super().run(dispatch, timeout)
+        return backend_servers.RunResult(
+            backend_servers.Outcome.UNKNOWN, 'broke off', broke_off=True
+        )
+
+    async def probe(self) -> backend_servers.ProbeResult:
+        if self._is_down:
+            return backend_servers.ProbeResult.UNRESPONSIVE
+        return backend_servers.ProbeResult.HEALTHY
+
+
 class BreakingServer:
     """Answer the first request, and break off after each later one."""
 
@@ -98,9 +119,10 @@
         slots: int = 1,
         queue_limit: int = 4,
         time: clock.Clock | None = None,
+        backend_server: BlockingServer | None = None,
     ) -> None:
         self.handlers = entries.Handlers()
-        self.backend_server = BlockingServer()
+        self.backend_server = backend_server or BlockingServer()
         self.peer = RecordingPeer()
         self.executor = backend_servers.Executor(
             self.backend_server,
--- a/chivespoke/callers/_attempts.py
+++ b/chivespoke/callers/_attempts.py
@@ -26,6 +26,12 @@
     # Deadline: reading of this process's monotonic clock, in seconds.
     expires_at: float
 
+    def compute_fingerprint(self) -> str:
+        """Return an identifier that equal requests of a tenant share."""
+        return backend_servers.compute_fingerprint(
+            self.caller.tenant, self.method, self.target, self.body
+        )
+
 
 class AttemptRunner:
     """Run attempts and record their results in the registry."""
@@ -80,6 +86,14 @@
             ),
         )
         self._record_result(server, reply, remaining_seconds, started_at)
+        history = self._registry.crash_history
+        if (
+            reply.outcome is backend_servers.Outcome.ANSWERED
+            and not history.is_empty
+        ):
+            history.record_answer(
+                request.service, request.compute_fingerprint()
+            )
         return reply
 
     def _record_result(
--- a/chivespoke/callers/_gateway.py
+++ b/chivespoke/callers/_gateway.py
@@ -17,9 +17,12 @@
 from chivespoke import clock
 from chivespoke import errors
 from chivespoke import identifiers
+from chivespoke import logs
 from chivespoke import telemetry
 from chivespoke import web as chivespoke_web
 
+LOGGER = logs.make_logger('gateway')
+
 DEFAULT_MAX_BODY_BYTES = 8 * 1024 * 1024
 # Interval at which drain checks for requests in flight.
 DRAIN_POLL_SECONDS = 0.02
@@ -37,6 +40,7 @@
         '_dispatcher',
         '_keyed',
         'limits',
+        '_crash_history',
         '_clock',
         '_telemetry',
         '_in_flight',
@@ -50,12 +54,14 @@
         dispatcher: _dispatcher.Dispatcher,
         keyed: _keyed.KeyedDispatcher,
         limits: _limits.RequestLimits,
+        crash_history: backend_servers.CrashHistory,
         instruments: telemetry.Telemetry,
         time: clock.Clock,
     ) -> None:
         self._dispatcher = dispatcher
         self._keyed = keyed
         self.limits = limits
+        self._crash_history = crash_history
         self._clock = time
         self._telemetry = instruments
         self._in_flight = 0
@@ -125,21 +131,51 @@
     ) -> tuple[backend_servers.Reply, int]:
         """Return the reply, and the HTTP status to use if nothing was run."""
         caller = request.caller
-        wait_seconds = self.limits.admit(caller.tenant, caller.request_class)
-        if wait_seconds > 0:
-            self._telemetry.refusals.add(1, {'cause': OVER_LIMIT_CAUSE})
+        refusal = self._find_refusal(request)
         if caller.key:
-            # Over the limit, the home of the key is still queried, because an
-            # earlier request may have run the key.
+            # If the request is refused, the home of the key is still queried,
+            # because an earlier request may have run the key.
             reply = await self._keyed.dispatch(
-                request, lookup=wait_seconds > 0
+                request, lookup=refusal is not None
             )
-            if wait_seconds > 0 and reply.cause == backend_servers.KEY_NOT_RUN:
-                return _make_over_limit_reply(wait_seconds), TOO_MANY_REQUESTS
+            if (
+                refusal is not None
+                and reply.cause == backend_servers.KEY_NOT_RUN
+            ):
+                return refusal
             return reply, SERVICE_UNAVAILABLE
+        if refusal is not None:
+            return refusal
+        return await self._dispatcher.dispatch(request), SERVICE_UNAVAILABLE
+
+    def _find_refusal(
+        self, request: _attempts.CallerRequest
+    ) -> tuple[backend_servers.Reply, int] | None:
+        """Return the reply and status of a request that must not run."""
+        caller = request.caller
+        wait_seconds = self.limits.admit(caller.tenant, caller.request_class)
         if wait_seconds > 0:
+            self._telemetry.refusals.add(1, {'cause': OVER_LIMIT_CAUSE})
             return _make_over_limit_reply(wait_seconds), TOO_MANY_REQUESTS
-        return await self._dispatcher.dispatch(request), SERVICE_UNAVAILABLE
+        if self._crash_history.is_empty:
+            return None
+        fingerprint = request.compute_fingerprint()
+        suspicion = self._crash_history.find_hopeless(
+            request.service, fingerprint
+        )
+        if suspicion is None:
+            return None
+        reply = _make_crash_reply(suspicion, self._clock.read_monotonic())
+        LOGGER.warning(
+            'A request is refused, as servers went down under it.',
+            service=request.service,
+            method=request.method,
+            target=request.target,
+            fingerprint=fingerprint,
+            cause=reply.cause,
+        )
+        self._telemetry.deadly_requests.add(1, {'decision': 'refused'})
+        return reply, SERVICE_UNAVAILABLE
 
     async def _read_body(self, request: web.Request) -> bytes | None:
         length = request.content_length
@@ -187,6 +223,19 @@
     )
 
 
+def _make_crash_reply(
+    suspicion: backend_servers.Suspicion, now: float
+) -> backend_servers.Reply:
+    servers = sorted({crash.worker for crash in suspicion.crashes})
+    return backend_servers.Reply(
+        0,
+        backend_servers.Outcome.NOT_RUN,
+        f'{len(suspicion.crashes)} crashes of backend servers under equal '
+        f'requests, which may have run there: {", ".join(servers)}',
+        retry_after_seconds=suspicion.expires_at - now,
+    )
+
+
 def make_response(reply: backend_servers.Reply, status: int) -> web.Response:
     """Return the HTTP response for a reply.
 
--- a/chivespoke/callers/tests/builders.py
+++ b/chivespoke/callers/tests/builders.py
@@ -181,11 +181,30 @@
         """Return the total number of runs at all backend servers."""
         return sum(sum(server.runs.values()) for server in self.servers)
 
+    async def restart_servers(self) -> None:
+        """Restart crashed servers once every entry knows of the crashes."""
+
+        def knows_crashes(entry: daemons.Entry) -> bool:
+            return self.count_crashes() == sum(
+                len(server.announcement.crashes)
+                for server in entry.context.registry.list_all()
+            )
+
+        await wait_until(lambda: all(map(knows_crashes, self.entries)))
+        for server in self.servers:
+            await server.restart()
+        await self.wait_for_available_servers(len(self.servers))
+
     def count_crashes(self) -> int:
         """Return the total number of crashes of all backend servers."""
         return sum(server.crashes for server in self.servers)
 
 
+def start_call(path: RequestPath, target: str) -> 'asyncio.Task[Answer]':
+    """Start a request to the service without waiting for its answer."""
+    return asyncio.create_task(path.call(target))
+
+
 @contextlib.asynccontextmanager
 async def run_request_path(
     entries: int = 1, servers: int = 1, **sidecar_settings: typing.Any
--- a/chivespoke/daemons.py
+++ b/chivespoke/daemons.py
@@ -118,6 +118,7 @@
                 attempts, self.homes, self.registry, self.clock
             ),
             limits,
+            self.registry.crash_history,
             self.telemetry,
             self.clock,
         )
