Count a crash of a server as one failure of it

What callers saw: after a crash under many requests the server was back within seconds, but an entry kept it ejected, for longer with each crash.

Cause: each request that the crash broke off counted as a failure of the server.

Evidence: test_one_crash_counts_as_many_failures failed before for 12 attempts at once; 12 attempts one after the other eject the server before and after.

Fix: a reply says that the connection broke, and an attempt that was at the server before the last break that counted belongs to the same crash.

--- a/chivespoke/backend_servers/_executor.py
+++ b/chivespoke/backend_servers/_executor.py
@@ -246,6 +246,7 @@
             outstanding=self._slots.outstanding,
             wait_seconds=wait_seconds,
             run_seconds=now - ticket.started_at,
+            broke_off=result.broke_off,
         )
 
     def _check_for_crash(self) -> None:
--- a/chivespoke/backend_servers/_messages.py
+++ b/chivespoke/backend_servers/_messages.py
@@ -132,3 +132,5 @@
     run_seconds: float = 0.0
     # Newest home list version that the sidecar knows; set only in refusals.
     homes_version: int = 0
+    # The connection to the backend server broke.
+    broke_off: bool = False
--- a/chivespoke/backend_servers/_routing.py
+++ b/chivespoke/backend_servers/_routing.py
@@ -39,6 +39,7 @@
         'attempts',
         'ejected_until',
         'ejections',
+        'broke_off_at',
         'weight',
     )
 
@@ -66,6 +67,8 @@
         self.attempts = 0
         self.ejected_until = 0.0
         self.ejections = 0
+        # Time of the last broken-off attempt that counted as a failure.
+        self.broke_off_at = float('-inf')
         # Traffic relative to other servers, in [0, 1].
         self.weight = 1.0
 
@@ -115,6 +118,16 @@
             float(failed) - self.failure_share
         )
 
+    def record_break(self, started_at: float, now: float) -> bool:
+        """Record a broken-off attempt; return whether it counts as a failure.
+
+        A crash breaks off all attempts at the server, but is one failure.
+        """
+        if started_at < self.broke_off_at:
+            return False
+        self.broke_off_at = now
+        return True
+
     def estimate_load(self) -> int:
         """Return the estimated number of requests at the server."""
         return max(self.outstanding, self.reported_outstanding)
--- a/chivespoke/callers/_attempts.py
+++ b/chivespoke/callers/_attempts.py
@@ -105,7 +105,10 @@
     ) -> None:
         if reply.outcome is backend_servers.Outcome.NOT_RUN:
             return
-        elapsed = self._clock.read_monotonic() - started_at
+        now = self._clock.read_monotonic()
+        elapsed = now - started_at
+        if reply.broke_off and not server.record_break(started_at, now):
+            return
         if reply.outcome is backend_servers.Outcome.ANSWERED:
             self._registry.record_result(server, elapsed, reply.status >= 500)
         elif (
