Do not hand a cancellation that crashed an entry to the next one

What callers saw: a cancellation handed to a neighbour that went down under it was sent there twice or counted as not sent, so that it went on to a second neighbour, or was refused as without effect.

Cause: aiohttp sends calls of idempotent methods again if a reused connection breaks. If nobody listens any more, the second attempt ends with a refused connection, and the first one is forgotten.

Evidence: test_a_call_that_crashed_its_peer_counts_as_not_sent failed before for DELETE and PUT (NotListeningError instead of UnavailableError), passed for POST.

Fix: only GET and HEAD may be sent again. All other calls to the platform use POST, so that the change concerns cancellations handed over only.

--- a/chivespoke/platform/_transport.py
+++ b/chivespoke/platform/_transport.py
@@ -15,6 +15,8 @@
 # of the platform.
 CONNECT_TIMEOUT_SECONDS = 0.5
 UNNEEDED_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent')
+# Methods of calls without an effect, which aiohttp may send again.
+SAFE_METHODS = frozenset(('GET', 'HEAD'))
 JSON_HEADERS = {'Content-Type': 'application/json'}
 
 
@@ -48,6 +50,7 @@
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=self._max_connections),
             skip_auto_headers=UNNEEDED_HEADERS,
+            middlewares=(_send_changes_once,),
         )
 
     async def stop(self) -> None:
@@ -111,3 +114,21 @@
                 self._base_url,
                 f'{error!r} after {len(received)} bytes of the answer',
             ) from error
+
+
+async def _send_changes_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Hide from aiohttp the errors after which it sends a call again.
+
+    It does so for idempotent methods if a reused connection breaks. If the
+    second attempt finds no listener, the call would count as not sent.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        if request.method in SAFE_METHODS:
+            raise
+        raise aiohttp.ClientConnectionError(repr(error)) from error
