--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -162,9 +162,9 @@
             phase=state.progress.phase.value,
         )
         for name, task in state.list_assigned():
-            self.stop_run(task.worker, name.format())
+            self.stop_run(task.worker, name.format(), 'the job is final')
 
-    def stop_run(self, worker_key: str, task_id: str) -> None:
+    def stop_run(self, worker_key: str, task_id: str, cause: str) -> None:
         """Mark the runs of a task on a worker for stopping."""
         worker = self.workers.get(worker_key)
         runs = list(worker.runs.values()) if worker else []
@@ -175,6 +175,14 @@
                 run.task_id == task_id
                 and run.state is not _fleet.RunState.STOPPING
             ):
+                LOGGER.info(
+                    'A run is to be stopped.',
+                    task=task_id,
+                    run=run.number,
+                    worker=worker_key,
+                    state=run.state.value,
+                    cause=cause,
+                )
                 run.state = _fleet.RunState.STOPPING
                 run.sent_at = None
 
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -178,7 +178,7 @@
             return
         worker = task.worker
         state.complete_task(name, wall_ms)
-        self._state.stop_run(worker, end.task)
+        self._state.stop_run(worker, end.task, 'another run is done')
 
     def _apply_end(
         self,
