Show a late call that begins after its task is done

Found by asking whether a task may start after its end: the wait of covers runs that the leader gives away, and a run that has ended is not given away.

A fix would hold each result of a run with an unanswered call back until the call is too old, up to 14 s; a result that is held back is lost if its worker fails meanwhile. Whether any worker other than the stand-in executes a call in a later life is not known.

--- a/chivespoke/serving/tests/test_disruptions.py
+++ b/chivespoke/serving/tests/test_disruptions.py
@@ -294,6 +294,23 @@
         first.faults.holds_stall = False
         await self.assert_completed_once()
 
+    async def test_late_calls_begin_on_a_new_boot_after_their_tasks_are_done(
+        self,
+    ) -> None:
+        # The repeated calls were answered, and their results acknowledged.
+        await self.start(workers=1)
+        (runner,) = self.platform.runners
+        await asyncio.sleep(BEYOND_LEASE_SECONDS)
+        runner.faults.late_starts = TASK_COUNT
+        runner.faults.late_seconds = BEYOND_LEASE_SECONDS
+        await self.submit()
+        await self.complete()
+        runner.faults.holds_stall = True
+        runner.restart()
+        await asyncio.sleep(BEYOND_LEASE_SECONDS)
+        runner.faults.holds_stall = False
+        await self.assert_completed_once()
+
     async def test_repeated_start_order_crosses_a_refusal_for_room(
         self,
     ) -> None:
