Give up jobs of the second scheduler whose tasks crash workers

Callers saw a task that crashes each worker start again on the next one, without end: an incarnation that is replaced requeues its attempts, and nothing counted what the earlier one had just started.

The owner's record of the next incarnation now says when the earlier one was lost and how long each attempt was known to be at work. An owner asks for a heartbeat when an attempt that has just started should have survived, so that few others look young. A lapsed lease, a data centre out of service and workers lost together, most of them without a suspect, blame nothing. An owner that has never met the earlier incarnation takes what its predecessor placed within its last heartbeats as young. Survivors are named in the owner's heartbeat and cleared.

A hopeless task ends its job with the workers and times. Replicas of a service that survived stay, and another revision starts anew. All new fields stand at the ends of their records with defaults; no record is new, as earlier programs could not read it.

--- a/chivespoke/bench/_cluster.py
+++ b/chivespoke/bench/_cluster.py
@@ -179,6 +179,14 @@
         self.connector.add(agent)
         return agent
 
+    def restart_worker(self, number: int, life: int) -> None:
+        """Put the next life of a worker in the place of the present one."""
+        address = self.agents[number].registration.address
+        # Who is connected to the address now meets the new incarnation there.
+        client = self.connector.clients[address]
+        client.agent = self.add_worker(number, life, address=address)
+        self.connector.clients[address] = client
+
     def add_worker_elsewhere(
         self, number: int, life: int
     ) -> standins.WorkerAgent:
--- a/chivespoke/bench/_fault_world.py
+++ b/chivespoke/bench/_fault_world.py
@@ -350,14 +350,7 @@
         self.witness.note_killed(old)
         key = str(old.registration.worker_id)
         self._lives[key] += 1
-        # Who is connected to the address now meets the new incarnation there.
-        clients = self.cluster.connector.clients
-        client = clients[old.registration.address]
-        address = old.registration.address
-        client.agent = self.cluster.add_worker(
-            number, 1 + self._lives[key], address=address
-        )
-        clients[address] = client
+        self.cluster.restart_worker(number, 1 + self._lives[key])
 
     def _replace_worker(self, number: int, seconds: float) -> None:
         """Register another incarnation; the earlier one dies only later."""
--- a/chivespoke/scheduling/_api.py
+++ b/chivespoke/scheduling/_api.py
@@ -8,6 +8,7 @@
 from chivespoke import errors
 from chivespoke import identifiers
 from chivespoke.scheduling import _configuration
+from chivespoke.scheduling import _crashes
 from chivespoke.scheduling import _feasibility
 from chivespoke.scheduling import _owner
 from chivespoke.scheduling import _records
@@ -159,12 +160,18 @@
         self, job_id: identifiers.JobId
     ) -> _requests.JobReport | None:
         job_parts: list[_state.Job] = []
+        crashed_workers = 0
         for stream in self.streams.values():
             shard = stream.fold.shard
             job_number = shard.job_numbers.get(job_id)
             if job_number is not None:
                 job_parts.append(shard.jobs[job_number])
-        return _requests.make_report(job_parts) if job_parts else None
+                crashed_workers += _crashes.count_crashed_workers(
+                    shard, job_number
+                )
+        if not job_parts:
+            return None
+        return _requests.make_report(job_parts, crashed_workers)
 
     def report_jobs(self) -> list[_requests.JobReport]:
         """Return the reports of all jobs, ordered by id."""
--- a/chivespoke/scheduling/_assembly.py
+++ b/chivespoke/scheduling/_assembly.py
@@ -8,6 +8,7 @@
 from chivespoke import replication
 from chivespoke.scheduling import _api
 from chivespoke.scheduling import _configuration
+from chivespoke.scheduling import _crash_planner
 from chivespoke.scheduling import _drain
 from chivespoke.scheduling import _feasibility
 from chivespoke.scheduling import _naive_planners
@@ -30,6 +31,7 @@
     return (
         _feasibility.FeasibilityPlanner(),
         _quarantine.QuarantinePlanner(),
+        _crash_planner.CrashPlanner(),
         _services.ServicePlanner(),
         _drain.DrainPlanner(),
         _preemption.PreemptionPlanner(),
@@ -49,6 +51,7 @@
     del peers
     return (
         _feasibility.FeasibilityPlanner(),
+        _crash_planner.CrashPlanner(),
         _naive_planners.ImmediateRetirementPlanner(),
         _naive_planners.ImmediateEvictionPlanner(),
         _transfers.QuotaPlanner(stream.propose),
--- a/chivespoke/scheduling/_attempts.py
+++ b/chivespoke/scheduling/_attempts.py
@@ -9,9 +9,8 @@
 from chivespoke.scheduling import _state
 from chivespoke import workers
 
-MS_PER_SECOND = 1000
-# Job number, task index and attempt number.
-AttemptKey = tuple[int, int, int]
+MS_PER_SECOND = _records.MS_PER_SECOND
+AttemptKey = _records.AttemptName
 AttemptName = tuple[identifiers.TaskId, identifiers.Attempt]
 OUTCOME_BY_PHASE = {
     workers.TaskPhase.COMPLETED: _records.Outcome.COMPLETED,
@@ -34,6 +33,7 @@
     __slots__ = (
         'running',
         'pending_evictions',
+        '_started',
         '_final_statuses',
         '_unknown_since',
         '_number',
@@ -44,6 +44,8 @@
         self.running: dict[AttemptKey, Progress] = {}
         # Attempts to stop, and whether to checkpoint them first.
         self.pending_evictions: dict[AttemptKey, bool] = {}
+        # Attempts whose start may have reached the worker.
+        self._started: set[AttemptKey] = set()
         # Attempts with a final status, and when it arrived. An entry stays
         # until the shard's state shows that the log contains the end.
         self._final_statuses: dict[AttemptName, float] = {}
@@ -56,6 +58,27 @@
         """Return whether the worker runs only attempts placed on it."""
         return not self._unknown_since
 
+    def note_start(self, key: AttemptKey) -> None:
+        """Note that a start of an attempt is being sent."""
+        self._started.add(key)
+
+    def forget_start(self, key: AttemptKey) -> None:
+        """Note that the worker refused the start of an attempt."""
+        self._started.discard(key)
+
+    def measure_age(self, key: AttemptKey, heard_at: float) -> float | None:
+        """Return seconds for which an attempt is known to be at work.
+
+        The worker was last known to be alive at heard_at. Return None for an
+        attempt that was never started here.
+        """
+        progress = self.running.get(key)
+        if progress is None:
+            return 0.0 if key in self._started else None
+        return progress.status.ran_seconds + max(
+            heard_at - progress.received_at, 0.0
+        )
+
     def forget_unknown(self, name: AttemptName) -> None:
         """Forget an unknown attempt that was stopped."""
         self._unknown_since.pop(name, None)
@@ -64,6 +87,9 @@
         self, heartbeat: workers.Heartbeat, now: float
     ) -> None:
         self.running = {}
+        self._started = {
+            key for key in self._started if self.find_attempt(key) is not None
+        }
         unknown_since = self._unknown_since
         self._unknown_since = {}
         for status in heartbeat.statuses:
--- a/chivespoke/scheduling/_context.py
+++ b/chivespoke/scheduling/_context.py
@@ -25,6 +25,10 @@
     def read_clock(self) -> float:
         """Return the monotonic clock of this process, in seconds."""
 
+    @abc.abstractmethod
+    def read_wall_clock(self) -> float:
+        """Return the seconds since the Unix epoch; they may jump."""
+
     @abc.abstractmethod
     def get_shard_read_time(self) -> float | None:
         """Return the start of the last read that found the state up to date.
--- a/chivespoke/scheduling/_jobs.py
+++ b/chivespoke/scheduling/_jobs.py
@@ -4,6 +4,8 @@
 why the record is refused.
 """
 
+import collections.abc
+
 from chivespoke import identifiers
 from chivespoke import resources
 from chivespoke.scheduling import _records
@@ -82,26 +84,40 @@
 def fail_job(
     shard: _state.Shard, record: _records.JobFailed, offset: int
 ) -> Refusal | None:
-    """Fail a job's pending tasks and request stops of running ones."""
+    """Fail a job's pending tasks and request stops of running ones.
+
+    Replicas of a service that have survived at work stay.
+    """
     del offset
     job = shard.jobs.get(record.job)
     if job is None:
         return Refusal.UNKNOWN_JOB
     if job.phase is not _state.JobPhase.OPEN:
         return Refusal.JOB_CLOSED
-    job.counts.failed += _close(job, _state.JobPhase.FAILED)
+    kept: set[int] = set()
+    if _task_lifecycle.is_service(job):
+        kept = set(job.running) - set(shard.suspects.get(record.job, {}))
+    job.counts.failed += _close(job, _state.JobPhase.FAILED, kept)
     job.evidence = record.evidence
     return None
 
 
-def _close(job: _state.Job, phase: _state.JobPhase) -> int:
-    """Close a job and return how many of its tasks were pending."""
+def _close(
+    job: _state.Job,
+    phase: _state.JobPhase,
+    kept: collections.abc.Container[int] = (),
+) -> int:
+    """Close a job and return how many of its tasks were pending.
+
+    The running tasks that are not kept are to stop.
+    """
     count = job.count_fresh() + len(job.requeued)
     job.phase = phase
     job.fresh = []
     job.requeued = {}
-    for attempt in job.running.values():
-        attempt.stop_requested = True
+    for index, attempt in job.running.items():
+        if index not in kept:
+            attempt.stop_requested = True
     return count
 
 
@@ -156,7 +172,10 @@
 def revise_service(
     shard: _state.Shard, record: _records.JobRevised, offset: int
 ) -> Refusal | None:
-    """Change the specification of future replicas of a service."""
+    """Change the specification of future replicas of a service.
+
+    A service that was given up for its crashes starts anew.
+    """
     del offset
     job = shard.jobs.get(record.job)
     if job is None:
@@ -164,6 +183,10 @@
     if job.spec == record.spec or job.spec.team != record.spec.team:
         return Refusal.NOTHING_CHANGED
     job.spec = record.spec
+    shard.suspects.pop(record.job, None)
+    if job.phase is _state.JobPhase.FAILED:
+        job.phase = _state.JobPhase.OPEN
+        job.evidence = ''
     return None
 
 
--- a/chivespoke/scheduling/_link.py
+++ b/chivespoke/scheduling/_link.py
@@ -9,6 +9,7 @@
 from chivespoke.scheduling import _permits
 from chivespoke.scheduling import _records
 from chivespoke.scheduling import _state
+from chivespoke.scheduling import _survival
 from chivespoke import workers
 
 LOGGER = logs.make_logger('scheduling')
@@ -37,6 +38,7 @@
         'clock_reading',
         'max_lease_until',
         'renewed_at',
+        'survival',
         'tried_at',
         'failures',
         'contacted',
@@ -70,6 +72,7 @@
         self.contacted = False
         self.busy = False
         self.tracker = _attempts.AttemptTracker(owner, number)
+        self.survival = _survival.SurvivalMonitor(owner, self.tracker)
         self.pending_throttles: dict[_attempts.AttemptKey, bool] = {}
         self.pending_checkpoints: set[_attempts.AttemptKey] = set()
         # Whether a WorkerGivenUp record may be in flight. Until its outcome is
@@ -106,9 +109,13 @@
             return False
         if self.failures or not self.contacted:
             return now - self.tried_at >= PROBE_INTERVAL_SECONDS
-        if now - self.renewed_at >= _permits.RENEW_INTERVAL_SECONDS:
-            return True
-        return self._has_commands()
+        return self._is_renewal_due(now) or self._has_commands()
+
+    def _is_renewal_due(self, now: float) -> bool:
+        return (
+            now - self.renewed_at >= _permits.RENEW_INTERVAL_SECONDS
+            or now >= self.survival.confirm_at
+        )
 
     async def exchange(self, renew: bool = False) -> None:
         """Renew the lease if due, then send the commands that are due.
@@ -134,7 +141,7 @@
                 renew
                 or self.failures
                 or not self.contacted
-                or now - self.renewed_at >= _permits.RENEW_INTERVAL_SECONDS
+                or self._is_renewal_due(now)
             ):
                 await self._renew()
             await self._send_commands()
@@ -144,6 +151,7 @@
             LOGGER.info('A worker refused a request.', error=error)
         except errors.UnavailableError as error:
             self.failures += 1
+            self.survival.note_loss()
             LOGGER.debug('A worker did not answer.', error=error)
 
     async def _look_elsewhere(self) -> None:
@@ -194,6 +202,7 @@
         epoch = self.epoch
         address = self.address
         self.max_lease_until = max(self.max_lease_until, lease_until)
+        sent_at = owner.read_clock()
         heartbeat = await self.client.renew(
             workers.LeaseRenewal(
                 worker_id=self._get_worker().worker_id,
@@ -219,7 +228,9 @@
         self.clock_reading = clocks.ClockReading(heartbeat.clock, now)
         self.contacted = True
         self.renewed_at = now
+        self.survival.note_answer(sent_at)
         self.tracker.record_statuses(heartbeat, now)
+        self.survival.check_attempts(now, epoch)
         if heartbeat.report is not None:
             owner.handle_usage_report(self.number, heartbeat.report)
 
@@ -256,6 +267,11 @@
         self, heartbeat: workers.Heartbeat, epoch: int, address: str
     ) -> None:
         worker = self._get_worker()
+        self.survival.note_loss()
+        lost = self.survival.list_lost(
+            list(worker.tasks.values()), self.contacted
+        )
+        is_crash = self.contacted or bool(lost)
         self._owner.propose(
             _records.WorkerRegistered(
                 worker.worker_id,
@@ -269,9 +285,18 @@
                 # has a newer one by now, this late answer must not
                 # replace it.
                 self.incarnation,
+                self.survival.lost_at_ms if is_crash else 0,
+                lost,
             )
         )
 
+    def has_young_attempts(self, job: int) -> bool:
+        """Return whether an attempt of another job is not known to survive."""
+        return any(
+            key[0] != job and not self.survival.has_survived(key)
+            for key in self._get_worker().tasks.values()
+        )
+
     def _has_commands(self) -> bool:
         if (
             self.tracker.list_unknown()
@@ -330,7 +355,10 @@
             return
         job = owner.shard.jobs[key[0]]
         task_id, number = self.tracker.get_name(key)
-        status = await self.client.start(
+        self.tracker.note_start(key)
+        sent_at = owner.read_clock()
+        status = await self._send_start(
+            key,
             workers.StartCommand(
                 task_id=task_id,
                 attempt=number,
@@ -344,9 +372,22 @@
                 epoch=self.epoch,
                 incarnation=self.incarnation,
                 checkpoint=attempt.checkpoint,
-            )
+            ),
         )
-        self.tracker.record_status(status, owner.read_clock())
+        now = owner.read_clock()
+        self.survival.note_answer(sent_at)
+        self.tracker.record_status(status, now)
+        if key in self.running:
+            self.survival.note_started(now)
+
+    async def _send_start(
+        self, key: _attempts.AttemptKey, command: workers.StartCommand
+    ) -> workers.TaskStatus:
+        try:
+            return await self.client.start(command)
+        except errors.RefusedError:
+            self.tracker.forget_start(key)
+            raise
 
     async def _stop(
         self,
--- a/chivespoke/scheduling/_membership.py
+++ b/chivespoke/scheduling/_membership.py
@@ -4,12 +4,16 @@
 is refused and changes nothing.
 """
 
+from chivespoke.scheduling import _crashes
 from chivespoke.scheduling import _records
 from chivespoke.scheduling import _refusal
 from chivespoke.scheduling import _state
 from chivespoke.scheduling import _task_lifecycle
 
 Refusal = _refusal.Refusal
+# An owner notices and records a crash before it has appended as many more
+# heartbeats.
+KEPT_RENEWALS = 3
 
 
 def register_worker(
@@ -32,6 +36,7 @@
             return Refusal.STALE_INCARNATION
         if record.address != known.address and known.tasks:
             return Refusal.WORKER_HAS_TASKS
+        _crashes.record_crash(shard, number, record)
         _requeue_tasks(shard, number)
     shard.workers[number] = _state.Worker(
         worker_id=record.worker_id,
@@ -102,6 +107,9 @@
     shard.epoch = record.epoch
     shard.owner = record.owner
     shard.claim_offset = offset
+    if len(shard.renewal_offsets) == KEPT_RENEWALS:
+        shard.unsettled_offset = shard.renewal_offsets[0]
+    shard.renewal_offsets = ()
     return None
 
 
@@ -118,9 +126,15 @@
 def renew_owner(
     shard: _state.Shard, record: _records.OwnerRenewed, offset: int
 ) -> Refusal | None:
-    """Accept a heartbeat of the owner; the state does not change."""
-    del offset
-    return None if record.epoch == shard.epoch else Refusal.STALE_EPOCH
+    """Accept a heartbeat of the owner; clear the tasks that survived."""
+    if record.epoch != shard.epoch:
+        return Refusal.STALE_EPOCH
+    _crashes.dismiss_survivors(shard, record.survived)
+    if not record.survived:
+        shard.renewal_offsets = (*shard.renewal_offsets, offset)[
+            -KEPT_RENEWALS:
+        ]
+    return None
 
 
 def change_worker_address(
--- a/chivespoke/scheduling/_owner.py
+++ b/chivespoke/scheduling/_owner.py
@@ -141,6 +141,9 @@
     def read_clock(self) -> float:
         return self.clock.read_monotonic()
 
+    def read_wall_clock(self) -> float:
+        return self.clock.read_wall()
+
     def get_shard_read_time(self) -> float | None:
         if not self.stream.replica.is_ready:
             return None
--- a/chivespoke/scheduling/_records.py
+++ b/chivespoke/scheduling/_records.py
@@ -36,6 +36,11 @@
     revision: str = '1'
 
 
+MS_PER_SECOND = 1000
+# Job number, task index and attempt number.
+AttemptName = tuple[int, int, int]
+
+
 class Outcome(enum.IntEnum):
     """List the ways in which an attempt can end."""
 
@@ -46,6 +51,16 @@
     NOT_STARTED = 3
 
 
+class LostAttempt(msgspec.Struct, frozen=True, array_like=True):
+    """Hold an attempt that may have been at work when its worker crashed."""
+
+    job: int
+    index: int
+    attempt: int
+    # Time at work that the worker last confirmed.
+    age_ms: int
+
+
 class WorkerRegistered(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Add a worker, or replace its incarnation and requeue its tasks.
 
@@ -63,6 +78,11 @@
     epoch: int = 0
     # The incarnation that is replaced.
     previous: identifiers.Incarnation = identifiers.Incarnation('')
+    # Wall-clock time at which the owner lost an earlier incarnation that had
+    # answered it, in milliseconds since 1970; 0 if it had not.
+    crashed_at_ms: int = 0
+    # Attempts that the earlier incarnation may have started.
+    lost: tuple[LostAttempt, ...] = ()
 
 
 class WorkerGivenUp(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -265,6 +285,8 @@
     """Show that the owner of an epoch is alive and reads the stream."""
 
     epoch: int
+    # Attempts of suspected tasks that the owner has seen survive at work.
+    survived: tuple[AttemptName, ...] = ()
 
 
 class WorkerAddressChanged(
--- a/chivespoke/scheduling/_requests.py
+++ b/chivespoke/scheduling/_requests.py
@@ -87,6 +87,9 @@
     processor_seconds: float
     memory_mib_seconds: float
     accelerator_seconds: float
+    # Crashes of workers of which tasks of the job are suspected now, or for
+    # which it was given up.
+    crashed_workers: int = 0
 
 
 class WorkerReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -123,7 +126,9 @@
     )
 
 
-def make_report(parts: list[_state.Job]) -> JobReport:
+def make_report(
+    parts: list[_state.Job], crashed_workers: int = 0
+) -> JobReport:
     """Return the report of a job from its parts in the shards."""
     first_part = parts[0]
     counts = [part.counts for part in parts]
@@ -161,6 +166,7 @@
         / MS_PER_SECOND,
         accelerator_seconds=sum(count.accelerator_ms for count in counts)
         / MS_PER_SECOND,
+        crashed_workers=crashed_workers,
     )
 
 
--- a/chivespoke/scheduling/_services.py
+++ b/chivespoke/scheduling/_services.py
@@ -86,6 +86,9 @@
         job = context.shard.jobs[job_number]
         groups = self._group_replicas(now, context, job_number, job)
         records: list[_records.Record] = []
+        if job.phase is _state.JobPhase.FAILED:
+            # It was given up; what stays may have to leave.
+            return self._retire(now, context, job_number, desired, groups)
         current = len(groups.ready) + len(groups.starting)
         to_add = desired - current - groups.pending
         if groups.outdated and to_add > 0:
@@ -201,13 +204,26 @@
         desired_ids = {
             make_service_id(name, context.shard.name) for name in desired
         }
-        return [
-            _records.JobCancelled(job_number)
+        removed = [
+            (job_number, job)
             for job_number, job in context.shard.jobs.items()
             if job.spec.kind is workers.TaskKind.LATENCY_CRITICAL
             and job.job_id not in desired_ids
-            and job.phase is _state.JobPhase.OPEN
         ]
+        records: list[_records.Record] = [
+            _records.JobCancelled(job_number)
+            for job_number, job in removed
+            if job.phase is _state.JobPhase.OPEN
+        ]
+        # Replicas of a service that was given up may have stayed.
+        records.extend(
+            _records.ReplicaRetired(job_number, index)
+            for job_number, job in removed
+            if job.phase is _state.JobPhase.FAILED
+            for index, attempt in job.running.items()
+            if not attempt.stop_requested
+        )
+        return records
 
 
 def list_desired_services(
--- a/chivespoke/scheduling/_state.py
+++ b/chivespoke/scheduling/_state.py
@@ -7,6 +7,7 @@
 from chivespoke import identifiers
 from chivespoke import resources
 from chivespoke.scheduling import _records
+from chivespoke import workloads
 
 # A job counts its failed attempts on at most this many workers, and likewise
 # its completed ones.
@@ -148,6 +149,17 @@
     content: _records.TransferContent
 
 
+class WorkerCrash(msgspec.Struct, frozen=True, array_like=True):
+    """Hold a recent crash of a worker."""
+
+    # Number of the worker in the shard.
+    worker: int
+    # Wall-clock time, in milliseconds since 1970.
+    at_ms: int
+    # Whether young attempts were lost with it.
+    has_suspects: bool
+
+
 class Shard(msgspec.Struct, array_like=True):
     """Hold the state that results from a shard's stream."""
 
@@ -181,6 +193,14 @@
     # Last sequence sent, by receiver, and received, by sender.
     sent_sequences: dict[str, int] = {}
     received_sequences: dict[str, int] = {}
+    # Crashes of workers of which a task is suspected, by job and task index.
+    suspects: dict[int, dict[int, tuple[workloads.Crash, ...]]] = {}
+    recent_crashes: list[WorkerCrash] = []
+    # Offsets of the last heartbeats of the owner.
+    renewal_offsets: tuple[int, ...] = ()
+    # The previous owner may not have recorded the crashes of attempts that it
+    # placed from this offset on.
+    unsettled_offset: int = 0
 
 
 def format_task_key(job: int, index: int) -> str:
--- a/chivespoke/scheduling/_task_lifecycle.py
+++ b/chivespoke/scheduling/_task_lifecycle.py
@@ -2,6 +2,7 @@
 
 from chivespoke import identifiers
 from chivespoke import resources
+from chivespoke.scheduling import _crashes
 from chivespoke.scheduling import _records
 from chivespoke.scheduling import _refusal
 from chivespoke.scheduling import _state
@@ -143,6 +144,8 @@
     _count_result(shard, job, attempt, record)
     release(shard, record.job, record.index)
     _apply_outcome(job, record.index, attempt, record.outcome)
+    if record.outcome is _records.Outcome.COMPLETED:
+        _crashes.dismiss(shard, record.job, record.index)
     return None
 
 
--- a/chivespoke/scheduling/tests/builders.py
+++ b/chivespoke/scheduling/tests/builders.py
@@ -21,9 +21,15 @@
 DC1 = identifiers.DataCentreName('dc1')
 
 
-def build_payload(seconds: float = 10.0, fails: bool = False) -> str:
+# Seconds after which a worker that crashed is back.
+RESTART_SECONDS = 3.4
+
+
+def build_payload(
+    seconds: float = 10.0, fails: bool = False, crashes: bool = False
+) -> str:
     """Return a payload that specifies how the stand-in runs a task."""
-    plan = standins.TaskPlan(seconds=seconds, fails=fails)
+    plan = standins.TaskPlan(seconds=seconds, fails=fails, crashes=crashes)
     return msgspec.json.encode(plan).decode()
 
 
@@ -75,10 +81,32 @@
     def __init__(self, workers_count: int, **options: typing.Any) -> None:
         super().__init__(workers_count, **options)
         self.witness = _fault_checks.Witness(self)
+        # Numbers of the workers that crashed, in order.
+        self.crashes: list[int] = []
+        self._restarts: list[tuple[float, int]] = []
 
     async def step(self, seconds: float = _cluster.STEP) -> None:
         await super().step(seconds)
         self.witness.check()
+        for number, agent in self.agents.items():
+            if agent.crashed and agent.runs:
+                self.crash(number)
+        due = [item for item in self._restarts if item[0] <= self.now()]
+        for item in due:
+            self._restarts.remove(item)
+            self.restart_worker(item[1], 1 + len(self.crashes))
+
+    def crash(self, *numbers: int) -> None:
+        """Crash workers; they are back at their addresses soon."""
+        for number in numbers:
+            agent = self.agents[number]
+            if agent.crashed and not agent.runs:
+                continue
+            agent.crashed = True
+            self.witness.note_killed(agent)
+            self.crashes.append(number)
+            restart_at = self.now() + RESTART_SECONDS
+            self._restarts.append((restart_at, number))
 
     def publish(self, document: operators.Document) -> None:
         super().publish(document)
--- /dev/null
+++ b/chivespoke/scheduling/tests/test_crashes.py
@@ -0,0 +1,334 @@
+"""Test that tasks which crash their workers are given up, and no others."""
+
+import typing
+import unittest
+
+import msgspec
+
+from chivespoke import identifiers
+from chivespoke import resources
+from chivespoke import scheduling
+from chivespoke.scheduling import _crashes
+from chivespoke.scheduling import _records
+from chivespoke.scheduling.tests import builders
+from chivespoke import workers
+from chivespoke import workloads
+
+STEP_SECONDS = 0.25
+DEADLY = builders.build_payload(crashes=True)
+# Starts of a task that has crashed three workers, and two more.
+MAX_STARTS = 5
+CRASHED_AT_MS = 1_700_000_000_000
+
+
+class Case(msgspec.Struct, frozen=True):
+    """Hold records about a worker whose two tasks are of two jobs."""
+
+    name: str
+    records: tuple[_records.Record, ...]
+    # Tasks that are suspected afterwards, with the number of crashes.
+    suspects: dict[int, dict[int, int]]
+
+
+def build_worker(number: int = 0) -> _records.WorkerRegistered:
+    """Return the registration of a worker."""
+    return _records.WorkerRegistered(
+        identifiers.WorkerId(f'worker-{number}'),
+        identifiers.Incarnation('1'),
+        builders.DC1,
+        identifiers.RackName('rack-1'),
+        resources.Resources(16_000, 61_440, 0),
+        f'memory://{number}',
+    )
+
+
+def build_crash(
+    number: int = 0,
+    life: int = 2,
+    lost: tuple[tuple[int, int, int, int], ...] = (),
+    **changes: typing.Any,
+) -> _records.WorkerRegistered:
+    """Return the record of a worker that is back after a crash.
+
+    Lost attempts are job, index, attempt and age in milliseconds.
+    """
+    record = msgspec.structs.replace(
+        build_worker(number),
+        incarnation=identifiers.Incarnation(str(life)),
+        epoch=1,
+        previous=identifiers.Incarnation(str(life - 1)),
+        crashed_at_ms=CRASHED_AT_MS + 1000 * life,
+        lost=tuple(_records.LostAttempt(*each) for each in lost),
+    )
+    return msgspec.structs.replace(record, **changes)
+
+
+def build_fold(*records: _records.Record) -> scheduling.ShardFold:
+    """Return a fold with eight workers and two jobs, both on worker 0."""
+    fold = scheduling.ShardFold('default')
+    start: list[_records.Record] = [
+        *(build_worker(number) for number in range(8)),
+        _records.OwnerClaimed(1, identifiers.Incarnation('entry-1:1')),
+        _records.ConfigurationObserved(3, (), {}),
+        builders.build_submission('job-1', 4),
+        builders.build_submission('job-2', 4),
+        _records.AttemptPlaced(0, 0, 1, 0, 3),
+        _records.AttemptPlaced(1, 0, 1, 0, 3),
+    ]
+    for record in (*start, *records):
+        refusal = fold.apply_at(record, fold.shard.offset + 1)
+        if refusal is not None:
+            raise AssertionError(refusal, record)
+    return fold
+
+
+def count_suspects(
+    fold: scheduling.ShardFold,
+) -> dict[int, dict[int, int]]:
+    """Return the number of crashes of each suspect, by job and index."""
+    return {
+        job: {index: len(crashes) for index, crashes in tasks.items()}
+        for job, tasks in fold.shard.suspects.items()
+    }
+
+
+YOUNG = (0, 0, 1, 10)
+SETTLED = (1, 0, 1, 5_000)
+AGAIN = _records.AttemptPlaced(0, 0, 2, 1, 3)
+CASES = (
+    Case('young', (build_crash(lost=(YOUNG, SETTLED)),), {0: {0: 1}}),
+    Case(
+        'both young',
+        (build_crash(lost=(YOUNG, (1, 0, 1, 0))),),
+        {0: {0: 1}, 1: {0: 1}},
+    ),
+    Case('settled', (build_crash(lost=(SETTLED,)),), {}),
+    Case('not started', (build_crash(),), {}),
+    Case('an earlier attempt', (build_crash(lost=((0, 0, 0, 10),)),), {}),
+    Case(
+        'not heard before, or said by an earlier program',
+        (build_crash(lost=(YOUNG,), crashed_at_ms=0),),
+        {},
+    ),
+    Case(
+        'given up in a cut',
+        (
+            _records.WorkerGivenUp(0, 1, 'its lease lapsed'),
+            build_crash(lost=(YOUNG,)),
+        ),
+        {},
+    ),
+    Case(
+        'data centre taken out',
+        (
+            _records.ConfigurationObserved(4, (builders.DC1,), {}),
+            build_crash(lost=(YOUNG,)),
+        ),
+        {},
+    ),
+    Case(
+        'survived the next time',
+        (
+            build_crash(lost=(YOUNG,)),
+            AGAIN,
+            _records.OwnerRenewed(1, ((0, 0, 2),)),
+        ),
+        {},
+    ),
+    Case(
+        'another attempt survived',
+        (
+            build_crash(lost=(YOUNG,)),
+            AGAIN,
+            _records.OwnerRenewed(1, ((0, 0, 1),)),
+        ),
+        {0: {0: 1}},
+    ),
+    Case(
+        'completed the next time',
+        (
+            build_crash(lost=(YOUNG,)),
+            AGAIN,
+            _records.AttemptEnded(0, 0, 2, _records.Outcome.COMPLETED),
+        ),
+        {},
+    ),
+    Case(
+        'crashed again',
+        (
+            build_crash(lost=(YOUNG,)),
+            AGAIN,
+            build_crash(1, lost=((0, 0, 2, 0),)),
+        ),
+        {0: {0: 2}},
+    ),
+    Case(
+        'outage of a rack',
+        (
+            build_crash(lost=(YOUNG,)),
+            *(build_crash(number) for number in range(1, 5)),
+        ),
+        {},
+    ),
+    Case(
+        'several deadly tasks at once',
+        (
+            _records.AttemptPlaced(0, 1, 1, 1, 3),
+            _records.AttemptPlaced(1, 1, 1, 2, 3),
+            build_crash(0, lost=(YOUNG,)),
+            build_crash(1, lost=((0, 1, 1, 0),)),
+            build_crash(2, lost=((1, 1, 1, 0),)),
+        ),
+        {0: {0: 1, 1: 1}, 1: {1: 1}},
+    ),
+)
+
+
+class EvidenceTest(unittest.TestCase):
+    """Apply records about crashes to a small shard."""
+
+    def test_a_crash_blames_young_attempts_only(self) -> None:
+        for case in CASES:
+            with self.subTest(case.name):
+                fold = build_fold(*case.records)
+                self.assertEqual(case.suspects, count_suspects(fold))
+
+    def test_a_snapshot_loses_the_crashes_of_a_task(self) -> None:
+        fold = build_fold(
+            build_crash(lost=(YOUNG, SETTLED)),
+            AGAIN,
+            _records.OwnerClaimed(2, identifiers.Incarnation('entry-2:1')),
+        )
+        copy = scheduling.ShardFold('default')
+        copy.restore_state(fold.encode_state())
+        crash = build_crash(1, lost=((0, 0, 2, 0),), epoch=2)
+        for each in (fold, copy):
+            self.assertIsNone(each.apply_at(crash, 99))
+            self.assertEqual({0: 0}, _crashes.find_hopeless(each.shard))
+        self.assertEqual(fold.encode_state(), copy.encode_state())
+        self.assertEqual(
+            (
+                workloads.Crash(
+                    'worker-0', 'worker-0', CRASHED_AT_MS + 2000, 1, True
+                ),
+                workloads.Crash(
+                    'worker-1', 'worker-1', CRASHED_AT_MS + 2000, 2, True
+                ),
+            ),
+            _crashes.find_crashes(copy.shard, 0, 0),
+        )
+
+    def test_a_service_that_is_given_up_loses_replicas_at_work(self) -> None:
+        kind = workers.TaskKind.LATENCY_CRITICAL
+        fold = build_fold(
+            builders.build_submission('service:web', 0, kind=kind),
+            _records.ReplicasAdded(2, 0, 3),
+            _records.AttemptPlaced(2, 0, 1, 5, 3),
+            _records.AttemptPlaced(2, 1, 1, 1, 3),
+            build_crash(1, lost=((2, 1, 1, 0),)),
+            _records.AttemptPlaced(2, 1, 2, 2, 3),
+            build_crash(2, lost=((2, 1, 2, 0),)),
+            _records.JobFailed(2, 'its replica 1 crashed workers'),
+        )
+        job = fold.shard.jobs[2]
+        self.assertEqual([0], list(job.running))
+        self.assertFalse(job.running[0].stop_requested)
+        self.assertEqual(2, job.counts.failed)
+        # Another revision may start.
+        revised = builders.build_spec(kind=kind, revision='2')
+        fold.apply_at(_records.JobRevised(2, revised), 99)
+        self.assertEqual('OPEN', job.phase.name)
+        self.assertEqual({}, fold.shard.suspects)
+
+
+class DeadlyTaskTest(unittest.IsolatedAsyncioTestCase):
+    """Run deadly tasks beside good jobs."""
+
+    async def _build(
+        self, *counts: int, **options: typing.Any
+    ) -> builders.CheckedCluster:
+        cluster = await builders.build_cluster(*counts, **options)
+        self.addAsyncCleanup(cluster.stop)
+        return cluster
+
+    def _check_deadly(
+        self, cluster: builders.CheckedCluster, *names: str
+    ) -> None:
+        crashed_workers = 0
+        for name in names:
+            report = cluster.get_report(name)
+            crashed_workers += report.crashed_workers
+            self.assertEqual('failed', report.state, report)
+            self.assertRegex(report.reason, f'task {name}/0 crashed')
+            self.assertLessEqual(report.attempts, MAX_STARTS)
+        self.assertGreaterEqual(crashed_workers, len(cluster.crashes))
+
+    async def test_a_deadly_task_walks_through_the_fleet(self) -> None:
+        # Seconds after the start at which the owner is cut off.
+        for cut_off_after in (None, 0.25, 1.0, 3.0, 6.0, 9.0):
+            with self.subTest(cut_off_after=cut_off_after):
+                cluster = await self._build(6, 2)
+                await builders.submit(cluster, 12, 'job-1')
+                await cluster.run(3, STEP_SECONDS)
+                await builders.submit(cluster, 1, 'deadly', payload=DEADLY)
+                if cut_off_after is not None:
+                    await cluster.run(cut_off_after, STEP_SECONDS)
+                    cluster.processes['entry-1'].gate.close()
+                await cluster.run(120, STEP_SECONDS)
+                self._check_deadly(cluster, 'deadly')
+                good = cluster.get_report('job-1')
+                self.assertEqual('completed', good.state, good)
+                self.assertEqual(12, good.completed)
+
+    async def test_jobs_started_beside_a_deadly_one_fail(self) -> None:
+        cluster = await self._build(6)
+        for name in ('job-1', 'deadly', 'job-2'):
+            payload = DEADLY if name == 'deadly' else builders.build_payload()
+            await builders.submit(cluster, 1, name, payload=payload)
+        await builders.submit(cluster, 18, 'job-3')
+        await cluster.run(90, STEP_SECONDS)
+        self._check_deadly(cluster, 'deadly')
+        for name in ('job-1', 'job-2', 'job-3'):
+            report = cluster.get_report(name)
+            self.assertEqual('completed', report.state, report)
+            self.assertEqual(0, report.crashed_workers)
+
+    async def test_two_deadly_jobs_hide_each_other(self) -> None:
+        cluster = await self._build(4)
+        stream = cluster.processes['entry-1'].api.streams['default']
+        for name in ('deadly-1', 'deadly-2'):
+            stream.propose(builders.build_submission(name, 1, payload=DEADLY))
+        await builders.submit(cluster, 6)
+        await cluster.run(120, STEP_SECONDS)
+        self._check_deadly(cluster, 'deadly-1', 'deadly-2')
+        self.assertEqual('completed', cluster.get_report().state)
+
+    async def test_a_bad_worker_fails_the_jobs_on_it(self) -> None:
+        """Crash one worker again and again, soon after it is back."""
+        for pause_seconds in (4.0, 5.0, 8.0):
+            with self.subTest(pause_seconds=pause_seconds):
+                cluster = await self._build(3)
+                for number in range(4):
+                    await builders.submit(cluster, 4, f'job-{number}')
+                for _ in range(12):
+                    cluster.crash(0)
+                    await cluster.run(pause_seconds, STEP_SECONDS)
+                await cluster.run(60, STEP_SECONDS)
+                for number in range(4):
+                    report = cluster.get_report(f'job-{number}')
+                    self.assertEqual('completed', report.state, report)
+
+    async def test_an_outage_of_a_rack_blames_the_youngest_tasks(
+        self,
+    ) -> None:
+        cluster = await self._build(9)
+        await builders.submit(cluster, 9, payload=builders.build_payload(40))
+        await cluster.run(5, STEP_SECONDS)
+        await builders.submit(cluster, 3, 'job-2')
+        cluster.crash(0, 3, 6, 1, 4, 7)
+        await cluster.run(30, STEP_SECONDS)
+        shard = cluster.processes['entry-1'].api.streams['default'].fold.shard
+        self.assertEqual({}, shard.suspects)
+        await cluster.run(90, STEP_SECONDS)
+        for name in ('job-1', 'job-2'):
+            self.assertEqual('completed', cluster.get_report(name).state)
--- a/chivespoke/standins/_worker.py
+++ b/chivespoke/standins/_worker.py
@@ -30,6 +30,8 @@
     seconds: float = 0.0
     # Whether the task fails after that work instead of completing.
     fails: bool = False
+    # Whether the worker crashes as soon as it has started the task.
+    crashes: bool = False
 
 
 class Run(msgspec.Struct, kw_only=True):
@@ -62,6 +64,7 @@
         'runs',
         'history',
         'fails_everything',
+        'crashed',
         'late_starts_refused',
         '_tombstones',
     )
@@ -77,6 +80,8 @@
         # All runs, running or ended, for checks across workers.
         self.history: list[Run] = []
         self.fails_everything = False
+        # Whether a task has crashed the worker; nobody reaches it any more.
+        self.crashed = False
         self.late_starts_refused = 0
         # Final statuses of attempts, and the clock's reading from which they
         # may be dropped; None until they are acknowledged.
@@ -237,6 +242,7 @@
         )
         self.runs[command.task_id] = run
         self.history.append(run)
+        self.crashed = self.crashed or run.plan.crashes
         return run
 
     def _advance_run(self, run: Run, now: float) -> None:
--- a/chivespoke/standins/_worker_client.py
+++ b/chivespoke/standins/_worker_client.py
@@ -47,7 +47,7 @@
         return self._deliver(self.agent.throttle(command))
 
     def _check_reachable(self) -> None:
-        if self.ended or not self.reachable:
+        if self.ended or not self.reachable or self.agent.crashed:
             raise errors.UnavailableError(
                 'reach',
                 self.agent.registration.worker_id,
