--- a/chivespoke/scheduling/_crashes.py
+++ b/chivespoke/scheduling/_crashes.py
@@ -41,7 +41,7 @@
     for run in suspects:
         crash = workloads.Crash(
             worker=str(worker.worker_id),
-            place=str(worker.worker_id),
+            place=get_place(worker),
             at_ms=record.crashed_at_ms,
             run=run.run,
             conclusive=conclusive,
@@ -52,6 +52,11 @@
     _dismiss_outage(shard, number, record.crashed_at_ms)
 
 
+def get_place(worker: _state.Worker) -> str:
+    """Return what all incarnations of a worker have in common."""
+    return str(worker.worker_id)
+
+
 def dismiss(shard: _state.Shard, job_number: int, index: int) -> None:
     """Clear a task that has survived at work, or has ended."""
     tasks = shard.suspects.get(job_number, {})
--- a/chivespoke/scheduling/_index.py
+++ b/chivespoke/scheduling/_index.py
@@ -32,6 +32,8 @@
         '_data_centres',
         '_bucket_keys',
         '_reserved',
+        '_held',
+        '_accepting',
         '_rotation',
     )
 
@@ -47,6 +49,9 @@
         self._rotation = 0
         self._bucket_keys: dict[int, BucketKey] = {}
         self._reserved: set[int] = set()
+        self._accepting: set[int] = set()
+        # Workers that find_candidates leaves out.
+        self._held: frozenset[int] = frozenset()
 
     def get_number(self, view: _policy.WorkerView) -> int:
         """Return the number of a worker in the shard."""
@@ -60,6 +65,8 @@
         self._levels.clear()
         self._data_centres = []
         self._reserved.clear()
+        self._accepting.clear()
+        self._held = frozenset()
         for worker_number in shard.workers:
             self.refresh(shard, worker_number, now)
 
@@ -80,7 +87,35 @@
         )
         self._numbers[worker.worker_id] = worker_number
         self._reserved.discard(worker_number)
-        self._update_bucket(worker_number, _accepts_tasks(shard, worker))
+        self._accepting.discard(worker_number)
+        if _accepts_tasks(shard, worker):
+            self._accepting.add(worker_number)
+        self._update_bucket(worker_number, self._is_eligible(worker_number))
+
+    def accepts_tasks(self, worker_number: int) -> bool:
+        """Return whether tasks may be placed on a worker that has room."""
+        return worker_number in self._accepting
+
+    def is_reserved(self, worker_number: int) -> bool:
+        """Return whether the present batch places tasks on a worker."""
+        return worker_number in self._reserved
+
+    def set_held(self, worker_numbers: collections.abc.Iterable[int]) -> None:
+        """Offer all workers but these as candidates."""
+        held = frozenset(worker_numbers)
+        changed = held ^ self._held
+        self._held = held
+        for worker_number in changed:
+            if worker_number in self.views:
+                self._update_bucket(
+                    worker_number, self._is_eligible(worker_number)
+                )
+
+    def _is_eligible(self, worker_number: int) -> bool:
+        return (
+            worker_number in self._accepting
+            and worker_number not in self._held
+        )
 
     def reserve(self, worker_number: int, size: resources.Resources) -> None:
         """Reserve resources on a worker until its next refresh."""
--- a/chivespoke/scheduling/_owner.py
+++ b/chivespoke/scheduling/_owner.py
@@ -82,6 +82,7 @@
         self.placer = _placer.Placer(
             stream.fold, self.index, self.policies.placement
         )
+        self.placer.isolation.is_settled = self._is_settled
         # Jobs with pending tasks that the last batch could not place.
         self._blocked_jobs: set[int] = set()
         self.lease_expiry = _lease_expiry.LeaseExpiryPlanner()
@@ -138,6 +139,15 @@
         demand = _index.make_demand(self.shard.jobs[job], 0)
         return bool(self.index.find_candidates(demand))
 
+    def _is_settled(self, worker: int, job: int) -> bool:
+        link = self.links.get(worker)
+        return (
+            link is not None
+            and link.contacted
+            and not link.failures
+            and not link.has_young_attempts(job)
+        )
+
     def read_clock(self) -> float:
         return self.clock.read_monotonic()
 
@@ -420,6 +430,8 @@
         if now - self._scanned_at >= PLAN_INTERVAL_SECONDS:
             self._scanned_at = now
             self._workers_to_check.update(self.shard.workers)
+        # A suspected task there is to be seen as soon as it has survived.
+        self._workers_to_check.update(self.placer.isolation.held)
         for number in self._workers_to_check:
             worker = self.shard.workers[number]
             link = self.links.get(number)
--- a/chivespoke/scheduling/_placer.py
+++ b/chivespoke/scheduling/_placer.py
@@ -5,9 +5,11 @@
 
 from chivespoke import identifiers
 from chivespoke import resources
+from chivespoke.scheduling import _crashes
 from chivespoke.scheduling import _drain
 from chivespoke.scheduling import _fold
 from chivespoke.scheduling import _index
+from chivespoke.scheduling import _isolation
 from chivespoke.scheduling import _policy
 from chivespoke.scheduling import _records
 from chivespoke.scheduling import _spread
@@ -32,6 +34,7 @@
         '_fold',
         '_index',
         '_quota_reserved',
+        'isolation',
         '_refill_limiter',
         '_refill_allowance',
     )
@@ -53,6 +56,7 @@
         self._quota_reserved: dict[
             identifiers.TeamName, resources.Resources
         ] = {}
+        self.isolation = _isolation.SuspectIsolation(fold, index)
         self._refill_limiter = _drain.RefillLimiter()
         self._refill_allowance: dict[identifiers.DataCentreName, int] = {}
 
@@ -79,13 +83,17 @@
         """Return at most limit placements and reserve their resources.
 
         Add the numbers of jobs that could not be placed to blocked_jobs.
+        Suspected tasks come first, as workers are held for them.
         """
-        placed: list[_records.AttemptPlaced] = []
         self._quota_reserved = {}
+        placed = self._place_suspects(version, limit)
+        hopeless = _crashes.find_hopeless(self._fold.shard)
         unplaceable: set[EquivalenceClass] = set()
         for job_number in self._sort_active_jobs():
             if len(placed) >= limit:
                 break
+            if job_number in hopeless:
+                continue
             job = self._fold.shard.jobs[job_number]
             spec = job.spec
             equivalence_class = (
@@ -97,7 +105,8 @@
             if equivalence_class not in unplaceable:
                 batch = self._place_job(job_number, job, version, remaining)
                 placed.extend(batch)
-                if len(batch) < min(remaining, count_pending(job)):
+                pending = count_pending(job) - self._count_suspects(job_number)
+                if len(batch) < min(remaining, pending):
                     unplaceable.add(equivalence_class)
             if equivalence_class in unplaceable and blocked_jobs is not None:
                 blocked_jobs.add(job_number)
@@ -124,8 +133,12 @@
         self, job_number: int, job: _state.Job, version: int, limit: int
     ) -> list[_records.AttemptPlaced]:
         batch: list[_records.AttemptPlaced] = []
+        suspects = self._fold.shard.suspects.get(job_number, {})
+        pending = (
+            index for index in list_pending(job) if index not in suspects
+        )
         spread = _spread.ReplicaSpread(self._fold.shard, job)
-        for index in itertools.islice(list_pending(job), limit):
+        for index in itertools.islice(pending, limit):
             if not self._fits_quota(job.spec):
                 break
             demand = _index.make_demand(job, index)
@@ -137,22 +150,51 @@
             view = self.policy.choose_worker(demand, candidates)
             if view is None:
                 break
-            worker = self._index.get_number(view)
-            self._index.reserve(worker, job.spec.size)
             spread.add(view)
-            self._refill_limiter.consume(view.data_centre)
-            if view.data_centre in self._refill_allowance:
-                self._refill_allowance[view.data_centre] -= 1
-            self._reserve_quota(job.spec)
-            waiting = _task_lifecycle.find_pending(job, index)
-            last_attempt = waiting.last_attempt if waiting is not None else 0
-            batch.append(
-                _records.AttemptPlaced(
-                    job_number, index, last_attempt + 1, worker, version
-                )
-            )
+            batch.append(self._place(job_number, index, view, version))
         return batch
 
+    def _place_suspects(
+        self, version: int, limit: int
+    ) -> list[_records.AttemptPlaced]:
+        """Place suspected tasks, each apart from other jobs."""
+        placed: list[_records.AttemptPlaced] = []
+        for job_number, index in self.isolation.update()[:limit]:
+            job = self._fold.shard.jobs[job_number]
+            if not self._fits_quota(job.spec):
+                continue
+            view = self.isolation.choose_worker(job_number, index)
+            if view is not None:
+                placed.append(self._place(job_number, index, view, version))
+        return placed
+
+    def _place(
+        self,
+        job_number: int,
+        index: int,
+        view: _policy.WorkerView,
+        version: int,
+    ) -> _records.AttemptPlaced:
+        """Return the placement and reserve what it needs."""
+        job = self._fold.shard.jobs[job_number]
+        worker = self._index.get_number(view)
+        self._index.reserve(worker, job.spec.size)
+        self._refill_limiter.consume(view.data_centre)
+        if view.data_centre in self._refill_allowance:
+            self._refill_allowance[view.data_centre] -= 1
+        self._reserve_quota(job.spec)
+        waiting = _task_lifecycle.find_pending(job, index)
+        last_attempt = waiting.last_attempt if waiting is not None else 0
+        return _records.AttemptPlaced(
+            job_number, index, last_attempt + 1, worker, version
+        )
+
+    def _count_suspects(self, job_number: int) -> int:
+        """Return how many pending tasks of a job are suspected."""
+        job = self._fold.shard.jobs[job_number]
+        suspects = self._fold.shard.suspects.get(job_number, {})
+        return sum(index in job.requeued for index in suspects)
+
     def _filter_by_allowance(
         self, candidates: list[_policy.WorkerView]
     ) -> list[_policy.WorkerView]:
--- a/chivespoke/scheduling/tests/builders.py
+++ b/chivespoke/scheduling/tests/builders.py
@@ -83,6 +83,8 @@
         self.witness = _fault_checks.Witness(self)
         # Numbers of the workers that crashed, in order.
         self.crashes: list[int] = []
+        # Ages in seconds of the tasks that each crash ended.
+        self.lost: list[dict[identifiers.TaskId, float]] = []
         self._restarts: list[tuple[float, int]] = []
 
     async def step(self, seconds: float = _cluster.STEP) -> None:
@@ -103,6 +105,13 @@
             if agent.crashed and not agent.runs:
                 continue
             agent.crashed = True
+            now = agent.clock.read_monotonic()
+            self.lost.append(
+                {
+                    task_id: now - run.started_at
+                    for task_id, run in agent.runs.items()
+                }
+            )
             self.witness.note_killed(agent)
             self.crashes.append(number)
             restart_at = self.now() + RESTART_SECONDS
--- a/chivespoke/scheduling/tests/test_crashes.py
+++ b/chivespoke/scheduling/tests/test_crashes.py
@@ -5,10 +5,13 @@
 
 import msgspec
 
+from chivespoke import decisions
 from chivespoke import identifiers
 from chivespoke import resources
 from chivespoke import scheduling
 from chivespoke.scheduling import _crashes
+from chivespoke.scheduling import _index
+from chivespoke.scheduling import _placer
 from chivespoke.scheduling import _records
 from chivespoke.scheduling.tests import builders
 from chivespoke import workers
@@ -332,3 +335,103 @@
         await cluster.run(90, STEP_SECONDS)
         for name in ('job-1', 'job-2'):
             self.assertEqual('completed', cluster.get_report(name).state)
+
+    async def test_a_suspect_brings_other_jobs_under_suspicion(self) -> None:
+        """Start deadly tasks among many short good ones."""
+        for seconds in (2.0, 12.0):
+            with self.subTest(seconds=seconds):
+                cluster = await self._build(6)
+                payload = builders.build_payload(seconds)
+                stream = cluster.processes['entry-1'].api.streams['default']
+                for number in range(30):
+                    name = f'job-{number}'
+                    stream.propose(
+                        builders.build_submission(name, 2, payload=payload)
+                    )
+                    if number == 5:
+                        stream.propose(
+                            builders.build_submission(
+                                'deadly', 1, payload=DEADLY
+                            )
+                        )
+                    await cluster.run(1, STEP_SECONDS)
+                await cluster.run(90, STEP_SECONDS)
+                self._check_deadly(cluster, 'deadly')
+                self.assertEqual(
+                    len(set(cluster.crashes)), len(cluster.crashes)
+                )
+                for lost in cluster.lost[1:]:
+                    young = [
+                        task_id
+                        for task_id, age in lost.items()
+                        if age < decisions.SUSPECT_AGE_SECONDS
+                    ]
+                    self.assertEqual(['deadly/0'], young)
+                for number in range(30):
+                    report = cluster.get_report(f'job-{number}')
+                    self.assertEqual('completed', report.state, report)
+
+
+class IsolationTest(unittest.TestCase):
+    """Place suspects and other tasks on a small shard."""
+
+    def _build_placer(self, fold: scheduling.ShardFold) -> _placer.Placer:
+        index = _index.WorkerIndex()
+        index.rebuild(fold.shard, 0.0)
+        return _placer.Placer(fold, index, scheduling.FirstFit())
+
+    def _place(self, placer: _placer.Placer) -> dict[tuple[int, int], int]:
+        """Return the workers of the tasks in the next batch."""
+        return {
+            (placed.job, placed.index): placed.worker
+            for placed in placer.propose_batch(3)
+        }
+
+    def test_a_suspect_starts_apart_from_other_jobs(self) -> None:
+        placer = self._build_placer(build_fold(build_crash(lost=(YOUNG,))))
+        places = self._place(placer)
+        suspect = places.pop((0, 0))
+        self.assertNotEqual(0, suspect)
+        self.assertNotIn(suspect, places.values())
+        self.assertEqual(7, len(places))
+
+    def test_a_suspect_starts_on_a_worker_with_young_attempts(self) -> None:
+        placer = self._build_placer(build_fold(build_crash(lost=(YOUNG,))))
+        placer.isolation.is_settled = lambda worker, job: worker in (0, 3)
+        self.assertEqual(3, self._place(placer)[(0, 0)])
+
+    def test_a_suspect_starves_behind_young_attempts(self) -> None:
+        """Hold a worker for it, so that the attempts there settle."""
+        placer = self._build_placer(build_fold(build_crash(lost=(YOUNG,))))
+        placer.isolation.is_settled = lambda worker, job: False
+        places = self._place(placer)
+        self.assertNotIn((0, 0), places)
+        (held,) = placer.isolation.held
+        self.assertNotIn(held, places.values())
+        placer.isolation.is_settled = lambda worker, job: worker == held
+        self.assertEqual(held, self._place(placer)[(0, 0)])
+
+    def test_suspects_hold_the_whole_fleet(self) -> None:
+        lost = []
+        records: list[_records.Record] = []
+        for number in range(2, 6):
+            name = f'job-{number + 1}'
+            records.append(builders.build_submission(name, 1))
+            records.append(_records.AttemptPlaced(number, 0, 1, 6, 3))
+            lost.append((number, 0, 1, 0))
+        fold = build_fold(*records, build_crash(6, lost=tuple(lost)))
+        placer = self._build_placer(fold)
+        suspects = {(number, 0) for number in range(2, 6)}
+        places = self._place(placer)
+        # A quarter of eight workers.
+        self.assertEqual(2, len(suspects & set(places)))
+        self.assertEqual(2, len(tuple(placer.isolation.held)))
+
+    def test_a_hopeless_task_starts_once_more(self) -> None:
+        fold = build_fold(
+            build_crash(lost=(YOUNG,)),
+            AGAIN,
+            build_crash(1, lost=((0, 0, 2, 0),)),
+        )
+        places = self._place(self._build_placer(fold))
+        self.assertEqual({1}, {job for job, _ in places})
