Show operators which tasks are suspected of crashes of workers

Neither the explanation of a task or job nor the status named the workers that a job had cost. They do now: the crashes of a task with workers and times, the number for a job, and suspected jobs among the troubles.

Test: test_operators_cannot_see_which_task_crashes_workers.

--- a/chivespoke/scheduling/_explanation.py
+++ b/chivespoke/scheduling/_explanation.py
@@ -3,9 +3,11 @@
 import collections
 import collections.abc
 
+from chivespoke import decisions
 from chivespoke import identifiers
 from chivespoke import operators
 from chivespoke.scheduling import _api
+from chivespoke.scheduling import _crashes
 from chivespoke.scheduling import _requests
 from chivespoke.scheduling import _state
 
@@ -86,6 +88,9 @@
             f'workers {state}': str(count)
             for state, count in sorted(states.items())
         }
+        crashed_workers = sum(job.crashed_workers for job in jobs)
+        if crashed_workers:
+            lines['workers crashed'] = str(crashed_workers)
         lines['tasks running'] = str(sum(job.running for job in jobs))
         lines['tasks waiting'] = str(sum(job.waiting for job in jobs))
         return operators.Section(
@@ -93,6 +98,12 @@
             lines=lines,
             troubles=tuple(
                 f'job {job.id} cannot run: {job.reason}' for job in blocked
+            )
+            + tuple(
+                f'job {job.id} is suspected of {job.crashed_workers} crashes '
+                'of workers'
+                for job in jobs
+                if job.crashed_workers and (job.waiting or job.running)
             ),
         )
 
@@ -160,16 +171,30 @@
             'evictions': str(report.evictions),
             'failed': str(report.failed),
             'cancelled': str(report.cancelled),
+            'workers crashed': str(report.crashed_workers),
             'lost seconds': f'{report.lost_seconds:.1f}',
         },
     )
 
 
+def _describe_crashes(
+    shard: _state.Shard, job_number: int, index: int, name: str
+) -> tuple[str, ...]:
+    crashes = _crashes.find_crashes(shard, job_number, index)
+    if not crashes:
+        return ()
+    description = decisions.describe_crashes(name, crashes)
+    if shard.jobs[job_number].phase is _state.JobPhase.FAILED:
+        return (description,)
+    return (f'suspected, as {description}',)
+
+
 def _describe_task(
     shard: _state.Shard, job_number: int, index: int, name: str
 ) -> operators.Explanation | None:
     job = shard.jobs[job_number]
     attempt = job.running.get(index)
+    suspicions = _describe_crashes(shard, job_number, index, name)
     if attempt is not None:
         worker = shard.workers[attempt.worker]
         return operators.Explanation(
@@ -182,6 +207,7 @@
             why=(
                 f'placed at offset {attempt.fencing_token} '
                 f'of shard {shard.name}',
+                *suspicions,
             ),
             since_version=identifiers.Version(shard.version),
             would_change=(
@@ -193,13 +219,29 @@
     waiting = job.requeued.get(index)
     is_fresh = any(first <= index < stop for first, stop in job.fresh)
     if waiting is None and not is_fresh:
-        return None
+        if not suspicions:
+            return None
+        return operators.Explanation(
+            kind='task',
+            name=name,
+            what='failed',
+            why=suspicions,
+            since_version=identifiers.Version(shard.version),
+        )
     last_attempt = 0 if waiting is None else waiting.last_attempt
     return operators.Explanation(
         kind='task',
         name=name,
         what=f'waits for attempt {last_attempt + 1}',
-        why=(job.infeasible_reason or 'no worker has room for it yet',),
+        why=(
+            job.infeasible_reason
+            or (
+                'no worker is free of young tasks for it yet'
+                if suspicions
+                else 'no worker has room for it yet'
+            ),
+            *suspicions,
+        ),
         since_version=identifiers.Version(shard.version),
         would_change=('enough free resources on a worker that it may use',),
         details={'last attempt': str(last_attempt)},
--- a/chivespoke/scheduling/tests/test_crashes.py
+++ b/chivespoke/scheduling/tests/test_crashes.py
@@ -296,6 +296,36 @@
             self.assertEqual('completed', report.state, report)
             self.assertEqual(0, report.crashed_workers)
 
+    async def test_operators_cannot_see_which_task_crashes_workers(
+        self,
+    ) -> None:
+        cluster = await self._build(4)
+        await builders.submit(cluster, 1, 'deadly', payload=DEADLY)
+        api = cluster.processes['entry-1'].api
+        explainer = scheduling.SchedulingExplainer(api)
+        status = scheduling.SchedulingStatus(api)
+        described: list[str] = []
+        for _ in range(120):
+            await cluster.run(STEP_SECONDS, STEP_SECONDS)
+            explanation = explainer.explain('task', 'deadly/0')
+            if explanation is not None:
+                described.extend(explanation.why)
+            if len(cluster.crashes) == 1:
+                described.extend(status.make_section().troubles)
+        job = explainer.explain('job', 'deadly')
+        assert job is not None
+        self.assertEqual('2', job.details['workers crashed'])
+        self.assertRegex(job.why[0], 'task deadly/0 crashed 2 workers: worker')
+        self.assertEqual('2', status.make_section().lines['workers crashed'])
+        for expected in (
+            'suspected, as task deadly/0 crashed 1 workers: worker',
+            'job deadly is suspected of 1 crashes of workers',
+            'task deadly/0 crashed 2 workers: worker',
+        ):
+            self.assertTrue(
+                any(text.startswith(expected) for text in described), expected
+            )
+
     async def test_two_deadly_jobs_hide_each_other(self) -> None:
         cluster = await self._build(4)
         stream = cluster.processes['entry-1'].api.streams['default']
