Clear suspects whose job is cancelled or whose task ended

A suspected task that failed for good, or whose job was cancelled, stayed under suspicion until the next crash in the shard, and was reported as such.

Failed first: test_a_crash_blames_young_attempts_only, cases "failed for good the next time" and "cancelled".

--- a/chivespoke/scheduling/_jobs.py
+++ b/chivespoke/scheduling/_jobs.py
@@ -76,6 +76,7 @@
 def cancel_job(shard: _state.Shard, job: _state.Job) -> None:
     """Cancel a job here and in the shards that received its tasks."""
     job.counts.cancelled += _close(job, _state.JobPhase.CANCELLED)
+    shard.suspects.pop(shard.job_numbers[job.job_id], None)
     cancellation = _records.JobCancellation(job.job_id)
     for receiver in job.handed_to:
         queue_transfer(shard, receiver, cancellation)
--- a/chivespoke/scheduling/_task_lifecycle.py
+++ b/chivespoke/scheduling/_task_lifecycle.py
@@ -144,7 +144,8 @@
     _count_result(shard, job, attempt, record)
     release(shard, record.job, record.index)
     _apply_outcome(job, record.index, attempt, record.outcome)
-    if record.outcome is _records.Outcome.COMPLETED:
+    is_closed = job.phase is _state.JobPhase.FAILED
+    if record.index not in job.requeued and not is_closed:
         _crashes.dismiss(shard, record.job, record.index)
     return None
 
--- a/chivespoke/scheduling/tests/test_crashes.py
+++ b/chivespoke/scheduling/tests/test_crashes.py
@@ -31,6 +31,8 @@
     records: tuple[_records.Record, ...]
     # Tasks that are suspected afterwards, with the number of crashes.
     suspects: dict[int, dict[int, int]]
+    # Records of further jobs, which come first.
+    before: tuple[_records.Record, ...] = ()
 
 
 def build_worker(number: int = 0) -> _records.WorkerRegistered:
@@ -156,6 +158,24 @@
         ),
         {},
     ),
+    Case(
+        'failed for good the next time',
+        (
+            build_crash(lost=((2, 0, 1, 10),)),
+            _records.AttemptPlaced(2, 0, 2, 1, 3),
+            _records.AttemptEnded(2, 0, 2, _records.Outcome.FAILED),
+        ),
+        {},
+        (
+            builders.build_submission('job-3', 1, retries=0),
+            _records.AttemptPlaced(2, 0, 1, 0, 3),
+        ),
+    ),
+    Case(
+        'cancelled',
+        (build_crash(lost=(YOUNG,)), _records.JobCancelled(0)),
+        {},
+    ),
     Case(
         'crashed again',
         (
@@ -193,7 +213,7 @@
     def test_a_crash_blames_young_attempts_only(self) -> None:
         for case in CASES:
             with self.subTest(case.name):
-                fold = build_fold(*case.records)
+                fold = build_fold(*case.before, *case.records)
                 self.assertEqual(case.suspects, count_suspects(fold))
 
     def test_a_snapshot_loses_the_crashes_of_a_task(self) -> None:
