Blame no attempt for a crash that came before its start

A task that was placed after another incarnation had answered, or on a worker whose crash nobody had noticed yet, counted as started there, as its start was sent and got no answer.

No start is sent once another incarnation has answered, and before a suspect starts, its worker has answered within the age of a suspect. A lost worker is not settled.

Failed first: test_an_attempt_placed_after_a_crash_is_blamed_for_it, test_a_suspect_is_blamed_for_an_earlier_crash.

--- a/chivespoke/scheduling/_link.py
+++ b/chivespoke/scheduling/_link.py
@@ -6,6 +6,7 @@
 from chivespoke import logs
 from chivespoke.scheduling import _attempts
 from chivespoke.scheduling import _context
+from chivespoke.scheduling import _crashes
 from chivespoke.scheduling import _permits
 from chivespoke.scheduling import _records
 from chivespoke.scheduling import _state
@@ -115,6 +116,20 @@
         return (
             now - self.renewed_at >= _permits.RENEW_INTERVAL_SECONDS
             or now >= self.survival.confirm_at
+            or self._must_answer_first(now)
+        )
+
+    def _must_answer_first(self, now: float) -> bool:
+        """Return whether a suspect might be blamed for an earlier crash."""
+        shard = self._owner.shard
+        return (
+            bool(shard.suspects)
+            and not self.survival.is_recent(now)
+            and any(
+                key not in self.running
+                and _crashes.find_crashes(shard, key[0], key[1])
+                for key in self._get_worker().tasks.values()
+            )
         )
 
     async def exchange(self, renew: bool = False) -> None:
@@ -351,6 +366,8 @@
             or self.giving_up
             or owner.epoch != self.epoch
             or not owner.may_start_in(worker.data_centre)
+            # Another incarnation has answered.
+            or self.survival.is_lost
         ):
             return
         job = owner.shard.jobs[key[0]]
--- a/chivespoke/scheduling/_owner.py
+++ b/chivespoke/scheduling/_owner.py
@@ -144,7 +144,7 @@
         return (
             link is not None
             and link.contacted
-            and not link.failures
+            and not link.survival.is_lost
             and not link.has_young_attempts(job)
         )
 
--- a/chivespoke/scheduling/_survival.py
+++ b/chivespoke/scheduling/_survival.py
@@ -51,6 +51,15 @@
                 self._owner.read_wall_clock() * _records.MS_PER_SECOND
             )
 
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the worker has not answered since its loss."""
+        return bool(self.lost_at_ms)
+
+    def is_recent(self, now: float) -> bool:
+        """Return whether the worker answered a moment ago."""
+        return now - self._heard_at < decisions.SUSPECT_AGE_SECONDS
+
     def note_started(self, now: float) -> None:
         """Expect an attempt that has just started to survive."""
         self.confirm_at = min(
--- a/chivespoke/scheduling/tests/test_crashes.py
+++ b/chivespoke/scheduling/tests/test_crashes.py
@@ -5,15 +5,20 @@
 
 import msgspec
 
+from chivespoke import clock as clocks
 from chivespoke import decisions
 from chivespoke import identifiers
 from chivespoke import resources
 from chivespoke import scheduling
+from chivespoke.scheduling import _context
 from chivespoke.scheduling import _crashes
 from chivespoke.scheduling import _index
+from chivespoke.scheduling import _link
 from chivespoke.scheduling import _placer
 from chivespoke.scheduling import _records
+from chivespoke.scheduling import _state
 from chivespoke.scheduling.tests import builders
+from chivespoke import standins
 from chivespoke import workers
 from chivespoke import workloads
 
@@ -485,3 +490,122 @@
         )
         places = self._place(self._build_placer(fold))
         self.assertEqual({1}, {job for job, _ in places})
+
+
+class LinkOwner(_context.LinkContext):
+    """Own one link to worker 0 of a fold, on a clock moved by hand."""
+
+    def __init__(self, fold: scheduling.ShardFold) -> None:
+        self.fold = fold
+        self.clock = clocks.ManualClock()
+        self.proposed: list[_records.Record] = []
+        self.client = standins.MemoryWorkerClient(self.make_agent(1))
+        self.link = _link.WorkerLink(
+            self, 0, fold.shard.workers[0], self.client
+        )
+
+    def make_agent(self, life: int) -> standins.WorkerAgent:
+        """Return an incarnation of worker 0."""
+        registration = workers.Registration(
+            worker_id=identifiers.WorkerId('worker-0'),
+            incarnation=identifiers.Incarnation(str(life)),
+            data_centre=builders.DC1,
+            rack=identifiers.RackName('rack-1'),
+            capacity=resources.Resources(16_000, 61_440, 0),
+        )
+        return standins.WorkerAgent(registration, self.clock)
+
+    async def exchange(self, seconds: float = 5.0) -> None:
+        """Let time pass, then renew the lease and send commands."""
+        self.clock.advance(seconds)
+        await self.link.exchange(renew=True)
+
+    def place(self, job: int, index: int, attempt: int) -> None:
+        """Place an attempt on the worker."""
+        record = _records.AttemptPlaced(job, index, attempt, 0, 3)
+        refusal = self.fold.apply_at(record, self.shard.offset + 1)
+        if refusal is not None:
+            raise AssertionError(refusal)
+
+    def find_young(self) -> list[tuple[int, int]]:
+        """Return the tasks that the last registration calls young."""
+        registered = self.proposed[-1]
+        assert isinstance(registered, _records.WorkerRegistered)
+        return [
+            (lost.job, lost.index)
+            for lost in registered.lost
+            if lost.age_ms < 1000 * decisions.SUSPECT_AGE_SECONDS
+        ]
+
+    @property
+    def shard(self) -> _state.Shard:
+        return self.fold.shard
+
+    @property
+    def epoch(self) -> int:
+        return 1
+
+    def read_clock(self) -> float:
+        return self.clock.read_monotonic()
+
+    def read_wall_clock(self) -> float:
+        return self.clock.read_wall()
+
+    def get_shard_read_time(self) -> float | None:
+        return self.read_clock()
+
+    def get_start_read_time(self) -> float | None:
+        return self.read_clock()
+
+    def may_start_in(self, name: identifiers.DataCentreName) -> bool:
+        return True
+
+    def connect(self, address: str) -> workers.WorkerClient:
+        return self.client
+
+    def propose(self, record: _records.Record) -> None:
+        self.proposed.append(record)
+
+    def handle_usage_report(
+        self, number: int, report: workers.UsageReport
+    ) -> None:
+        return None
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    """Exchange messages with a worker that crashes."""
+
+    async def test_an_attempt_placed_after_a_crash_is_blamed_for_it(
+        self,
+    ) -> None:
+        owner = LinkOwner(build_fold())
+        await owner.exchange()
+        await owner.exchange()
+        owner.client.agent = owner.make_agent(2)
+        await owner.exchange()
+        self.assertEqual([], owner.find_young())
+        owner.place(0, 1, 1)
+        # The start may seem to have reached the earlier incarnation.
+        owner.link.renewed_at = owner.read_clock()
+        owner.client.reachable = False
+        await owner.link.exchange()
+        owner.client.reachable = True
+        await owner.exchange()
+        self.assertEqual([], owner.find_young())
+
+    async def test_a_suspect_is_blamed_for_an_earlier_crash(self) -> None:
+        """Place a suspect on a worker whose crash nobody has noticed."""
+        fold = build_fold(
+            _records.AttemptPlaced(0, 1, 1, 1, 3),
+            build_crash(1, lost=((0, 1, 1, 0),)),
+        )
+        owner = LinkOwner(fold)
+        await owner.exchange()
+        await owner.exchange()
+        owner.client.agent.crashed = True
+        owner.place(0, 1, 2)
+        owner.clock.advance(4.0)
+        await owner.link.exchange()
+        owner.client.agent = owner.make_agent(2)
+        await owner.exchange()
+        self.assertEqual([], owner.find_young())
