--- a/chivespoke/bench/_fault_actions.py
+++ b/chivespoke/bench/_fault_actions.py
@@ -35,6 +35,7 @@
     CHANGE_QUOTA = 'quota changed'
     REPEAT_SUBMIT = 'job submitted again'
     JUMP = 'time passed'
+    SUBMIT_DEADLY = 'job submitted that crashes its workers'
 
 
 WEIGHTS = {
@@ -64,6 +65,7 @@
     ActionKind.CHANGE_QUOTA: 2,
     ActionKind.REPEAT_SUBMIT: 3,
     ActionKind.JUMP: 20,
+    ActionKind.SUBMIT_DEADLY: 3,
 }
 # The share of steps in which only time passes.
 QUIET_SHARE = 0.8
--- a/chivespoke/bench/_fault_world.py
+++ b/chivespoke/bench/_fault_world.py
@@ -31,6 +31,12 @@
 FINISH_LIMIT = 9000.0
 FINISH_STEP = 0.5
 MILLISECONDS = 1000
+# Seconds after which a worker that a task crashed is back.
+CRASH_SECONDS = 3.4
+# Time until the owner of a worker notices a crash: between two renewals.
+MAX_NOTICE_MS = 25_000
+# Starts of a task that crashes its workers.
+MAX_DEADLY_STARTS = 5
 
 
 class FaultWorld:
@@ -46,6 +52,14 @@
         )
         self._random = source
         self._lives: collections.Counter[str] = collections.Counter()
+        # Jobs whose tasks crash their workers.
+        self._deadly: set[identifiers.JobId] = set()
+        # Workers that each of them has crashed.
+        self.crashes: collections.Counter[str] = collections.Counter()
+        # Workers that crashed by themselves, and when.
+        self.own_crashes: list[tuple[str, int]] = []
+        # When workers that were crashed are back, by number.
+        self._back_at: dict[int, float] = {}
         self._endings: list[
             tuple[float, collections.abc.Callable[[], None]]
         ] = []
@@ -90,6 +104,7 @@
             restore()
         await self.cluster.step(self._random.uniform(*STEP_SECONDS))
         self.witness.check()
+        self._handle_crashes()
         self._check_quota()
 
     def _check_quota(self) -> None:
@@ -111,6 +126,8 @@
         match action.kind:
             case Kind.SUBMIT:
                 self._submit(action)
+            case Kind.SUBMIT_DEADLY:
+                self._submit_deadly(action)
             case Kind.REPEAT_SUBMIT:
                 self._submit_again(action)
             case Kind.CANCEL_WAVE:
@@ -175,6 +192,21 @@
         self.submitted[job_id] = (spec, tasks)
         self._propose_job(job_id, action.choice)
 
+    def _submit_deadly(self, action: _fault_actions.Action) -> None:
+        job_id = identifiers.JobId(f'job-{len(self.submitted)}')
+        spec = _records.JobSpec(
+            kind=workers.TaskKind.BATCH,
+            family='deadly',
+            team=TEAM,
+            size=resources.Resources(1000, 2048, 0),
+            payload=msgspec.json.encode(
+                standins.TaskPlan(crashes=True)
+            ).decode(),
+        )
+        self.submitted[job_id] = (spec, 1)
+        self._deadly.add(job_id)
+        self._propose_job(job_id, action.choice)
+
     def _submit_again(self, action: _fault_actions.Action) -> None:
         if self.submitted:
             names = list(self.submitted)
@@ -323,6 +355,9 @@
                     action.duration,
                 )
             case Kind.RESTART_WORKER:
+                self.own_crashes.append(
+                    (str(agent.registration.worker_id), self._read_wall_ms())
+                )
                 self._restart_worker(number)
             case Kind.REPLACE_WORKER:
                 self._replace_worker(number, action.duration)
@@ -352,6 +387,26 @@
         self._lives[key] += 1
         self.cluster.restart_worker(number, 1 + self._lives[key])
 
+    def _handle_crashes(self) -> None:
+        """End what ran on crashed workers, and start these again later."""
+        now = self.cluster.now()
+        for number, agent in self.cluster.agents.items():
+            if agent.crashed and number not in self._back_at:
+                self._back_at[number] = now + CRASH_SECONDS
+        for agent in self.cluster.list_agents():
+            if agent.crashed and agent.runs:
+                self.crashes.update(
+                    run.command.task_id.rpartition('/')[0]
+                    for run in agent.runs.values()
+                    if run.plan.crashes
+                )
+                self.witness.note_killed(agent)
+        due = [number for number, at in self._back_at.items() if at <= now]
+        for number in due:
+            del self._back_at[number]
+            if self.cluster.agents[number].crashed:
+                self._restart_worker(number)
+
     def _replace_worker(self, number: int, seconds: float) -> None:
         """Register another incarnation; the earlier one dies only later."""
         old = self.cluster.agents[number]
@@ -402,9 +457,54 @@
         while self.cluster.now() < deadline and not self._is_finished():
             await self.cluster.step(FINISH_STEP)
             self.witness.check()
+            self._handle_crashes()
         self.audit.check_counts()
+        self._check_blame()
         await self.audit.replay()
 
+    def _check_blame(self) -> None:
+        """Check that deadly jobs were given up soon, and no others."""
+        api = self.cluster.processes[PROCESSES[0]].api
+        for job_id in self.submitted:
+            report = api.report_job(job_id)
+            if report is None:
+                continue
+            is_deadly = job_id in self._deadly
+            kind = 'deadly jobs given up soon, no others'
+            self.witness.checks[kind] += 1
+            errors.check_invariant(
+                self.crashes[job_id] <= MAX_DEADLY_STARTS
+                if is_deadly
+                else 'crashed' not in report.reason
+                or self._has_own_crash(job_id),
+                kind,
+                job_id,
+                str(report),
+            )
+
+    def _has_own_crash(self, job_id: identifiers.JobId) -> bool:
+        """Return whether a worker crashed by itself as the job started.
+
+        Nothing distinguishes that from a crash that the job caused.
+        """
+        crashes = [
+            crash
+            for fold in self.list_parts(job_id)
+            for blamed in fold.shard.suspects.get(
+                fold.shard.job_numbers[job_id], {}
+            ).values()
+            for crash in blamed
+        ]
+        return any(
+            crash.worker == worker
+            and 0 <= crash.at_ms - at_ms <= MAX_NOTICE_MS
+            for crash in crashes
+            for worker, at_ms in self.own_crashes
+        )
+
+    def _read_wall_ms(self) -> int:
+        return int(self.cluster.clock.read_wall() * MILLISECONDS)
+
     def list_parts(
         self, job_id: identifiers.JobId
     ) -> list[scheduling.ShardFold]:
