--- a/chivespoke/scheduling/_link.py
+++ b/chivespoke/scheduling/_link.py
@@ -6,9 +6,11 @@
 from chivespoke import logs
 from chivespoke.scheduling import _attempts
 from chivespoke.scheduling import _context
+from chivespoke.scheduling import _crashes
 from chivespoke.scheduling import _permits
 from chivespoke.scheduling import _records
 from chivespoke.scheduling import _state
+from chivespoke.scheduling import _survival
 from chivespoke import workers
 
 LOGGER = logs.make_logger('scheduling')
@@ -37,6 +39,7 @@
         'clock_reading',
         'max_lease_until',
         'renewed_at',
+        'survival',
         'tried_at',
         'failures',
         'contacted',
@@ -70,6 +73,7 @@
         self.contacted = False
         self.busy = False
         self.tracker = _attempts.AttemptTracker(owner, number)
+        self.survival = _survival.SurvivalMonitor(owner, self.tracker)
         self.pending_throttles: dict[_attempts.AttemptKey, bool] = {}
         self.pending_checkpoints: set[_attempts.AttemptKey] = set()
         # Whether a WorkerGivenUp record may be in flight. Until its outcome is
@@ -106,9 +110,27 @@
             return False
         if self.failures or not self.contacted:
             return now - self.tried_at >= PROBE_INTERVAL_SECONDS
-        if now - self.renewed_at >= _permits.RENEW_INTERVAL_SECONDS:
-            return True
-        return self._has_commands()
+        return self._is_renewal_due(now) or self._has_commands()
+
+    def _is_renewal_due(self, now: float) -> bool:
+        return (
+            now - self.renewed_at >= _permits.RENEW_INTERVAL_SECONDS
+            or now >= self.survival.confirm_at
+            or self._must_answer_first(now)
+        )
+
+    def _must_answer_first(self, now: float) -> bool:
+        """Return whether a suspect might be blamed for an earlier crash."""
+        shard = self._owner.shard
+        return (
+            bool(shard.suspects)
+            and not self.survival.is_recent(now)
+            and any(
+                key not in self.running
+                and _crashes.find_crashes(shard, key[0], key[1])
+                for key in self._get_worker().tasks.values()
+            )
+        )
 
     async def exchange(self, renew: bool = False) -> None:
         """Renew the lease if due, then send the commands that are due.
@@ -134,7 +156,7 @@
                 renew
                 or self.failures
                 or not self.contacted
-                or now - self.renewed_at >= _permits.RENEW_INTERVAL_SECONDS
+                or self._is_renewal_due(now)
             ):
                 await self._renew()
             await self._send_commands()
@@ -144,6 +166,7 @@
             LOGGER.info('A worker refused a request.', error=error)
         except errors.UnavailableError as error:
             self.failures += 1
+            self.survival.note_loss()
             LOGGER.debug('A worker did not answer.', error=error)
 
     async def _look_elsewhere(self) -> None:
@@ -194,6 +217,7 @@
         epoch = self.epoch
         address = self.address
         self.max_lease_until = max(self.max_lease_until, lease_until)
+        sent_at = owner.read_clock()
         heartbeat = await self.client.renew(
             workers.LeaseRenewal(
                 worker_id=self._get_worker().worker_id,
@@ -219,7 +243,9 @@
         self.clock_reading = clocks.ClockReading(heartbeat.clock, now)
         self.contacted = True
         self.renewed_at = now
+        self.survival.note_answer(sent_at)
         self.tracker.record_statuses(heartbeat, now)
+        self.survival.check_attempts(now, epoch)
         if heartbeat.report is not None:
             owner.handle_usage_report(self.number, heartbeat.report)
 
@@ -256,6 +282,11 @@
         self, heartbeat: workers.Heartbeat, epoch: int, address: str
     ) -> None:
         worker = self._get_worker()
+        self.survival.note_loss()
+        lost = self.survival.list_lost(
+            list(worker.tasks.values()), self.contacted
+        )
+        is_crash = self.contacted or bool(lost)
         self._owner.propose(
             _records.WorkerRegistered(
                 worker.worker_id,
@@ -269,9 +300,18 @@
                 # has a newer one by now, this late answer must not
                 # replace it.
                 self.incarnation,
+                self.survival.lost_at_ms if is_crash else 0,
+                lost,
             )
         )
 
+    def has_young_attempts(self, job: int) -> bool:
+        """Return whether an attempt of another job is not known to survive."""
+        return any(
+            key[0] != job and not self.survival.has_survived(key)
+            for key in self._get_worker().tasks.values()
+        )
+
     def _has_commands(self) -> bool:
         if (
             self.tracker.list_unknown()
@@ -326,11 +366,16 @@
             or self.giving_up
             or owner.epoch != self.epoch
             or not owner.may_start_in(worker.data_centre)
+            # Another incarnation has answered.
+            or self.survival.is_lost
         ):
             return
         job = owner.shard.jobs[key[0]]
         task_id, number = self.tracker.get_name(key)
-        status = await self.client.start(
+        self.tracker.note_start(key)
+        sent_at = owner.read_clock()
+        status = await self._send_start(
+            key,
             workers.StartCommand(
                 task_id=task_id,
                 attempt=number,
@@ -344,9 +389,22 @@
                 epoch=self.epoch,
                 incarnation=self.incarnation,
                 checkpoint=attempt.checkpoint,
-            )
+            ),
         )
-        self.tracker.record_status(status, owner.read_clock())
+        now = owner.read_clock()
+        self.survival.note_answer(sent_at)
+        self.tracker.record_status(status, now)
+        if key in self.running:
+            self.survival.note_started(now)
+
+    async def _send_start(
+        self, key: _attempts.AttemptKey, command: workers.StartCommand
+    ) -> workers.TaskStatus:
+        try:
+            return await self.client.start(command)
+        except errors.RefusedError:
+            self.tracker.forget_start(key)
+            raise
 
     async def _stop(
         self,
