Stop a start in progress that no record of the task explains

Cause: a leader that is lost after it has recorded a task as done, and before its stop of the later run arrives, leaves a start in progress that the record does not name. The next leader orders the stop of what a worker lists, but a start whose call has had no answer is not listed, so that up to two more calls are made and the run begins after the end of its task was acknowledged.

Change: the starts in progress that a sidecar reports are treated like listed runs that are not assigned to the worker: they are stopped, and hold capacity.

Test: test_start_of_a_completed_task_goes_on_under_the_next_leader failed before (no stop).

--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -78,6 +78,7 @@
                 )
             self._state.release_lapsed_runs(worker, report.covered, now)
         self._reconcile_runs(worker, report.running)
+        add_unrecorded_starts(worker, report.unanswered)
         self._observe_runs(worker, is_new_poll)
         if report.answering and is_new_poll:
             worker.answered_at = now
@@ -370,6 +371,19 @@
         self._state.release_run(worker, run)
 
 
+def add_unrecorded_starts(
+    worker: _fleet.Worker, unanswered: tuple[_messages.UnansweredStart, ...]
+) -> None:
+    """Add the starts in progress that are not assigned to the worker.
+
+    An earlier leader may have ordered them and withdrawn them since.
+    """
+    for start in unanswered:
+        run = worker.runs.get(start.task)
+        if start.in_progress and (run is None or run.number != start.run):
+            worker.unrecorded_runs.setdefault(start.task, start.run)
+
+
 def void_ends_before_lapse(
     ended: tuple[platform.EndedRun, ...],
 ) -> tuple[platform.EndedRun, ...]:
--- a/chivespoke/coordination/tests/test_late_orders.py
+++ b/chivespoke/coordination/tests/test_late_orders.py
@@ -121,6 +121,30 @@
         self.leader.now += self.timeouts.late_call_seconds
         self.assertEqual([FIRST_TASK], self.list_starts_elsewhere())
 
+    def test_start_of_a_completed_task_goes_on_under_the_next_leader(
+        self,
+    ) -> None:
+        # An earlier run completed the task while the start of the later one
+        # got no answer, and the leader was lost before it could order a stop.
+        lapsed = builders.make_report(answering=False, lapsed=True)
+        self.leader.report(lapsed)
+        self.assertEqual([FIRST_TASK], self.list_starts_elsewhere())
+        done = builders.make_end(1, FIRST_TASK)
+        self.leader.report(builders.make_report(ended=(done,)))
+        self.leader.plan()
+        self.leader = builders.Leader(self.leader.ledger, builders.EPOCH + 1)
+        start = coordination.UnansweredStart(FIRST_TASK, 2, 500, True)
+        self.leader.report(builders.make_report('side-2', unanswered=(start,)))
+        self.assertEqual(
+            (coordination.StopOrder(FIRST_TASK, 2),),
+            self.leader.make_directive('side-2').stops,
+        )
+
+    def test_start_in_progress_of_an_assigned_run_is_stopped(self) -> None:
+        start = coordination.UnansweredStart(FIRST_TASK, 1, 500, True)
+        self.leader.report(builders.make_report(unanswered=(start,)))
+        self.assertEqual((), self.leader.make_directive().stops)
+
     def test_incarnation_that_answers_polls_ends_the_wait(self) -> None:
         # The fencing token of its first poll bars all earlier calls.
         self.answer_repeated_call()
