Stop all members of a gang that an earlier run has completed

Cause: the end of an earlier run that is heard late completes all members of a gang, but only the later run of the same member was stopped. Members that wait on their workers for it ended alone after the gang timeout, while no order for them was due.

Test: test_gang_completed_by_an_earlier_run_waits_for_a_stopped_member failed before (one stop of two).

--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -177,9 +177,15 @@
             return
         if task.status is workloads.TaskStatus.DONE:
             return
-        worker = task.worker
+        is_gang = state.job.steps[name.step].gang
+        later_runs = [
+            (other, assigned.worker)
+            for other, assigned in state.list_assigned()
+            if other == name or (is_gang and other.is_same_step(name))
+        ]
         state.complete_task(name, wall_ms)
-        self._state.stop_run(worker, end.task)
+        for other, worker in later_runs:
+            self._state.stop_run(worker, other.format())
 
     def _apply_end(
         self,
--- a/chivespoke/coordination/tests/test_runs.py
+++ b/chivespoke/coordination/tests/test_runs.py
@@ -301,6 +301,24 @@
             [engine_case.SECOND_TASK], [stop.task for stop in directive.stops]
         )
 
+    def test_gang_completed_by_an_earlier_run_waits_for_a_stopped_member(
+        self,
+    ) -> None:
+        self.start_job(workloads.Step(count=2, cpu_millis=1000, gang=True))
+        self.leader.report(builders.make_report('side-2'))
+        self.leader.report(builders.make_report(answering=False, lapsed=True))
+        self.leader.plan()
+        tasks = [engine_case.FIRST_TASK, engine_case.SECOND_TASK]
+        self.assertEqual(tasks, self.list_starts('side-2'))
+        # The first member waits on its worker for the start of the second.
+        running = (builders.make_running(engine_case.FIRST_TASK, 2),)
+        self.leader.report(builders.make_report('side-2', running=running))
+        done = builders.make_end(1, engine_case.SECOND_TASK)
+        self.leader.report(builders.make_report(ended=(done,)))
+        self.leader.plan()
+        stops = self.leader.make_directive('side-2').stops
+        self.assertEqual(tasks, sorted(stop.task for stop in stops))
+
     def test_occurrence_starts_when_it_is_due(self) -> None:
         job = builders.make_job(
             engine_case.ONE_TASK_STEP,
