Reckon the age of a run from the last call to start it

Cause: the age of a run counted from the first call of its order. If that was lost and the call 1 s later started the run, a task that crashed the worker at once was no suspect, and the crash was not counted.

Test: test_run_is_as_old_as_its_first_order failed before. After: agents.tests.test_crashes, 10 passed.

--- a/chivespoke/agents/_run_ages.py
+++ b/chivespoke/agents/_run_ages.py
@@ -25,8 +25,10 @@
         self._listed: frozenset[tuple[str, int]] = frozenset()
 
     def record_order(self, task: str, run: int, now: float) -> None:
-        """Record that an order to start a run is sent."""
-        self._started_at.setdefault((task, run), now)
+        """Record that an order to start a run is sent, or sent again."""
+        if (task, run) not in self._listed:
+            # The earlier calls may have been lost.
+            self._started_at[task, run] = now
 
     def record_refusal(self, task: str, run: int) -> None:
         """Record that a run has not started."""
--- a/chivespoke/agents/tests/test_crashes.py
+++ b/chivespoke/agents/tests/test_crashes.py
@@ -53,6 +53,22 @@
         self.ages.record_order(TASK, 1, NOW + 5.0)
         self.assertEqual([TASK], self.list_suspects())
 
+    def test_run_is_as_old_as_its_first_order(self) -> None:
+        # The first call was lost; the repeated one started the run.
+        self.ages.record_order(TASK, 1, NOW)
+        repeated_at = NOW + decisions.SUSPECT_AGE_SECONDS
+        self.ages.record_order(TASK, 1, repeated_at)
+        self.ages.record_sign(repeated_at + 0.1)
+        self.assertEqual([TASK], self.list_suspects())
+
+    def test_run_that_is_listed_is_as_young_as_its_last_order(self) -> None:
+        self.ages.record_order(TASK, 1, NOW)
+        repeated_at = NOW + decisions.SUSPECT_AGE_SECONDS
+        self.ages.record_status(make_status(TASK), NOW + 0.1)
+        self.ages.record_order(TASK, 1, repeated_at)
+        self.ages.record_status(make_status(TASK), repeated_at + 0.1)
+        self.assertEqual([], self.list_suspects())
+
     def test_runs_that_are_over_are_suspects(self) -> None:
         cases = (
             ('ended', make_status(ended=(TASK,))),
