Make no further start call to a worker that has begun to drain

Cause: whether a worker takes starts was asked before the first call of an order only. The repetitions, up to 2 s later, went to a worker that had begun to drain, had deregistered, or might have started again in between; the same class as the calls that went on after a stop.

Test: test_start_calls_go_on_to_a_worker_that_drains failed before (3 calls instead of 1). After: agents.tests.test_session, 31 passed.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -553,10 +553,11 @@
             return None, True
         may_have_started = order.repeated
         refusal = platform.Refusal.UNHEALTHY
-        if not self._accepts_starts():
-            return refusal, may_have_started
         for _ in range(START_ATTEMPTS):
-            if (order.task, order.run) in self._withdrawn:
+            if (
+                not self._accepts_starts()
+                or (order.task, order.run) in self._withdrawn
+            ):
                 break
             if self._leases.is_past(
                 lease_until_ms, self._clock.read_monotonic()
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -579,6 +579,19 @@
             await self.wait_for_outcome()
         self.assertEqual({TASK}, self.runner.running)
 
+    async def test_start_calls_go_on_to_a_worker_that_drains(self) -> None:
+        self.runner.faults.late_starts = START_ATTEMPTS
+        self.runner.faults.late_seconds = HOUR_MS / 1000
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        while self.runner.faults.late_starts == START_ATTEMPTS:
+            await asyncio.sleep(0.01)
+        self.session.registration = msgspec.structs.replace(
+            self.session.registration, draining=True
+        )
+        outcome = await self.wait_for_outcome()
+        self.assertIs(platform.Refusal.UNHEALTHY, outcome.refusal)
+        self.assertEqual(START_ATTEMPTS - 1, self.runner.faults.late_starts)
+
     async def test_start_calls_go_on_after_a_stop(self) -> None:
         # Another run has completed the task, and its end is acknowledged.
         self.runner.faults.late_starts = START_ATTEMPTS
