--- a/chivespoke/coordination/tests/test_crashes.py
+++ b/chivespoke/coordination/tests/test_crashes.py
@@ -238,6 +238,60 @@
         self.assertEqual(1, len(self.list_crashes()))
 
 
+class OutageTest(unittest.TestCase):
+    """Crash all workers of a data centre at once, each with one task."""
+
+    def setUp(self) -> None:
+        self.sidecars = [f'side-{number}' for number in range(4)]
+        self.leader = builders.Leader()
+        for sidecar in self.sidecars:
+            self.leader.report(builders.make_report(sidecar))
+
+    def submit(self, gang: bool) -> None:
+        step = workloads.Step(
+            count=len(self.sidecars), cpu_millis=8000, gang=gang
+        )
+        self.leader.submit(builders.make_job(step))
+
+    def lose_workers(self, born_ms: int, is_leader_lost: bool) -> None:
+        """Start the tasks, lose all workers, and report their crashes."""
+        self.leader.plan()
+        starts = {
+            sidecar: self.leader.make_directive(sidecar).starts
+            for sidecar in self.sidecars
+        }
+        self.leader.now += 0.1
+        if is_leader_lost:
+            self.leader = builders.Leader(
+                self.leader.ledger, builders.EPOCH + born_ms
+            )
+        else:
+            for sidecar in self.sidecars:
+                self.leader.report(
+                    builders.make_report(sidecar, born_ms, answering=False)
+                )
+        self.leader.now += 3.0
+        for sidecar in self.sidecars:
+            suspects = [(start.task, start.run) for start in starts[sidecar]]
+            crash = builders.make_crash(sidecar, *suspects, born_ms=born_ms)
+            self.leader.report(
+                builders.make_report(sidecar, born_ms + 1, crashes=(crash,))
+            )
+        self.leader.plan()
+
+    def test_deadly_gang_is_taken_for_an_outage(self) -> None:
+        self.submit(gang=True)
+        for born_ms in range(1, MAX_STARTS + 1):
+            self.lose_workers(born_ms, is_leader_lost=False)
+        self.assertIs(workloads.JobPhase.FAILED, self.leader.find_phase())
+
+    def test_outages_that_take_the_leader_along_fail_a_job(self) -> None:
+        self.submit(gang=False)
+        for born_ms in (1, 2):
+            self.lose_workers(born_ms, is_leader_lost=True)
+        self.assertIs(workloads.JobPhase.RUNNING, self.leader.find_phase())
+
+
 class ProgressRecordTest(unittest.TestCase):
     """Read the records of entries of another version."""
 
@@ -256,6 +310,24 @@
         self.assertEqual((), progress.tasks[0][0][0].crashes)
         self.assertEqual('', progress.reason)
 
+    def test_crashes_exceed_the_size_of_a_task_record(self) -> None:
+        # Larger jobs are refused, as their progress could not be stored.
+        worker = 'side-zone-1-rack-1/i-0123456789@1700000000000'
+        crash = workloads.Crash(
+            worker, 'side-zone-1-rack-1', int(builders.WALL * 1000), 1, True
+        )
+        task = workloads.TaskProgress(
+            workloads.TaskStatus.ASSIGNED,
+            run=decisions.MAX_CRASHES,
+            worker=worker,
+            checkpoint='0' * 16,
+            crashes=(crash,) * (decisions.MAX_CRASHES - 1),
+        )
+        self.assertLessEqual(
+            len(coordination.ENCODER.encode(task)),
+            coordination.MAX_TASK_RECORD_BYTES,
+        )
+
 
 if __name__ == '__main__':
     unittest.main()
