Show that the next leader blames a task that was cleared

test_next_leader_blames_a_task_that_was_cleared fails, without a fix here: a sidecar reports a crash for 15 s, a suspect is cleared after 1 s at work, and the next leader does not know that it was.

--- a/chivespoke/coordination/tests/test_crashes.py
+++ b/chivespoke/coordination/tests/test_crashes.py
@@ -220,6 +220,26 @@
             [(), ()], [self.list_crashes(index) for index in range(2)]
         )
 
+    def test_next_leader_blames_a_task_that_was_cleared(self) -> None:
+        # The sidecar reports a crash for longer than a task is suspected.
+        self.report_crash((FIRST_TASK, 1))
+        self.leader.plan()
+        starts = self.leader.make_directive().starts
+        running = tuple(
+            builders.make_running(start.task, start.run) for start in starts
+        )
+        for clock_ms in (2000, 3000):
+            self.leader.report(
+                builders.make_report(
+                    born_ms=2, running=running, clock_ms=clock_ms
+                )
+            )
+            self.leader.now += decisions.SUSPECT_AGE_SECONDS
+        self.assertEqual((), self.list_crashes())
+        self.leader = builders.Leader(self.leader.ledger, builders.EPOCH + 1)
+        self.report_crash((FIRST_TASK, 1))
+        self.assertEqual((), self.list_crashes())
+
     def test_task_that_stands_still_is_cleared(self) -> None:
         self.report_crash((FIRST_TASK, 1), (SECOND_TASK, 1))
         self.leader.plan()
