--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -78,6 +78,7 @@
                 )
             self._state.release_lapsed_runs(worker, report.covered, now)
         self._reconcile_runs(worker, report.running)
+        add_unrecorded_starts(worker, report.unanswered)
         self._observe_runs(worker, is_new_poll)
         if report.answering and is_new_poll:
             worker.answered_at = now
@@ -176,9 +177,15 @@
             return
         if task.status is workloads.TaskStatus.DONE:
             return
-        worker = task.worker
+        is_gang = state.job.steps[name.step].gang
+        later_runs = [
+            (other, assigned.worker)
+            for other, assigned in state.list_assigned()
+            if other == name or (is_gang and other.is_same_step(name))
+        ]
         state.complete_task(name, wall_ms)
-        self._state.stop_run(worker, end.task, 'another run is done')
+        for other, worker in later_runs:
+            self._state.stop_run(worker, other.format(), 'another run is done')
 
     def _apply_end(
         self,
@@ -370,6 +377,19 @@
         self._state.release_run(worker, run)
 
 
+def add_unrecorded_starts(
+    worker: _fleet.Worker, unanswered: tuple[_messages.UnansweredStart, ...]
+) -> None:
+    """Add the starts in progress that are not assigned to the worker.
+
+    An earlier leader may have ordered them and withdrawn them since.
+    """
+    for start in unanswered:
+        run = worker.runs.get(start.task)
+        if start.in_progress and (run is None or run.number != start.run):
+            worker.unrecorded_runs.setdefault(start.task, start.run)
+
+
 def void_ends_before_lapse(
     ended: tuple[platform.EndedRun, ...],
 ) -> tuple[platform.EndedRun, ...]:
