Do not blame a task again for a crash that it was cleared of

Cause: a sidecar reports a crash for 15 s. A task that has survived for a second since is cleared, and its record then did not tell the next leader that the crash had been counted, so that it was blamed for it once more.

--- a/chivespoke/coordination/_crashes.py
+++ b/chivespoke/coordination/_crashes.py
@@ -164,7 +164,9 @@
             return
         if task.status is workloads.TaskStatus.DONE or run.run > task.run:
             return
-        if any(known.run == crash.run for known in task.crashes):
+        if run.run <= task.cleared_run or any(
+            known.run == crash.run for known in task.crashes
+        ):
             # An earlier leader has counted it.
             return
         state.record_crash(name, crash)
--- a/chivespoke/coordination/_jobs.py
+++ b/chivespoke/coordination/_jobs.py
@@ -226,9 +226,11 @@
         task.crashes = (*task.crashes, crash)
         self.dirty = True
 
-    def clear_crashes(self, name: workloads.TaskName) -> None:
-        """Forget the crashes of which a task was suspected."""
-        self._require(name).crashes = ()
+    def clear_crashes(self, name: workloads.TaskName, run: int) -> None:
+        """Forget the crashes of which a task was suspected before a run."""
+        task = self._require(name)
+        task.crashes = ()
+        task.cleared_run = run
         self.dirty = True
 
     def fail(self, reason: str, now_ms: int) -> None:
@@ -245,6 +247,10 @@
         self.progress.finished_ms = now_ms
         self.dirty = True
 
+    def count_suspects(self) -> int:
+        """Return the number of tasks suspected of crashing workers."""
+        return sum(1 for _ in self.list_suspects())
+
     def _list_tasks(
         self,
         condition: collections.abc.Callable[[workloads.TaskProgress], bool],
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -303,7 +303,7 @@
             run=run.number,
             crashes=len(task.crashes),
         )
-        self._state.suspects.clear(state, run.name)
+        self._state.suspects.clear(state, run)
 
     def _stop_stalled_run(
         self, worker: _fleet.Worker, run: _fleet.Run
--- a/chivespoke/coordination/_suspects.py
+++ b/chivespoke/coordination/_suspects.py
@@ -32,10 +32,10 @@
         for name, _ in state.list_suspects():
             self.add(name)
 
-    def clear(self, state: _jobs.JobState, name: workloads.TaskName) -> None:
-        """Drop the suspicion against a task that has not crashed a worker."""
-        self._names.pop(name.format(), None)
-        state.clear_crashes(name)
+    def clear(self, state: _jobs.JobState, run: _fleet.Run) -> None:
+        """Drop the suspicion against a task whose run has survived."""
+        self._names.pop(run.task_id, None)
+        state.clear_crashes(run.name, run.number)
 
     def find_held_workers(
         self,
--- a/chivespoke/workloads/_model.py
+++ b/chivespoke/workloads/_model.py
@@ -173,6 +173,8 @@
     # Crashes of workers of which the task is suspected; an entry of an earlier
     # version stores none.
     crashes: tuple[Crash, ...] = ()
+    # Number of the latest run that cleared the task of suspicion.
+    cleared_run: int = 0
 
 
 class JobProgress(msgspec.Struct, array_like=True):
