Bound the size of the progress of a job with many suspects

Cause: the largest job that is accepted was computed from 100 bytes for each task; a suspect takes up to 100 more for each crash on record, so that the progress of a large job whose workers crash might not fit a record of the store, and its append would be refused for ever.

At most 64 tasks of a job are recorded as suspects at a time, and their crashes count when the largest job is computed (2,365 tasks instead of 2,621 with the store's 256 KiB). The test of the review compared the record of one suspect with the 100 bytes of a task, a bound that now holds for tasks without crashes only; in its place the record of the largest job with the most suspects must fit the store's limit, and a large job may not get more suspects than that.

--- a/chivespoke/coordination/__init__.py
+++ b/chivespoke/coordination/__init__.py
@@ -25,6 +25,7 @@
 from chivespoke.coordination._messages import WorkerIncarnation
 from chivespoke.coordination._placer import DesiredState
 from chivespoke.coordination._records import CANCEL_PREFIX
+from chivespoke.coordination._records import compute_max_job_tasks
 from chivespoke.coordination._records import encode_cancel
 from chivespoke.coordination._records import encode_entry_address
 from chivespoke.coordination._records import encode_entry_departure
@@ -33,6 +34,7 @@
 from chivespoke.coordination._records import JOB_PREFIX
 from chivespoke.coordination._records import JobEntry
 from chivespoke.coordination._records import Ledger
+from chivespoke.coordination._records import MAX_JOB_SUSPECTS
 from chivespoke.coordination._records import MAX_TASK_RECORD_BYTES
 from chivespoke.coordination._records import SYSTEM_TOPIC
 
@@ -49,6 +51,7 @@
     'JOB_PREFIX',
     'Ledger',
     'LeaderTimeouts',
+    'MAX_JOB_SUSPECTS',
     'MAX_SUSPECTS',
     'MAX_TASK_RECORD_BYTES',
     'MAX_UNANSWERED_ORDER_BYTES',
@@ -65,6 +68,7 @@
     'UnansweredStart',
     'WorkerIncarnation',
     'announce_address',
+    'compute_max_job_tasks',
     'encode_cancel',
     'encode_entry_address',
     'encode_entry_departure',
--- a/chivespoke/coordination/_crashes.py
+++ b/chivespoke/coordination/_crashes.py
@@ -7,6 +7,7 @@
 from chivespoke.coordination import _fences
 from chivespoke.coordination import _fleet
 from chivespoke.coordination import _messages
+from chivespoke.coordination import _records
 from chivespoke import decisions
 from chivespoke import logs
 from chivespoke import workloads
@@ -169,6 +170,11 @@
         ):
             # An earlier leader has counted it.
             return
+        if (
+            not task.crashes
+            and state.count_suspects() >= _records.MAX_JOB_SUSPECTS
+        ):
+            return
         state.record_crash(name, crash)
         self._state.suspects.add(name)
         if not decisions.is_hopeless(task.crashes):
--- a/chivespoke/coordination/_records.py
+++ b/chivespoke/coordination/_records.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from chivespoke.coordination import _followers
+from chivespoke import decisions
 from chivespoke import logs
 from chivespoke import platform
 from chivespoke import workloads
@@ -22,6 +23,11 @@
 # Maximum size of the record of one task: the names of its worker and of its
 # checkpoint, and small numbers.
 MAX_TASK_RECORD_BYTES = 100
+# Maximum size of the record of one crash that a task is suspected of: the
+# names of the worker and its place, and small numbers.
+MAX_CRASH_RECORD_BYTES = 100
+# Number of suspects of one job that are recorded at a time.
+MAX_JOB_SUSPECTS = 64
 
 JOB_DECODER = msgspec.msgpack.Decoder(workloads.Job)
 PROGRESS_DECODER = msgspec.msgpack.Decoder(workloads.JobProgress)
@@ -40,6 +46,14 @@
 ADDRESS_DECODER = msgspec.msgpack.Decoder(AddressRecord)
 
 
+def compute_max_job_tasks(max_record_bytes: int) -> int:
+    """Return the size of the largest job whose progress fits a record."""
+    suspects_bytes = (
+        MAX_JOB_SUSPECTS * decisions.MAX_CRASHES * MAX_CRASH_RECORD_BYTES
+    )
+    return (max_record_bytes - suspects_bytes) // MAX_TASK_RECORD_BYTES
+
+
 def encode_job(job: workloads.Job) -> bytes:
     """Return the record of an accepted job."""
     return platform.encode_record(
--- a/chivespoke/coordination/tests/test_crashes.py
+++ b/chivespoke/coordination/tests/test_crashes.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from chivespoke import coordination
 from chivespoke.coordination.tests import builders
 from chivespoke.coordination.tests import engine_case
@@ -18,6 +20,8 @@
 WORKERS = 6
 # A deadly task may be started twice after three workers have crashed.
 MAX_STARTS = 5
+# The limit of the store on a record.
+MAX_RECORD_BYTES = 262_144
 LASTING_STEP = workloads.Step(count=2, cpu_millis=1000, long_running=True)
 GANG_STEP = workloads.Step(
     count=3, cpu_millis=1000, estimated_ms=1000, gang=True
@@ -330,7 +334,7 @@
         self.assertEqual((), progress.tasks[0][0][0].crashes)
         self.assertEqual('', progress.reason)
 
-    def test_crashes_exceed_the_size_of_a_task_record(self) -> None:
+    def test_crashes_exceed_the_size_of_a_record(self) -> None:
         # Larger jobs are refused, as their progress could not be stored.
         worker = 'side-zone-1-rack-1/i-0123456789@1700000000000'
         crash = workloads.Crash(
@@ -341,11 +345,31 @@
             run=decisions.MAX_CRASHES,
             worker=worker,
             checkpoint='0' * 16,
-            crashes=(crash,) * (decisions.MAX_CRASHES - 1),
         )
+        suspect = msgspec.structs.replace(
+            task, crashes=(crash,) * decisions.MAX_CRASHES
+        )
+        tasks = coordination.compute_max_job_tasks(MAX_RECORD_BYTES)
+        suspects = coordination.MAX_JOB_SUSPECTS
+        progress = workloads.JobProgress(
+            tasks=[[[suspect] * suspects + [task] * (tasks - suspects)]]
+        )
+        self.assertLessEqual(
+            len(coordination.ENCODER.encode(progress)), MAX_RECORD_BYTES
+        )
+
+    def test_all_tasks_of_a_large_job_are_recorded_as_suspects(self) -> None:
+        world = fleet.Fleet(WORKERS, frozenset())
+        world.run(1)
+        step = workloads.Step(count=100, cpu_millis=10, estimated_ms=2000)
+        world.leader.submit(builders.make_job(step))
+        world.run(2)
+        for sidecar in world.running:
+            world.crash(sidecar)
+        world.run(fleet.STEPS_DOWN + 1)
+        state = world.leader.engine.state.jobs[builders.JOB]
         self.assertLessEqual(
-            len(coordination.ENCODER.encode(task)),
-            coordination.MAX_TASK_RECORD_BYTES,
+            state.count_suspects(), coordination.MAX_JOB_SUSPECTS
         )
 
 
--- a/chivespoke/serving/_assembly.py
+++ b/chivespoke/serving/_assembly.py
@@ -60,7 +60,7 @@
         relay,
         time,
         instruments,
-        machine.store_max_record_bytes // coordination.MAX_TASK_RECORD_BYTES,
+        coordination.compute_max_job_tasks(machine.store_max_record_bytes),
     )
     readiness = intake.Readiness(coordinator, job_routes, time)
     return application.Application(
