Do not take a job that crashes many workers at once for an outage

Cause: when half of the workers of a rack or data centre go down together, nobody is blamed. The members of a gang start at the same time; if each crashes its worker, that looks like an outage each time, and the gang starts for ever.

--- a/chivespoke/coordination/_crashes.py
+++ b/chivespoke/coordination/_crashes.py
@@ -8,6 +8,7 @@
 from chivespoke.coordination import _fleet
 from chivespoke.coordination import _messages
 from chivespoke.coordination import _records
+from chivespoke.coordination import _suspects
 from chivespoke import decisions
 from chivespoke import logs
 from chivespoke import workloads
@@ -23,6 +24,8 @@
 
     at: float
     sidecar: str
+    # Jobs that had just started tasks there.
+    young_jobs: frozenset[str]
 
 
 class CrashHandler:
@@ -42,7 +45,12 @@
 
     def record_silence(self, worker: _fleet.Worker, now: float) -> None:
         """Record that a worker has ceased to answer."""
-        self._silences.append(_Silence(now, worker.sidecar))
+        young_jobs = frozenset(
+            run.name.job
+            for run in worker.runs.values()
+            if _suspects.is_young(run, worker.answered_at)
+        )
+        self._silences.append(_Silence(now, worker.sidecar, young_jobs))
 
     def handle(
         self, report: _messages.Report, now: float, wall_ms: int
@@ -87,7 +95,9 @@
     ) -> None:
         self._handled.append(crash.worker)
         suspects = self._find_suspects(crash)
-        is_outage = self._is_outage(sidecar, now - crash.silent_ms / 1000)
+        crashed_at = now - crash.silent_ms / 1000
+        jobs = frozenset(run.job for run in suspects)
+        is_outage = self._is_outage(sidecar, crashed_at, jobs)
         is_conclusive = is_complete and decisions.is_conclusive(suspects)
         LOGGER.warning(
             'A worker crashed.',
@@ -124,11 +134,18 @@
             if name is not None
         )
 
-    def _is_outage(self, sidecar: str, crashed_at: float) -> bool:
+    def _is_outage(
+        self, sidecar: str, crashed_at: float, jobs: frozenset[str]
+    ) -> bool:
+        """Return whether many workers near a crashed one went down with it.
+
+        A job that has started tasks on all of them may have crashed them.
+        """
         silent = {
             silence.sidecar
             for silence in self._silences
             if abs(silence.at - crashed_at) < decisions.OUTAGE_SECONDS
+            and not jobs & silence.young_jobs
         }
         worker = self._state.find_worker_of(sidecar)
         if worker is None:
