Count no crash as proof that the leader has not seen

Cause: a leader that takes over during an outage has seen no worker fall silent, so that each crash in it that a sidecar reported counted as conclusive, and two outages could fail a good job.

--- a/chivespoke/coordination/_crashes.py
+++ b/chivespoke/coordination/_crashes.py
@@ -96,9 +96,15 @@
         self._handled.append(crash.worker)
         suspects = self._find_suspects(crash)
         crashed_at = now - crash.silent_ms / 1000
+        # A leader that has not seen it does not know what else was lost.
+        is_witnessed = self._is_witnessed(sidecar, crashed_at)
         jobs = frozenset(run.job for run in suspects)
         is_outage = self._is_outage(sidecar, crashed_at, jobs)
-        is_conclusive = is_complete and decisions.is_conclusive(suspects)
+        is_conclusive = (
+            is_complete and is_witnessed and decisions.is_conclusive(suspects)
+        )
+        if not is_witnessed:
+            self._silences.append(_Silence(crashed_at, sidecar, jobs))
         LOGGER.warning(
             'A worker crashed.',
             worker=crash.worker,
@@ -134,6 +140,13 @@
             if name is not None
         )
 
+    def _is_witnessed(self, sidecar: str, crashed_at: float) -> bool:
+        return any(
+            silence.sidecar == sidecar
+            and silence.at > crashed_at - decisions.OUTAGE_SECONDS
+            for silence in self._silences
+        )
+
     def _is_outage(
         self, sidecar: str, crashed_at: float, jobs: frozenset[str]
     ) -> bool:
