--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -185,7 +185,7 @@
         ]
         state.complete_task(name, wall_ms)
         for other, worker in later_runs:
-            self._state.stop_run(worker, other.format())
+            self._state.stop_run(worker, other.format(), 'another run is done')
 
     def _apply_end(
         self,
