Take no run as proof that may not have begun

Cause: an order sent after its worker had died, but before a call showed it, got no answer, and its run counted as 0 ms old. If it was the only one, the crash was conclusive, and two of them failed a good job.

A sidecar reports whether a suspect is known to have begun: its start was answered, or it was listed. A crash is conclusive only if one such run is among the suspects. test_run_that_never_began_is_proof and test_order_without_an_answer_is_proof cover both halves; neither could be written before, as the message had no field for it.

--- a/chivespoke/agents/_run_ages.py
+++ b/chivespoke/agents/_run_ages.py
@@ -13,7 +13,7 @@
     Times are monotonic, in seconds.
     """
 
-    __slots__ = ('last_sign_at', '_started_at', '_listed')
+    __slots__ = ('last_sign_at', '_started_at', '_begun', '_listed')
 
     def __init__(self) -> None:
         # When the worker last answered a call; None before the first answer.
@@ -21,6 +21,8 @@
         # By task and run. The time of the order if this process has sent it,
         # otherwise that of the first listing.
         self._started_at: dict[tuple[str, int], float] = {}
+        # Runs whose start was answered, or that were listed.
+        self._begun: set[tuple[str, int]] = set()
         # Runs of the last listing.
         self._listed: frozenset[tuple[str, int]] = frozenset()
 
@@ -32,7 +34,12 @@
 
     def record_refusal(self, task: str, run: int) -> None:
         """Record that a run has not started."""
-        self._started_at.pop((task, run), None)
+        self._forget((task, run))
+
+    def record_start(self, task: str, run: int, now: float) -> None:
+        """Record that the worker has answered that a run has started."""
+        self._begun.add((task, run))
+        self.record_sign(now)
 
     def record_sign(self, now: float) -> None:
         """Record that the worker has answered a call."""
@@ -45,9 +52,10 @@
         gone = self._listed - listed
         gone |= {(end.task, end.run) for end in status.ended}
         for key in gone:
-            self._started_at.pop(key, None)
+            self._forget(key)
         for key in listed:
             self._started_at.setdefault(key, now)
+        self._begun |= listed
         self._listed = listed
 
     def list_suspects(self) -> tuple[coordination.SuspectRun, ...]:
@@ -58,6 +66,10 @@
         """Return the number of runs that a crash of the worker loses."""
         return len(self._started_at)
 
+    def _forget(self, key: tuple[str, int]) -> None:
+        self._started_at.pop(key, None)
+        self._begun.discard(key)
+
     def _iterate_suspects(
         self,
     ) -> collections.abc.Iterator[coordination.SuspectRun]:
@@ -70,4 +82,6 @@
         for (task, run), started_at in youngest_first:
             age = max(0.0, last_sign_at - started_at)
             if age < decisions.SUSPECT_AGE_SECONDS:
-                yield coordination.SuspectRun(task, run, int(age * 1000))
+                yield coordination.SuspectRun(
+                    task, run, int(age * 1000), (task, run) in self._begun
+                )
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -626,7 +626,9 @@
                 order.checkpoint,
                 order.ticket,
             )
-        self._run_ages.record_sign(self._clock.read_monotonic())
+        self._run_ages.record_start(
+            order.task, order.run, self._clock.read_monotonic()
+        )
 
     async def _stop(self, order: coordination.StopOrder) -> None:
         await self._ensure_stopped(order.task, order.run)
--- a/chivespoke/agents/tests/test_crashes.py
+++ b/chivespoke/agents/tests/test_crashes.py
@@ -53,6 +53,20 @@
         self.ages.record_order(TASK, 1, NOW + 5.0)
         self.assertEqual([TASK], self.list_suspects())
 
+    def test_order_without_an_answer_is_proof(self) -> None:
+        # The worker may have crashed before it arrived.
+        self.ages.record_order(TASK, 1, NOW)
+        self.assertFalse(self.ages.list_suspects()[0].begun)
+
+    def test_run_that_has_begun_is_no_proof(self) -> None:
+        self.ages.record_order(TASK, 1, NOW)
+        self.ages.record_start(TASK, 1, NOW)
+        self.ages.record_order(OTHER_TASK, 1, NOW)
+        self.ages.record_status(make_status(TASK, OTHER_TASK), NOW)
+        for suspect in self.ages.list_suspects():
+            with self.subTest(suspect.task):
+                self.assertTrue(suspect.begun)
+
     def test_run_is_as_old_as_its_first_order(self) -> None:
         # The first call was lost; the repeated one started the run.
         self.ages.record_order(TASK, 1, NOW)
--- a/chivespoke/coordination/_crashes.py
+++ b/chivespoke/coordination/_crashes.py
@@ -135,7 +135,9 @@
     ) -> tuple[decisions.LostRun, ...]:
         names = [workloads.parse_task_name(run.task) for run in crash.suspects]
         return decisions.find_suspects(
-            decisions.LostRun(name.job, run.task, run.run, run.age_ms / 1000)
+            decisions.LostRun(
+                name.job, run.task, run.run, run.age_ms / 1000, run.begun
+            )
             for name, run in zip(names, crash.suspects, strict=True)
             if name is not None
         )
--- a/chivespoke/coordination/_messages.py
+++ b/chivespoke/coordination/_messages.py
@@ -49,6 +49,8 @@
     run: int
     # Time between the order to start and the last answer of the worker.
     age_ms: int
+    # The worker has answered the order, or listed the run.
+    begun: bool = True
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
--- a/chivespoke/decisions/_crashes.py
+++ b/chivespoke/decisions/_crashes.py
@@ -39,6 +39,8 @@
     run: int
     # Time between the start of the run and the last sign of the worker.
     age_seconds: float
+    # The run is known to have begun; its order may have come too late.
+    begun: bool = True
 
 
 def find_suspects(
@@ -51,8 +53,11 @@
 
 
 def is_conclusive(suspects: collections.abc.Iterable[LostRun]) -> bool:
-    """Return whether the suspects of a crash belong to a single job."""
-    return len({run.job for run in suspects}) == 1
+    """Return whether only one job can be to blame for a crash."""
+    runs = tuple(suspects)
+    return len({run.job for run in runs}) == 1 and any(
+        run.begun for run in runs
+    )
 
 
 def may_wait_for_proof(idle_seconds: float) -> bool:
--- a/chivespoke/decisions/tests/test_crashes.py
+++ b/chivespoke/decisions/tests/test_crashes.py
@@ -23,6 +23,12 @@
         old = decisions.LostRun(OTHER_JOB, 'b.0.0.0', 1, 5.0)
         self.assertEqual((young,), decisions.find_suspects([old, young]))
 
+    def test_run_that_never_began_is_proof(self) -> None:
+        late = decisions.LostRun(JOB, 'a.0.0.0', 1, 0.0, begun=False)
+        begun = decisions.LostRun(JOB, 'a.0.0.1', 1, 0.0)
+        self.assertFalse(decisions.is_conclusive([late]))
+        self.assertTrue(decisions.is_conclusive([late, begun]))
+
     def test_crash_is_conclusive_without_suspects_of_other_jobs(self) -> None:
         cases = (
             ((JOB,), True),
