Count crashes in an outage, but not as proof

Cause: nobody was blamed for the crash of a worker beside which half of the others of its rack or data centre went down within a second. Workers that deadly tasks of several jobs crash come back in step, so that these start again at the same time, which looks like an outage again, without end.

Such a crash is recorded as inconclusive: the tasks start apart, which breaks the step, and four crashes end their jobs in any case. test_deadly_jobs_that_crash_workers_at_once_start_for_ever failed before. The test of an outage asserted that nobody is blamed, which is the fault; it now asserts that an outage proves nothing, and those of the review stay.

--- a/chivespoke/coordination/_crashes.py
+++ b/chivespoke/coordination/_crashes.py
@@ -101,7 +101,10 @@
         jobs = frozenset(run.job for run in suspects)
         is_outage = self._is_outage(sidecar, crashed_at, jobs)
         is_conclusive = (
-            is_complete and is_witnessed and decisions.is_conclusive(suspects)
+            is_complete
+            and is_witnessed
+            and not is_outage
+            and decisions.is_conclusive(suspects)
         )
         if not is_witnessed:
             self._silences.append(_Silence(crashed_at, sidecar, jobs))
@@ -115,8 +118,6 @@
             is_outage=is_outage,
         )
         self._state.record_crash(is_outage, len(suspects), is_conclusive)
-        if is_outage:
-            return
         for run in suspects:
             self._blame(
                 run,
