Do not complete a lasting task by the end of an earlier run

Cause: the end of a run whose task was given away since completes the task. That is wrong for a task that lasts, which starts again however its runs end. Found in review; test_end_of_an_earlier_run_completes_a_lasting_task failed before.

--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -175,13 +175,13 @@
         task = state.find_task(name)
         if task is None or end.cause is not platform.EndCause.DONE:
             return
-        if task.status is workloads.TaskStatus.DONE:
+        step = state.job.steps[name.step]
+        if task.status is workloads.TaskStatus.DONE or step.long_running:
             return
-        is_gang = state.job.steps[name.step].gang
         later_runs = [
             (other, assigned.worker)
             for other, assigned in state.list_assigned()
-            if other == name or (is_gang and other.is_same_step(name))
+            if other == name or (step.gang and other.is_same_step(name))
         ]
         state.complete_task(name, wall_ms)
         for other, worker in later_runs:
--- a/chivespoke/coordination/tests/test_runs.py
+++ b/chivespoke/coordination/tests/test_runs.py
@@ -129,6 +129,17 @@
         state = self.leader.engine.state.jobs[builders.JOB]
         self.assertEqual(0, state.progress.tasks[0][0][0].failures)
 
+    def test_end_of_an_earlier_run_completes_a_lasting_task(self) -> None:
+        self.start_job(workloads.Step(count=1, long_running=True))
+        self.leader.now += 7.0
+        self.leader.report(builders.make_report('side-2'))
+        self.leader.plan()
+        self.assertEqual([engine_case.FIRST_TASK], self.list_starts('side-2'))
+        end = builders.make_end(1, engine_case.FIRST_TASK)
+        self.leader.report(builders.make_report(ended=(end,)))
+        self.leader.plan()
+        self.assertIs(workloads.JobPhase.RUNNING, self.leader.find_phase())
+
     def test_only_failures_of_the_task_count_as_attempts(self) -> None:
         cases = {
             platform.EndCause.FAILED: workloads.JobPhase.FAILED,
