Let a session that is replaced make no further start call

Cause: when another incarnation of the worker registers, the next session starts before the earlier one is closed. A start in progress there could make one more call with its old token, and the next incarnation, which has seen no token yet, could carry it out. Found in review.

test_start_calls_go_on_after_the_session_is_replaced fails with a retire() that does nothing (2 calls instead of 1).

--- a/chivespoke/agents/_agent.py
+++ b/chivespoke/agents/_agent.py
@@ -199,6 +199,7 @@
             self._crash_log.record_replacement(
                 old_session.describe_crash(), self._clock.read_monotonic()
             )
+            old_session.retire()
         transport = platform.Transport(
             self._machine.worker_address or registration.address,
             WORKER_CONNECTIONS,
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -141,7 +141,7 @@
         self._starting: set[tuple[str, int]] = set()
         self._pace_tracker = _paces.PaceTracker(self.incarnation.key)
         self._fenced = asyncio.Event()
-        # Another incarnation of the worker has answered.
+        # Another incarnation of the worker has answered or registered.
         self._replaced = False
         # The worker has deregistered, and nothing listens at its address.
         self._has_ended = False
@@ -204,6 +204,10 @@
         """Start no runs until the worker has answered another poll."""
         self._doubted = True
 
+    def retire(self) -> None:
+        """Make no further calls that start runs; a later session follows."""
+        self._replaced = True
+
     def start(self) -> None:
         """Start polling the worker once the session has a fencing token."""
         self._tasks.spawn_loop(self._poll_repeatedly)
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -27,6 +27,8 @@
 MAX_LEASE_SECONDS = 10.0
 # Calls to start a run before its order is reported as refused.
 START_ATTEMPTS = 3
+# Longest time for one of them.
+MAX_CALL_SECONDS = 1.0
 
 
 class Listener(agents.SessionListener):
@@ -652,6 +654,19 @@
         self.assertIs(platform.Refusal.UNHEALTHY, outcome.refusal)
         self.assertEqual([], self.runner.began)
 
+    async def test_start_calls_go_on_after_the_session_is_replaced(
+        self,
+    ) -> None:
+        # The next incarnation of the worker may carry them out.
+        self.runner.faults.late_starts = START_ATTEMPTS
+        self.runner.faults.late_seconds = HOUR_MS / 1000
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        while self.runner.faults.late_starts == START_ATTEMPTS:
+            await asyncio.sleep(0.01)
+        self.session.retire()
+        await asyncio.sleep(2 * MAX_CALL_SECONDS)
+        self.assertEqual(START_ATTEMPTS - 1, self.runner.faults.late_starts)
+
     async def test_unhealthy_refusal_is_reported(self) -> None:
         self.runner.faults.unhealthy_starts = 1
         self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
