--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -529,16 +529,13 @@
             if (order.task, order.run) in self._withdrawn:
                 # The stop reports the outcome.
                 return
-            if refusal is platform.Refusal.NO_CAPACITY and may_have_started:
-                # It may be one of the runs that leave no room for another. A
-                # stop bars copies of the order that may still arrive, so no
-                # longer wait than for the first poll.
-                async with self._polled:
-                    await self._polled.wait_for(
-                        lambda: self._status is not None
-                    )
-                if self._is_listed(order.task, order.run):
-                    refusal = None
+            if (
+                refusal is platform.Refusal.NO_CAPACITY
+                and may_have_started
+                and await self._is_running(order.task, order.run)
+            ):
+                # It is one of the runs that leave no room for another.
+                refusal = None
             if refusal is not None and may_have_started:
                 await self._ensure_stopped(order.task, order.run)
             self._report_outcome(order.task, order.run, refusal)
@@ -685,6 +682,16 @@
         else:
             self._pace_tracker.record_pace(change)
 
+    async def _is_running(self, task: str, run: int) -> bool:
+        """Return whether the worker lists a run, after the first poll.
+
+        Waiting for another poll would leave time for a copy of the order to
+        arrive that is not barred yet.
+        """
+        async with self._polled:
+            await self._polled.wait_for(lambda: self._status is not None)
+        return self._is_listed(task, run)
+
     def _is_listed(self, task: str, run: int) -> bool:
         return self._status is not None and any(
             row.task == task and row.run == run for row in self._status.running
