--- a/chivespoke/coordination/tests/test_crashes.py
+++ b/chivespoke/coordination/tests/test_crashes.py
@@ -147,6 +147,21 @@
         )
         self.leader.report(builders.make_report(born_ms=2, crashes=(crash,)))
 
+    def survive(self, progress: float) -> None:
+        """Start the tasks again, and let them stay for a while."""
+        self.leader.plan()
+        running = tuple(
+            platform.RunningTask(start.task, start.run, '', progress, progress)
+            for start in self.leader.make_directive().starts
+        )
+        for clock_ms in (2000, 3000):
+            self.leader.report(
+                builders.make_report(
+                    born_ms=2, running=running, clock_ms=clock_ms
+                )
+            )
+            self.leader.now += decisions.SUSPECT_AGE_SECONDS
+
     def list_crashes(self, index: int = 0) -> tuple[workloads.Crash, ...]:
         self.leader.plan()
         progress = self.leader.ledger.entries[builders.JOB].progress
@@ -209,18 +224,7 @@
 
     def test_task_at_work_stays_suspect(self) -> None:
         self.report_crash((FIRST_TASK, 1), (SECOND_TASK, 1))
-        self.leader.plan()
-        starts = self.leader.make_directive().starts
-        running = tuple(
-            builders.make_running(start.task, start.run) for start in starts
-        )
-        for clock_ms in (2000, 3000):
-            self.leader.report(
-                builders.make_report(
-                    born_ms=2, running=running, clock_ms=clock_ms
-                )
-            )
-            self.leader.now += decisions.SUSPECT_AGE_SECONDS
+        self.survive(progress=10.0)
         self.assertEqual(
             [(), ()], [self.list_crashes(index) for index in range(2)]
         )
@@ -228,18 +232,7 @@
     def test_next_leader_blames_a_task_that_was_cleared(self) -> None:
         # The sidecar reports a crash for longer than a task is suspected.
         self.report_crash((FIRST_TASK, 1))
-        self.leader.plan()
-        starts = self.leader.make_directive().starts
-        running = tuple(
-            builders.make_running(start.task, start.run) for start in starts
-        )
-        for clock_ms in (2000, 3000):
-            self.leader.report(
-                builders.make_report(
-                    born_ms=2, running=running, clock_ms=clock_ms
-                )
-            )
-            self.leader.now += decisions.SUSPECT_AGE_SECONDS
+        self.survive(progress=10.0)
         self.assertEqual((), self.list_crashes())
         self.leader = builders.Leader(self.leader.ledger, builders.EPOCH + 1)
         self.report_crash((FIRST_TASK, 1))
@@ -247,19 +240,7 @@
 
     def test_task_that_stands_still_is_cleared(self) -> None:
         self.report_crash((FIRST_TASK, 1), (SECOND_TASK, 1))
-        self.leader.plan()
-        starts = self.leader.make_directive().starts
-        running = tuple(
-            platform.RunningTask(start.task, start.run, '', 0.0, 0.0)
-            for start in starts
-        )
-        for clock_ms in (2000, 3000):
-            self.leader.report(
-                builders.make_report(
-                    born_ms=2, running=running, clock_ms=clock_ms
-                )
-            )
-            self.leader.now += decisions.SUSPECT_AGE_SECONDS
+        self.survive(progress=0.0)
         self.assertEqual(1, len(self.list_crashes()))
 
 
--- a/chivespoke/serving/tests/test_capacity.py
+++ b/chivespoke/serving/tests/test_capacity.py
@@ -1,13 +1,13 @@
 """Tests of workers whose capacity changes while they run."""
 
 import asyncio
-import collections.abc
 import unittest
 from unittest import mock
 
 from chivespoke import coordination
 from chivespoke.coordination import _term
 from chivespoke.serving.tests import builders
+from chivespoke.serving.tests import path_case
 from chivespoke import standins
 from chivespoke import workloads
 
@@ -28,16 +28,14 @@
 STOP_SECONDS = 1.0
 # Delay of the reports to the leader.
 REPORT_DELAY_SECONDS = 1.2
-TIMEOUT_SECONDS = 40.0
 
 
-class CapacityTest(unittest.IsolatedAsyncioTestCase):
+class CapacityTest(path_case.PathTest):
     """Change the capacity of a worker that starts whatever it is told to."""
 
     async def asyncSetUp(self) -> None:
-        self.platform = builders.Platform()
-        self.addAsyncCleanup(self.stop)
-        async with asyncio.timeout(TIMEOUT_SECONDS):
+        await super().asyncSetUp()
+        async with asyncio.timeout(path_case.TIMEOUT_SECONDS):
             await self.platform.start(1, 1)
         self.runner: standins.PlatformRunner = self.platform.runners[0]
         self.runner.capacity.enforced = False
@@ -47,22 +45,8 @@
                 TASK_CPU_MILLIS
             )
 
-    async def stop(self) -> None:
-        async with asyncio.timeout(TIMEOUT_SECONDS):
-            await self.platform.stop()
-
     async def submit(self, identifier: str = JOB) -> None:
-        status, _ = await self.platform.request(
-            'POST', identifier, ONE_STEP_JOB
-        )
-        self.assertEqual(200, status)
-
-    async def wait_until(
-        self, condition: collections.abc.Callable[[], bool]
-    ) -> None:
-        async with asyncio.timeout(TIMEOUT_SECONDS):
-            while not condition():
-                await asyncio.sleep(0.01)
+        await self.submit_job(identifier, ONE_STEP_JOB)
 
     def change_room(self, tasks: int) -> None:
         """Change the worker's capacity to that for a number of tasks."""
@@ -76,7 +60,7 @@
         await self.submit()
         await self.wait_until(lambda: len(self.runner.running) == INITIAL_ROOM)
         self.change_room(3)
-        async with asyncio.timeout(TIMEOUT_SECONDS):
+        async with asyncio.timeout(path_case.TIMEOUT_SECONDS):
             await self.platform.wait_for_state(JOB, 'completed')
         self.assertEqual([], self.runner.capacity.exceeded)
         # Nothing was stopped for the lack of room.
@@ -105,7 +89,7 @@
         self.runner.seconds = builders.TASK_SECONDS
         await self.submit(OTHER_JOB)
         await self.platform.request('DELETE', JOB)
-        async with asyncio.timeout(TIMEOUT_SECONDS):
+        async with asyncio.timeout(path_case.TIMEOUT_SECONDS):
             await self.platform.wait_for_state(OTHER_JOB, 'completed')
         self.assertEqual([], self.runner.capacity.exceeded)
 
@@ -128,7 +112,7 @@
             self.change_room(3)
             await asyncio.sleep(NOTICE_SECONDS)
             await self.submit()
-            async with asyncio.timeout(TIMEOUT_SECONDS):
+            async with asyncio.timeout(path_case.TIMEOUT_SECONDS):
                 await self.platform.wait_for_state(JOB, 'completed')
         self.assertEqual([], self.runner.capacity.exceeded)
         self.assertEqual(TASK_COUNT, len(self.runner.began))
--- a/chivespoke/serving/tests/test_crashes.py
+++ b/chivespoke/serving/tests/test_crashes.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from chivespoke.serving.tests import builders
+from chivespoke.serving.tests import path_case
 
 JOB = '00000000000000a1'
 OTHER_JOB = '00000000000000a2'
@@ -13,36 +13,27 @@
 ENTRIES = 2
 # A third crash is as many as may have another cause.
 MAX_CRASHES = 3
-TIMEOUT_SECONDS = 40.0
 ONE_STEP_JOB = {
     'spec': 'work',
     'steps': [{'count': TASK_COUNT, 'cpu': 1000, 'estimated_ms': 300}],
 }
 
 
-class CrashesTest(unittest.IsolatedAsyncioTestCase):
+class CrashesTest(path_case.PathTest):
     async def asyncSetUp(self) -> None:
-        self.platform = builders.Platform()
-        self.addAsyncCleanup(self.stop)
-        async with asyncio.timeout(TIMEOUT_SECONDS):
+        await super().asyncSetUp()
+        async with asyncio.timeout(path_case.TIMEOUT_SECONDS):
             await self.platform.start(ENTRIES, WORKERS)
         for runner in self.platform.runners:
             runner.faults.deadly_tasks = frozenset((DEADLY_TASK,))
 
-    async def stop(self) -> None:
-        async with asyncio.timeout(TIMEOUT_SECONDS):
-            await self.platform.stop()
-
-    async def submit(self, identifier: str, entry: int = 0) -> None:
-        status, _ = await self.platform.request(
-            'POST', identifier, ONE_STEP_JOB, entry
-        )
-        self.assertEqual(200, status)
+    async def submit(self, identifier: str) -> None:
+        await self.submit_job(identifier, ONE_STEP_JOB)
 
     async def wait_for_state(
         self, identifier: str, state: str, entry: int = 0
     ) -> None:
-        async with asyncio.timeout(TIMEOUT_SECONDS):
+        async with asyncio.timeout(path_case.TIMEOUT_SECONDS):
             await self.platform.wait_for_state(identifier, state, entry)
 
     def count_crashes(self) -> int:
@@ -62,9 +53,7 @@
 
     async def test_change_of_leader_forgets_the_crashes(self) -> None:
         await self.submit(JOB)
-        async with asyncio.timeout(TIMEOUT_SECONDS):
-            while not self.count_crashes():
-                await asyncio.sleep(0.01)
+        await self.wait_until(lambda: self.count_crashes() > 0)
         (leader,) = self.platform.list_leaders()
         await self.platform.entries[leader].kill()
         await self.wait_for_state(JOB, 'failed', 1 - leader)
--- a/chivespoke/serving/tests/test_disruptions.py
+++ b/chivespoke/serving/tests/test_disruptions.py
@@ -9,6 +9,7 @@
 from chivespoke import coordination
 from chivespoke.coordination import _term
 from chivespoke.serving.tests import builders
+from chivespoke.serving.tests import path_case
 
 JOB = '00000000000000a1'
 OTHER_JOB = '00000000000000a2'
@@ -43,16 +44,11 @@
 REGISTRATION_SECONDS = 0.5
 # Time in which the leader sends directives repeatedly.
 DIRECTIVE_SECONDS = 1.0
-TIMEOUT_SECONDS = 40.0
 
 
-class DisruptionsTest(unittest.IsolatedAsyncioTestCase):
+class DisruptionsTest(path_case.PathTest):
     """Disrupt workers and daemons while jobs run."""
 
-    async def asyncSetUp(self) -> None:
-        self.platform = builders.Platform()
-        self.addAsyncCleanup(self.stop)
-
     async def start(self, workers: int = 2) -> None:
         """Start the daemons; only the first worker registers."""
         self.platform.unregistered = frozenset(range(1, workers))
@@ -60,27 +56,13 @@
         for runner in self.platform.runners:
             runner.faults.stop_seconds = STOP_SECONDS
 
-    async def stop(self) -> None:
-        async with asyncio.timeout(TIMEOUT_SECONDS):
-            await self.platform.stop()
-
     async def run_with_timeout(
         self, work: collections.abc.Coroutine[object, object, None]
     ) -> None:
-        await asyncio.wait_for(work, TIMEOUT_SECONDS)
-
-    async def wait_until(
-        self, condition: collections.abc.Callable[[], bool]
-    ) -> None:
-        async with asyncio.timeout(TIMEOUT_SECONDS):
-            while not condition():
-                await asyncio.sleep(0.01)
+        await asyncio.wait_for(work, path_case.TIMEOUT_SECONDS)
 
     async def submit(self, identifier: str = JOB) -> None:
-        status, _ = await self.platform.request(
-            'POST', identifier, ONE_STEP_JOB
-        )
-        self.assertEqual(200, status)
+        await self.submit_job(identifier, ONE_STEP_JOB)
 
     async def complete(self, identifier: str = JOB) -> None:
         await self.run_with_timeout(
