Name crashes with suspects that prove nothing inconclusive

The metric called them crashes under several jobs, but a crash under one job is inconclusive too if its run may not have begun, for instance. Only the label changes.

--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -59,7 +59,8 @@
     """What the crash of a worker is put down to."""
 
     ONE_JOB = 'one-job'
-    SEVERAL_JOBS = 'several-jobs'
+    # There are suspects, but something else may have caused it.
+    INCONCLUSIVE = 'inconclusive'
     # Many workers near it crashed at the same time.
     OUTAGE = 'outage'
     # No task had just started there.
@@ -361,7 +362,7 @@
         elif is_conclusive:
             blame = CrashBlame.ONE_JOB
         elif suspect_count:
-            blame = CrashBlame.SEVERAL_JOBS
+            blame = CrashBlame.INCONCLUSIVE
         else:
             blame = CrashBlame.NONE
         self._crash_blames.append(blame)
