Agree on the interfaces of the decisions under load

The parts of the decisions under load are built side by side: learned durations, the choice of jobs that are served in time, pacing and preemption by that choice, and admission. This commit holds the types that they share; nothing uses them yet, so that behaviour is unchanged.

--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -89,6 +89,9 @@
         'unreported',
         'quarantines',
         'interference',
+        'durations',
+        'standings',
+        'outlooks',
         'advice_cache',
         'order_window',
         'fences',
@@ -111,6 +114,12 @@
         self.unreported: dict[str, UnreportedWorker] = {}
         self.quarantines: dict[str, decisions.WorkerQuarantine] = {}
         self.interference = decisions.LearnedInterferenceModel()
+        self.durations: decisions.DurationModel = decisions.DeclaredDurations()
+        # Set while a service has too little room, by job; other jobs are
+        # served in time.
+        self.standings: dict[str, decisions.Standing] = {}
+        # By service.
+        self.outlooks: dict[str, decisions.ServiceOutlook] = {}
         self.advice_cache = decisions.AdviceCache()
         # Start orders carry the payload of the job, so those of all workers
         # together may fill the leader's link.
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -13,6 +13,8 @@
 from chivespoke.decisions._crashes import may_wait_for_proof
 from chivespoke.decisions._crashes import OUTAGE_SECONDS
 from chivespoke.decisions._crashes import SUSPECT_AGE_SECONDS
+from chivespoke.decisions._durations import DeclaredDurations
+from chivespoke.decisions._durations import DurationModel
 from chivespoke.decisions._interference import FixedInterferenceModel
 from chivespoke.decisions._interference import InterferenceCoefficient
 from chivespoke.decisions._interference import InterferenceModel
@@ -47,6 +49,8 @@
 from chivespoke.decisions._shortages import StepDemand
 from chivespoke.decisions._stalls import StallDetector
 from chivespoke.decisions._timeout import AdaptiveTimeout
+from chivespoke.decisions._triage import ServiceOutlook
+from chivespoke.decisions._triage import Standing
 from chivespoke.decisions._window import SendWindow
 
 __all__ = [
@@ -54,6 +58,8 @@
     'AdviceCache',
     'AdviceRequest',
     'CandidateWorker',
+    'DeclaredDurations',
+    'DurationModel',
     'FULL_PACE_PERCENT',
     'FixedInterferenceModel',
     'HELD_SPEED',
@@ -74,9 +80,11 @@
     'RunForecast',
     'SUSPECT_AGE_SECONDS',
     'SendWindow',
+    'ServiceOutlook',
     'ShortageTracker',
     'SpeedTracker',
     'StallDetector',
+    'Standing',
     'StepDemand',
     'TARGET_TAIL_SHARE',
     'VALUE_CUTOFF_FACTOR',
