--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -10,6 +10,7 @@
 from chivespoke.coordination import _placer
 from chivespoke.coordination import _records
 from chivespoke.coordination import _reports
+from chivespoke.coordination import _triage
 from chivespoke import decisions
 from chivespoke import errors
 from chivespoke import logs
@@ -45,6 +46,7 @@
         '_report_handler',
         '_epoch',
         '_placer',
+        '_triage_planner',
         '_desired_state',
         '_checkpoints_marked_at',
     )
@@ -56,6 +58,7 @@
         self._state = _engine_state.State(epoch, timeouts)
         self._report_handler = _reports.ReportHandler(self._state)
         self._placer = _placer.Placer(self._state)
+        self._triage_planner = _triage.TriagePlanner(self._state)
         # That of the latest plan; None if it was outdated.
         self._desired_state: _placer.DesiredState | None = None
         self._checkpoints_marked_at = 0.0
@@ -107,6 +110,7 @@
         decided_runs: tuple[_fleet.Run, ...] = ()
         if desired_state is not None:
             self._update_terms(desired_state.configuration)
+            self._triage_planner.update(desired_state.configuration, now, wall)
             decided_runs = self._placer.place(desired_state, now, wall)
         records: list[bytes] = []
         self._mark_checkpoints(now)
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -90,7 +90,8 @@
         'quarantines',
         'interference',
         'durations',
-        'standings',
+        'ranks',
+        'standing_changes',
         'outlooks',
         'advice_cache',
         'order_window',
@@ -117,7 +118,9 @@
         self.durations: decisions.DurationModel = decisions.DeclaredDurations()
         # Set while a service has too little room, by job; other jobs are
         # served in time.
-        self.standings: dict[str, decisions.Standing] = {}
+        self.ranks: dict[str, decisions.Rank] = {}
+        # New standings of jobs since the last look, for the metrics.
+        self.standing_changes: list[decisions.Standing] = []
         # By service.
         self.outlooks: dict[str, decisions.ServiceOutlook] = {}
         self.advice_cache = decisions.AdviceCache()
@@ -382,6 +385,11 @@
         self._crash_blames.clear()
         return blames
 
+    def find_standing(self, job: str) -> decisions.Standing:
+        """Return the standing of a job; TIMELY unless it has another."""
+        rank = self.ranks.get(job)
+        return rank.standing if rank else decisions.Standing.TIMELY
+
     def limit_unreported_leases(self, sidecar: str, now: float) -> None:
         """Bound the wait for a worker whose sidecar reports without it.
 
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -261,8 +261,12 @@
         )
 
     def _describe_run(self, run: _fleet.Run) -> decisions.PendingStep:
+        state = self._state.jobs[run.name.job]
         return describe_pending_step(
-            self._state.jobs[run.name.job], run.name.occurrence, run.name.step
+            state,
+            run.name.occurrence,
+            run.name.step,
+            self._state.ranks.get(run.name.job),
         )
 
     def _move_slow_run(
@@ -361,7 +365,12 @@
                 continue
             for occurrence, step_number in state.list_ready(wall):
                 yield Claimant(
-                    describe_pending_step(state, occurrence, step_number),
+                    describe_pending_step(
+                        state,
+                        occurrence,
+                        step_number,
+                        self._state.ranks.get(state.job.identifier),
+                    ),
                     functools.partial(
                         self._place_step, state, occurrence, step_number
                     ),
@@ -712,7 +721,10 @@
 
 
 def describe_pending_step(
-    state: _jobs.JobState, occurrence: int, step_number: int
+    state: _jobs.JobState,
+    occurrence: int,
+    step_number: int,
+    rank: decisions.Rank | None = None,
 ) -> decisions.PendingStep:
     """Return a step in the form that the order of placement uses."""
     starts_at = state.compute_occurrence_start(occurrence)
@@ -723,6 +735,7 @@
         deadline=max(state.deadline, starts_at + state.objective_seconds),
         remaining_seconds=state.remaining_paths[step_number],
         objective_seconds=state.objective_seconds,
+        rank=rank,
     )
 
 
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -48,9 +48,13 @@
 from chivespoke.decisions._shortages import ShortageTracker
 from chivespoke.decisions._shortages import StepDemand
 from chivespoke.decisions._stalls import StallDetector
+from chivespoke.decisions._standings import Rank
+from chivespoke.decisions._standings import Standing
 from chivespoke.decisions._timeout import AdaptiveTimeout
+from chivespoke.decisions._triage import CrowdingDetector
+from chivespoke.decisions._triage import JobOutlook
+from chivespoke.decisions._triage import rank_jobs
 from chivespoke.decisions._triage import ServiceOutlook
-from chivespoke.decisions._triage import Standing
 from chivespoke.decisions._window import SendWindow
 
 __all__ = [
@@ -58,6 +62,7 @@
     'AdviceCache',
     'AdviceRequest',
     'CandidateWorker',
+    'CrowdingDetector',
     'DeclaredDurations',
     'DurationModel',
     'FULL_PACE_PERCENT',
@@ -65,6 +70,7 @@
     'HELD_SPEED',
     'InterferenceCoefficient',
     'InterferenceModel',
+    'JobOutlook',
     'LatencyHeadroom',
     'LearnedInterferenceModel',
     'LostRun',
@@ -77,6 +83,7 @@
     'PacedRun',
     'Pacer',
     'PendingStep',
+    'Rank',
     'RunForecast',
     'SUSPECT_AGE_SECONDS',
     'SendWindow',
@@ -106,4 +113,5 @@
     'may_wait_for_speed',
     'measure_critical_path',
     'measure_remaining_paths',
+    'rank_jobs',
 ]
--- a/chivespoke/decisions/_ordering.py
+++ b/chivespoke/decisions/_ordering.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from chivespoke.decisions import _standings
 from chivespoke import workloads
 
 # A late job keeps some value until this multiple of its objective has passed.
@@ -27,6 +28,8 @@
     remaining_seconds: float
     # Time from acceptance of the job to its deadline.
     objective_seconds: float
+    # Set while there is too little room for all jobs.
+    rank: _standings.Rank | None = None
 
 
 def measure_critical_path(job: workloads.Job) -> float:
@@ -53,6 +56,15 @@
     pending_step: PendingStep, now: float
 ) -> tuple[int, int, float, str]:
     """Return a sort key; the step with the lowest key is placed first."""
+    rank = pending_step.rank
+    if rank is not None and not pending_step.long_running:
+        return (
+            pending_step.priority,
+            # Long-running steps precede all standings.
+            1 + rank.standing,
+            rank.order,
+            pending_step.job,
+        )
     return (
         pending_step.priority,
         classify_lateness(pending_step, now),
