--- a/chivespoke/workloads/_model.py
+++ b/chivespoke/workloads/_model.py
@@ -239,6 +239,15 @@
             matching, key=lambda queue: len(queue.path_prefix), default=None
         )
 
+    def is_contended(self, service: str) -> bool:
+        """Return whether queues of several priorities share a service."""
+        priorities = {
+            queue.terms.priority
+            for queue in self.queues
+            if queue.terms.service == service
+        }
+        return len(priorities) > 1
+
 
 class Resources(msgspec.Struct, frozen=True, array_like=True):
     """Hold amounts of the resources of a worker."""
