Pace fillers by the standing of their jobs, and report their paces

Cause: all fillers of a worker share what its serving tasks allow, whoever they belong to, so that while there is too little room every job is somewhat late. The leader learns that pacing holds a run down only from averages of its use of processor time, some 5 s late.

Change: directives name the jobs of the worker's fillers that are not to be in time. Their fillers are throttled first, make room for those of jobs that are, are sped up by what these leave of the headroom, and get the processor time that the requests of these leave, but at least a trickle while a tail latency has headroom. Standings older than 3 s do not count. Reports name the paces below full speed; SpeedTracker.forecast_held judges a run by its pace without an observation. Nothing changes while no job has a standing.

--- a/chivespoke/agents/_paces.py
+++ b/chivespoke/agents/_paces.py
@@ -9,12 +9,17 @@
 from chivespoke import decisions
 from chivespoke import logs
 from chivespoke import platform
+from chivespoke import telemetry
+from chivespoke import workloads
 
 LOGGER = logs.make_logger('paces')
 
 # Consecutive polls that may omit a run before it is dropped: a start may take
 # three attempts.
 MAX_UNLISTED_POLLS = 15
+# Time after which the standings that the leader named last do not count any
+# more. A directive follows each 0.4 s, and a change of leader takes 2.5 s.
+MAX_STANDINGS_AGE_SECONDS = 3.0
 
 
 class PaceTracker:
@@ -28,10 +33,14 @@
         '_unlisted_polls',
         '_current_paces',
         '_new_tasks',
+        '_standings',
+        '_standings_at',
+        '_telemetry',
     )
 
-    def __init__(self, worker: str) -> None:
+    def __init__(self, worker: str, instruments: telemetry.Telemetry) -> None:
         self._worker = worker
+        self._telemetry = instruments
         self._pacer = decisions.Pacer()
         self._interference = decisions.FixedInterferenceModel()
         # The current runs, by task.
@@ -42,6 +51,9 @@
         self._current_paces: dict[str, int] = {}
         # Tasks with a start order whose run has not been listed yet.
         self._new_tasks: set[str] = set()
+        # Jobs that are not to be in time, and when the leader named them.
+        self._standings: dict[str, decisions.Standing] = {}
+        self._standings_at = float('-inf')
 
     def update_interference(
         self,
@@ -52,6 +64,15 @@
         """Replace the leader's estimates of how fillers slow serving tasks."""
         self._interference = decisions.FixedInterferenceModel(interference)
 
+    def update_standings(
+        self,
+        standings: collections.abc.Iterable[coordination.JobStanding],
+        now: float,
+    ) -> None:
+        """Replace the jobs that the leader does not serve in time."""
+        self._standings = {item.job: item.standing for item in standings}
+        self._standings_at = now
+
     def record_start_order(self, order: coordination.StartOrder) -> None:
         """Record the run that an order starts."""
         self.record_run(
@@ -61,6 +82,7 @@
                 order.image,
                 order.target_latency_ms,
                 order.filler,
+                order.cpu_millis,
             )
         )
         if not order.repeated:
@@ -77,6 +99,18 @@
         self._new_tasks.discard(change.task)
         self._current_paces[change.task] = change.percent
 
+    def list_reduced_paces(
+        self, status: platform.WorkerStatus
+    ) -> tuple[coordination.RunPace, ...]:
+        """Return the paces of the listed fillers below full speed."""
+        return tuple(
+            coordination.RunPace(row.task, row.run, self._find_pace(row.task))
+            for row in status.running
+            if self._find_pace(row.task) < decisions.FULL_PACE_PERCENT
+            and (run := self._runs.get(row.task)) is not None
+            and run.run == row.run
+        )
+
     def adjust(
         self,
         status: platform.WorkerStatus,
@@ -89,7 +123,9 @@
         core, and now the monotonic time in seconds.
         """
         self._drop_unlisted(status)
+        self._drop_old_standings(now)
         runs = self._list_runs(status)
+        self._count_fillers(runs)
         changes = self._pacer.adjust(
             runs, self._interference, capacity_millis, now
         )
@@ -103,9 +139,52 @@
                     for run in runs
                     if run.target_latency_ms
                 },
+                standings={
+                    run.task: run.standing.name
+                    for run in runs
+                    if run.standing is not decisions.Standing.TIMELY
+                },
+                standings_age=round(now - self._standings_at, 3),
             )
         return changes
 
+    def _drop_old_standings(self, now: float) -> None:
+        """Pace all fillers alike once the leader is not heard any more."""
+        if (
+            not self._standings
+            or now <= self._standings_at + MAX_STANDINGS_AGE_SECONDS
+        ):
+            return
+        LOGGER.warning(
+            'The standings of jobs are too old; fillers are paced alike.',
+            worker=self._worker,
+            jobs=len(self._standings),
+            age=round(now - self._standings_at, 3),
+        )
+        self._standings.clear()
+
+    def _count_fillers(
+        self, runs: collections.abc.Iterable[decisions.PacedRun]
+    ) -> None:
+        for run in runs:
+            if run.filler:
+                self._telemetry.filler_polls.add(
+                    1,
+                    {
+                        'standing': run.standing.name.lower(),
+                        'held': run.pace < decisions.HELD_PACE_PERCENT,
+                    },
+                )
+
+    def _find_pace(self, task: str) -> int:
+        return self._current_paces.get(task, decisions.FULL_PACE_PERCENT)
+
+    def _find_standing(self, task: str) -> decisions.Standing:
+        name = workloads.parse_task_name(task) if self._standings else None
+        if name is None:
+            return decisions.Standing.TIMELY
+        return self._standings.get(name.job, decisions.Standing.TIMELY)
+
     def _list_runs(
         self, status: platform.WorkerStatus
     ) -> list[decisions.PacedRun]:
@@ -122,10 +201,10 @@
                     run.filler,
                     run.target_latency_ms,
                     row.measure,
-                    self._current_paces.get(
-                        row.task, decisions.FULL_PACE_PERCENT
-                    ),
+                    self._find_pace(row.task),
                     row.task in self._new_tasks,
+                    self._find_standing(row.task),
+                    run.cpu_millis,
                 )
             )
             self._new_tasks.discard(row.task)
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -139,7 +139,9 @@
         self._withdrawn: set[tuple[str, int]] = set()
         # Start orders that may still be sent to the worker: task and run.
         self._starting: set[tuple[str, int]] = set()
-        self._pace_tracker = _paces.PaceTracker(self.incarnation.key)
+        self._pace_tracker = _paces.PaceTracker(
+            self.incarnation.key, instruments
+        )
         self._fenced = asyncio.Event()
         # Another incarnation of the worker has answered or registered.
         self._replaced = False
@@ -248,6 +250,9 @@
         self._applied = max(self._applied, directive.number)
         self._reserved = directive.reserved
         self._pace_tracker.update_interference(directive.interference)
+        self._pace_tracker.update_standings(
+            directive.standings, self._clock.read_monotonic()
+        )
         for run in directive.adopted:
             self._pace_tracker.record_run(run)
         for start in directive.starts:
@@ -293,6 +298,7 @@
             session=self.identifier,
             crashes=crashes,
             unanswered=self._unanswered.list_starts(self._starting),
+            paces=self._pace_tracker.list_reduced_paces(status),
         )
 
     def _update_lapsed(self) -> None:
--- a/chivespoke/agents/tests/test_paces.py
+++ b/chivespoke/agents/tests/test_paces.py
@@ -6,6 +6,7 @@
 from chivespoke import coordination
 from chivespoke import decisions
 from chivespoke import platform
+from chivespoke import telemetry
 
 FILLER = coordination.StartOrder('filler', 1, '', '', 'f1', 0, True, False)
 SERVING = coordination.StartOrder('serving', 1, '', '', 's1', 18, False, False)
@@ -37,7 +38,7 @@
 
 class PaceTrackerTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.tracker = _paces.PaceTracker('w')
+        self.tracker = _paces.PaceTracker('w', telemetry.Telemetry())
         self.tracker.record_start_order(SERVING)
         self.tracker.record_start_order(FILLER)
 
@@ -72,7 +73,7 @@
         # good, so that fillers on a worker that shrank were throttled too far.
         percents = {}
         for capacity_millis in (10000, 2000):
-            tracker = _paces.PaceTracker('w')
+            tracker = _paces.PaceTracker('w', telemetry.Telemetry())
             tracker.record_run(make_run(SERVING))
             tracker.record_run(make_run(FILLER))
             tracker.update_interference(
--- a/chivespoke/coordination/__init__.py
+++ b/chivespoke/coordination/__init__.py
@@ -15,9 +15,11 @@
 from chivespoke.coordination._messages import Directive
 from chivespoke.coordination._messages import DIRECTIVE_DECODER
 from chivespoke.coordination._messages import ENCODER
+from chivespoke.coordination._messages import JobStanding
 from chivespoke.coordination._messages import MAX_SUSPECTS
 from chivespoke.coordination._messages import OrderOutcome
 from chivespoke.coordination._messages import Report
+from chivespoke.coordination._messages import RunPace
 from chivespoke.coordination._messages import StartOrder
 from chivespoke.coordination._messages import StopOrder
 from chivespoke.coordination._messages import SuspectRun
@@ -48,6 +50,7 @@
     'ENCODER',
     'Engine',
     'JobEntry',
+    'JobStanding',
     'JOB_PREFIX',
     'Ledger',
     'LeaderTimeouts',
@@ -59,6 +62,7 @@
     'OrderOutcome',
     'DesiredState',
     'Report',
+    'RunPace',
     'SYSTEM_TOPIC',
     'StartOrder',
     'StopOrder',
--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -285,6 +285,7 @@
             session=session,
             fence=self._state.fences.find_token(worker.sidecar),
             reserved=self._measure_reserved(worker),
+            standings=self._list_standings(worker),
         )
 
     def _measure_reserved(self, worker: _fleet.Worker) -> workloads.Resources:
@@ -334,6 +335,21 @@
             for filler_image in sorted(filler_images)
         )
 
+    def _list_standings(
+        self, worker: _fleet.Worker
+    ) -> tuple[_messages.JobStanding, ...]:
+        standings = self._state.standings
+        if not standings:
+            return ()
+        jobs = {
+            run.name.job for run in worker.runs.values() if run.step.filler
+        }
+        return tuple(
+            _messages.JobStanding(job, standings[job])
+            for job in sorted(jobs & standings.keys())
+            if standings[job] is not decisions.Standing.TIMELY
+        )
+
     def _is_obsolete(self, run: _fleet.Run) -> bool:
         state = self._state.jobs.get(run.name.job)
         task = state.find_task(run.name) if state else None
@@ -359,6 +375,7 @@
             filler=run.step.filler,
             repeated=run.repeated,
             ticket=run.ticket,
+            cpu_millis=run.step.cpu_millis,
         )
 
     def _update_terms(self, configuration: workloads.Configuration) -> None:
@@ -383,4 +400,5 @@
         run.step.image,
         run.step.target_latency_ms,
         run.step.filler,
+        run.step.cpu_millis,
     )
--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -53,6 +53,8 @@
         'stall_detector',
         'speed_tracker',
         'ordered_in',
+        'pace',
+        'held_since',
     )
 
     def __init__(
@@ -80,6 +82,11 @@
         self.last_sample: TailSample | None = None
         self.stall_detector: decisions.StallDetector | None = None
         self.speed_tracker: decisions.SpeedTracker | None = None
+        # The pace that the sidecar reported last, in percent of full speed.
+        self.pace = decisions.FULL_PACE_PERCENT
+        # Time of the first report since which the pace has held the run down;
+        # None if it does not.
+        self.held_since: float | None = None
         # This leader or an earlier one has already sent the order.
         self.repeated = False
         # Number of the last directive that ordered this run to start.
@@ -92,6 +99,18 @@
         """Return a unique key of the order to start the run."""
         return f'{self.task_id}#{self.number}'
 
+    def record_pace(self, percent: int, now: float) -> None:
+        """Record the pace that a report of the answering worker names."""
+        self.pace = percent
+        if percent >= decisions.HELD_PACE_PERCENT:
+            self.held_since = None
+        elif self.held_since is None:
+            self.held_since = now
+
+    def measure_held(self, now: float) -> float:
+        """Return for how many seconds the pace has held the run down."""
+        return 0.0 if self.held_since is None else now - self.held_since
+
 
 class Worker:
     """Hold the state of one worker incarnation."""
--- a/chivespoke/coordination/_messages.py
+++ b/chivespoke/coordination/_messages.py
@@ -79,6 +79,14 @@
     in_progress: bool
 
 
+class RunPace(msgspec.Struct, frozen=True, array_like=True):
+    """Report the pace of a run, in percent of full speed."""
+
+    task: str
+    run: int
+    percent: int
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True):
     """Report the state of a worker to the leader."""
 
@@ -112,6 +120,8 @@
     # Covers all orders up to the applied directive that this process of the
     # sidecar has received.
     unanswered: tuple[UnansweredStart, ...] = ()
+    # Those of the listed fillers that are below full speed.
+    paces: tuple[RunPace, ...] = ()
 
     @property
     def covered(self) -> int | None:
@@ -133,6 +143,9 @@
     repeated: bool
     # The advisor's permission; empty if none is needed.
     ticket: str = ''
+    # Requested processor time, in thousandths of a core; 0 from a leader of a
+    # version that does not say.
+    cpu_millis: int = 0
 
 
 class AdoptedRun(msgspec.Struct, frozen=True, array_like=True):
@@ -143,6 +156,8 @@
     image: str
     target_latency_ms: int
     filler: bool
+    # As in StartOrder.
+    cpu_millis: int = 0
 
 
 class StopOrder(msgspec.Struct, frozen=True, array_like=True):
@@ -152,6 +167,13 @@
     run: int
 
 
+class JobStanding(msgspec.Struct, frozen=True, array_like=True):
+    """Name a job that is not served in time while there is too little room."""
+
+    job: str
+    standing: decisions.Standing
+
+
 class Directive(msgspec.Struct, frozen=True, array_like=True):
     """Renew the lease of a sidecar's worker and give it orders."""
 
@@ -176,6 +198,8 @@
     # What all runs assigned to the worker reserve, the starts included; None
     # from a leader of a version that does not say.
     reserved: workloads.Resources | None = None
+    # Jobs of the worker's fillers that are not to be in time.
+    standings: tuple[JobStanding, ...] = ()
 
 
 REPORT_DECODER = msgspec.msgpack.Decoder(Report)
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -79,6 +79,7 @@
             self._state.release_lapsed_runs(worker, report.covered, now)
         self._reconcile_runs(worker, report.running)
         add_unrecorded_starts(worker, report.unanswered)
+        record_paces(worker, report.paces)
         self._observe_runs(worker, is_new_poll)
         if report.answering and is_new_poll:
             worker.answered_at = now
@@ -390,6 +391,27 @@
             worker.unrecorded_runs.setdefault(start.task, start.run)
 
 
+def record_paces(
+    worker: _fleet.Worker, paces: tuple[_messages.RunPace, ...]
+) -> None:
+    """Record the paces of a worker's fillers; others are at full speed.
+
+    The time in which the worker does not answer does not count as held down.
+    """
+    percents = {(pace.task, pace.run): pace.percent for pace in paces}
+    for run in worker.runs.values():
+        if not run.step.filler:
+            continue
+        run.record_pace(
+            percents.get(
+                (run.task_id, run.number), decisions.FULL_PACE_PERCENT
+            )
+            if worker.answering
+            else decisions.FULL_PACE_PERCENT,
+            worker.reported_at,
+        )
+
+
 def void_ends_before_lapse(
     ended: tuple[platform.EndedRun, ...],
 ) -> tuple[platform.EndedRun, ...]:
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -19,6 +19,8 @@
 from chivespoke.decisions._interference import InterferenceCoefficient
 from chivespoke.decisions._interference import InterferenceModel
 from chivespoke.decisions._interference import LearnedInterferenceModel
+from chivespoke.decisions._moves import HELD_PACE_PERCENT
+from chivespoke.decisions._moves import HELD_PACE_SECONDS
 from chivespoke.decisions._moves import HELD_SPEED
 from chivespoke.decisions._moves import is_move_worthwhile
 from chivespoke.decisions._moves import RunForecast
@@ -30,11 +32,11 @@
 from chivespoke.decisions._ordering import measure_remaining_paths
 from chivespoke.decisions._ordering import PendingStep
 from chivespoke.decisions._ordering import VALUE_CUTOFF_FACTOR
-from chivespoke.decisions._pacing import FULL_PACE_PERCENT
-from chivespoke.decisions._pacing import PaceChange
-from chivespoke.decisions._pacing import PacedRun
+from chivespoke.decisions._paced_runs import FULL_PACE_PERCENT
+from chivespoke.decisions._paced_runs import PaceChange
+from chivespoke.decisions._paced_runs import PacedRun
+from chivespoke.decisions._paced_runs import TARGET_TAIL_SHARE
 from chivespoke.decisions._pacing import Pacer
-from chivespoke.decisions._pacing import TARGET_TAIL_SHARE
 from chivespoke.decisions._placement import can_run_on
 from chivespoke.decisions._placement import CandidateWorker
 from chivespoke.decisions._placement import choose_worker
@@ -62,6 +64,8 @@
     'DurationModel',
     'FULL_PACE_PERCENT',
     'FixedInterferenceModel',
+    'HELD_PACE_PERCENT',
+    'HELD_PACE_SECONDS',
     'HELD_SPEED',
     'InterferenceCoefficient',
     'InterferenceModel',
--- a/chivespoke/decisions/_moves.py
+++ b/chivespoke/decisions/_moves.py
@@ -25,6 +25,12 @@
 # Speed below which a run counts as held down. A run that pacing lets work for
 # one interval in ten is still below it.
 HELD_SPEED = 0.1
+# The same as a pace, in percent of full speed.
+HELD_PACE_PERCENT = int(100 * HELD_SPEED)
+# Time for which a pace must have held a run down. An objective is 1.5 to 2
+# times the work of a few seconds, so that a run cannot wait for much longer
+# and still be in time after a restart; a shorter dip of the pace passes.
+HELD_PACE_SECONDS = 1.0
 # Progress from which a run's own speed replaces the submitter's estimate,
 # which may be wrong by 90%.
 MIN_PROGRESS_PERCENT = 5.0
@@ -97,6 +103,30 @@
         """Return the expected rest of the run; None if it is not yet known."""
         if now < self._started_at + MIN_OBSERVED_SECONDS:
             return None
+        return self._forecast(estimated_seconds, checkpointing, self._speed)
+
+    def forecast_held(
+        self,
+        estimated_seconds: float,
+        checkpointing: bool,
+        pace: int,
+        held_seconds: float,
+    ) -> RunForecast | None:
+        """Return the expected rest of a run that its pace holds down.
+
+        `pace` is in percent of full speed and has been so low for
+        `held_seconds`. Returns None if it does not hold the run down, or not
+        for long enough. The speed need not be observed first.
+        """
+        if pace >= HELD_PACE_PERCENT or held_seconds < HELD_PACE_SECONDS:
+            return None
+        return self._forecast(
+            estimated_seconds, checkpointing, pace / COMPLETE_PERCENT
+        )
+
+    def _forecast(
+        self, estimated_seconds: float, checkpointing: bool, speed: float
+    ) -> RunForecast:
         gained = self._progress - self._first_progress
         left = COMPLETE_PERCENT - self._progress
         work_seconds = estimated_seconds * left / COMPLETE_PERCENT
@@ -104,7 +134,7 @@
             work_seconds = self._worked_seconds * left / gained
         # A stop makes a checkpoint of the work so far.
         repeated_seconds = 0.0 if checkpointing else self._worked_seconds
-        return RunForecast(work_seconds, self._speed, repeated_seconds)
+        return RunForecast(work_seconds, speed, repeated_seconds)
 
 
 def is_move_worthwhile(forecast: RunForecast, speed_elsewhere: float) -> bool:
--- a/chivespoke/decisions/_pacing.py
+++ b/chivespoke/decisions/_pacing.py
@@ -5,23 +5,26 @@
 fillers with the highest interference on an affected serving task are throttled
 first, and only as far as the interference model requires. If a tail latency
 stays over its target nevertheless, all fillers of the worker are throttled.
+
+While there is too little room for all jobs, fillers of jobs that are to be in
+time come before those of delayed and expired jobs: they are throttled last and
+sped up first. Otherwise all of them would share what serving tasks allow, and
+each job would be somewhat late.
 """
 
 import collections.abc
 import math
 
-import msgspec
-
 from chivespoke.decisions import _interference
+from chivespoke.decisions import _paced_runs
+from chivespoke.decisions import _triage
 
-FULL_PACE_PERCENT = 100
 # Pace of a filler that has just started beside a serving task. It is sped up
 # step by step, as the tail latencies allow.
 INITIAL_PACE_PERCENT = 30
-# Share of the latency target that pacing aims at, and share below which
-# fillers are sped up again; the difference is the hysteresis.
-TARGET_TAIL_SHARE = 0.7
-RELEASE_TAIL_SHARE = 0.6
+# Pace up to which a filler that makes room for others is still sped up, and
+# below which it is throttled only if a tail latency must come down.
+TRICKLE_PERCENT = 5
 # Time until the tail latency shows the effect of a change: it is measured over
 # 0.5 s, and a pace takes effect within 0.1 s.
 SETTLE_SECONDS = 0.6
@@ -31,47 +34,14 @@
 # Factor applied to the pace of every filler, repeatedly, until the tail is no
 # longer over its target.
 FALLBACK_FACTOR = 0.3
-# Share of the latency headroom that one increase of a pace may use, and the
-# maximum increase.
+# Share of the latency headroom that one increase of a pace may use.
 RELEASE_HEADROOM_SHARE = 0.5
-MAX_RELEASE_STEP_PERCENT = 30
-# A coefficient below this is within the error of the model and is ignored.
-NEGLIGIBLE_COEFFICIENT = 0.4
-# Assumed share of a worker that a filler uses at full speed if its pace is
-# zero and nothing can be measured.
-DEFAULT_USE_SHARE = 0.1
 # Minimum coefficient assumed for every filler beside a task that is over its
 # target: many fillers with small coefficients add up, and a learned
 # coefficient may be wrong.
 OVER_TARGET_MIN_COEFFICIENT = 0.8
 
 
-class PacedRun(msgspec.Struct, frozen=True):
-    """Describe one run as the input of pacing."""
-
-    task: str
-    run: int
-    image: str
-    filler: bool
-    # 0 if the run serves no requests.
-    target_latency_ms: int
-    # Tail latency in milliseconds of a serving run, otherwise processor use in
-    # thousandths of a core.
-    measure: float
-    # The pace last set, in percent of full speed.
-    pace: int
-    # The run has started since the last adjustment.
-    is_new: bool = False
-
-
-class PaceChange(msgspec.Struct, frozen=True):
-    """Hold a new pace for a run, in percent of full speed."""
-
-    task: str
-    run: int
-    percent: int
-
-
 class Pacer:
     """Control the pace of the fillers on one worker."""
 
@@ -84,11 +54,11 @@
 
     def adjust(
         self,
-        runs: collections.abc.Sequence[PacedRun],
+        runs: collections.abc.Sequence[_paced_runs.PacedRun],
         interference: _interference.InterferenceModel,
         capacity_millis: int,
         now: float,
-    ) -> list[PaceChange]:
+    ) -> list[_paced_runs.PaceChange]:
         """Return the changes of pace that are needed now."""
         serving = [
             run for run in runs if run.target_latency_ms and run.measure > 0
@@ -103,10 +73,10 @@
         if now < self._changed_at + SETTLE_SECONDS:
             return []
         paces = self._choose_paces(
-            serving, fillers, interference, max(1, capacity_millis), now
+            runs, serving, fillers, interference, max(1, capacity_millis), now
         )
         changes = [
-            PaceChange(run.task, run.run, paces[run.task])
+            _paced_runs.PaceChange(run.task, run.run, paces[run.task])
             for run in fillers
             if paces[run.task] != run.pace
         ]
@@ -115,7 +85,9 @@
         return changes
 
     def _update_over_target(
-        self, serving: collections.abc.Sequence[PacedRun], now: float
+        self,
+        serving: collections.abc.Sequence[_paced_runs.PacedRun],
+        now: float,
     ) -> None:
         over_target = {
             run.task for run in serving if run.measure > run.target_latency_ms
@@ -128,8 +100,9 @@
 
     def _choose_paces(
         self,
-        serving: collections.abc.Sequence[PacedRun],
-        fillers: collections.abc.Sequence[PacedRun],
+        runs: collections.abc.Sequence[_paced_runs.PacedRun],
+        serving: collections.abc.Sequence[_paced_runs.PacedRun],
+        fillers: collections.abc.Sequence[_paced_runs.PacedRun],
         interference: _interference.InterferenceModel,
         capacity_millis: int,
         now: float,
@@ -145,97 +118,219 @@
             }
         for run in serving:
             gap = math.log(
-                run.measure / (TARGET_TAIL_SHARE * run.target_latency_ms)
+                run.measure
+                / (_paced_runs.TARGET_TAIL_SHARE * run.target_latency_ms)
             )
             if gap > 0:
                 throttle_fillers(
                     run, fillers, interference, capacity_millis, gap, paces
                 )
+        make_room(serving, fillers, interference, capacity_millis, paces)
+        limits = limit_processor_time(runs, capacity_millis)
         for filler in fillers:
-            if paces[filler.task] == filler.pace < FULL_PACE_PERCENT:
+            if (
+                paces[filler.task]
+                == filler.pace
+                < _paced_runs.FULL_PACE_PERCENT
+            ):
                 paces[filler.task] = compute_released_pace(
-                    filler, serving, interference, capacity_millis
+                    filler, serving, fillers, interference, capacity_millis
                 )
+            paces[filler.task] = min(
+                paces[filler.task],
+                limits.get(filler.task, _paced_runs.FULL_PACE_PERCENT),
+            )
         return paces
 
 
 def slow_down_new_fillers(
-    serving: collections.abc.Sequence[PacedRun],
-    fillers: collections.abc.Iterable[PacedRun],
+    serving: collections.abc.Sequence[_paced_runs.PacedRun],
+    fillers: collections.abc.Sequence[_paced_runs.PacedRun],
     interference: _interference.InterferenceModel,
-) -> list[PaceChange]:
+) -> list[_paced_runs.PaceChange]:
     """Return the initial paces of fillers that may disturb a serving task."""
+    first = _paced_runs.find_first_standing(fillers)
     return [
-        PaceChange(filler.task, filler.run, INITIAL_PACE_PERCENT)
+        _paced_runs.PaceChange(
+            filler.task,
+            filler.run,
+            INITIAL_PACE_PERCENT
+            if filler.standing <= first
+            else TRICKLE_PERCENT,
+        )
         for filler in fillers
         if filler.is_new
         and any(
             interference.find_coefficient(run.image, filler.image)
-            >= NEGLIGIBLE_COEFFICIENT
+            >= _paced_runs.NEGLIGIBLE_COEFFICIENT
             for run in serving
         )
     ]
 
 
 def throttle_fillers(
-    serving: PacedRun,
-    fillers: collections.abc.Sequence[PacedRun],
+    serving: _paced_runs.PacedRun,
+    fillers: collections.abc.Sequence[_paced_runs.PacedRun],
     interference: _interference.InterferenceModel,
     capacity_millis: int,
     gap: float,
     paces: dict[str, int],
+    min_pace: int = 0,
 ) -> None:
     """Reduce `paces` so that the log tail is expected to decrease by `gap`.
 
-    The fillers with the highest coefficients are throttled first.
+    The fillers of the last standing are throttled first, and among these the
+    fillers with the highest coefficients, none below `min_pace`.
     """
     is_over = serving.measure > serving.target_latency_ms
     min_coefficient = OVER_TARGET_MIN_COEFFICIENT if is_over else 0.0
     ranked = sorted(
         fillers,
-        key=lambda run: interference.find_coefficient(
-            serving.image, run.image
+        key=lambda run: (
+            run.standing,
+            interference.find_coefficient(serving.image, run.image),
         ),
         reverse=True,
     )
     for run in ranked:
+        if gap <= 0:
+            return
         coefficient = max(
             min_coefficient,
             interference.find_coefficient(serving.image, run.image),
         )
         log_growth = coefficient * run.measure / capacity_millis
-        if gap <= 0 or coefficient < NEGLIGIBLE_COEFFICIENT:
-            return
-        if log_growth <= 0:
+        if coefficient < _paced_runs.NEGLIGIBLE_COEFFICIENT or log_growth <= 0:
             continue
         share = min(1.0, gap / log_growth)
-        paces[run.task] = min(paces[run.task], int(run.pace * (1 - share)))
+        pace = max(min_pace, int(run.pace * (1 - share)))
+        paces[run.task] = min(paces[run.task], pace)
         gap -= share * log_growth
 
 
+def make_room(
+    serving: collections.abc.Sequence[_paced_runs.PacedRun],
+    fillers: collections.abc.Sequence[_paced_runs.PacedRun],
+    interference: _interference.InterferenceModel,
+    capacity_millis: int,
+    paces: dict[str, int],
+) -> None:
+    """Throttle fillers so that those of an earlier standing may speed up.
+
+    Room is made for one increase of their paces at a time, and only beside the
+    serving task that holds them down.
+    """
+    first = _paced_runs.find_first_standing(fillers)
+    if all(filler.standing <= first for filler in fillers):
+        return
+    for run in serving:
+        waiting = [
+            filler
+            for filler in fillers
+            if filler.pace < _paced_runs.FULL_PACE_PERCENT
+            and _paced_runs.find_limiting_run(filler, serving, interference)
+            is run
+        ]
+        first = _paced_runs.find_first_standing(waiting)
+        needed = sum(
+            _paced_runs.estimate_growth(
+                filler, run, interference, capacity_millis
+            )
+            for filler in waiting
+            if filler.standing <= first
+        )
+        gap = needed / RELEASE_HEADROOM_SHARE - _paced_runs.measure_headroom(
+            run
+        )
+        if waiting and gap > 0:
+            throttle_fillers(
+                run,
+                [filler for filler in fillers if filler.standing > first],
+                interference,
+                capacity_millis,
+                gap,
+                paces,
+                TRICKLE_PERCENT,
+            )
+
+
 def compute_released_pace(
-    filler: PacedRun,
-    serving: collections.abc.Sequence[PacedRun],
+    filler: _paced_runs.PacedRun,
+    serving: collections.abc.Sequence[_paced_runs.PacedRun],
+    fillers: collections.abc.Sequence[_paced_runs.PacedRun],
     interference: _interference.InterferenceModel,
     capacity_millis: int,
 ) -> int:
-    """Return the pace to which a throttled filler may be sped up."""
-    step = float(MAX_RELEASE_STEP_PERCENT)
-    full_use_share = DEFAULT_USE_SHARE
-    if filler.pace and filler.measure:
-        use_share = filler.measure / capacity_millis
-        full_use_share = use_share / (filler.pace / FULL_PACE_PERCENT)
+    """Return the pace to which a throttled filler may be sped up.
+
+    The headroom that fillers of an earlier standing need for full speed is
+    left to them, except for a trickle.
+    """
+    preceding = [run for run in fillers if run.standing < filler.standing]
+    full_use_share = _paced_runs.estimate_full_use(filler, capacity_millis)
+    step = trickle_step = float(_paced_runs.MAX_RELEASE_STEP_PERCENT)
     for run in serving:
         coefficient = interference.find_coefficient(run.image, filler.image)
-        if coefficient < NEGLIGIBLE_COEFFICIENT:
+        if coefficient < _paced_runs.NEGLIGIBLE_COEFFICIENT:
             continue
-        headroom = math.log(
-            RELEASE_TAIL_SHARE * run.target_latency_ms / run.measure
-        )
+        headroom = _paced_runs.measure_headroom(run)
         if headroom <= 0:
             return filler.pace
-        allowed = (
-            RELEASE_HEADROOM_SHARE * headroom / (coefficient * full_use_share)
+        kept = sum(
+            _paced_runs.estimate_growth(
+                before,
+                run,
+                interference,
+                capacity_millis,
+                _paced_runs.FULL_PACE_PERCENT,
+            )
+            for before in preceding
         )
-        step = min(step, FULL_PACE_PERCENT * allowed)
-    return min(FULL_PACE_PERCENT, filler.pace + int(step))
+        growth = coefficient * full_use_share
+        trickle_step = min(trickle_step, compute_step(headroom, growth))
+        step = min(step, compute_step(max(0.0, headroom - kept), growth))
+    trickle = min(TRICKLE_PERCENT, filler.pace + int(trickle_step))
+    return min(
+        _paced_runs.FULL_PACE_PERCENT, max(trickle, filler.pace + int(step))
+    )
+
+
+def compute_step(headroom: float, growth: float) -> float:
+    """Return the increase of a pace, in percent, that a headroom allows.
+
+    `growth` is that of the log tail at full speed.
+    """
+    return _paced_runs.FULL_PACE_PERCENT * (
+        RELEASE_HEADROOM_SHARE * headroom / growth
+    )
+
+
+def limit_processor_time(
+    runs: collections.abc.Sequence[_paced_runs.PacedRun], capacity_millis: int
+) -> dict[str, int]:
+    """Return the paces that fillers must not exceed, by task.
+
+    Fillers of the first standing are not limited. The others get what the
+    requests of those before them leave, but at least a trickle. What serving
+    tasks use is not known and counts as nothing.
+    """
+    fillers = [run for run in runs if run.filler]
+    first = _paced_runs.find_first_standing(fillers)
+    if any(filler.cpu_millis <= 0 for filler in fillers):
+        return {}
+    room = capacity_millis - sum(
+        run.cpu_millis
+        for run in runs
+        if not run.filler and not run.target_latency_ms
+    )
+    limits: dict[str, int] = {}
+    for standing in _triage.Standing:
+        group = [run for run in fillers if run.standing is standing]
+        wanted = sum(run.cpu_millis for run in group)
+        if standing > first and wanted > room:
+            percent = _paced_runs.FULL_PACE_PERCENT * max(0, room) // wanted
+            limits.update(
+                (run.task, max(TRICKLE_PERCENT, percent)) for run in group
+            )
+        room -= wanted
+    return limits
--- a/chivespoke/telemetry.py
+++ b/chivespoke/telemetry.py
@@ -39,6 +39,7 @@
         'run_ends',
         'order_outcomes',
         'worker_crashes',
+        'filler_polls',
     )
 
     def __init__(self) -> None:
@@ -120,6 +121,10 @@
             'chivespoke_worker_crashes',
             description='Crashes of workers, by what they are put down to',
         )
+        self.filler_polls = self.meter.create_counter(
+            'chivespoke_filler_polls',
+            description='Fillers seen at polls, by standing and whether held',
+        )
         self.dropped_messages = self.meter.create_counter(
             'chivespoke_dropped_messages',
             description='Messages dropped, by cause',
