--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -289,6 +289,7 @@
             session=session,
             fence=self._state.fences.find_token(worker.sidecar),
             reserved=self._measure_reserved(worker),
+            standings=self._list_standings(worker),
         )
 
     def _measure_reserved(self, worker: _fleet.Worker) -> workloads.Resources:
@@ -338,6 +339,20 @@
             for filler_image in sorted(filler_images)
         )
 
+    def _list_standings(
+        self, worker: _fleet.Worker
+    ) -> tuple[_messages.JobStanding, ...]:
+        if not self._state.ranks:
+            return ()
+        jobs = {
+            run.name.job for run in worker.runs.values() if run.step.filler
+        }
+        return tuple(
+            _messages.JobStanding(job, self._state.find_standing(job))
+            for job in sorted(jobs)
+            if self._state.find_standing(job) is not decisions.Standing.TIMELY
+        )
+
     def _is_obsolete(self, run: _fleet.Run) -> bool:
         state = self._state.jobs.get(run.name.job)
         task = state.find_task(run.name) if state else None
@@ -363,6 +378,7 @@
             filler=run.step.filler,
             repeated=run.repeated,
             ticket=run.ticket,
+            cpu_millis=run.step.cpu_millis,
         )
 
     def _update_terms(self, configuration: workloads.Configuration) -> None:
@@ -387,4 +403,5 @@
         run.step.image,
         run.step.target_latency_ms,
         run.step.filler,
+        run.step.cpu_millis,
     )
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -202,16 +202,38 @@
                     or run.name.job not in self._state.jobs
                 ):
                     continue
-                forecast = run.speed_tracker.forecast(
-                    run.step.estimated_ms / 1000,
-                    run.step.checkpointing,
-                    worker.reported_at,
-                )
+                if (
+                    self._state.find_standing(run.name.job)
+                    is not decisions.Standing.TIMELY
+                ):
+                    # It is held down so that others can be in time.
+                    continue
+                forecast = self._forecast_run(worker, run, run.speed_tracker)
                 if forecast is not None and decisions.is_move_worthwhile(
                     forecast, speed_elsewhere=1.0
                 ):
                     yield SlowRun(forecast, worker, run)
 
+    def _forecast_run(
+        self,
+        worker: _fleet.Worker,
+        run: _fleet.Run,
+        speed_tracker: decisions.SpeedTracker,
+    ) -> decisions.RunForecast | None:
+        seconds = self._state.durations.estimate_seconds(
+            self._state.jobs[run.name.job].job.queue,
+            run.name.format_step(),
+            run.step,
+        )
+        return speed_tracker.forecast_held(
+            seconds,
+            run.step.checkpointing,
+            run.pace,
+            run.measure_held(self._now),
+        ) or speed_tracker.forecast(
+            seconds, run.step.checkpointing, worker.reported_at
+        )
+
     def _list_moves(self) -> collections.abc.Iterator[Claimant]:
         """Yield the slow runs that may move."""
         for slow_run in self._slow_runs:
--- a/chivespoke/telemetry.py
+++ b/chivespoke/telemetry.py
@@ -40,6 +40,7 @@
         'order_outcomes',
         'worker_crashes',
         'standing_changes',
+        'filler_polls',
     )
 
     def __init__(self) -> None:
@@ -125,6 +126,10 @@
             'chivespoke_standing_changes',
             description='Jobs that got another standing, by the new one',
         )
+        self.filler_polls = self.meter.create_counter(
+            'chivespoke_filler_polls',
+            description='Fillers seen at polls, by standing and whether held',
+        )
         self.dropped_messages = self.meter.create_counter(
             'chivespoke_dropped_messages',
             description='Messages dropped, by cause',
