--- a/chivespoke/decisions/_pacing.py
+++ b/chivespoke/decisions/_pacing.py
@@ -327,7 +327,7 @@
     for standing in _triage.Standing:
         group = [run for run in fillers if run.standing is standing]
         wanted = sum(run.cpu_millis for run in group)
-        if standing > first and wanted > room:
+        if standing > first and wanted > max(0, room):
             percent = _paced_runs.FULL_PACE_PERCENT * max(0, room) // wanted
             limits.update(
                 (run.task, max(TRICKLE_PERCENT, percent)) for run in group
