--- a/chivespoke/agents/_paces.py
+++ b/chivespoke/agents/_paces.py
@@ -144,7 +144,9 @@
                     for run in runs
                     if run.standing is not decisions.Standing.TIMELY
                 },
-                standings_age=round(now - self._standings_at, 3),
+                standings_age=round(now - self._standings_at, 3)
+                if self._standings
+                else None,
             )
         return changes
 
--- a/chivespoke/agents/tests/test_paces.py
+++ b/chivespoke/agents/tests/test_paces.py
@@ -1,6 +1,7 @@
 """Tests of the pace tracker."""
 
 import unittest
+from unittest import mock
 
 from chivespoke.agents import _paces
 from chivespoke import coordination
@@ -86,5 +87,118 @@
         self.assertEqual({10000: 73, 2000: 94}, percents)
 
 
+JOBS = {
+    decisions.Standing.TIMELY: '00000000000000a1',
+    decisions.Standing.DELAYED: '00000000000000b2',
+}
+TIMELY, DELAYED = (f'{job}.0.0.0' for job in JOBS.values())
+STANDINGS = tuple(
+    coordination.JobStanding(job, standing)
+    for standing, job in JOBS.items()
+    if standing is not decisions.Standing.TIMELY
+)
+
+
+class StandingTest(unittest.TestCase):
+    """Pace fillers of two jobs beside a serving task with a high tail."""
+
+    def setUp(self) -> None:
+        self.instruments = telemetry.Telemetry()
+        self.tracker = _paces.PaceTracker('w', self.instruments)
+        self.tracker.record_run(make_run(SERVING))
+        for task, image in ((TIMELY, 'f1'), (DELAYED, 'f2')):
+            self.tracker.record_run(
+                coordination.AdoptedRun(task, 1, image, 0, True, 1000)
+            )
+        self.tracker.update_interference(
+            (
+                decisions.InterferenceCoefficient('s1', 'f1', 2.0),
+                decisions.InterferenceCoefficient('s1', 'f2', 1.0),
+            )
+        )
+
+    def adjust(self, now: float) -> list[str]:
+        """Return the fillers whose paces change."""
+        rows = (('serving', 13.0), (TIMELY, 1000.0), (DELAYED, 1000.0))
+        status = platform.WorkerStatus(
+            0,
+            tuple(
+                platform.RunningTask(task, 1, '', 50.0, measure)
+                for task, measure in rows
+            ),
+            (),
+        )
+        return [
+            change.task
+            for change in self.tracker.adjust(status, CAPACITY_MILLIS, now)
+        ]
+
+    def test_filler_of_a_delayed_job_is_throttled_first(self) -> None:
+        self.assertEqual([TIMELY], self.adjust(0.0))
+        self.tracker.update_standings(STANDINGS, 1.0)
+        self.assertEqual([DELAYED], self.adjust(1.0))
+
+    def test_standings_outlast_a_lost_directive(self) -> None:
+        self.tracker.update_standings(STANDINGS, 0.0)
+        self.assertEqual([DELAYED], self.adjust(1.2))
+
+    def test_standings_end_if_no_leader_is_heard(self) -> None:
+        self.tracker.update_standings(STANDINGS, 0.0)
+        limit = _paces.MAX_STANDINGS_AGE_SECONDS
+        self.assertEqual([DELAYED], self.adjust(limit))
+        self.assertEqual([TIMELY], self.adjust(limit + 1.0))
+
+    def test_leader_that_names_none_ends_the_standings(self) -> None:
+        # It leads since a moment, or there is room again.
+        self.tracker.update_standings(STANDINGS, 0.0)
+        self.tracker.update_standings((), 0.4)
+        self.assertEqual([TIMELY], self.adjust(1.0))
+
+    def test_change_is_logged_with_the_standings_and_their_age(self) -> None:
+        self.tracker.update_standings(STANDINGS, 0.0)
+        with mock.patch.object(_paces, 'LOGGER') as log:
+            self.adjust(0.5)
+        fields = log.info.call_args.kwargs
+        self.assertEqual({DELAYED: 'DELAYED'}, fields['standings'])
+        self.assertEqual(0.5, fields['standings_age'])
+
+    def test_reduced_paces_of_listed_fillers_are_reported(self) -> None:
+        status = make_status(5.0, 'serving')
+        rows = tuple(
+            platform.RunningTask(task, run, '', 50.0, 0.0)
+            for task, run in ((TIMELY, 1), (DELAYED, 2))
+        )
+        status = platform.WorkerStatus(0, (*status.running, *rows), ())
+        self.assertEqual((), self.tracker.list_reduced_paces(status))
+        for task in (TIMELY, DELAYED):
+            self.tracker.record_pace(decisions.PaceChange(task, 1, 0))
+        # The worker lists a later run of the delayed task, whose pace is not
+        # known.
+        self.assertEqual(
+            (coordination.RunPace(TIMELY, 1, 0),),
+            self.tracker.list_reduced_paces(status),
+        )
+
+    def test_held_fillers_are_counted_by_standing(self) -> None:
+        self.tracker.update_standings(STANDINGS, 0.0)
+        self.tracker.record_pace(decisions.PaceChange(DELAYED, 1, 5))
+        self.adjust(0.5)
+        counts = [
+            line.split()
+            for line in self.instruments.format_metrics().decode().splitlines()
+            if line.startswith('chivespoke_filler_polls_total')
+        ]
+        self.assertEqual(
+            [
+                ['held="false",standing="timely"', 1.0],
+                ['held="true",standing="delayed"', 1.0],
+            ],
+            sorted(
+                [labels.partition('{')[2].rstrip('}'), float(count)]
+                for labels, count in counts
+            ),
+        )
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -110,6 +110,7 @@
         stops: tuple[coordination.StopOrder, ...] = (),
         number: int | None = None,
         reserved: workloads.Resources | None = None,
+        standings: tuple[coordination.JobStanding, ...] = (),
     ) -> None:
         self.directives += 1
         self.session.apply_directive(
@@ -124,6 +125,7 @@
                 session=SESSION,
                 fence=FENCE,
                 reserved=reserved,
+                standings=standings,
             )
         )
 
@@ -334,6 +336,34 @@
                 await paced.wait()
         self.assertEqual(3000, capacity)
 
+    async def test_standings_reach_pacing_and_paces_the_leader(self) -> None:
+        job = TASK.partition('.')[0]
+        held = decisions.PaceChange(TASK, 1, 0)
+        seen: set[decisions.Standing] = set()
+
+        def record(*arguments: typing.Any) -> list[decisions.PaceChange]:
+            seen.update(run.standing for run in arguments[1])
+            return [held] if decisions.Standing.DELAYED in seen else []
+
+        self.send_directive(
+            self.clock_ms + HOUR_MS,
+            msgspec.structs.replace(self.make_start(), filler=True),
+        )
+        await self.wait_for_outcome()
+        self.assertEqual((), self.session.make_report('a').paces)
+        with mock.patch.object(decisions.Pacer, 'adjust', record):
+            self.send_directive(
+                self.clock_ms + HOUR_MS,
+                standings=(
+                    coordination.JobStanding(job, decisions.Standing.DELAYED),
+                ),
+            )
+            async with asyncio.timeout(20.0):
+                while not (paces := self.session.make_report('a').paces):
+                    await asyncio.sleep(0.01)
+        self.assertEqual((coordination.RunPace(TASK, 1, 0),), paces)
+        self.assertEqual({TASK: 0}, self.runner.paces)
+
     async def test_stops_that_fail_are_not_logged_each_time(self) -> None:
         # The sidecar of a worker that was gone for good wrote 680 warnings in
         # a minute.
--- a/chivespoke/decisions/tests/test_moves.py
+++ b/chivespoke/decisions/tests/test_moves.py
@@ -42,6 +42,49 @@
                 self.assertAlmostEqual(expected, forecast.repeated_seconds)
 
 
+class HeldRunTest(unittest.TestCase):
+    """Judge runs by their pace, without the time of an observation."""
+
+    def test_run_that_a_pace_holds_down_is_judged_after_a_second(self) -> None:
+        tracker = observe(1.0, 1.0)
+        for pace, held_seconds, expected in (
+            (0, 0.8, None),
+            (0, 1.0, 0.0),
+            (5, 1.0, 0.05),
+            (30, 60.0, None),
+            (100, 60.0, None),
+        ):
+            with self.subTest(pace=pace, held_seconds=held_seconds):
+                self.assertIsNone(tracker.forecast(5.0, True, 1.0))
+                forecast = tracker.forecast_held(5.0, True, pace, held_seconds)
+                self.assertEqual(
+                    expected, None if forecast is None else forecast.speed
+                )
+                self.assertTrue(forecast is None or forecast.is_held)
+
+    def test_gain_is_weighed_against_the_restart_as_for_others(self) -> None:
+        for checkpointing, work, worked, expected in (
+            (True, 5.0, 1.0, True),
+            (False, 5.0, 1.0, True),
+            # Nearly done: 0.02 s of work are left.
+            (True, 0.02, 0.0, False),
+            # More is repeated than pacing can cost.
+            (False, 0.02, 2.0, False),
+        ):
+            with self.subTest((checkpointing, work, worked)):
+                tracker = observe(1.0, worked)
+                forecast = tracker.forecast_held(work, checkpointing, 0, 1.0)
+                assert forecast is not None
+                self.assertEqual(
+                    expected, decisions.is_move_worthwhile(forecast, 1.0)
+                )
+
+    def test_progress_replaces_the_estimate(self) -> None:
+        forecast = observe(1.0, 1.0, 10.0).forecast_held(50.0, True, 0, 1.0)
+        assert forecast is not None
+        self.assertAlmostEqual(9.0, forecast.work_seconds)
+
+
 class MoveTest(unittest.TestCase):
     def test_moves_that_gain_much_are_worthwhile(self) -> None:
         cases = {
