Learn durations from runs, and keep what is learned over a change of leader

Submitters' estimates are wrong by factors, and each new leader starts without what the earlier one learned of durations and interference. Typical work is learned by step, queue and image; a bounded record carries it and the coefficients of image pairs to the next leader. Both are used only where queues of different priorities share a service.

--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -6,6 +6,7 @@
 from chivespoke.coordination import _engine_state
 from chivespoke.coordination import _fleet
 from chivespoke.coordination import _jobs
+from chivespoke.coordination import _learning
 from chivespoke.coordination import _messages
 from chivespoke.coordination import _placer
 from chivespoke.coordination import _records
@@ -45,6 +46,7 @@
         '_report_handler',
         '_epoch',
         '_placer',
+        '_learning_keeper',
         '_desired_state',
         '_checkpoints_marked_at',
     )
@@ -56,6 +58,7 @@
         self._state = _engine_state.State(epoch, timeouts)
         self._report_handler = _reports.ReportHandler(self._state)
         self._placer = _placer.Placer(self._state)
+        self._learning_keeper = _learning.LearningKeeper(self._state)
         # That of the latest plan; None if it was outdated.
         self._desired_state: _placer.DesiredState | None = None
         self._checkpoints_marked_at = 0.0
@@ -65,6 +68,19 @@
         """Return the leader's state, for explanations and tests."""
         return self._state
 
+    @property
+    def learned_record_age(self) -> float | None:
+        """Return the age in seconds of the learned state taken up, if any."""
+        return self._learning_keeper.record_age
+
+    def take_learned_samples(self) -> dict[str, int]:
+        """Return the samples learned since the last call, by model."""
+        return self._learning_keeper.take_samples()
+
+    def offer_learned(self, encoded: bytes) -> None:
+        """Provide what an earlier leader has recorded as learned."""
+        self._learning_keeper.offer(encoded)
+
     def apply_entry(
         self, entry: _records.JobEntry, now: float, wall: float
     ) -> None:
@@ -107,6 +123,9 @@
         decided_runs: tuple[_fleet.Run, ...] = ()
         if desired_state is not None:
             self._update_terms(desired_state.configuration)
+            self._learning_keeper.apply_configuration(
+                desired_state.configuration, wall
+            )
             decided_runs = self._placer.place(desired_state, now, wall)
         records: list[bytes] = []
         self._mark_checkpoints(now)
@@ -126,6 +145,10 @@
                 )
                 del self._state.jobs[state.job.identifier]
                 self._state.advice_cache.forget_job(state.job.identifier)
+                self._state.durations.forget_job(state.job.identifier)
+        learned = self._learning_keeper.make_record(now, wall)
+        if learned is not None:
+            records.append(learned)
         recorded_ends = {
             worker.incarnation.key: worker.processed_end
             for worker in self._state.workers.values()
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -114,7 +114,8 @@
         self.unreported: dict[str, UnreportedWorker] = {}
         self.quarantines: dict[str, decisions.WorkerQuarantine] = {}
         self.interference = decisions.LearnedInterferenceModel()
-        self.durations: decisions.DurationModel = decisions.DeclaredDurations()
+        # Estimates are corrected once a configuration calls for it.
+        self.durations = decisions.LearnedDurations(frozenset())
         # Set while a service has too little room, by job; other jobs are
         # served in time.
         self.standings: dict[str, decisions.Standing] = {}
@@ -171,6 +172,7 @@
             job=state.job.identifier,
             phase=state.progress.phase.value,
         )
+        self.durations.forget_job(state.job.identifier)
         for name, task in state.list_assigned():
             self.stop_run(task.worker, name.format(), 'the job is final')
 
--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -39,6 +39,7 @@
     __slots__ = (
         'name',
         'task_id',
+        'step_id',
         'number',
         'step',
         'state',
@@ -64,6 +65,7 @@
     ) -> None:
         self.name = name
         self.task_id = name.format()
+        self.step_id = name.format_step()
         self.number = number
         self.step = step
         self.state = state
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -203,7 +203,11 @@
                 ):
                     continue
                 forecast = run.speed_tracker.forecast(
-                    run.step.estimated_ms / 1000,
+                    self._state.durations.estimate_seconds(
+                        self._state.jobs[run.name.job].job.queue,
+                        run.step_id,
+                        run.step,
+                    ),
                     run.step.checkpointing,
                     worker.reported_at,
                 )
--- a/chivespoke/coordination/_records.py
+++ b/chivespoke/coordination/_records.py
@@ -19,6 +19,8 @@
 PROGRESS_PREFIX = 'progress/'
 WORKER_PREFIX = 'worker/'
 ENTRY_PREFIX = 'entry/'
+# What the leaders have learned; see `_learning`.
+LEARNED_KEY = 'learned/model'
 
 # Maximum size of the record of one task: the names of its worker and of its
 # checkpoint, and small numbers.
@@ -174,6 +176,7 @@
         'entries',
         'sidecars',
         'entry_addresses',
+        'learned',
         'listener',
         '_key_events',
     )
@@ -183,6 +186,9 @@
         self.sidecars: dict[str, str] = {}
         # Address for neighbours' requests, by the name of the entry.
         self.entry_addresses: dict[str, str] = {}
+        # Record of what a leader has learned, which only the next leader
+        # decodes; empty if there is none.
+        self.learned = b''
         self.listener: LedgerListener | None = None
         # Events to set when a record with the key is applied.
         self._key_events: dict[str, asyncio.Event] = {}
@@ -215,6 +221,8 @@
         for identifier in tuple(self.entries):
             if JOB_PREFIX + identifier not in keys:
                 del self.entries[identifier]
+        if LEARNED_KEY not in keys:
+            self.learned = b''
 
     def _apply(self, record: platform.Record) -> None:
         key = record.key
@@ -230,6 +238,8 @@
             self._apply_entry_address(
                 key.removeprefix(ENTRY_PREFIX), record.value
             )
+        elif key == LEARNED_KEY:
+            self.learned = record.value
 
     def _apply_job(self, identifier: str, record: platform.Record) -> None:
         if not record.value:
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -5,6 +5,7 @@
 from chivespoke.coordination import _crashes
 from chivespoke.coordination import _engine_state
 from chivespoke.coordination import _fleet
+from chivespoke.coordination import _learning
 from chivespoke.coordination import _messages
 from chivespoke.coordination import _suspects
 from chivespoke import decisions
@@ -212,6 +213,7 @@
             # Another run, or another member of the gang, has completed it.
             return
         if end.cause is platform.EndCause.DONE and not run.step.long_running:
+            _learning.observe_end(self._state.durations, state, run, now)
             state.complete_task(run.name, wall_ms)
         else:
             state.requeue(run.name, end.checkpoint)
@@ -284,6 +286,11 @@
             elif is_new_poll:
                 cpu_share = min(1.0, row.measure / max(1, run.step.cpu_millis))
                 run.speed_tracker.observe(row.progress, cpu_share, now)
+                _learning.observe_progress(
+                    self._state.durations,
+                    self._state.jobs.get(run.name.job),
+                    run,
+                )
                 if run.stall_detector.observe(
                     row.progress, cpu_share, run.step.estimated_ms / 1000, now
                 ):
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -247,6 +247,7 @@
         )
         await self._wait_for_ledger(end_offset)
         self._ledger.listener = self
+        self._engine.offer_learned(self._ledger.learned)
         for entry in self._ledger.entries.values():
             self.handle_job(entry)
         for name, address in self._ledger.sidecars.items():
@@ -290,6 +291,7 @@
             await self._append(records)
         self._engine.confirm(plan)
         self._record_start_waits(plan)
+        self._record_learning()
         if not plan.complete:
             self._wake.set()
         if self._engine.find_advice_request() is not None:
@@ -311,6 +313,14 @@
                     {'queue': state.job.queue},
                 )
 
+    def _record_learning(self) -> None:
+        for model, count in self._engine.take_learned_samples().items():
+            if count:
+                self._telemetry.learned_samples.add(count, {'model': model})
+        age = self._engine.learned_record_age
+        if age is not None:
+            self._telemetry.learned_record_age.set(age)
+
     def _read_desired_state(self) -> _placer.DesiredState | None:
         configuration = self._operator.configuration
         age = self._operator_follower.measure_age()
--- a/chivespoke/coordination/tests/builders.py
+++ b/chivespoke/coordination/tests/builders.py
@@ -155,6 +155,7 @@
         self.desired_state: coordination.DesiredState | None = (
             make_desired_state()
         )
+        self.engine.offer_learned(self.ledger.learned)
         for entry in self.ledger.entries.values():
             self.engine.apply_entry(entry, self.now, WALL)
 
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -14,7 +14,16 @@
 from chivespoke.decisions._crashes import OUTAGE_SECONDS
 from chivespoke.decisions._crashes import SUSPECT_AGE_SECONDS
 from chivespoke.decisions._durations import DeclaredDurations
+from chivespoke.decisions._durations import DurationEstimate
 from chivespoke.decisions._durations import DurationModel
+from chivespoke.decisions._durations import DurationState
+from chivespoke.decisions._durations import FitState
+from chivespoke.decisions._durations import ImageState
+from chivespoke.decisions._durations import LearnedDurations
+from chivespoke.decisions._durations import MAX_SECONDS
+from chivespoke.decisions._durations import MIN_SECONDS
+from chivespoke.decisions._durations import StepState
+from chivespoke.decisions._interference import CoefficientState
 from chivespoke.decisions._interference import FixedInterferenceModel
 from chivespoke.decisions._interference import InterferenceCoefficient
 from chivespoke.decisions._interference import InterferenceModel
@@ -58,19 +67,27 @@
     'AdviceCache',
     'AdviceRequest',
     'CandidateWorker',
+    'CoefficientState',
     'DeclaredDurations',
+    'DurationEstimate',
     'DurationModel',
+    'DurationState',
     'FULL_PACE_PERCENT',
+    'FitState',
     'FixedInterferenceModel',
     'HELD_SPEED',
+    'ImageState',
     'InterferenceCoefficient',
     'InterferenceModel',
     'LatencyHeadroom',
+    'LearnedDurations',
     'LearnedInterferenceModel',
     'LostRun',
     'MAX_CRASHES',
     'MAX_NEIGHBOURS',
     'MAX_REQUEST_WORKERS',
+    'MAX_SECONDS',
+    'MIN_SECONDS',
     'NeighbourSelector',
     'OUTAGE_SECONDS',
     'PaceChange',
@@ -86,6 +103,7 @@
     'StallDetector',
     'Standing',
     'StepDemand',
+    'StepState',
     'TARGET_TAIL_SHARE',
     'VALUE_CUTOFF_FACTOR',
     'WorkerQuarantine',
--- a/chivespoke/decisions/_interference.py
+++ b/chivespoke/decisions/_interference.py
@@ -28,6 +28,9 @@
 INTERCEPT_WEIGHT = 0.01
 # Number of new samples after which the coefficients are computed again.
 SOLVE_INTERVAL_SAMPLES = 8
+# Share of the weight of the samples of a pair that counts for its coefficient
+# alone: images whose use changes at the same time share the evidence.
+EXPORTED_WEIGHT_SHARE = 0.5
 
 
 class InterferenceCoefficient(msgspec.Struct, frozen=True, array_like=True):
@@ -42,6 +45,17 @@
     coefficient: float
 
 
+class CoefficientState(msgspec.Struct, frozen=True):
+    """Hold what is learned of a pair of images."""
+
+    serving: str
+    filler: str
+    # May be negative, which is noise.
+    coefficient: float
+    # In squared worker shares.
+    weight: float
+
+
 class InterferenceModel(abc.ABC):
     """Provide the interference coefficients of pairs of images."""
 
@@ -72,7 +86,14 @@
     Coefficients are shrunk towards the prior; older samples have less weight.
     """
 
-    __slots__ = ('_columns', '_matrix', '_vector', '_samples', '_coefficients')
+    __slots__ = (
+        '_columns',
+        '_matrix',
+        '_vector',
+        '_samples',
+        '_coefficients',
+        '_restored_weights',
+    )
 
     def __init__(self) -> None:
         # Column by filler image. Column 0 is the intercept: the change of the
@@ -82,6 +103,8 @@
         self._vector = [0.0]
         self._samples = 0
         self._coefficients: list[float] = [0.0]
+        # Part of each diagonal element that an earlier model had learned.
+        self._restored_weights = [0.0]
 
     def add(
         self, changes: collections.abc.Mapping[str, float], log_change: float
@@ -97,6 +120,7 @@
         for image, share in changes.items():
             row[self._columns[image]] = share
         for i, left in enumerate(row):
+            self._restored_weights[i] *= DECAY_FACTOR
             self._vector[i] = (
                 DECAY_FACTOR * self._vector[i] + left * log_change
             )
@@ -114,11 +138,43 @@
             return PRIOR_COEFFICIENT
         return max(0.0, self._coefficients[column])
 
+    def restore(
+        self, states: collections.abc.Iterable[CoefficientState], share: float
+    ) -> None:
+        """Add coefficients with a share of their weight.
+
+        They count like samples in which only the use of their image changed.
+        """
+        for state in states:
+            self._add_column(state.filler)
+            column = self._columns[state.filler]
+            weight = share * state.weight
+            self._matrix[column][column] += weight
+            self._vector[column] += weight * state.coefficient
+            self._restored_weights[column] += weight
+        self._coefficients = self._solve()
+
+    def export(
+        self, serving: str
+    ) -> collections.abc.Iterator[CoefficientState]:
+        """Yield the coefficients computed last, with their weights."""
+        for filler, column in self._columns.items():
+            if column >= len(self._coefficients):
+                continue
+            restored = self._restored_weights[column]
+            learned = max(0.0, self._matrix[column][column] - restored)
+            # The weight restored was reduced when it was first exported.
+            weight = restored + EXPORTED_WEIGHT_SHARE * learned
+            yield CoefficientState(
+                serving, filler, self._coefficients[column], weight
+            )
+
     def _add_column(self, image: str) -> None:
         if image in self._columns:
             return
         self._columns[image] = len(self._vector)
         self._vector.append(0.0)
+        self._restored_weights.append(0.0)
         for line in self._matrix:
             line.append(0.0)
         self._matrix.append([0.0] * len(self._vector))
@@ -136,9 +192,11 @@
 class LearnedInterferenceModel(InterferenceModel):
     """Learn coefficients from samples of all workers."""
 
-    __slots__ = ('_regressions',)
+    __slots__ = ('samples', '_regressions')
 
     def __init__(self) -> None:
+        # Number of samples learned from.
+        self.samples = 0
         self._regressions: dict[str, _Regression] = {}
 
     def learn(
@@ -151,9 +209,30 @@
 
         `changes` holds the changes of the worker shares used, by filler image.
         """
+        self.samples += 1
         regression = self._regressions.setdefault(serving, _Regression())
         regression.add(changes, log_change)
 
+    def export(self) -> tuple[CoefficientState, ...]:
+        """Return what is learned of each pair of images."""
+        return tuple(
+            state
+            for serving, regression in self._regressions.items()
+            for state in regression.export(serving)
+        )
+
+    def restore(
+        self, states: collections.abc.Iterable[CoefficientState], share: float
+    ) -> None:
+        """Add what another model has learned, with a share of its weight."""
+        by_serving: dict[str, list[CoefficientState]] = {}
+        for state in states:
+            by_serving.setdefault(state.serving, []).append(state)
+        for serving, items in by_serving.items():
+            self._regressions.setdefault(serving, _Regression()).restore(
+                items, share
+            )
+
     def find_coefficient(self, serving: str, filler: str) -> float:
         regression = self._regressions.get(serving)
         return (
--- a/chivespoke/decisions/_moves.py
+++ b/chivespoke/decisions/_moves.py
@@ -73,6 +73,22 @@
         self._worked_seconds = 0.0
         self._speed = 1.0
 
+    @property
+    def work_seconds(self) -> float | None:
+        """Return the expected work of the whole run at full speed.
+
+        Return None if the run has not advanced enough while it was observed.
+        """
+        gained = self._progress - self._first_progress
+        if gained < MIN_PROGRESS_PERCENT or not self._worked_seconds:
+            return None
+        return self._worked_seconds * COMPLETE_PERCENT / gained
+
+    @property
+    def speed(self) -> float:
+        """Return the average speed as a share of full speed."""
+        return self._speed
+
     def skip(self, now: float) -> None:
         """Exclude the time since the last observation."""
         self._started_at += now - self._observed_at
--- a/chivespoke/telemetry.py
+++ b/chivespoke/telemetry.py
@@ -39,6 +39,8 @@
         'run_ends',
         'order_outcomes',
         'worker_crashes',
+        'learned_samples',
+        'learned_record_age',
     )
 
     def __init__(self) -> None:
@@ -120,6 +122,15 @@
             'chivespoke_worker_crashes',
             description='Crashes of workers, by what they are put down to',
         )
+        self.learned_samples = self.meter.create_counter(
+            'chivespoke_learned_samples',
+            description='Samples that the leader learned from, by model',
+        )
+        # Without a unit, since that of a histogram is seconds.
+        self.learned_record_age = self.meter.create_gauge(
+            'chivespoke_learned_record_age_seconds',
+            description='Age of what a new leader took up as learned',
+        )
         self.dropped_messages = self.meter.create_counter(
             'chivespoke_dropped_messages',
             description='Messages dropped, by cause',
