--- a/chivespoke/coordination/_learned_record.py
+++ b/chivespoke/coordination/_learned_record.py
@@ -62,12 +62,14 @@
 
 
 class ImageRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Hold the offset of an image to the other images of a queue."""
+    """Hold what the estimates for an image of a queue are worth."""
 
     queue: NameIndex
+    declared: bool
     image: NameIndex
     weight: Weight
-    mean_offset: Hundredths
+    mean_log_declared: Hundredths
+    mean_log_ratio: Hundredths
 
 
 class StepRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -185,9 +187,11 @@
     images = tuple(
         ImageRecord(
             index(item.queue),
+            item.declared,
             index(item.image),
             round_weight(item.weight),
-            round_value(item.mean_offset),
+            round_value(item.mean_log_declared),
+            round_value(item.mean_log_ratio),
         )
         for item in durations.images
     )
@@ -258,9 +262,11 @@
             tuple(
                 decisions.ImageState(
                     name(item.queue),
+                    item.declared,
                     name(item.image),
                     read_weight(item.weight),
-                    item.mean_offset / 100,
+                    item.mean_log_declared / 100,
+                    item.mean_log_ratio / 100,
                 )
                 for item in reversed(record.images)
             ),
@@ -279,17 +285,20 @@
     names = record.names
     contents: Contents = {}
     for pair in record.pairs:
-        key = ('pair', names[pair.serving], names[pair.filler])
-        contents[key] = (pair.coefficient, pair.weight)
+        contents['pair', names[pair.serving], names[pair.filler]] = (
+            pair.coefficient,
+            pair.weight,
+        )
     for fit in record.fits:
         contents['fit', names[fit.queue], str(fit.declared)] = (
             msgspec.structs.astuple(fit)[2:]
         )
     for image in record.images:
-        contents['image', names[image.queue], names[image.image]] = (
-            image.weight,
-            image.mean_offset,
+        key = (
+            *('image', names[image.queue]),
+            *(str(image.declared), names[image.image]),
         )
+        contents[key] = msgspec.structs.astuple(image)[3:]
     for step in record.steps:
         contents['step', step.step_id] = (step.log_seconds, step.tasks)
     return contents
--- a/chivespoke/decisions/_durations.py
+++ b/chivespoke/decisions/_durations.py
@@ -41,8 +41,8 @@
 # the weight 1/n: they are alike, so that one step must not count for many.
 MAX_COUNTED_TASKS = 8
 # Factor applied to the weight of earlier samples per unit of weight added, so
-# that the last hundreds of steps dominate.
-DECAY_FACTOR = 0.995
+# that the last hundred steps dominate.
+DECAY_FACTOR = 0.99
 # Weight of the estimate as declared, in steps, against the mean ratio, the
 # image's offset and, multiplied with the variance of the log estimates, the
 # slope of the regression.
@@ -125,9 +125,11 @@
     """Hold how the tasks of an image differ from those of their queue."""
 
     queue: str
+    declared: bool
     image: str
     weight: float
-    mean_offset: float
+    mean_log_declared: float
+    mean_log_ratio: float
 
 
 class StepState(msgspec.Struct, frozen=True):
@@ -179,23 +181,27 @@
         slope = min(MAX_SLOPE, max(MIN_SLOPE, slope))
         return mean + slope * (log_declared - self.mean_log_declared)
 
+    def clip(self, distance: float) -> float:
+        """Return how far a sample counts as away from the expectation."""
+        if self.weight < MIN_CLIPPED_WEIGHT:
+            return distance
+        limit = MAX_DEVIATION * max(MIN_SPREAD, self.spread)
+        return min(limit, max(-limit, distance))
+
     def add(
-        self, log_declared: float, log_ratio: float, weight: float
-    ) -> float:
-        """Add a sample; return its distance from the expectation."""
-        offset = log_ratio - self.predict(log_declared)
-        clipped = offset
-        if self.weight >= MIN_CLIPPED_WEIGHT:
-            limit = MAX_DEVIATION * max(MIN_SPREAD, self.spread)
-            clipped = min(limit, max(-limit, offset))
-        sample_ratio = log_ratio - offset + clipped
+        self,
+        log_declared: float,
+        log_ratio: float,
+        distance: float,
+        weight: float,
+    ) -> None:
+        """Add a sample, which was at a distance from the expectation."""
         decay = DECAY_FACTOR**weight
         self.squares *= decay
         self.products *= decay
-        self._merge(log_declared, sample_ratio, weight, decay)
+        self._merge(log_declared, log_ratio, weight, decay)
         share = min(1.0, weight / (self.weight + 1.0))
-        self.spread += share * (abs(clipped) - self.spread)
-        return clipped
+        self.spread += share * (abs(distance) - self.spread)
 
     def restore(self, state: FitState, share: float) -> None:
         """Add what another fit has learned, with a share of its weight."""
@@ -239,25 +245,31 @@
         self.products += earlier * share * change * ratio_change
 
 
-class _Offset:
-    """Hold the mean distance of an image from its queue."""
+class _ImageMeans:
+    """Hold the mean log estimate and log ratio of an image."""
 
-    __slots__ = ('weight', 'total')
+    __slots__ = ('weight', 'mean_log_declared', 'mean_log_ratio')
 
     def __init__(self) -> None:
         self.weight = 0.0
-        self.total = 0.0
+        self.mean_log_declared = 0.0
+        self.mean_log_ratio = 0.0
 
-    def add(self, offset: float, weight: float) -> None:
+    def add(
+        self, log_declared: float, log_ratio: float, weight: float
+    ) -> None:
         """Add a sample."""
-        decay = DECAY_FACTOR**weight
-        self.weight = decay * self.weight + weight
-        self.total = decay * self.total + weight * offset
+        self.weight = DECAY_FACTOR**weight * self.weight + weight
+        share = weight / self.weight
+        self.mean_log_declared += share * (
+            log_declared - self.mean_log_declared
+        )
+        self.mean_log_ratio += share * (log_ratio - self.mean_log_ratio)
 
-    @property
-    def value(self) -> float:
-        """Return the offset to add to the expectation of the queue."""
-        return self.total / (self.weight + IMAGE_PRIOR_WEIGHT)
+    def measure_offset(self, fit: _Fit) -> float:
+        """Return what to add to the log ratio that a queue's fit expects."""
+        distance = self.mean_log_ratio - fit.predict(self.mean_log_declared)
+        return distance * self.weight / (self.weight + IMAGE_PRIOR_WEIGHT)
 
 
 class _StepTasks:
@@ -343,7 +355,7 @@
         'applied_queues',
         'samples',
         '_fits',
-        '_offsets',
+        '_images',
         '_steps',
         '_step_count',
         '_spreads',
@@ -358,8 +370,8 @@
         self.samples = 0
         # By queue and whether the steps have an estimate.
         self._fits: dict[tuple[str, bool], _Fit] = {}
-        # By queue and image, the latest last.
-        self._offsets: dict[tuple[str, str], _Offset] = {}
+        # By queue, whether there is an estimate, and image; the latest last.
+        self._images: dict[tuple[str, bool, str], _ImageMeans] = {}
         # By job and step id.
         self._steps: dict[str, dict[str, _StepTasks]] = {}
         self._step_count = 0
@@ -453,10 +465,14 @@
             ),
             tuple(
                 ImageState(
-                    queue, image, offset.weight, offset.total / offset.weight
+                    queue,
+                    declared,
+                    image,
+                    means.weight,
+                    means.mean_log_declared,
+                    means.mean_log_ratio,
                 )
-                for (queue, image), offset in self._offsets.items()
-                if offset.weight
+                for (queue, declared, image), means in self._images.items()
             ),
             tuple(
                 StepState(step_id, tasks.median, tasks.samples)
@@ -477,10 +493,16 @@
         Steps are taken over only if they belong to one of the jobs.
         """
         for fit in state.fits:
+            if share * fit.weight <= 0.0:
+                continue
             self._find_fit(fit.queue, fit.declared).restore(fit, share)
         for image in state.images:
-            self._find_offset(image.queue, image.image).add(
-                image.mean_offset, share * image.weight
+            if share * image.weight <= 0.0:
+                continue
+            self._find_image(image.queue, image.declared, image.image).add(
+                image.mean_log_declared,
+                image.mean_log_ratio,
+                share * image.weight,
             )
         for item in state.steps:
             if item.step_id.partition('.')[0] not in jobs:
@@ -524,35 +546,48 @@
             self._spreads[queue] = spread = _Spread()
         return spread
 
-    def _find_offset(self, queue: str, image: str) -> _Offset:
+    def _find_image(
+        self, queue: str, declared: bool, image: str
+    ) -> _ImageMeans:
         # Inserted again, so that the latest is the last.
-        offset = self._offsets.pop((queue, image), None)
-        if offset is None and len(self._offsets) >= MAX_IMAGES:
-            del self._offsets[next(iter(self._offsets))]
-        self._offsets[queue, image] = offset = offset or _Offset()
-        return offset
+        key = (queue, declared, image)
+        means = self._images.pop(key, None)
+        if means is None and len(self._images) >= MAX_IMAGES:
+            del self._images[next(iter(self._images))]
+        self._images[key] = means = means or _ImageMeans()
+        return means
 
     def _add_sample(
         self, queue: str, step: workloads.Step, log_work: float, weight: float
     ) -> None:
         log_declared = measure_log_declared(step)
-        fit = self._find_fit(queue, step.estimated_ms > 0)
-        distance = fit.add(log_declared, log_work - log_declared, weight)
+        declared = step.estimated_ms > 0
+        fit = self._find_fit(queue, declared)
+        expected = self._predict_ratio(queue, step, fit)
+        distance = fit.clip(log_work - log_declared - expected)
+        log_ratio = expected + distance
+        fit.add(log_declared, log_ratio, distance, weight)
         if step.image:
-            self._find_offset(queue, step.image).add(distance, weight)
+            self._find_image(queue, declared, step.image).add(
+                log_declared, log_ratio, weight
+            )
 
     def _predict_log(self, queue: str, step: workloads.Step) -> float | None:
         """Return the log of the work before the step's first run."""
-        log_declared = measure_log_declared(step)
         fit = self._fits.get((queue, step.estimated_ms > 0))
-        if fit is None:
-            return log_declared if step.estimated_ms > 0 else None
-        offset = self._offsets.get((queue, step.image))
-        return (
-            log_declared
-            + fit.predict(log_declared)
-            + (offset.value if offset else 0.0)
-        )
+        if fit is not None:
+            return measure_log_declared(step) + self._predict_ratio(
+                queue, step, fit
+            )
+        return measure_log_declared(step) if step.estimated_ms > 0 else None
+
+    def _predict_ratio(
+        self, queue: str, step: workloads.Step, fit: _Fit
+    ) -> float:
+        """Return the expected log ratio of the work to the estimate."""
+        expected = fit.predict(measure_log_declared(step))
+        means = self._images.get((queue, step.estimated_ms > 0, step.image))
+        return expected + means.measure_offset(fit) if means else expected
 
 
 def measure_log_declared(step: workloads.Step) -> float:
