--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -150,6 +150,7 @@
                 _fleet.RunState.ORDERED,
             )
             run.repeated = True
+            run.inherited = True
             if state.final:
                 run.state = _fleet.RunState.STOPPING
             self.unreported.setdefault(
--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -48,6 +48,7 @@
         'started_at',
         'last_listing',
         'repeated',
+        'inherited',
         'ticket',
         'log_base_tail',
         'last_sample',
@@ -84,6 +85,8 @@
         self.speed_tracker: decisions.SpeedTracker | None = None
         # This leader or an earlier one has already sent the order.
         self.repeated = False
+        # An earlier leader may have started the run.
+        self.inherited = False
         # Number of the last directive that ordered this run to start.
         self.ordered_in = 0
         # The advisor's permission to start the run; empty if none is needed.
--- a/chivespoke/coordination/_learning.py
+++ b/chivespoke/coordination/_learning.py
@@ -221,7 +221,7 @@
     None if it may have begun earlier than it was observed, or from a
     checkpoint. It worked for no longer than it was listed.
     """
-    if run.started_at is None or run.repeated or run.number > 1:
+    if run.started_at is None or run.inherited or run.number > 1:
         return None
     speed = run.speed_tracker.speed if run.speed_tracker else 1.0
     return max(decisions.MIN_SECONDS, (now - run.started_at) * speed)
