--- a/chivespoke/coordination/tests/test_term.py
+++ b/chivespoke/coordination/tests/test_term.py
@@ -10,9 +10,11 @@
 from chivespoke import clock
 from chivespoke import coordination
 from chivespoke.coordination import _followers
+from chivespoke.coordination import _learned_record
 from chivespoke.coordination import _operator_view
 from chivespoke.coordination import _term
 from chivespoke.coordination.tests import builders
+from chivespoke import decisions
 from chivespoke import errors
 from chivespoke import platform
 from chivespoke import standins
@@ -34,18 +36,25 @@
     follower: _followers.TopicFollower | None = None,
     time: clock.Clock | None = None,
     valid_until: float = float('inf'),
+    ledger: coordination.Ledger | None = None,
+    configuration: workloads.Configuration | None = None,
+    instruments: telemetry.Telemetry | None = None,
 ) -> _term.Term:
     """Return a term that has not taken over."""
+    operator = _operator_view.OperatorView()
+    operator.configuration = configuration
+    operator_follower = mock.create_autospec(_followers.TopicFollower)
+    operator_follower.measure_age.return_value = 0.0
     return _term.Term(
         1,
         store or mock.create_autospec(platform.Store),
-        coordination.Ledger(),
+        ledger or coordination.Ledger(),
         follower or mock.create_autospec(_followers.TopicFollower),
-        _operator_view.OperatorView(),
-        mock.create_autospec(_followers.TopicFollower),
+        operator,
+        operator_follower,
         time or clock.SystemClock(),
         coordination.LeaderTimeouts(),
-        telemetry.Telemetry(),
+        instruments or telemetry.Telemetry(),
         mock.create_autospec(platform.AdvisorClient),
         mock.Mock(valid_until=valid_until),
     )
@@ -77,6 +86,52 @@
                 self.assertIs(renews, directive.lease_until_ms > 0)
 
 
+class LearnedStateTest(unittest.IsolatedAsyncioTestCase):
+    async def test_new_leader_takes_up_what_was_learned(self) -> None:
+        model = decisions.LearnedInterferenceModel()
+        for number in range(100):
+            model.learn('s1', 0.05, {'f1': 0.1 + 0.001 * number})
+        time = clock.SystemClock()
+        record = _learned_record.make_record(
+            _learned_record.LearnedState(
+                model.export(), decisions.DurationState()
+            ),
+            time.read_wall(),
+        )
+        ledger = coordination.Ledger()
+        ledger.learned = coordination.ENCODER.encode(record)
+        store = mock.create_autospec(platform.Store, instance=True)
+        store.append.return_value = 1
+        queues = tuple(
+            workloads.Queue(
+                name,
+                'host',
+                f'/{name}/',
+                msgspec.structs.replace(builders.TERMS, priority=priority),
+            )
+            for priority, name in enumerate(('q1', 'q2'))
+        )
+        instruments = telemetry.Telemetry()
+        term = make_term(
+            store,
+            ledger=ledger,
+            configuration=workloads.Configuration(1, queues),
+            instruments=instruments,
+        )
+        self.addAsyncCleanup(term.close)
+        running_term = asyncio.create_task(term.run())
+        name = b'chivespoke_learned_record_age_seconds '
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while name not in instruments.format_metrics():
+                await asyncio.sleep(0.01)
+        running_term.cancel()
+        self.assertAlmostEqual(
+            model.find_coefficient('s1', 'f1'),
+            term.engine.state.interference.find_coefficient('s1', 'f1'),
+            delta=0.2,
+        )
+
+
 class TermTest(unittest.TestCase):
     """Test closing terms and stopping superseded ones."""
 
