--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -39,6 +39,7 @@
     __slots__ = (
         'name',
         'task_id',
+        'step_id',
         'number',
         'step',
         'state',
@@ -47,6 +48,7 @@
         'started_at',
         'last_listing',
         'repeated',
+        'inherited',
         'ticket',
         'log_base_tail',
         'last_sample',
@@ -66,6 +68,7 @@
     ) -> None:
         self.name = name
         self.task_id = name.format()
+        self.step_id = name.format_step()
         self.number = number
         self.step = step
         self.state = state
@@ -89,6 +92,8 @@
         self.held_since: float | None = None
         # This leader or an earlier one has already sent the order.
         self.repeated = False
+        # An earlier leader may have started the run.
+        self.inherited = False
         # Number of the last directive that ordered this run to start.
         self.ordered_in = 0
         # The advisor's permission to start the run; empty if none is needed.
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -222,7 +222,7 @@
     ) -> decisions.RunForecast | None:
         seconds = self._state.durations.estimate_seconds(
             self._state.jobs[run.name.job].job.queue,
-            run.name.format_step(),
+            run.step_id,
             run.step,
         )
         return speed_tracker.forecast_held(
--- a/chivespoke/coordination/_triage.py
+++ b/chivespoke/coordination/_triage.py
@@ -115,15 +115,16 @@
         total_work = work_left = 0.0
         for number in reversed(range(len(job.steps))):
             step = job.steps[number]
-            seconds = self._state.durations.estimate_seconds(
+            estimate = self._state.durations.estimate(
                 job.queue, f'{job.identifier}.0.{number}', step
             )
             left_tasks, left_share = self._measure_left(state, number)
             cores = step.cpu_millis / MILLIS_PER_CORE
-            total_work += cores * seconds * step.count * job.occurrence_count
-            work_left += cores * seconds * left_tasks
-            full_paths[number] += seconds
-            left_paths[number] += seconds * left_share
+            core_seconds = cores * estimate.mean_seconds
+            total_work += core_seconds * step.count * job.occurrence_count
+            work_left += core_seconds * left_tasks
+            full_paths[number] += estimate.seconds
+            left_paths[number] += estimate.seconds * left_share
             for dependency in step.depends_on:
                 full_paths[dependency] = max(
                     full_paths[dependency], full_paths[number]
--- a/chivespoke/coordination/tests/test_paces.py
+++ b/chivespoke/coordination/tests/test_paces.py
@@ -43,28 +43,32 @@
     def test_each_directive_names_the_jobs_that_are_not_in_time(self) -> None:
         self.start_fillers()
         self.leader.report(builders.make_report('side-2'))
-        standings = self.leader.engine.state.standings
+        ranks = self.leader.engine.state.ranks
         self.assertEqual([], self.list_standings())
-        standings[builders.JOB] = DELAYED
-        standings[OTHER_JOB] = decisions.Standing.TIMELY
-        standings['00000000000000c3'] = EXPIRED
+        ranks[builders.JOB] = decisions.Rank(DELAYED, 0.0)
+        ranks[OTHER_JOB] = decisions.Rank(decisions.Standing.TIMELY, 0.0)
+        ranks['00000000000000c3'] = decisions.Rank(EXPIRED, 0.0)
         # Repeated, as any directive may be lost.
         for _ in range(2):
             self.assertEqual([(builders.JOB, DELAYED)], self.list_standings())
         self.assertEqual([], self.list_standings('side-2'))
-        standings[builders.JOB] = EXPIRED
+        ranks[builders.JOB] = decisions.Rank(EXPIRED, 0.0)
         self.assertEqual([(builders.JOB, EXPIRED)], self.list_standings())
-        standings.clear()
+        ranks.clear()
         self.assertEqual([], self.list_standings())
 
     def test_job_without_fillers_on_the_worker_is_not_named(self) -> None:
         self.start_job(engine_case.ONE_TASK_STEP)
-        self.leader.engine.state.standings[builders.JOB] = DELAYED
+        self.leader.engine.state.ranks[builders.JOB] = decisions.Rank(
+            DELAYED, 0.0
+        )
         self.assertEqual([], self.list_standings())
 
     def test_new_leader_names_none_before_it_has_chosen(self) -> None:
         self.start_fillers()
-        self.leader.engine.state.standings[builders.JOB] = DELAYED
+        self.leader.engine.state.ranks[builders.JOB] = decisions.Rank(
+            DELAYED, 0.0
+        )
         successor = builders.Leader(self.leader.ledger, builders.EPOCH + 1)
         running = (builders.make_running(TASK),)
         successor.report(builders.make_report(running=running))
