--- a/chivespoke/decisions/tests/test_durations.py
+++ b/chivespoke/decisions/tests/test_durations.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from chivespoke import decisions
+from chivespoke.decisions import _duration_statistics
 from chivespoke.decisions import _durations
 from chivespoke import workloads
 
@@ -140,6 +141,23 @@
                     measure_order(later, before),
                 )
 
+    def test_few_steps_improve_the_estimates_of_new_ones(self) -> None:
+        declared = decisions.DeclaredDurations()
+        for number in (4, 16, 64):
+            sums = [0.0] * 4
+            for seed in range(20):
+                model = decisions.LearnedDurations()
+                for replayed in make_steps(SEED + seed, number):
+                    observe_tasks(model, replayed, len(replayed.work_seconds))
+                new = make_steps(SEED - 1 - seed, 60, 'b')
+                for index, each in enumerate((model, declared)):
+                    estimates = [estimate(each, replayed) for replayed in new]
+                    sums[index] += measure_log_error(new, estimates)
+                    sums[2 + index] += measure_order(new, estimates)
+            with self.subTest(number=number):
+                self.assertLess(sums[0], sums[1])
+                self.assertGreater(sums[2], sums[3])
+
     def test_work_left_of_many_tasks_counts_the_long_tail(self) -> None:
         steps = make_steps(SEED + 1, 300)
         declared = decisions.DeclaredDurations()
@@ -275,7 +293,8 @@
         steps = self.model.export().steps
         self.assertLessEqual(len(steps), _durations.MAX_STEPS)
         self.assertLessEqual(
-            max(item.tasks for item in steps), _durations.MAX_STEP_TASKS
+            max(item.tasks for item in steps),
+            _duration_statistics.MAX_STEP_TASKS,
         )
 
     def test_steps_are_forgotten_with_their_job(self) -> None:
