--- a/chivespoke/coordination/tests/test_learning.py
+++ b/chivespoke/coordination/tests/test_learning.py
@@ -453,6 +453,17 @@
         for pair in read.pairs:
             self.assertTrue(math.isfinite(pair.coefficient))
             self.assertGreater(pair.weight, 0.0)
+        interference = decisions.LearnedInterferenceModel()
+        interference.restore(read.pairs, 0.7)
+        coefficient = interference.find_coefficient('s', 'f')
+        self.assertTrue(0.0 <= coefficient <= 31.0, coefficient)
+        durations = decisions.LearnedDurations()
+        durations.restore(read.durations, 0.7, ('a',))
+        for step_id in ('a.0.0', 'b.0.0'):
+            seconds = durations.estimate_seconds('q', step_id, STEP)
+            self.assertTrue(
+                decisions.MIN_SECONDS <= seconds <= decisions.MAX_SECONDS
+            )
 
     def test_pairs_of_the_least_weight_are_dropped_first(self) -> None:
         pairs = [
--- a/chivespoke/decisions/_interference.py
+++ b/chivespoke/decisions/_interference.py
@@ -31,6 +31,9 @@
 # Share of the weight of the samples of a pair that counts for its coefficient
 # alone: images whose use changes at the same time share the evidence.
 EXPORTED_WEIGHT_SHARE = 0.5
+# Number of filler images for each serving image that are handed over, those of
+# the highest weight: the time to solve grows with its third power.
+MAX_EXPORTED_FILLERS = 32
 
 
 class InterferenceCoefficient(msgspec.Struct, frozen=True, array_like=True):
@@ -218,7 +221,7 @@
         return tuple(
             state
             for serving, regression in self._regressions.items()
-            for state in regression.export(serving)
+            for state in select_heaviest(regression.export(serving))
         )
 
     def restore(
@@ -230,7 +233,7 @@
             by_serving.setdefault(state.serving, []).append(state)
         for serving, items in by_serving.items():
             self._regressions.setdefault(serving, _Regression()).restore(
-                items, share
+                select_heaviest(items), share
             )
 
     def find_coefficient(self, serving: str, filler: str) -> float:
@@ -242,6 +245,15 @@
         )
 
 
+def select_heaviest(
+    states: collections.abc.Iterable[CoefficientState],
+) -> list[CoefficientState]:
+    """Return the states of one serving image that are handed over."""
+    return sorted(states, key=lambda state: -state.weight)[
+        :MAX_EXPORTED_FILLERS
+    ]
+
+
 def solve_linear_system(
     matrix: list[list[float]], vector: list[float]
 ) -> list[float]:
--- a/chivespoke/decisions/tests/test_interference.py
+++ b/chivespoke/decisions/tests/test_interference.py
@@ -4,6 +4,7 @@
 import unittest
 
 from chivespoke import decisions
+from chivespoke.decisions import _interference
 
 SEED = 7
 COEFFICIENTS = {'f1': 0.4, 'f2': 6.0}
@@ -74,6 +75,21 @@
         teach(self.model, 400)
         self.assertLess(max(self.measure_errors()), 0.3)
 
+    def test_number_of_images_handed_over_is_bounded(self) -> None:
+        limit = _interference.MAX_EXPORTED_FILLERS
+        states = [
+            decisions.CoefficientState('s1', f'f{number}', 9.0, 1.0 + number)
+            for number in range(3 * limit)
+        ]
+        self.model.restore(states, 1.0)
+        self.assertEqual(
+            {state.filler for state in states[-limit:]},
+            {state.filler for state in self.model.export()},
+        )
+        for number in range(3 * limit):
+            self.model.learn('s1', 0.1, {f'g{number}': 0.1})
+        self.assertEqual(limit, len(self.model.export()))
+
     def test_model_without_a_predecessor_assumes_the_prior(self) -> None:
         prior = decisions.FixedInterferenceModel().find_coefficient('s', 'f')
         self.model.restore((), 1.0)
