--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -162,8 +162,8 @@
     def _find_slow_runs(self, wall: float) -> list[SlowRun]:
         """Return the slow runs to try to move.
 
-        Those of stalled jobs come first. Such a job has nothing at work, and
-        if it is late, all that waits is placed before it.
+        Within a standing, those of stalled jobs come first. Such a job has
+        nothing at work, and if it is late, all that waits is placed before it.
         """
         slow_runs = list(self._list_slow_runs())
         held_counts = collections.Counter(
@@ -178,6 +178,7 @@
         ]
         slow_runs.sort(
             key=lambda item: (
+                self._state.find_standing(item.run.name.job),
                 not item.is_stalled,
                 decisions.make_sort_key(self._describe_run(item.run), wall),
             )
@@ -202,12 +203,6 @@
                     or run.name.job not in self._state.jobs
                 ):
                     continue
-                if (
-                    self._state.find_standing(run.name.job)
-                    is not decisions.Standing.TIMELY
-                ):
-                    # It is held down so that others can be in time.
-                    continue
                 forecast = self._forecast_run(worker, run, run.speed_tracker)
                 if forecast is not None and decisions.is_move_worthwhile(
                     forecast, speed_elsewhere=1.0
--- a/chivespoke/decisions/_triage.py
+++ b/chivespoke/decisions/_triage.py
@@ -33,8 +33,13 @@
 # little room, and from which on there is enough again.
 CROWDED_SHARE = 0.75
 ROOMY_SHARE = 0.9
-# Time constant of the average of the throughput: a few tasks long.
-THROUGHPUT_AVERAGE_SECONDS = 4.0
+# Time for which jobs must get too little before others are delayed: a new
+# leader hears of all runs within a second, and a new run starts slowly.
+MIN_CROWDED_SECONDS = 2.0
+# Time constants of the average of the throughput. It falls slowly, since runs
+# that start or are moved use little for a moment.
+THROUGHPUT_RISE_SECONDS = 1.0
+THROUGHPUT_FALL_SECONDS = 8.0
 
 
 class ServiceOutlook(msgspec.Struct, frozen=True):
@@ -89,17 +94,18 @@
     Hysteresis keeps the decision from changing with every task that ends.
     """
 
-    __slots__ = ('_crowded', '_throughput', '_measured_at')
+    __slots__ = ('_crowded_since', '_is_long', '_throughput', '_measured_at')
 
     def __init__(self) -> None:
-        self._crowded = False
+        self._crowded_since: float | None = None
+        self._is_long = False
         self._throughput = 0.0
         self._measured_at: float | None = None
 
     @property
     def is_crowded(self) -> bool:
         """Return whether jobs get much less processor time than they want."""
-        return self._crowded
+        return self._is_long
 
     @property
     def throughput(self) -> float:
@@ -112,19 +118,22 @@
         if self._measured_at is not None:
             elapsed = max(0.0, now - self._measured_at)
         self._measured_at = now
-        if wanted <= 0:
-            self._crowded = False
-            return
-        share = used / wanted
-        limit = ROOMY_SHARE if self._crowded else CROWDED_SHARE
-        self._crowded = share < limit
-        if not self._crowded:
-            # The service can carry at least this.
-            self._throughput = max(self._throughput, used)
-            return
-        weight = min(1.0, elapsed / THROUGHPUT_AVERAGE_SECONDS)
-        if not self._throughput:
-            weight = 1.0
+        limit = CROWDED_SHARE if self._crowded_since is None else ROOMY_SHARE
+        if wanted <= 0 or used >= limit * wanted:
+            self._crowded_since = None
+        elif self._crowded_since is None:
+            self._crowded_since = now
+        self._is_long = (
+            self._crowded_since is not None
+            and now >= self._crowded_since + MIN_CROWDED_SECONDS
+        )
+        if used > self._throughput:
+            weight = min(1.0, elapsed / THROUGHPUT_RISE_SECONDS)
+        elif self._crowded_since is not None:
+            weight = min(1.0, elapsed / THROUGHPUT_FALL_SECONDS)
+        else:
+            # The service may be able to carry more than jobs want.
+            weight = 0.0
         self._throughput += weight * (used - self._throughput)
 
 
