Add up the progress of fillers once for all jobs

Cause: each ranking visited every task of every job. Change: one pass over the runs of the workers, then one over the steps.

--- a/chivespoke/coordination/_jobs.py
+++ b/chivespoke/coordination/_jobs.py
@@ -107,6 +107,13 @@
                 ):
                     yield occurrence, number
 
+    def count_unfinished(self, step: int) -> int:
+        """Return the number of tasks of a step that are not done.
+
+        Those of all occurrences count.
+        """
+        return sum(counts[step] for counts in self._unfinished)
+
     def compute_occurrence_start(self, occurrence: int) -> float:
         """Return the start time of an occurrence in seconds since 1970.
 
--- a/chivespoke/coordination/_triage.py
+++ b/chivespoke/coordination/_triage.py
@@ -7,6 +7,7 @@
 from chivespoke.coordination import _jobs
 from chivespoke import decisions
 from chivespoke import logs
+from chivespoke import platform
 from chivespoke import workloads
 
 LOGGER = logs.make_logger('triage')
@@ -17,6 +18,43 @@
 MILLIS_PER_CORE = 1000.0
 
 
+class StepAdvance:
+    """Hold how far the listed runs of a step have come."""
+
+    __slots__ = ('runs', 'done_tasks', 'least_share')
+
+    def __init__(self) -> None:
+        self.runs = 0
+        # Sum of the shares that are done, and the least of them.
+        self.done_tasks = 0.0
+        self.least_share = 1.0
+
+    def add(self, share: float) -> None:
+        """Add a run that has done a share of its work."""
+        self.runs += 1
+        self.done_tasks += share
+        self.least_share = min(self.least_share, share)
+
+
+class FillerUse:
+    """Hold what the listed fillers of a service want, use and have done."""
+
+    __slots__ = ('wanted_millis', 'used_millis', 'steps')
+
+    def __init__(self) -> None:
+        self.wanted_millis = 0.0
+        self.used_millis = 0.0
+        # By step id.
+        self.steps: dict[str, StepAdvance] = {}
+
+    def add(self, run: _fleet.Run, row: platform.RunningTask) -> None:
+        """Add a run as its worker lists it."""
+        self.wanted_millis += run.step.cpu_millis
+        self.used_millis += min(run.step.cpu_millis, row.measure)
+        advance = self.steps.setdefault(run.step_id, StepAdvance())
+        advance.add(min(1.0, max(0.0, row.progress / 100)))
+
+
 class TriagePlanner:
     """Rank the jobs of services that have too little room.
 
@@ -45,8 +83,11 @@
             if not configuration.is_contended(service.name):
                 continue
             states = self._list_jobs(service.name, wall)
-            job_outlooks = [self._describe_job(state) for state in states]
-            detector = self._observe(service.name, states, now, wall)
+            use = self._measure_use(service.name)
+            job_outlooks = [
+                self._describe_job(state, use.steps) for state in states
+            ]
+            detector = self._observe(service.name, use, states, now, wall)
             service_ranks: dict[str, decisions.Rank] = {}
             if detector.is_crowded:
                 service_ranks = decisions.rank_jobs(
@@ -80,9 +121,25 @@
             and wall >= state.compute_occurrence_start(0)
         ]
 
+    def _measure_use(self, service: str) -> FillerUse:
+        """Add up what the fillers of a service want, use and have done.
+
+        A run that was not listed yet has had no time to work.
+        """
+        use = FillerUse()
+        for worker in self._state.workers.values():
+            if worker.incarnation.service != service:
+                continue
+            for run in worker.runs.values():
+                row = run.last_listing
+                if run.step.filler and row is not None:
+                    use.add(run, row)
+        return use
+
     def _observe(
         self,
         service: str,
+        use: FillerUse,
         states: collections.abc.Iterable[_jobs.JobState],
         now: float,
         wall: float,
@@ -90,35 +147,31 @@
         detector = self._detectors.setdefault(
             service, decisions.CrowdingDetector()
         )
-        wanted = used = 0.0
-        for worker in self._state.workers.values():
-            if worker.incarnation.service != service:
-                continue
-            for run in worker.runs.values():
-                # A run that was not listed yet has had no time to work.
-                if run.step.filler and run.last_listing is not None:
-                    wanted += run.step.cpu_millis
-                    used += min(run.step.cpu_millis, run.last_listing.measure)
+        wanted = use.wanted_millis
         for state in states:
             for occurrence, number in state.list_ready(wall):
-                step = state.job.steps[number]
-                wanted += step.cpu_millis * len(
+                wanted += state.job.steps[number].cpu_millis * len(
                     state.list_waiting(occurrence, number)
                 )
-        detector.observe(wanted / MILLIS_PER_CORE, used / MILLIS_PER_CORE, now)
+        detector.observe(
+            wanted / MILLIS_PER_CORE, use.used_millis / MILLIS_PER_CORE, now
+        )
         return detector
 
-    def _describe_job(self, state: _jobs.JobState) -> decisions.JobOutlook:
+    def _describe_job(
+        self, state: _jobs.JobState, advances: dict[str, StepAdvance]
+    ) -> decisions.JobOutlook:
         job = state.job
         full_paths = [0.0] * len(job.steps)
         left_paths = [0.0] * len(job.steps)
         total_work = work_left = 0.0
         for number in reversed(range(len(job.steps))):
             step = job.steps[number]
-            estimate = self._state.durations.estimate(
-                job.queue, f'{job.identifier}.0.{number}', step
+            step_id = f'{job.identifier}.0.{number}'
+            estimate = self._state.durations.estimate(job.queue, step_id, step)
+            left_tasks, left_share = measure_left(
+                state.count_unfinished(number), advances.get(step_id)
             )
-            left_tasks, left_share = self._measure_left(state, number)
             cores = step.cpu_millis / MILLIS_PER_CORE
             core_seconds = cores * estimate.mean_seconds
             total_work += core_seconds * step.count * job.occurrence_count
@@ -149,40 +202,6 @@
             total_work=total_work,
         )
 
-    def _measure_left(
-        self, state: _jobs.JobState, number: int
-    ) -> tuple[float, float]:
-        """Return the work left of a step.
-
-        In tasks, and as the largest share of a task that is left.
-        """
-        tasks = 0.0
-        largest = 0.0
-        for occurrence, steps in enumerate(state.progress.tasks):
-            for index, task in enumerate(steps[number]):
-                share = 1.0
-                if task.status is workloads.TaskStatus.DONE:
-                    continue
-                if task.status is workloads.TaskStatus.ASSIGNED:
-                    share = self._find_share_left(
-                        task.worker,
-                        workloads.TaskName(
-                            state.job.identifier, occurrence, number, index
-                        ),
-                    )
-                tasks += share
-                largest = max(largest, share)
-        return tasks, largest
-
-    def _find_share_left(self, key: str, name: workloads.TaskName) -> float:
-        worker = self._state.workers.get(key)
-        run: _fleet.Run | None = None
-        if worker is not None:
-            run = worker.runs.get(name.format())
-        if run is None or run.last_listing is None:
-            return 1.0
-        return max(0.0, 1.0 - run.last_listing.progress / 100)
-
     def _log(
         self,
         service: str,
@@ -206,6 +225,23 @@
                 )
 
 
+def measure_left(
+    unfinished: int, advance: StepAdvance | None
+) -> tuple[float, float]:
+    """Return the work left of a step.
+
+    In tasks, and as the largest share of a task that is left.
+    """
+    if not unfinished:
+        return 0.0, 0.0
+    if advance is None:
+        return float(unfinished), 1.0
+    left_tasks = max(0.0, unfinished - advance.done_tasks)
+    if unfinished > advance.runs:
+        return left_tasks, 1.0
+    return left_tasks, 1.0 - advance.least_share
+
+
 def is_filler_job(job: workloads.Job) -> bool:
     """Return whether a job uses only what others leave unused."""
     return all(step.filler and not step.long_running for step in job.steps)
