Throttle no timely filler for a gap that only rounding leaves

Cause: once delayed fillers had closed a gap by the model, a rest of about 1e-17 took one percent from the next filler, from 1 to 0 in a case of Hypothesis beyond the 300 examples of the test.

Change: fillers of an earlier standing are throttled only for a gap above 1e-9; within the last standing the rule is as before.

--- a/chivespoke/decisions/_pacing.py
+++ b/chivespoke/decisions/_pacing.py
@@ -36,6 +36,9 @@
 FALLBACK_FACTOR = 0.3
 # Share of the latency headroom that one increase of a pace may use.
 RELEASE_HEADROOM_SHARE = 0.5
+# A gap in a log tail that only rounding leaves does not throttle fillers of an
+# earlier standing.
+MAX_ROUNDING_ERROR = 1e-9
 # Minimum coefficient assumed for every filler beside a task that is over its
 # target: many fillers with small coefficients add up, and a learned
 # coefficient may be wrong.
@@ -193,7 +196,8 @@
         reverse=True,
     )
     for run in ranked:
-        if gap <= 0:
+        is_last = run.standing is ranked[0].standing
+        if gap <= (0.0 if is_last else MAX_ROUNDING_ERROR):
             return
         coefficient = max(
             min_coefficient,
