Keep earlier tries of the leader's appends open

While the store is slow, its queue for the system topic is up to 2 s long. The leader gave each try of an append up after 0.25 to 1 s and joined the end of the queue again, so that no try was ever answered: a leader that was elected in such a time took over 4.7 s later, once the store was fast again, and nothing was placed or recorded meanwhile.

The tries of an append now stay open while further ones are sent, and the first answer of any of them counts; the store accepts a sequence number only once. The intervals between tries are as before, so that dead connections are found as fast.

--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -8,6 +8,7 @@
 from chivespoke import application
 from chivespoke import clock
 from chivespoke.coordination import _advice_requester
+from chivespoke.coordination import _appender
 from chivespoke.coordination import _engine
 from chivespoke.coordination import _engine_state
 from chivespoke.coordination import _fleet
@@ -18,7 +19,6 @@
 from chivespoke.coordination import _operator_view
 from chivespoke.coordination import _placer
 from chivespoke.coordination import _records
-from chivespoke import decisions
 from chivespoke import errors
 from chivespoke import logs
 from chivespoke import platform
@@ -26,7 +26,6 @@
 
 LOGGER = logs.make_logger('term')
 
-PRODUCER = 'chivespoke-leader'
 # Time for which changes are collected into one append: about as long as the
 # append itself takes (6 ms).
 BATCH_SECONDS = 0.008
@@ -36,10 +35,6 @@
 # Maximum size of one append, unless a single record is larger. A failed append
 # is sent again as a whole, and other calls share the link with it.
 MAX_APPEND_BYTES = 131_072
-# Pause before a failed append is repeated.
-APPEND_RETRY_SECONDS = 0.1
-# A warning is logged once per this many consecutive failed tries.
-TRIES_PER_WARNING = 10
 # Time within which a new leader must have read the records of the earlier
 # terms. It was up to date when it joined the group, so a longer wait means
 # that it cannot read, and runs end when their leases of 5 s are not renewed.
@@ -64,10 +59,6 @@
         yield bytes(joined)
 
 
-class SupersededError(errors.RefusedError):
-    """Report that an append was abandoned because a later leader exists."""
-
-
 class TakeOverError(errors.UnavailableError):
     """Report that the ledger could not be read up to the term's begin."""
 
@@ -92,10 +83,9 @@
         '_context',
         '_tasks',
         '_wake',
-        '_sequence',
         '_workers_by_sidecar',
         '_superseded',
-        '_append_timeout',
+        '_appender',
         '_telemetry',
         '_advice_requester',
         '_mandate',
@@ -130,12 +120,11 @@
         self._context = zmq.asyncio.Context()
         self._tasks = application.TaskOwner()
         self._wake = asyncio.Event()
-        self._sequence = 0
         # The worker that each sidecar last reported.
         self._workers_by_sidecar: dict[str, _fleet.Worker] = {}
         # A sidecar has reported a later epoch.
         self._superseded = False
-        self._append_timeout = decisions.AdaptiveTimeout()
+        self._appender = _appender.Appender(store, epoch, time, instruments)
         self._telemetry = instruments
         self._advice_requester = _advice_requester.AdviceRequester(
             advisor, self._engine, time, self._wake
@@ -156,7 +145,7 @@
             await self._take_over()
             self._tasks.spawn(self._advice_requester.run())
             await self._plan_repeatedly()
-        except (platform.FencedError, SupersededError) as error:
+        except (platform.FencedError, _appender.SupersededError) as error:
             return f'fenced: {error}'
         return 'superseded'
 
@@ -165,6 +154,7 @@
         if self._ledger.listener is self:
             self._ledger.listener = None
         await self._tasks.cancel()
+        await self._appender.close()
         for link in (*self._links.values(), *self._replaced_links):
             await link.close()
         # Also closes sockets that were left open; Context.term would block
@@ -219,6 +209,7 @@
             epoch=report.epoch,
         )
         self._superseded = True
+        self._appender.supersede()
         self._wake.set()
 
     def make_directive(self, sidecar: str) -> _messages.Directive:
@@ -237,7 +228,7 @@
     async def _take_over(self) -> None:
         started_at = self._clock.read_monotonic()
         # An empty append with this epoch fences off all earlier leaders.
-        end_offset = await self._append(b'')
+        end_offset = await self._appender.append(b'')
         LOGGER.info(
             'Waiting for the ledger before taking over.',
             epoch=self._epoch,
@@ -287,7 +278,7 @@
             self._read_desired_state(), now, self._clock.read_wall()
         )
         for records in join_records(plan.records, MAX_APPEND_BYTES):
-            await self._append(records)
+            await self._appender.append(records)
         self._engine.confirm(plan)
         self._record_start_waits(plan)
         if not plan.complete:
@@ -321,46 +312,3 @@
             frozenset(self._operator.evacuating),
             self._clock.read_monotonic() - age + MAX_OPERATOR_VIEW_AGE_SECONDS,
         )
-
-    async def _append(self, records: bytes) -> int:
-        producer = platform.Producer(PRODUCER, self._epoch, self._sequence)
-        tries = 0
-        while True:
-            requested_at = self._clock.read_monotonic()
-            try:
-                end_offset = await self._store.append(
-                    _records.SYSTEM_TOPIC,
-                    records,
-                    producer,
-                    self._append_timeout.compute_for_request(len(records)),
-                )
-            except platform.FencedError:
-                raise
-            except errors.ChivespokeError as error:
-                # Repeating the append is safe: the store accepts a sequence
-                # number only once.
-                if isinstance(error, errors.UnavailableError):
-                    self._append_timeout.record_timeout()
-                tries += 1
-                if self._superseded:
-                    # The later leader reads from the store whether the append
-                    # was stored.
-                    raise SupersededError(
-                        'append', 'store', 'a later leader has taken over'
-                    ) from error
-                if tries % TRIES_PER_WARNING == 1:
-                    LOGGER.warning(
-                        'Append to the store failed; retrying.',
-                        sequence=self._sequence,
-                        tries=tries,
-                        bytes=len(records),
-                        next_wait=self._append_timeout.seconds,
-                        error=error,
-                    )
-                await self._clock.sleep(APPEND_RETRY_SECONDS)
-            else:
-                seconds = self._clock.read_monotonic() - requested_at
-                self._append_timeout.record_reply(seconds)
-                self._telemetry.store_latency.record(seconds)
-                self._sequence += 1
-                return end_offset
--- a/chivespoke/coordination/tests/test_term.py
+++ b/chivespoke/coordination/tests/test_term.py
@@ -27,6 +27,11 @@
 SLOW_LINK_BYTES_PER_SECOND = 300_000
 JOBS = 50
 TASKS = 1000
+# The store lets an append wait for 2 s at most, and a slow one takes 0.4 s for
+# a call.
+QUEUE_SECONDS = 2.0
+SLOW_REPLY_SECONDS = 0.4
+STEP_SECONDS = 0.05
 
 
 def make_term(
@@ -77,6 +82,59 @@
                 self.assertIs(renews, directive.lease_until_ms > 0)
 
 
+class QueueingStore:
+    """Answer each append after the time that it waits in a queue.
+
+    A caller that has given up before gets no answer.
+    """
+
+    def __init__(self, time: clock.Clock, seconds: float) -> None:
+        self.calls = 0
+        self._clock = time
+        self._seconds = seconds
+
+    async def append(
+        self,
+        topic: str,
+        records: bytes,
+        producer: platform.Producer,
+        timeout_seconds: float,
+    ) -> int:
+        self.calls += 1
+        await self._clock.sleep(min(timeout_seconds, self._seconds))
+        if timeout_seconds < self._seconds:
+            raise errors.UnavailableError('append', 'store', 'no answer')
+        return 1
+
+
+class SlowStoreTest(unittest.IsolatedAsyncioTestCase):
+    async def test_leader_takes_over_while_the_store_has_a_long_queue(
+        self,
+    ) -> None:
+        # Regression: each try of the first append was abandoned before its
+        # turn in the queue of the store, so that nobody led until the store
+        # was fast again.
+        time = clock.ManualClock(start=builders.NOW)
+        seconds = QUEUE_SECONDS + SLOW_REPLY_SECONDS
+        store = QueueingStore(time, seconds)
+        term = make_term(mock.Mock(append=store.append), time=time)
+        self.addAsyncCleanup(term.close)
+        running_term = asyncio.create_task(term.run())
+        self.addCleanup(running_term.cancel)
+        steps = round(seconds / STEP_SECONDS) + 1
+        with mock.patch.object(_term, 'LOGGER') as logger:
+            for _ in range(steps):
+                for _ in range(10):
+                    await asyncio.sleep(0)
+                time.advance(STEP_SECONDS)
+            for _ in range(10):
+                await asyncio.sleep(0)
+        self.assertIn(
+            'Leadership taken over.',
+            [call.args[0] for call in logger.info.call_args_list],
+        )
+
+
 class TermTest(unittest.TestCase):
     """Test closing terms and stopping superseded ones."""
 
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -45,6 +45,9 @@
 from chivespoke.decisions._placement import may_wait_for_speed
 from chivespoke.decisions._placement import WorkerRanking
 from chivespoke.decisions._quarantine import WorkerQuarantine
+from chivespoke.decisions._repeats import MAX_OPEN_TRIES
+from chivespoke.decisions._repeats import OPEN_TRY_SECONDS
+from chivespoke.decisions._repeats import RepeatSchedule
 from chivespoke.decisions._shortages import ShortageTracker
 from chivespoke.decisions._shortages import StepDemand
 from chivespoke.decisions._stalls import StallDetector
@@ -70,13 +73,16 @@
     'LostRun',
     'MAX_CRASHES',
     'MAX_NEIGHBOURS',
+    'MAX_OPEN_TRIES',
     'MAX_REQUEST_WORKERS',
     'NeighbourSelector',
+    'OPEN_TRY_SECONDS',
     'OUTAGE_SECONDS',
     'PaceChange',
     'PacedRun',
     'Pacer',
     'PendingStep',
+    'RepeatSchedule',
     'RunForecast',
     'SUSPECT_AGE_SECONDS',
     'SendWindow',
