Keep the lead when a member joins the group

A group hands a partition over only once its owner acknowledges the generation, leaves or falls silent. The leader now goes on to join with the generation that last listed the partition. Meanwhile only appends that the store accepts under the epoch prove the leadership; an idle leader sends an empty one once 9 s of its mandate are left, and it steps down after 12 s without proof, as long as a successor waits.

--- a/chivespoke/coordination/_leadership.py
+++ b/chivespoke/coordination/_leadership.py
@@ -70,9 +70,10 @@
         '_tasks',
         '_is_member',
         '_generation',
+        '_latest_generation',
         '_epoch',
         '_last_epoch',
-        '_last_join_at',
+        '_proven_at',
         '_generation_changed_at',
     )
 
@@ -92,17 +93,24 @@
         self._tasks = application.TaskOwner()
         # This process has joined, or has at least tried to.
         self._is_member = False
+        # Generation that this member acknowledges with its joins: while it
+        # leads, the last one that assigned the leadership to it.
         self._generation = 0
+        self._latest_generation = 0
         # Epoch of the current term, None while this member does not lead.
         self._epoch: int | None = None
         self._last_epoch = 0
-        # Monotonic time of the last successful request to join.
-        self._last_join_at = 0.0
+        # Monotonic time at which the store last proved the leadership: of a
+        # join that listed it, or of an append under the epoch.
+        self._proven_at = 0.0
         self._generation_changed_at = float('-inf')
 
     @property
     def valid_until(self) -> float:
-        return self._last_join_at + MAX_STORE_SILENCE_SECONDS
+        return self._proven_at + MAX_STORE_SILENCE_SECONDS
+
+    def extend(self, proven_at: float) -> None:
+        self._proven_at = max(self._proven_at, proven_at)
 
     async def start(self) -> None:
         self._tasks.spawn_loop(self._join_repeatedly)
@@ -131,11 +139,10 @@
                     self._generation,
                 )
             except errors.ChivespokeError as error:
-                await self._check_store_silence(error)
+                await self._check_proof(f'store unreachable: {error}')
             else:
-                self._last_join_at = requested_at
                 if self._is_member:
-                    await self._apply_membership(membership)
+                    await self._apply_membership(membership, requested_at)
             joins_fast = (
                 requested_at
                 < self._generation_changed_at + FAST_JOIN_PERIOD_SECONDS
@@ -146,11 +153,28 @@
                 else JOIN_INTERVAL_SECONDS
             )
 
-    async def _apply_membership(self, membership: platform.Membership) -> None:
-        if membership.generation != self._generation:
+    async def _apply_membership(
+        self, membership: platform.Membership, requested_at: float
+    ) -> None:
+        is_leader = LEADER_PARTITION in membership.partitions
+        if is_leader:
+            self.extend(requested_at)
+        keeps_lead = self._epoch is not None and not is_leader
+        if membership.generation != self._latest_generation:
+            self._latest_generation = membership.generation
             self._generation_changed_at = self._clock.read_monotonic()
+            if keeps_lead:
+                LOGGER.info(
+                    'Keeps the lead until another member is given it.',
+                    epoch=self._epoch,
+                    acknowledged=self._generation,
+                    generation=membership.generation,
+                )
+        if keeps_lead:
+            await self._check_proof('given to another member')
+            if self._epoch is not None:
+                return
         self._generation = membership.generation
-        is_leader = LEADER_PARTITION in membership.partitions
         if is_leader and self._epoch is None:
             if not self._candidate.can_lead:
                 # Taking over would fence a leader that may still work.
@@ -161,18 +185,13 @@
             self._last_epoch = self._epoch
             LOGGER.info('Leads.', epoch=self._epoch)
             await self._candidate.lead(self._epoch)
-        elif not is_leader:
-            await self._step_down('reassigned')
 
-    async def _check_store_silence(
-        self, error: errors.ChivespokeError
-    ) -> None:
+    async def _check_proof(self, cause: str) -> None:
+        """Step down once the leadership has not been proven for too long."""
         now = self._clock.read_monotonic()
         if self._epoch is not None and now > self.valid_until:
-            silence = now - self._last_join_at
-            await self._step_down(
-                f'store unreachable for {silence:.1f} s: {error}'
-            )
+            silence = now - self._proven_at
+            await self._step_down(f'not proven for {silence:.1f} s: {cause}')
 
     async def _step_down(self, cause: str) -> None:
         if self._epoch is None:
--- a/chivespoke/coordination/_mandate.py
+++ b/chivespoke/coordination/_mandate.py
@@ -10,3 +10,7 @@
     @abc.abstractmethod
     def valid_until(self) -> float:
         """Return the monotonic time in seconds at which it expires."""
+
+    @abc.abstractmethod
+    def extend(self, proven_at: float) -> None:
+        """Record that no other process led at a monotonic time in seconds."""
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -39,6 +39,10 @@
 # terms. It was up to date when it joined the group, so a longer wait means
 # that it cannot read, and runs end when their leases of 5 s are not renewed.
 TAKE_OVER_TIMEOUT_SECONDS = 3.0
+# Remaining time of the mandate below which an append proves the leadership
+# while nothing is to be stored: late enough for the joins, which prove it at
+# no cost, and early enough for a store that is slow.
+MIN_MANDATE_SECONDS = 9.0
 # No task starts if the last read of the operator's topic is older than this.
 # Less than the shortest time within which an operator's change must take
 # effect.
@@ -228,7 +232,7 @@
     async def _take_over(self) -> None:
         started_at = self._clock.read_monotonic()
         # An empty append with this epoch fences off all earlier leaders.
-        end_offset = await self._appender.append(b'')
+        end_offset = await self._append(b'')
         LOGGER.info(
             'Waiting for the ledger before taking over.',
             epoch=self._epoch,
@@ -278,7 +282,10 @@
             self._read_desired_state(), now, self._clock.read_wall()
         )
         for records in join_records(plan.records, MAX_APPEND_BYTES):
-            await self._appender.append(records)
+            await self._append(records)
+        if self._mandate.valid_until < now + MIN_MANDATE_SECONDS:
+            # Nothing has proven the leadership for a while.
+            await self._append(b'')
         self._engine.confirm(plan)
         self._record_start_waits(plan)
         if not plan.complete:
@@ -312,3 +319,10 @@
             frozenset(self._operator.evacuating),
             self._clock.read_monotonic() - age + MAX_OPERATOR_VIEW_AGE_SECONDS,
         )
+
+    async def _append(self, records: bytes) -> int:
+        requested_at = self._clock.read_monotonic()
+        end_offset = await self._appender.append(records)
+        # A later leader would have fenced the append off.
+        self._mandate.extend(requested_at)
+        return end_offset
--- a/chivespoke/coordination/tests/test_term.py
+++ b/chivespoke/coordination/tests/test_term.py
@@ -39,6 +39,7 @@
     follower: _followers.TopicFollower | None = None,
     time: clock.Clock | None = None,
     valid_until: float = float('inf'),
+    mandate: mock.Mock | None = None,
 ) -> _term.Term:
     """Return a term that has not taken over."""
     return _term.Term(
@@ -52,7 +53,7 @@
         coordination.LeaderTimeouts(),
         telemetry.Telemetry(),
         mock.create_autospec(platform.AdvisorClient),
-        mock.Mock(valid_until=valid_until),
+        mandate or mock.Mock(valid_until=valid_until),
     )
 
 
@@ -82,6 +83,43 @@
                 self.assertIs(renews, directive.lease_until_ms > 0)
 
 
+class ProofTest(unittest.IsolatedAsyncioTestCase):
+    async def run_plans(self, mandate: mock.Mock) -> mock.Mock:
+        """Return the store after some plans without records."""
+        store: mock.Mock = mock.create_autospec(platform.Store, instance=True)
+        store.append.return_value = 1
+        time = clock.ManualClock(start=builders.NOW)
+        with mock.patch.object(_term, 'PLAN_INTERVAL_SECONDS', 0.0):
+            term = make_term(store, time=time, mandate=mandate)
+            self.addAsyncCleanup(term.close)
+            running_term = asyncio.create_task(term.run())
+            self.addCleanup(running_term.cancel)
+            for _ in range(200):
+                await asyncio.sleep(0)
+        return store
+
+    async def test_confirmed_append_proves_the_leadership(self) -> None:
+        mandate = mock.Mock(valid_until=float('inf'))
+        store = await self.run_plans(mandate)
+        store.append.assert_called_once()
+        mandate.extend.assert_called_once_with(builders.NOW)
+
+    async def test_idle_leader_proves_the_leadership_by_an_append(
+        self,
+    ) -> None:
+        mandate = mock.Mock(valid_until=builders.NOW)
+
+        def extend(proven_at: float) -> None:
+            if mandate.extend.call_count == 2:
+                mandate.valid_until = float('inf')
+
+        mandate.extend.side_effect = extend
+        store = await self.run_plans(mandate)
+        self.assertEqual(
+            [b'', b''], [call.args[1] for call in store.append.call_args_list]
+        )
+
+
 class QueueingStore:
     """Answer each append after the time that it waits in a queue.
 
