--- a/chivespoke/serving/tests/test_end_to_end.py
+++ b/chivespoke/serving/tests/test_end_to_end.py
@@ -171,6 +171,25 @@
             self.platform.wait_for_state(JOB, 'completed')
         )
 
+    async def test_restarted_entry_does_not_take_the_lead(self) -> None:
+        # Regression: the group offers the lead to the entry whose name comes
+        # first, and the leader gave it up.
+        await self.start(entries=2)
+        restarted, other = self.platform.entries
+        await restarted.kill()
+        await self.run_with_timeout(self.wait_for_leader())
+        self.assertEqual([1], self.platform.list_leaders())
+        await restarted.start()
+        await self.run_with_timeout(self.platform.wait_until_ready(restarted))
+        await self.submit(TWO_STEP_JOB)
+        await self.run_with_timeout(
+            self.platform.wait_for_state(JOB, 'completed')
+        )
+        self.assertEqual([1], self.platform.list_leaders())
+        await other.kill()
+        await self.run_with_timeout(self.wait_for_leader())
+        self.assertEqual([0], self.platform.list_leaders())
+
     async def test_killed_leader_is_replaced_and_nothing_runs_twice(
         self,
     ) -> None:
