--- a/chivespoke/coordination/tests/test_term.py
+++ b/chivespoke/coordination/tests/test_term.py
@@ -29,6 +29,11 @@
 SLOW_LINK_BYTES_PER_SECOND = 300_000
 JOBS = 50
 TASKS = 1000
+# The store lets an append wait for 2 s at most, and a slow one takes 0.4 s for
+# a call.
+QUEUE_SECONDS = 2.0
+SLOW_REPLY_SECONDS = 0.4
+STEP_SECONDS = 0.05
 
 
 def make_term(
@@ -39,6 +44,7 @@
     ledger: coordination.Ledger | None = None,
     configuration: workloads.Configuration | None = None,
     instruments: telemetry.Telemetry | None = None,
+    mandate: mock.Mock | None = None,
 ) -> _term.Term:
     """Return a term that has not taken over."""
     operator = _operator_view.OperatorView()
@@ -56,7 +62,7 @@
         coordination.LeaderTimeouts(),
         instruments or telemetry.Telemetry(),
         mock.create_autospec(platform.AdvisorClient),
-        mock.Mock(valid_until=valid_until),
+        mandate or mock.Mock(valid_until=valid_until),
     )
 
 
@@ -132,6 +138,96 @@
         )
 
 
+class ProofTest(unittest.IsolatedAsyncioTestCase):
+    async def run_plans(self, mandate: mock.Mock) -> mock.Mock:
+        """Return the store after some plans without records."""
+        store: mock.Mock = mock.create_autospec(platform.Store, instance=True)
+        store.append.return_value = 1
+        time = clock.ManualClock(start=builders.NOW)
+        with mock.patch.object(_term, 'PLAN_INTERVAL_SECONDS', 0.0):
+            term = make_term(store, time=time, mandate=mandate)
+            self.addAsyncCleanup(term.close)
+            running_term = asyncio.create_task(term.run())
+            self.addCleanup(running_term.cancel)
+            for _ in range(200):
+                await asyncio.sleep(0)
+        return store
+
+    async def test_confirmed_append_proves_the_leadership(self) -> None:
+        mandate = mock.Mock(valid_until=float('inf'))
+        store = await self.run_plans(mandate)
+        store.append.assert_called_once()
+        mandate.extend.assert_called_once_with(builders.NOW)
+
+    async def test_idle_leader_proves_the_leadership_by_an_append(
+        self,
+    ) -> None:
+        mandate = mock.Mock(valid_until=builders.NOW)
+
+        def extend(proven_at: float) -> None:
+            if mandate.extend.call_count == 2:
+                mandate.valid_until = float('inf')
+
+        mandate.extend.side_effect = extend
+        store = await self.run_plans(mandate)
+        self.assertEqual(
+            [b'', b''], [call.args[1] for call in store.append.call_args_list]
+        )
+
+
+class QueueingStore:
+    """Answer each append after the time that it waits in a queue.
+
+    A caller that has given up before gets no answer.
+    """
+
+    def __init__(self, time: clock.Clock, seconds: float) -> None:
+        self.calls = 0
+        self._clock = time
+        self._seconds = seconds
+
+    async def append(
+        self,
+        topic: str,
+        records: bytes,
+        producer: platform.Producer,
+        timeout_seconds: float,
+    ) -> int:
+        self.calls += 1
+        await self._clock.sleep(min(timeout_seconds, self._seconds))
+        if timeout_seconds < self._seconds:
+            raise errors.UnavailableError('append', 'store', 'no answer')
+        return 1
+
+
+class SlowStoreTest(unittest.IsolatedAsyncioTestCase):
+    async def test_leader_takes_over_while_the_store_has_a_long_queue(
+        self,
+    ) -> None:
+        # Regression: each try of the first append was abandoned before its
+        # turn in the queue of the store, so that nobody led until the store
+        # was fast again.
+        time = clock.ManualClock(start=builders.NOW)
+        seconds = QUEUE_SECONDS + SLOW_REPLY_SECONDS
+        store = QueueingStore(time, seconds)
+        term = make_term(mock.Mock(append=store.append), time=time)
+        self.addAsyncCleanup(term.close)
+        running_term = asyncio.create_task(term.run())
+        self.addCleanup(running_term.cancel)
+        steps = round(seconds / STEP_SECONDS) + 1
+        with mock.patch.object(_term, 'LOGGER') as logger:
+            for _ in range(steps):
+                for _ in range(10):
+                    await asyncio.sleep(0)
+                time.advance(STEP_SECONDS)
+            for _ in range(10):
+                await asyncio.sleep(0)
+        self.assertIn(
+            'Leadership taken over.',
+            [call.args[0] for call in logger.info.call_args_list],
+        )
+
+
 class TermTest(unittest.TestCase):
     """Test closing terms and stopping superseded ones."""
 
