Let submissions that come together share an append

Cause: each submission was an append of its own and given up after 1 s as uncertain, although its caller waits longer; after one time-out an entry refused all others until a read confirmed the store.

Change: intake.Submissions collects records while an append is under way and stores them together in the next. A record is waited for within its caller's deadline while the store answers any call; without an answer to any call further requests are refused at once, as before. A record that was not sent is refused truthfully. Ledger.wait_for serves several waiters of one key.

--- a/chivespoke/coordination/_records.py
+++ b/chivespoke/coordination/_records.py
@@ -185,12 +185,11 @@
         self.entry_addresses: dict[str, str] = {}
         self.listener: LedgerListener | None = None
         # Events to set when a record with the key is applied.
-        self._key_events: dict[str, asyncio.Event] = {}
+        self._key_events: dict[str, list[asyncio.Event]] = {}
 
     def apply(self, record: platform.Record) -> None:
         """Apply one record; skip it if it cannot be decoded."""
-        key_event = self._key_events.get(record.key)
-        if key_event is not None:
+        for key_event in self._key_events.get(record.key, ()):
             key_event.set()
         try:
             self._apply(record)
@@ -204,11 +203,15 @@
 
     async def wait_for(self, key: str) -> None:
         """Wait until a record with a key is applied."""
-        event = self._key_events.setdefault(key, asyncio.Event())
+        event = asyncio.Event()
+        waiting = self._key_events.setdefault(key, [])
+        waiting.append(event)
         try:
             await event.wait()
         finally:
-            self._key_events.pop(key, None)
+            waiting.remove(event)
+            if not waiting:
+                del self._key_events[key]
 
     def retain(self, keys: frozenset[str]) -> None:
         """Drop jobs whose key is not among the keys of a full read."""
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -3,6 +3,12 @@
 from chivespoke.decisions._advice import AdviceCache
 from chivespoke.decisions._advice import AdviceRequest
 from chivespoke.decisions._advice import MAX_REQUEST_WORKERS
+from chivespoke.decisions._append_wait import ANSWER_MARGIN_SECONDS
+from chivespoke.decisions._append_wait import AppendWait
+from chivespoke.decisions._append_wait import is_worth_sending
+from chivespoke.decisions._append_wait import may_append
+from chivespoke.decisions._append_wait import must_answer
+from chivespoke.decisions._append_wait import StoreSilence
 from chivespoke.decisions._crashes import describe_crashes
 from chivespoke.decisions._crashes import find_suspects
 from chivespoke.decisions._crashes import is_conclusive
@@ -54,9 +60,11 @@
 from chivespoke.decisions._window import SendWindow
 
 __all__ = [
+    'ANSWER_MARGIN_SECONDS',
     'AdaptiveTimeout',
     'AdviceCache',
     'AdviceRequest',
+    'AppendWait',
     'CandidateWorker',
     'DeclaredDurations',
     'DurationModel',
@@ -86,6 +94,7 @@
     'StallDetector',
     'Standing',
     'StepDemand',
+    'StoreSilence',
     'TARGET_TAIL_SHARE',
     'VALUE_CUTOFF_FACTOR',
     'WorkerQuarantine',
@@ -101,9 +110,12 @@
     'is_hopeless',
     'is_outage',
     'is_move_worthwhile',
+    'is_worth_sending',
     'make_sort_key',
+    'may_append',
     'may_wait_for_proof',
     'may_wait_for_speed',
     'measure_critical_path',
     'measure_remaining_paths',
+    'must_answer',
 ]
--- a/chivespoke/decisions/_timeout.py
+++ b/chivespoke/decisions/_timeout.py
@@ -37,6 +37,11 @@
         self._deviation = 0.0
         self._backoff = 1.0
 
+    @property
+    def average_seconds(self) -> float | None:
+        """Return the average reply time, None before the first reply."""
+        return self._average
+
     @property
     def seconds(self) -> float:
         """Return the timeout of the next call."""
--- a/chivespoke/intake/_job_routes.py
+++ b/chivespoke/intake/_job_routes.py
@@ -1,6 +1,5 @@
 """HTTP routes that submit jobs, cancel them and report their phase."""
 
-import asyncio
 import collections.abc
 import time
 
@@ -8,9 +7,11 @@
 
 from chivespoke import clock
 from chivespoke import coordination
+from chivespoke import decisions
 from chivespoke import errors
 from chivespoke.intake import _relay
 from chivespoke.intake import _responses
+from chivespoke.intake import _submissions
 from chivespoke import logs
 from chivespoke import platform
 from chivespoke import telemetry
@@ -22,9 +23,6 @@
 # Age of the ledger above which an entry cannot tell which jobs exist. A read
 # from the store waits for 1 s at most.
 MAX_LEDGER_AGE_SECONDS = 2.0
-# Timeout of an append: a slow store takes about 0.4 s, and after this time the
-# caller is better served by another entry.
-APPEND_TIMEOUT_SECONDS = 1.0
 
 
 class JobRoutes(chivespoke_web.RouteProvider):
@@ -33,25 +31,24 @@
     __slots__ = (
         'closing',
         '_coordinator',
-        '_store',
+        '_submissions',
         '_relay',
         '_clock',
         '_telemetry',
-        '_append_timeout_at',
         '_max_job_tasks',
     )
 
     def __init__(
         self,
         coordinator: coordination.Coordinator,
-        store: platform.Store,
+        submissions: _submissions.Submissions,
         relay: _relay.Relay,
         time_source: clock.Clock,
         instruments: telemetry.Telemetry,
         max_job_tasks: int,
     ) -> None:
         self._coordinator = coordinator
-        self._store = store
+        self._submissions = submissions
         self._relay = relay
         self._clock = time_source
         self._telemetry = instruments
@@ -59,18 +56,17 @@
         self._max_job_tasks = max_job_tasks
         # The entry is draining: responses ask callers to close connections.
         self.closing = False
-        # Time at which the store last failed to confirm an append.
-        self._append_timeout_at = float('-inf')
 
     def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
         return (web.route('*', '/{path:.*}', self._handle),)
 
     async def _handle(self, request: web.Request) -> web.Response:
+        limit = self._find_limit(request)
         response = await self.handle_here(request)
         if response.status != _responses.Outcome.UNAVAILABLE.value:
             return response
         # The request has had no effect, so that a neighbour may serve it.
-        forwarded = await self._relay.forward(request)
+        forwarded = await self._relay.forward(request, limit)
         if forwarded is None:
             return response
         if self.closing:
@@ -80,6 +76,7 @@
     async def handle_here(self, request: web.Request) -> web.Response:
         """Handle a request in this entry, without its neighbours."""
         started_at = time.perf_counter()
+        limit = self._find_limit(request)
         configuration = self._coordinator.operator.configuration
         if configuration is None:
             return self._respond(_responses.Outcome.UNAVAILABLE)
@@ -95,7 +92,7 @@
             return self._respond(_responses.Outcome.UNKNOWN_QUEUE)
         identifier = request.path[len(queue.path_prefix) :]
         response = await self._handle_queue(
-            request, configuration, queue, identifier
+            request, configuration, queue, identifier, limit
         )
         self._telemetry.request_latency.record(
             time.perf_counter() - started_at,
@@ -112,6 +109,7 @@
         configuration: workloads.Configuration,
         queue: workloads.Queue,
         identifier: str,
+        limit: float,
     ) -> web.Response:
         if not identifier and request.method == 'GET':
             return self._count_pending(queue)
@@ -120,19 +118,28 @@
         if request.method == 'GET':
             return self._report_phase(identifier)
         if request.method == 'DELETE':
-            return await self._cancel(identifier)
+            return await self._cancel(identifier, limit)
         if request.method == 'POST':
             return await self._submit(
-                request, configuration, queue, identifier
+                request, configuration, queue, identifier, limit
             )
         return self._respond(_responses.Outcome.INVALID)
 
+    def _find_limit(self, request: web.Request) -> float:
+        """Return when the answer must leave, in monotonic seconds."""
+        return (
+            self._clock.read_monotonic()
+            + platform.read_caller_wait(request.headers)
+            - decisions.ANSWER_MARGIN_SECONDS
+        )
+
     async def _submit(
         self,
         request: web.Request,
         configuration: workloads.Configuration,
         queue: workloads.Queue,
         identifier: str,
+        limit: float,
     ) -> web.Response:
         body = await request.read()
         if len(body) > configuration.body_limit:
@@ -161,12 +168,12 @@
                 f'{job.task_count} tasks, at most {self._max_job_tasks}',
             )
         record = coordination.encode_job(job)
-        outcome, detail = await self._append(
-            coordination.JOB_PREFIX + identifier, record
+        result = await self._submissions.append(
+            coordination.JOB_PREFIX + identifier, record, limit
         )
-        return self._log_and_respond(identifier, outcome, detail)
+        return self._log_and_respond(identifier, result.outcome, result.detail)
 
-    async def _cancel(self, identifier: str) -> web.Response:
+    async def _cancel(self, identifier: str, limit: float) -> web.Response:
         entry = self._find_entry(identifier)
         if entry is None:
             return self._respond_unknown(identifier)
@@ -183,51 +190,12 @@
         record = coordination.encode_cancel(
             identifier, int(self._clock.read_wall() * 1000)
         )
-        outcome, detail = await self._append(
-            coordination.CANCEL_PREFIX + identifier, record
+        result = await self._submissions.append(
+            coordination.CANCEL_PREFIX + identifier, record, limit
         )
-        return self._log_and_respond(identifier, outcome, f'cancel {detail}')
-
-    async def _append(
-        self, key: str, record: bytes
-    ) -> tuple[_responses.Outcome, str]:
-        """Append a record; return the outcome and a detail for the log.
-
-        The record also counts as stored if it appears in the ledger first.
-        """
-        ledger = self._coordinator.ledger
-        append = asyncio.ensure_future(
-            self._store.append(
-                coordination.SYSTEM_TOPIC,
-                record,
-                timeout_seconds=APPEND_TIMEOUT_SECONDS,
-            )
+        return self._log_and_respond(
+            identifier, result.outcome, f'cancel {result.detail}'
         )
-        ledger_wait = asyncio.ensure_future(ledger.wait_for(key))
-        try:
-            await asyncio.wait(
-                (append, ledger_wait), return_when=asyncio.FIRST_COMPLETED
-            )
-            if ledger_wait.done():
-                return _responses.Outcome.ACCEPTED, 'seen in the ledger'
-            next_offset = await append
-        except errors.RefusedError as error:
-            return _responses.Outcome.UNAVAILABLE, str(error)
-        except errors.UnavailableError as error:
-            # The caller retries with the same job identifier.
-            self._append_timeout_at = self._clock.read_monotonic()
-            return _responses.Outcome.UNCERTAIN, str(error)
-        finally:
-            append.cancel()
-            ledger_wait.cancel()
-            if append.done() and not append.cancelled():
-                # Retrieve the exception if the ledger showed the record first;
-                # asyncio logs exceptions that are never retrieved.
-                append.exception()
-        # Apply the record now rather than when it is read from the store.
-        for stored_record in platform.decode_records(record, next_offset - 1):
-            ledger.apply(stored_record)
-        return _responses.Outcome.ACCEPTED, f'offset {next_offset - 1}'
 
     def _report_phase(self, identifier: str) -> web.Response:
         entry = self._find_entry(identifier)
@@ -274,7 +242,8 @@
         return (
             self._is_ledger_fresh()
             and follower.reachable
-            and confirmed_at > self._append_timeout_at
+            and confirmed_at > self._submissions.given_up_at
+            and not self._submissions.refuses
         )
 
     def _respond_unknown(self, identifier: str) -> web.Response:
--- a/chivespoke/intake/_relay.py
+++ b/chivespoke/intake/_relay.py
@@ -16,7 +16,7 @@
 # Connections to one neighbour. Requests are handed over only while the store
 # turns this entry away.
 NEIGHBOUR_CONNECTIONS = 4
-# Longer than an append, which the neighbour gives up after 1 s.
+# A neighbour answers a little before this time, or before the caller's.
 NEIGHBOUR_TIMEOUT_SECONDS = 1.3
 DEPARTURE_TIMEOUT_SECONDS = 0.5
 
@@ -84,10 +84,13 @@
         for transport in self._transports.values():
             await transport.stop()
 
-    async def forward(self, request: web.Request) -> web.Response | None:
+    async def forward(
+        self, request: web.Request, limit: float
+    ) -> web.Response | None:
         """Hand a request to a neighbour; return its response.
 
-        Returns None if no neighbour has taken the request, which then has had
+        The limit is the monotonic time by which the answer must leave. Returns
+        None if no neighbour has taken the request, which then has had
         no effect. A response that is lost is reported as uncertain.
         """
         addresses = {
@@ -99,8 +102,14 @@
             addresses, self._clock.read_monotonic()
         )
         for name in selected:
+            wait_seconds = min(
+                NEIGHBOUR_TIMEOUT_SECONDS,
+                limit - self._clock.read_monotonic(),
+            )
+            if wait_seconds <= decisions.ANSWER_MARGIN_SECONDS:
+                return None
             response = await self._try_neighbour(
-                name, addresses[name], request
+                name, addresses[name], request, wait_seconds
             )
             if response is not None:
                 return response
@@ -109,7 +118,11 @@
         return None
 
     async def _try_neighbour(
-        self, name: str, address: str, request: web.Request
+        self,
+        name: str,
+        address: str,
+        request: web.Request,
+        wait_seconds: float,
     ) -> web.Response | None:
         try:
             transport = await self._find_transport(address)
@@ -118,8 +131,11 @@
                 request.method,
                 request.path_qs,
                 await request.read(),
-                NEIGHBOUR_TIMEOUT_SECONDS,
-                {'Host': request.host},
+                wait_seconds,
+                {
+                    'Host': request.host,
+                    **platform.encode_caller_wait(wait_seconds),
+                },
             )
         except errors.RefusedError as error:
             self._log(name, request, 0, str(error))
--- a/chivespoke/platform/__init__.py
+++ b/chivespoke/platform/__init__.py
@@ -26,12 +26,15 @@
 from chivespoke.platform._store import Page
 from chivespoke.platform._store import Producer
 from chivespoke.platform._store import Record
+from chivespoke.platform._store import RecordRefusedError
 from chivespoke.platform._store import Store
 from chivespoke.platform._store import TruncatedError
 from chivespoke.platform._submissions import decode_submission
+from chivespoke.platform._submissions import encode_caller_wait
 from chivespoke.platform._submissions import encode_pending
 from chivespoke.platform._submissions import encode_phase
 from chivespoke.platform._submissions import is_job_identifier
+from chivespoke.platform._submissions import read_caller_wait
 from chivespoke.platform._submissions import READINESS_PATH
 from chivespoke.platform._transport import NotListeningError
 from chivespoke.platform._transport import Transport
@@ -70,6 +73,7 @@
     'READINESS_PATH',
     'REGISTRATION_PATH',
     'Record',
+    'RecordRefusedError',
     'Refusal',
     'Registration',
     'RunningTask',
@@ -82,10 +86,12 @@
     'decode_records',
     'decode_registration',
     'decode_submission',
+    'encode_caller_wait',
     'encode_pending',
     'encode_phase',
     'encode_record',
     'is_job_identifier',
+    'read_caller_wait',
     'read_machine_settings',
     'replace_bounds',
 ]
--- a/chivespoke/platform/_store.py
+++ b/chivespoke/platform/_store.py
@@ -24,6 +24,9 @@
 GONE = 410
 CONFLICT = 409
 PRECONDITION_FAILED = 412
+# Statuses of appends whose records the store does not take: invalid, or more
+# than it stores at once.
+RECORD_REFUSALS = frozenset((400, 413, 507))
 Body = typing.TypeVar('Body')
 
 
@@ -35,6 +38,10 @@
     """Report an append whose condition on the log's end offset failed."""
 
 
+class RecordRefusedError(errors.RefusedError):
+    """Report an append whose records the store does not take."""
+
+
 class TruncatedError(errors.RefusedError):
     """Report a read at an offset that the store no longer holds."""
 
@@ -159,6 +166,13 @@
         # Long polls occupy their connections, so reads use separate ones.
         self._read_transport = read_transport
 
+    @property
+    def answers(self) -> int:
+        """Return the number of calls that the store has answered."""
+        if self._call_transport is self._read_transport:
+            return self._call_transport.answers
+        return self._call_transport.answers + self._read_transport.answers
+
     async def append(
         self,
         topic: str,
@@ -170,8 +184,9 @@
         """Append encoded records and return the partition's new end offset.
 
         Raise FencedError if the producer was fenced, RefusedError if nothing
-        was appended, and UnavailableError if the records may already be
-        appended or may be appended later.
+        was appended, RecordRefusedError if that is due to the records, and
+        UnavailableError if the records may already be appended or may be
+        appended later.
         """
         query: dict[str, str | int] = {'topic': topic, 'part': partition}
         if producer is not None:
@@ -327,6 +342,8 @@
             and _read_reason(response.body) == 'fenced'
         ):
             raise FencedError(step, self._call_transport.peer, detail)
+        if response.status in RECORD_REFUSALS:
+            raise RecordRefusedError(step, self._call_transport.peer, detail)
         raise errors.RefusedError(step, self._call_transport.peer, detail)
 
 
--- a/chivespoke/platform/_submissions.py
+++ b/chivespoke/platform/_submissions.py
@@ -1,5 +1,7 @@
 """Decoding of submitted jobs and encoding of responses to callers."""
 
+import collections.abc
+import math
 import typing
 
 import msgspec
@@ -11,7 +13,12 @@
 READINESS_PATH = '/ready'
 IDENTIFIER_LENGTH = 16
 HEXADECIMAL = frozenset('0123456789abcdefABCDEF')
-
+# Milliseconds for which the caller waits for the answer.
+DEADLINE_HEADER = 'Chivespoke-Deadline-Ms'
+MS_PER_SECOND = 1000.0
+# For callers that do not say how long they wait.
+DEFAULT_WAIT_SECONDS = 3.0
+MAX_WAIT_SECONDS = 10.0
 
 # Larger numbers lose digits in JSON readers that use floating point.
 MAX_NUMBER = 2**53
@@ -62,6 +69,27 @@
     return len(text) == IDENTIFIER_LENGTH and HEXADECIMAL.issuperset(text)
 
 
+def read_caller_wait(
+    headers: collections.abc.Mapping[str, str],
+) -> float:
+    """Return for how many seconds a caller waits for the answer.
+
+    A value that is not a positive number counts as none.
+    """
+    try:
+        seconds = float(headers.get(DEADLINE_HEADER, '')) / MS_PER_SECOND
+    except ValueError:
+        return DEFAULT_WAIT_SECONDS
+    if not math.isfinite(seconds) or seconds <= 0:
+        return DEFAULT_WAIT_SECONDS
+    return min(seconds, MAX_WAIT_SECONDS)
+
+
+def encode_caller_wait(seconds: float) -> dict[str, str]:
+    """Return the headers that tell how long a caller waits."""
+    return {DEADLINE_HEADER: str(int(seconds * MS_PER_SECOND))}
+
+
 def decode_submission(
     body: bytes, identifier: str, queue: workloads.Queue, accepted_ms: int
 ) -> workloads.Job:
--- a/chivespoke/platform/_transport.py
+++ b/chivespoke/platform/_transport.py
@@ -34,12 +34,14 @@
 class Transport(application.Component):
     """Make HTTP calls over a pool of connections to one peer."""
 
-    __slots__ = ('_base_url', '_max_connections', '_session')
+    __slots__ = ('answers', '_base_url', '_max_connections', '_session')
 
     def __init__(self, address: str, connections: int) -> None:
         self._base_url = f'http://{address}'
         self._max_connections = connections
         self._session: aiohttp.ClientSession | None = None
+        # Number of calls that were answered, with any status.
+        self.answers = 0
 
     @property
     def peer(self) -> str:
@@ -96,6 +98,7 @@
             ) as response:
                 async for chunk in response.content.iter_any():
                     received += chunk
+                self.answers += 1
                 return Response(response.status, bytes(received))
         except (
             aiohttp.ClientConnectorError,
--- a/chivespoke/serving/_assembly.py
+++ b/chivespoke/serving/_assembly.py
@@ -54,9 +54,12 @@
         store,
         time,
     )
+    submissions = intake.Submissions(
+        store, coordinator.ledger, time, instruments
+    )
     job_routes = intake.JobRoutes(
         coordinator,
-        store,
+        submissions,
         relay,
         time,
         instruments,
@@ -68,6 +71,8 @@
             _watcher.SettingsWatcher(path, holder),
             call_transport,
             read_transport,
+            # Stopped after the servers, whose requests wait for it.
+            submissions,
             web.HttpServer(
                 parse_address(machine.caller_address), (job_routes,)
             ),
--- a/chivespoke/telemetry.py
+++ b/chivespoke/telemetry.py
@@ -17,6 +17,8 @@
     *(0.0005, 0.001, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.015, 0.025),
     *(0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 0.75, 1.0, 2.5, 5.0, 10.0, 30.0),
 )
+# Bucket bounds of the number of records in an append.
+APPEND_BUCKETS_RECORDS = (1, 2, 3, 5, 10, 20, 50, 100, 200, 500)
 
 
 class Telemetry(chivespoke_web.RouteProvider):
@@ -35,6 +37,8 @@
         'refusals',
         'deadly_requests',
         'store_latency',
+        'append_records',
+        'append_wait',
         'start_wait',
         'run_ends',
         'order_outcomes',
@@ -104,6 +108,16 @@
             unit='s',
             description='Append of the leader to its answer',
         )
+        self.append_records = self.meter.create_histogram(
+            'chivespoke_append_records',
+            description='Records of callers in one append of an entry',
+            explicit_bucket_boundaries_advisory=APPEND_BUCKETS_RECORDS,
+        )
+        self.append_wait = self.meter.create_histogram(
+            'chivespoke_append_wait',
+            unit='s',
+            description='Arrival of a record of a caller to its outcome',
+        )
         self.start_wait = self.meter.create_histogram(
             'chivespoke_start_wait',
             unit='s',
