--- a/chivespoke/decisions/_append_wait.py
+++ b/chivespoke/decisions/_append_wait.py
@@ -61,14 +61,21 @@
 
 
 def may_append(
-    ages: collections.abc.Sequence[float], timeout_seconds: float
+    ages: collections.abc.Sequence[float],
+    timeout_seconds: float,
+    silence: StoreSilence,
 ) -> bool:
     """Return whether to append beside the appends under way, by their ages.
 
-    One append that takes long does not hold up the records behind it.
+    One append that takes long does not hold up the records behind it, if the
+    store answers other calls. Otherwise they can still be refused.
     """
-    return len(ages) < MAX_APPENDS and all(
-        age >= timeout_seconds for age in ages
+    if not ages:
+        return True
+    return (
+        len(ages) < MAX_APPENDS
+        and min(ages) >= timeout_seconds
+        and silence.seconds < silence.timeout_seconds
     )
 
 
--- a/chivespoke/intake/_submissions.py
+++ b/chivespoke/intake/_submissions.py
@@ -290,7 +290,8 @@
                 )
             )
             ages = [now - append.started_at for append in self._appends]
-            if not decisions.may_append(ages, timeout):
+            silence = self._observe_silence()
+            if not decisions.may_append(ages, timeout, silence):
                 return
             batch = self._take_batch(now)
             if not batch:
--- a/chivespoke/intake/tests/__init__.py
+++ b/chivespoke/intake/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the package intake."""
+"""Tests of the intake of requests."""
