Refuse jobs that would be served without value, and say when to return

Cause: an entry accepted every job while the store answered; with much more work than a service completes, callers waited for results without value.

Change: on services that queues of several priorities share, the leader records a summary of the load (load/summary, at most once a second), and entries decide by decisions.decide_admission: 429 at once with a Retry-After from the work ahead, spread by job. Without a fresh summary everything is admitted as before.

--- a/chivespoke/coordination/__init__.py
+++ b/chivespoke/coordination/__init__.py
@@ -10,6 +10,7 @@
 from chivespoke.coordination._followers import TopicFold
 from chivespoke.coordination._followers import TopicFollower
 from chivespoke.coordination._links import open_socket
+from chivespoke.coordination._load import describe_demand
 from chivespoke.coordination._messages import AdoptedRun
 from chivespoke.coordination._messages import CrashReport
 from chivespoke.coordination._messages import Directive
@@ -30,10 +31,12 @@
 from chivespoke.coordination._records import encode_entry_address
 from chivespoke.coordination._records import encode_entry_departure
 from chivespoke.coordination._records import encode_job
+from chivespoke.coordination._records import encode_load
 from chivespoke.coordination._records import encode_sidecar
 from chivespoke.coordination._records import JOB_PREFIX
 from chivespoke.coordination._records import JobEntry
 from chivespoke.coordination._records import Ledger
+from chivespoke.coordination._records import LoadSummary
 from chivespoke.coordination._records import MAX_JOB_SUSPECTS
 from chivespoke.coordination._records import MAX_TASK_RECORD_BYTES
 from chivespoke.coordination._records import SYSTEM_TOPIC
@@ -51,6 +54,7 @@
     'JOB_PREFIX',
     'Ledger',
     'LeaderTimeouts',
+    'LoadSummary',
     'MAX_JOB_SUSPECTS',
     'MAX_SUSPECTS',
     'MAX_TASK_RECORD_BYTES',
@@ -69,10 +73,12 @@
     'WorkerIncarnation',
     'announce_address',
     'compute_max_job_tasks',
+    'describe_demand',
     'encode_cancel',
     'encode_entry_address',
     'encode_entry_departure',
     'encode_job',
+    'encode_load',
     'encode_sidecar',
     'format_session',
     'open_socket',
--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -6,6 +6,7 @@
 from chivespoke.coordination import _engine_state
 from chivespoke.coordination import _fleet
 from chivespoke.coordination import _jobs
+from chivespoke.coordination import _load
 from chivespoke.coordination import _messages
 from chivespoke.coordination import _placer
 from chivespoke.coordination import _records
@@ -45,6 +46,7 @@
         '_report_handler',
         '_epoch',
         '_placer',
+        '_load_reporter',
         '_desired_state',
         '_checkpoints_marked_at',
     )
@@ -56,6 +58,7 @@
         self._state = _engine_state.State(epoch, timeouts)
         self._report_handler = _reports.ReportHandler(self._state)
         self._placer = _placer.Placer(self._state)
+        self._load_reporter = _load.LoadReporter(self._state, epoch)
         # That of the latest plan; None if it was outdated.
         self._desired_state: _placer.DesiredState | None = None
         self._checkpoints_marked_at = 0.0
@@ -126,6 +129,12 @@
                 )
                 del self._state.jobs[state.job.identifier]
                 self._state.advice_cache.forget_job(state.job.identifier)
+        if desired_state is not None:
+            load_record = self._load_reporter.make_record(
+                desired_state.configuration, now, wall
+            )
+            if load_record is not None:
+                records.append(load_record)
         recorded_ends = {
             worker.incarnation.key: worker.processed_end
             for worker in self._state.workers.values()
--- a/chivespoke/coordination/_jobs.py
+++ b/chivespoke/coordination/_jobs.py
@@ -90,6 +90,10 @@
         task = self.find_task(name)
         return task is not None and bool(task.crashes)
 
+    def count_unfinished(self, occurrence: int, step: int) -> int:
+        """Return the number of tasks of a step that are not done."""
+        return self._unfinished[occurrence][step]
+
     def list_ready(
         self, wall: float
     ) -> collections.abc.Iterator[tuple[int, int]]:
--- a/chivespoke/coordination/_records.py
+++ b/chivespoke/coordination/_records.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from chivespoke import clock
 from chivespoke.coordination import _followers
 from chivespoke import decisions
 from chivespoke import logs
@@ -19,6 +20,7 @@
 PROGRESS_PREFIX = 'progress/'
 WORKER_PREFIX = 'worker/'
 ENTRY_PREFIX = 'entry/'
+LOAD_KEY = 'load/summary'
 
 # Maximum size of the record of one task: the names of its worker and of its
 # checkpoint, and small numbers.
@@ -46,6 +48,17 @@
 ADDRESS_DECODER = msgspec.msgpack.Decoder(AddressRecord)
 
 
+class LoadSummary(msgspec.Struct, frozen=True):
+    """Hold the load that a leader has told to the entries."""
+
+    epoch: int
+    # By the name of the service; only services whose load is known.
+    services: dict[str, decisions.ServiceLoad] = {}
+
+
+LOAD_DECODER = msgspec.msgpack.Decoder(LoadSummary)
+
+
 def compute_max_job_tasks(max_record_bytes: int) -> int:
     """Return the size of the largest job whose progress fits a record."""
     suspects_bytes = (
@@ -103,6 +116,11 @@
     return platform.encode_record(ENTRY_PREFIX + name, b'')
 
 
+def encode_load(summary: LoadSummary) -> bytes:
+    """Return the record of the load."""
+    return platform.encode_record(LOAD_KEY, ENCODER.encode(summary))
+
+
 class JobEntry:
     """Hold the ledger's state of one job."""
 
@@ -174,11 +192,19 @@
         'entries',
         'sidecars',
         'entry_addresses',
+        'load',
+        'load_applied_at',
         'listener',
+        '_clock',
         '_key_events',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, time: clock.Clock | None = None) -> None:
+        self._clock = time or clock.SystemClock()
+        # The latest summary of the load, and its time of arrival in monotonic
+        # seconds.
+        self.load: LoadSummary | None = None
+        self.load_applied_at = float('-inf')
         self.entries: dict[str, JobEntry] = {}
         self.sidecars: dict[str, str] = {}
         # Address for neighbours' requests, by the name of the entry.
@@ -215,6 +241,8 @@
 
     def retain(self, keys: frozenset[str]) -> None:
         """Drop jobs whose key is not among the keys of a full read."""
+        # It is not known how old a record of a full read is.
+        self.load = None
         for identifier in tuple(self.entries):
             if JOB_PREFIX + identifier not in keys:
                 del self.entries[identifier]
@@ -233,6 +261,8 @@
             self._apply_entry_address(
                 key.removeprefix(ENTRY_PREFIX), record.value
             )
+        elif key == LOAD_KEY and record.value:
+            self._apply_load(LOAD_DECODER.decode(record.value))
 
     def _apply_job(self, identifier: str, record: platform.Record) -> None:
         if not record.value:
@@ -272,6 +302,11 @@
             return
         self.entry_addresses[name] = ADDRESS_DECODER.decode(value).address
 
+    def _apply_load(self, summary: LoadSummary) -> None:
+        if self.load is None or summary.epoch >= self.load.epoch:
+            self.load = summary
+            self.load_applied_at = self._clock.read_monotonic()
+
     def _find_or_add(self, identifier: str) -> JobEntry:
         return self.entries.setdefault(identifier, JobEntry())
 
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -1,5 +1,14 @@
 """Scheduling decisions: pure functions and small state objects, no I/O."""
 
+from chivespoke.decisions._admission import Admission
+from chivespoke.decisions._admission import AdmissionCause
+from chivespoke.decisions._admission import classify_sizes
+from chivespoke.decisions._admission import decide_admission
+from chivespoke.decisions._admission import JobDemand
+from chivespoke.decisions._admission import MAX_SUMMARY_AGE_SECONDS
+from chivespoke.decisions._admission import PriorityLoad
+from chivespoke.decisions._admission import ServiceLoad
+from chivespoke.decisions._admission import SizeClass
 from chivespoke.decisions._advice import AdviceCache
 from chivespoke.decisions._advice import AdviceRequest
 from chivespoke.decisions._advice import MAX_REQUEST_WORKERS
@@ -61,6 +70,8 @@
 
 __all__ = [
     'ANSWER_MARGIN_SECONDS',
+    'Admission',
+    'AdmissionCause',
     'AdaptiveTimeout',
     'AdviceCache',
     'AdviceRequest',
@@ -73,23 +84,28 @@
     'HELD_SPEED',
     'InterferenceCoefficient',
     'InterferenceModel',
+    'JobDemand',
     'LatencyHeadroom',
     'LearnedInterferenceModel',
     'LostRun',
     'MAX_CRASHES',
     'MAX_NEIGHBOURS',
     'MAX_REQUEST_WORKERS',
+    'MAX_SUMMARY_AGE_SECONDS',
     'NeighbourSelector',
     'OUTAGE_SECONDS',
     'PaceChange',
     'PacedRun',
     'Pacer',
     'PendingStep',
+    'PriorityLoad',
     'RunForecast',
     'SUSPECT_AGE_SECONDS',
     'SendWindow',
+    'ServiceLoad',
     'ServiceOutlook',
     'ShortageTracker',
+    'SizeClass',
     'SpeedTracker',
     'StallDetector',
     'Standing',
@@ -101,6 +117,8 @@
     'WorkerRanking',
     'can_run_on',
     'choose_worker',
+    'classify_sizes',
+    'decide_admission',
     'deduct_filler',
     'describe_crashes',
     'estimate_spare_millis',
--- a/chivespoke/intake/_job_routes.py
+++ b/chivespoke/intake/_job_routes.py
@@ -167,12 +167,65 @@
                 _responses.Outcome.TOO_LARGE,
                 f'{job.task_count} tasks, at most {self._max_job_tasks}',
             )
+        if configuration.is_contended(queue.terms.service):
+            admission = self._decide_admission(job)
+            if admission is not None and not admission.admitted:
+                return self._refuse_for_load(job, admission)
         record = coordination.encode_job(job)
         result = await self._submissions.append(
             coordination.JOB_PREFIX + identifier, record, limit
         )
         return self._log_and_respond(identifier, result.outcome, result.detail)
 
+    def _decide_admission(
+        self, job: workloads.Job
+    ) -> decisions.Admission | None:
+        """Decide whether a job is admitted; None if its load is not limited.
+
+        A job that was submitted before and may be stored is not refused.
+        """
+        key = coordination.JOB_PREFIX + job.identifier
+        demand = coordination.describe_demand(job)
+        if demand is None or self._submissions.is_waiting(key):
+            return None
+        ledger = self._coordinator.ledger
+        load: decisions.ServiceLoad | None = None
+        if ledger.load is not None:
+            load = ledger.load.services.get(job.terms.service)
+        age = self._clock.read_monotonic() - ledger.load_applied_at
+        admission = decisions.decide_admission(demand, load, age)
+        outlook = load.outlook if load is not None else None
+        LOGGER.info(
+            'Admission decided.',
+            job=job.identifier,
+            queue=job.queue,
+            admitted=admission.admitted,
+            cause=admission.cause.value,
+            priority=demand.priority,
+            core_seconds=round(demand.core_seconds, 1),
+            path_seconds=round(demand.path_seconds, 1),
+            objective_seconds=round(demand.objective_seconds, 1),
+            ahead_core_seconds=round(admission.ahead_core_seconds, 1),
+            wait_seconds=round(admission.wait_seconds, 1),
+            retry_seconds=admission.retry_seconds,
+            outlook=outlook,
+            epoch=ledger.load.epoch if ledger.load is not None else 0,
+            load_age=round(age, 3),
+            ledger_age=round(self._coordinator.follower.measure_age(), 3),
+        )
+        return admission
+
+    def _refuse_for_load(
+        self, job: workloads.Job, admission: decisions.Admission
+    ) -> web.Response:
+        self._telemetry.refusals.add(1, {'cause': 'load', 'queue': job.queue})
+        return self._log_and_respond(
+            job.identifier,
+            _responses.Outcome.OVERLOADED,
+            f'{admission.wait_seconds:.1f} s of work ahead',
+            admission.retry_seconds,
+        )
+
     async def _cancel(self, identifier: str, limit: float) -> web.Response:
         entry = self._find_entry(identifier)
         if entry is None:
@@ -256,7 +309,11 @@
         )
 
     def _log_and_respond(
-        self, identifier: str, outcome: _responses.Outcome, detail: str
+        self,
+        identifier: str,
+        outcome: _responses.Outcome,
+        detail: str,
+        retry_seconds: int = _responses.RETRY_AFTER_SECONDS,
     ) -> web.Response:
         LOGGER.info(
             'A request is answered.',
@@ -266,10 +323,16 @@
             detail=detail,
             ledger_age=round(self._coordinator.follower.measure_age(), 3),
         )
-        return self._respond(outcome)
+        return self._respond(outcome, retry_seconds)
 
-    def _respond(self, outcome: _responses.Outcome) -> web.Response:
-        return _responses.make_response(outcome, closing=self.closing)
+    def _respond(
+        self,
+        outcome: _responses.Outcome,
+        retry_seconds: int = _responses.RETRY_AFTER_SECONDS,
+    ) -> web.Response:
+        return _responses.make_response(
+            outcome, retry_seconds=retry_seconds, closing=self.closing
+        )
 
 
 class NeighbourRoutes(chivespoke_web.RouteProvider):
--- a/chivespoke/intake/_relay.py
+++ b/chivespoke/intake/_relay.py
@@ -151,7 +151,9 @@
             self._selector.record_refused(name, self._clock.read_monotonic())
             return None
         self._selector.record_served(name)
-        return _responses.copy_response(answer.status, answer.body)
+        return _responses.copy_response(
+            answer.status, answer.body, answer.retry_after_seconds
+        )
 
     async def _find_transport(self, address: str) -> platform.Transport:
         transport = self._transports.get(address)
--- a/chivespoke/intake/_responses.py
+++ b/chivespoke/intake/_responses.py
@@ -51,6 +51,11 @@
     )
 
 
-def copy_response(status: int, body: bytes) -> web.Response:
+def copy_response(
+    status: int, body: bytes, retry_seconds: int = 0
+) -> web.Response:
     """Build the HTTP response that passes on a neighbour's answer."""
-    return web.Response(status=status, body=body, content_type=JSON_TYPE)
+    headers = {'Retry-After': str(retry_seconds)} if retry_seconds else {}
+    return web.Response(
+        status=status, body=body, content_type=JSON_TYPE, headers=headers
+    )
--- a/chivespoke/platform/_transport.py
+++ b/chivespoke/platform/_transport.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import collections.abc
 
 import aiohttp
 import msgspec
@@ -25,6 +26,8 @@
 
     status: int
     body: bytes
+    # Value of the Retry-After header in seconds; 0 if there is none.
+    retry_after_seconds: int = 0
 
 
 class NotListeningError(errors.RefusedError):
@@ -99,7 +102,11 @@
                 async for chunk in response.content.iter_any():
                     received += chunk
                 self.answers += 1
-                return Response(response.status, bytes(received))
+                return Response(
+                    response.status,
+                    bytes(received),
+                    _read_retry_after(response.headers),
+                )
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -119,6 +126,11 @@
             ) from error
 
 
+def _read_retry_after(headers: collections.abc.Mapping[str, str]) -> int:
+    text = headers.get('Retry-After', '')
+    return int(text) if text.isdecimal() else 0
+
+
 async def _send_changes_once(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
