--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -7,6 +7,7 @@
 from chivespoke.coordination import _fleet
 from chivespoke.coordination import _jobs
 from chivespoke.coordination import _learning
+from chivespoke.coordination import _load
 from chivespoke.coordination import _messages
 from chivespoke.coordination import _placer
 from chivespoke.coordination import _records
@@ -49,6 +50,7 @@
         '_placer',
         '_triage_planner',
         '_learning_keeper',
+        '_load_reporter',
         '_desired_state',
         '_checkpoints_marked_at',
     )
@@ -62,6 +64,7 @@
         self._placer = _placer.Placer(self._state)
         self._triage_planner = _triage.TriagePlanner(self._state)
         self._learning_keeper = _learning.LearningKeeper(self._state)
+        self._load_reporter = _load.LoadReporter(self._state, epoch)
         # That of the latest plan; None if it was outdated.
         self._desired_state: _placer.DesiredState | None = None
         self._checkpoints_marked_at = 0.0
@@ -153,6 +156,12 @@
         learned = self._learning_keeper.make_record(now, wall)
         if learned is not None:
             records.append(learned)
+        if desired_state is not None:
+            load_record = self._load_reporter.make_record(
+                desired_state.configuration, now, wall
+            )
+            if load_record is not None:
+                records.append(load_record)
         recorded_ends = {
             worker.incarnation.key: worker.processed_end
             for worker in self._state.workers.values()
--- a/chivespoke/coordination/_jobs.py
+++ b/chivespoke/coordination/_jobs.py
@@ -90,6 +90,10 @@
         task = self.find_task(name)
         return task is not None and bool(task.crashes)
 
+    def count_unfinished(self, occurrence: int, step: int) -> int:
+        """Return the number of tasks of a step that are not done."""
+        return self._unfinished[occurrence][step]
+
     def list_ready(
         self, wall: float
     ) -> collections.abc.Iterator[tuple[int, int]]:
@@ -107,13 +111,6 @@
                 ):
                     yield occurrence, number
 
-    def count_unfinished(self, step: int) -> int:
-        """Return the number of tasks of a step that are not done.
-
-        Those of all occurrences count.
-        """
-        return sum(counts[step] for counts in self._unfinished)
-
     def compute_occurrence_start(self, occurrence: int) -> float:
         """Return the start time of an occurrence in seconds since 1970.
 
--- a/chivespoke/coordination/_records.py
+++ b/chivespoke/coordination/_records.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from chivespoke import clock
 from chivespoke.coordination import _followers
 from chivespoke import decisions
 from chivespoke import logs
@@ -21,6 +22,7 @@
 ENTRY_PREFIX = 'entry/'
 # What the leaders have learned; see `_learning`.
 LEARNED_KEY = 'learned/model'
+LOAD_KEY = 'load/summary'
 
 # Maximum size of the record of one task: the names of its worker and of its
 # checkpoint, and small numbers.
@@ -48,6 +50,17 @@
 ADDRESS_DECODER = msgspec.msgpack.Decoder(AddressRecord)
 
 
+class LoadSummary(msgspec.Struct, frozen=True):
+    """Hold the load that a leader has told to the entries."""
+
+    epoch: int
+    # By the name of the service; only services whose load is known.
+    services: dict[str, decisions.ServiceLoad] = {}
+
+
+LOAD_DECODER = msgspec.msgpack.Decoder(LoadSummary)
+
+
 def compute_max_job_tasks(max_record_bytes: int) -> int:
     """Return the size of the largest job whose progress fits a record."""
     suspects_bytes = (
@@ -105,6 +118,11 @@
     return platform.encode_record(ENTRY_PREFIX + name, b'')
 
 
+def encode_load(summary: LoadSummary) -> bytes:
+    """Return the record of the load."""
+    return platform.encode_record(LOAD_KEY, ENCODER.encode(summary))
+
+
 class JobEntry:
     """Hold the ledger's state of one job."""
 
@@ -177,11 +195,19 @@
         'sidecars',
         'entry_addresses',
         'learned',
+        'load',
+        'load_applied_at',
         'listener',
+        '_clock',
         '_key_events',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, time: clock.Clock | None = None) -> None:
+        self._clock = time or clock.SystemClock()
+        # The latest summary of the load, and its time of arrival in monotonic
+        # seconds.
+        self.load: LoadSummary | None = None
+        self.load_applied_at = float('-inf')
         self.entries: dict[str, JobEntry] = {}
         self.sidecars: dict[str, str] = {}
         # Address for neighbours' requests, by the name of the entry.
@@ -191,12 +217,11 @@
         self.learned = b''
         self.listener: LedgerListener | None = None
         # Events to set when a record with the key is applied.
-        self._key_events: dict[str, asyncio.Event] = {}
+        self._key_events: dict[str, list[asyncio.Event]] = {}
 
     def apply(self, record: platform.Record) -> None:
         """Apply one record; skip it if it cannot be decoded."""
-        key_event = self._key_events.get(record.key)
-        if key_event is not None:
+        for key_event in self._key_events.get(record.key, ()):
             key_event.set()
         try:
             self._apply(record)
@@ -210,14 +235,20 @@
 
     async def wait_for(self, key: str) -> None:
         """Wait until a record with a key is applied."""
-        event = self._key_events.setdefault(key, asyncio.Event())
+        event = asyncio.Event()
+        waiting = self._key_events.setdefault(key, [])
+        waiting.append(event)
         try:
             await event.wait()
         finally:
-            self._key_events.pop(key, None)
+            waiting.remove(event)
+            if not waiting:
+                del self._key_events[key]
 
     def retain(self, keys: frozenset[str]) -> None:
         """Drop jobs whose key is not among the keys of a full read."""
+        # It is not known how old a record of a full read is.
+        self.load = None
         for identifier in tuple(self.entries):
             if JOB_PREFIX + identifier not in keys:
                 del self.entries[identifier]
@@ -240,6 +271,8 @@
             )
         elif key == LEARNED_KEY:
             self.learned = record.value
+        elif key == LOAD_KEY and record.value:
+            self._apply_load(LOAD_DECODER.decode(record.value))
 
     def _apply_job(self, identifier: str, record: platform.Record) -> None:
         if not record.value:
@@ -279,6 +312,11 @@
             return
         self.entry_addresses[name] = ADDRESS_DECODER.decode(value).address
 
+    def _apply_load(self, summary: LoadSummary) -> None:
+        if self.load is None or summary.epoch >= self.load.epoch:
+            self.load = summary
+            self.load_applied_at = self._clock.read_monotonic()
+
     def _find_or_add(self, identifier: str) -> JobEntry:
         return self.entries.setdefault(identifier, JobEntry())
 
--- a/chivespoke/coordination/_triage.py
+++ b/chivespoke/coordination/_triage.py
@@ -117,7 +117,7 @@
             for state in self._state.jobs.values()
             if not state.final
             and state.terms.service == service
-            and is_filler_job(state.job)
+            and state.job.is_filler
             and wall >= state.compute_occurrence_start(0)
         ]
 
@@ -170,7 +170,11 @@
             step_id = f'{job.identifier}.0.{number}'
             estimate = self._state.durations.estimate(job.queue, step_id, step)
             left_tasks, left_share = measure_left(
-                state.count_unfinished(number), advances.get(step_id)
+                sum(
+                    state.count_unfinished(occurrence, number)
+                    for occurrence in range(job.occurrence_count)
+                ),
+                advances.get(step_id),
             )
             cores = step.cpu_millis / MILLIS_PER_CORE
             core_seconds = cores * estimate.mean_seconds
@@ -242,11 +246,6 @@
     return left_tasks, 1.0 - advance.least_share
 
 
-def is_filler_job(job: workloads.Job) -> bool:
-    """Return whether a job uses only what others leave unused."""
-    return all(step.filler and not step.long_running for step in job.steps)
-
-
 def summarize(
     job_outlooks: collections.abc.Iterable[decisions.JobOutlook],
     ranks: dict[str, decisions.Rank],
--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -1,8 +1,23 @@
 """Scheduling decisions: pure functions and small state objects, no I/O."""
 
+from chivespoke.decisions._admission import Admission
+from chivespoke.decisions._admission import AdmissionCause
+from chivespoke.decisions._admission import classify_sizes
+from chivespoke.decisions._admission import decide_admission
+from chivespoke.decisions._admission import JobDemand
+from chivespoke.decisions._admission import MAX_SUMMARY_AGE_SECONDS
+from chivespoke.decisions._admission import PriorityLoad
+from chivespoke.decisions._admission import ServiceLoad
+from chivespoke.decisions._admission import SizeClass
 from chivespoke.decisions._advice import AdviceCache
 from chivespoke.decisions._advice import AdviceRequest
 from chivespoke.decisions._advice import MAX_REQUEST_WORKERS
+from chivespoke.decisions._append_wait import ANSWER_MARGIN_SECONDS
+from chivespoke.decisions._append_wait import AppendWait
+from chivespoke.decisions._append_wait import is_worth_sending
+from chivespoke.decisions._append_wait import may_append
+from chivespoke.decisions._append_wait import must_answer
+from chivespoke.decisions._append_wait import StoreSilence
 from chivespoke.decisions._crashes import describe_crashes
 from chivespoke.decisions._crashes import find_suspects
 from chivespoke.decisions._crashes import is_conclusive
@@ -72,9 +87,13 @@
 from chivespoke.decisions._window import SendWindow
 
 __all__ = [
+    'ANSWER_MARGIN_SECONDS',
+    'Admission',
+    'AdmissionCause',
     'AdaptiveTimeout',
     'AdviceCache',
     'AdviceRequest',
+    'AppendWait',
     'CandidateWorker',
     'CrowdingDetector',
     'CoefficientState',
@@ -92,6 +111,7 @@
     'InterferenceCoefficient',
     'InterferenceModel',
     'JobOutlook',
+    'JobDemand',
     'LatencyHeadroom',
     'LearnedDurations',
     'LearnedInterferenceModel',
@@ -102,6 +122,7 @@
     'MAX_REQUEST_WORKERS',
     'MAX_SECONDS',
     'MIN_SECONDS',
+    'MAX_SUMMARY_AGE_SECONDS',
     'NeighbourSelector',
     'OPEN_TRY_SECONDS',
     'OUTAGE_SECONDS',
@@ -111,22 +132,28 @@
     'PendingStep',
     'Rank',
     'RepeatSchedule',
+    'PriorityLoad',
     'RunForecast',
     'SUSPECT_AGE_SECONDS',
     'SendWindow',
+    'ServiceLoad',
     'ServiceOutlook',
     'ShortageTracker',
+    'SizeClass',
     'SpeedTracker',
     'StallDetector',
     'Standing',
     'StepDemand',
     'StepState',
+    'StoreSilence',
     'TARGET_TAIL_SHARE',
     'VALUE_CUTOFF_FACTOR',
     'WorkerQuarantine',
     'WorkerRanking',
     'can_run_on',
     'choose_worker',
+    'classify_sizes',
+    'decide_admission',
     'deduct_filler',
     'describe_crashes',
     'estimate_spare_millis',
@@ -136,10 +163,13 @@
     'is_hopeless',
     'is_outage',
     'is_move_worthwhile',
+    'is_worth_sending',
     'make_sort_key',
+    'may_append',
     'may_wait_for_proof',
     'may_wait_for_speed',
     'measure_critical_path',
     'measure_remaining_paths',
     'rank_jobs',
+    'must_answer',
 ]
--- a/chivespoke/platform/_transport.py
+++ b/chivespoke/platform/_transport.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import collections.abc
 
 import aiohttp
 import msgspec
@@ -25,6 +26,8 @@
 
     status: int
     body: bytes
+    # Value of the Retry-After header in seconds; 0 if there is none.
+    retry_after_seconds: int = 0
 
 
 class NotListeningError(errors.RefusedError):
@@ -34,12 +37,14 @@
 class Transport(application.Component):
     """Make HTTP calls over a pool of connections to one peer."""
 
-    __slots__ = ('_base_url', '_max_connections', '_session')
+    __slots__ = ('answers', '_base_url', '_max_connections', '_session')
 
     def __init__(self, address: str, connections: int) -> None:
         self._base_url = f'http://{address}'
         self._max_connections = connections
         self._session: aiohttp.ClientSession | None = None
+        # Number of calls that were answered, with any status.
+        self.answers = 0
 
     @property
     def peer(self) -> str:
@@ -96,7 +101,12 @@
             ) as response:
                 async for chunk in response.content.iter_any():
                     received += chunk
-                return Response(response.status, bytes(received))
+                self.answers += 1
+                return Response(
+                    response.status,
+                    bytes(received),
+                    _read_retry_after(response.headers),
+                )
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -116,6 +126,11 @@
             ) from error
 
 
+def _read_retry_after(headers: collections.abc.Mapping[str, str]) -> int:
+    text = headers.get('Retry-After', '')
+    return int(text) if text.isdecimal() else 0
+
+
 async def _send_changes_once(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
--- a/chivespoke/workloads/_model.py
+++ b/chivespoke/workloads/_model.py
@@ -83,6 +83,13 @@
         """Return the number of times that the steps run."""
         return max(1, self.occurrences)
 
+    @property
+    def is_filler(self) -> bool:
+        """Return whether all tasks use only what others leave unused."""
+        return all(
+            step.filler and not step.long_running for step in self.steps
+        )
+
     @property
     def task_count(self) -> int:
         """Return the number of tasks of all occurrences."""
