Delay jobs only where a deployment's settings call for it

Change: CHIVESPOKE_DELAY_JOBS=1 in the environment of the entries switches the ranks on, and with them pacing by standing, earlier moves and refusals for load. Without it all are as before.

--- a/chivespoke/coordination/_coordinator.py
+++ b/chivespoke/coordination/_coordinator.py
@@ -33,6 +33,7 @@
         'follower',
         'operator_follower',
         '_store',
+        '_delays_jobs',
         '_clock',
         '_timeouts',
         '_telemetry',
@@ -49,8 +50,10 @@
         member: str,
         time: clock.Clock,
         instruments: telemetry.Telemetry,
+        delays_jobs: bool = False,
     ) -> None:
         self._store = store
+        self._delays_jobs = delays_jobs
         self._telemetry = instruments
         # If no advisor is configured, requests to it fail with an error. No
         # queue should require advice then.
@@ -129,6 +132,7 @@
             self._telemetry,
             platform.AdvisorClient(self._advisor_transport),
             self._leadership,
+            self._delays_jobs,
         )
         self._term = term
         tasks = application.TaskOwner()
--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -56,10 +56,13 @@
     )
 
     def __init__(
-        self, epoch: int, timeouts: _engine_state.LeaderTimeouts
+        self,
+        epoch: int,
+        timeouts: _engine_state.LeaderTimeouts,
+        delays_jobs: bool = False,
     ) -> None:
         self._epoch = epoch
-        self._state = _engine_state.State(epoch, timeouts)
+        self._state = _engine_state.State(epoch, timeouts, delays_jobs)
         self._report_handler = _reports.ReportHandler(self._state)
         self._placer = _placer.Placer(self._state)
         self._triage_planner = _triage.TriagePlanner(self._state)
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -84,6 +84,7 @@
 
     __slots__ = (
         'timeouts',
+        'delays_jobs',
         'jobs',
         'workers',
         'unreported',
@@ -101,8 +102,12 @@
         'late_starts',
     )
 
-    def __init__(self, epoch: int, timeouts: LeaderTimeouts) -> None:
+    def __init__(
+        self, epoch: int, timeouts: LeaderTimeouts, delays_jobs: bool = False
+    ) -> None:
         self.timeouts = timeouts
+        # Jobs are delayed by what that costs while there is too little room.
+        self.delays_jobs = delays_jobs
         self.fences = _fences.SessionFences(epoch)
         self.suspects = _suspects.SuspectTasks()
         # What the crashes since the last look were put down to.
--- a/chivespoke/coordination/_placer.py
+++ b/chivespoke/coordination/_placer.py
@@ -220,12 +220,15 @@
             run.step_id,
             run.step,
         )
-        return speed_tracker.forecast_held(
-            seconds,
-            run.step.checkpointing,
-            run.pace,
-            run.measure_held(self._now),
-        ) or speed_tracker.forecast(
+        forecast = None
+        if self._state.delays_jobs:
+            forecast = speed_tracker.forecast_held(
+                seconds,
+                run.step.checkpointing,
+                run.pace,
+                run.measure_held(self._now),
+            )
+        return forecast or speed_tracker.forecast(
             seconds, run.step.checkpointing, worker.reported_at
         )
 
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -108,6 +108,7 @@
         instruments: telemetry.Telemetry,
         advisor: platform.AdvisorClient,
         mandate: _mandate.Mandate,
+        delays_jobs: bool = False,
     ) -> None:
         self._mandate = mandate
         self._epoch = epoch
@@ -117,7 +118,7 @@
         self._operator = operator
         self._operator_follower = operator_follower
         self._clock = time
-        self._engine = _engine.Engine(epoch, timeouts)
+        self._engine = _engine.Engine(epoch, timeouts, delays_jobs)
         self._links: dict[str, _links.Link] = {}
         # Links to earlier addresses of sidecars that are not closed yet.
         self._replaced_links: set[_links.Link] = set()
--- a/chivespoke/coordination/_triage.py
+++ b/chivespoke/coordination/_triage.py
@@ -74,7 +74,10 @@
         self, configuration: workloads.Configuration, now: float, wall: float
     ) -> None:
         """Rank all jobs again if the interval has passed."""
-        if now < self._planned_at + INTERVAL_SECONDS:
+        if (
+            not self._state.delays_jobs
+            or now < self._planned_at + INTERVAL_SECONDS
+        ):
             return
         self._planned_at = now
         ranks: dict[str, decisions.Rank] = {}
--- a/chivespoke/coordination/tests/builders.py
+++ b/chivespoke/coordination/tests/builders.py
@@ -147,10 +147,15 @@
     """Drive an engine through plans as a term does."""
 
     def __init__(
-        self, ledger: _records.Ledger | None = None, epoch: int = EPOCH
+        self,
+        ledger: _records.Ledger | None = None,
+        epoch: int = EPOCH,
+        delays_jobs: bool = False,
     ) -> None:
         self.ledger = ledger or _records.Ledger()
-        self.engine = coordination.Engine(epoch, coordination.LeaderTimeouts())
+        self.engine = coordination.Engine(
+            epoch, coordination.LeaderTimeouts(), delays_jobs
+        )
         self.now = NOW
         self.desired_state: coordination.DesiredState | None = (
             make_desired_state()
--- a/chivespoke/coordination/tests/test_learning.py
+++ b/chivespoke/coordination/tests/test_learning.py
@@ -119,9 +119,9 @@
     def replace_leader(self, seconds: float = 0.0) -> None:
         """Let another leader take over from the records."""
         now, desired_state = self.leader.now, self.leader.desired_state
-        self.leader = builders.Leader(
-            self.leader.ledger, self.leader.engine.state.fences.find_token('')
-        )
+        token = self.leader.engine.state.fences.find_token('')
+        epoch = token // 65_536 + 1
+        self.leader = builders.Leader(self.leader.ledger, epoch)
         self.leader.now = now + seconds
         self.leader.desired_state = desired_state
         self.leader.plan()
--- a/chivespoke/coordination/tests/test_triage.py
+++ b/chivespoke/coordination/tests/test_triage.py
@@ -47,7 +47,7 @@
     """Replay fillers that want twice the cores that one worker has."""
 
     def setUp(self) -> None:
-        self.leader = builders.Leader()
+        self.leader = builders.Leader(delays_jobs=True)
         self.leader.desired_state = make_contended_state()
         self.clock_ms = 1000
         # In the order of their starts.
@@ -99,6 +99,15 @@
         self.assertEqual({}, self.leader.engine.state.ranks)
         self.assertEqual({}, self.leader.engine.state.outlooks)
 
+    def test_nothing_is_delayed_unless_the_settings_call_for_it(self) -> None:
+        self.leader = builders.Leader()
+        self.leader.desired_state = make_contended_state()
+        self.leader.report(builders.make_report())
+        self.submit_both()
+        self.pass_time(6, 0.5)
+        self.assertEqual({}, self.leader.engine.state.ranks)
+        self.assertEqual({}, self.leader.engine.state.outlooks)
+
     def test_tasks_of_timely_jobs_are_placed_before_earlier_deadlines(
         self,
     ) -> None:
@@ -120,7 +129,9 @@
         self.submit_both()
         self.pass_time(1, 0.5)
         now = self.leader.now
-        self.leader = builders.Leader(self.leader.ledger, builders.EPOCH + 1)
+        self.leader = builders.Leader(
+            self.leader.ledger, builders.EPOCH + 1, delays_jobs=True
+        )
         self.leader.desired_state = make_contended_state()
         self.leader.now = now
         self.assertEqual({}, self.leader.engine.state.ranks)
--- a/chivespoke/serving/_assembly.py
+++ b/chivespoke/serving/_assembly.py
@@ -1,5 +1,7 @@
 """Assembly of the daemons from their components."""
 
+import collections.abc
+import os
 import pathlib
 
 from chivespoke import addresses
@@ -15,6 +17,9 @@
 from chivespoke import telemetry
 from chivespoke import web
 
+# The operator's setting for entries, `1` or `0`: while there is too little
+# room, jobs are delayed by what that costs their callers.
+DELAY_VARIABLE = 'CHIVESPOKE_DELAY_JOBS'
 # Connections to the store for calls and for long polls.
 STORE_CONNECTIONS = 16
 READ_CONNECTIONS = 4
@@ -44,7 +49,12 @@
     # process expires in the store.
     member = f'{machine.name}-{identifiers.make_incarnation()}'
     coordinator = coordination.Coordinator(
-        store, machine, member, time, instruments
+        store,
+        machine,
+        member,
+        time,
+        instruments,
+        read_delay_setting(os.environ),
     )
     relay_address = addresses.Address(machine.ip, machine.first_port)
     relay = intake.Relay(
@@ -121,6 +131,18 @@
     )
 
 
+def read_delay_setting(
+    environment: collections.abc.Mapping[str, str],
+) -> bool:
+    """Return whether jobs are delayed by cost; raise SettingsError."""
+    text = environment.get(DELAY_VARIABLE, '0')
+    if text not in ('0', '1'):
+        raise errors.SettingsError(
+            'read settings', DELAY_VARIABLE, f'{text!r} is neither 0 nor 1'
+        )
+    return text == '1'
+
+
 def find_coordinator(
     entry: application.Application,
 ) -> coordination.Coordinator:
