Number no append without records

Cause: a leader that nothing had proven for a while appended nothing as a proof, and counted that append. The store does not: its next append was refused with the reason 'seq' for the rest of its term.

Change: only appends with records use up a number, but for the first of a term, which is as before. The stand-in numbers like the store. The new tests fail without the change.

--- a/chivespoke/coordination/_appender.py
+++ b/chivespoke/coordination/_appender.py
@@ -97,7 +97,10 @@
             while True:
                 end_offset = self._collect(tries, schedule, len(records))
                 if end_offset is not None:
-                    self._sequence += 1
+                    # The store does not number an append without records; the
+                    # first append of an epoch may have any number.
+                    if records or not self._sequence:
+                        self._sequence += 1
                     return end_offset
                 now = self._clock.read_monotonic()
                 if now >= schedule.due_at:
--- a/chivespoke/coordination/tests/test_appender.py
+++ b/chivespoke/coordination/tests/test_appender.py
@@ -129,6 +129,20 @@
                     set(self.store.producers),
                 )
 
+    async def test_appends_without_records_do_not_use_up_numbers(
+        self,
+    ) -> None:
+        # Regression: a leader that had proven its leadership by appends
+        # without records was refused for the rest of its term.
+        self.start(Answer(0.0))
+        for records in (b'', b'record', b'', b'', b'record', b'record'):
+            append = await self.run_append(0.1, records)
+            self.assertTrue(append.done())
+        self.assertEqual(
+            [0, 1, 2, 2, 2, 3],
+            [producer.sequence for producer in self.store.producers],
+        )
+
     async def test_answer_ends_all_other_tries(self) -> None:
         self.start(NO_ANSWER, Answer(1.0))
         append = await self.run_append(2.0)
--- a/chivespoke/platform/tests/test_store.py
+++ b/chivespoke/platform/tests/test_store.py
@@ -131,6 +131,13 @@
         page = await self.store.read(TOPIC, 0, 0.0)
         self.assertEqual(1, len(page.records))
 
+    async def test_append_without_records_has_no_number(self) -> None:
+        await self.append('a', b'1', 1, 4)
+        for _ in range(2):
+            await self.store.append(TOPIC, b'', platform.Producer('p', 1, 5))
+        await self.append('a', b'2', 1, 5)
+        self.assertEqual({'a': b'2'}, self.standin.list_values(TOPIC))
+
     async def test_append_takes_effect_after_its_caller_has_given_up(
         self,
     ) -> None:
--- a/chivespoke/standins/_store.py
+++ b/chivespoke/standins/_store.py
@@ -37,8 +37,9 @@
     def __init__(self) -> None:
         self.records: list[bytes] = []
         self.first = 0
-        # Last epoch and sequence number, by producer identifier.
-        self.epochs: dict[str, tuple[int, int]] = {}
+        # Last epoch and sequence number, by producer identifier; the number is
+        # None before the first append with records.
+        self.epochs: dict[str, tuple[int, int | None]] = {}
         # Responses to recent appends, by producer identifier, epoch and
         # sequence number.
         self.answers: dict[tuple[str, int, int], bytes] = {}
@@ -251,30 +252,45 @@
         if 'at' in query and int(query['at']) != partition.end:
             return _make_response({'end_offset': partition.end}, 412)
         if 'producer_id' in query:
-            refusal = self._check_producer(partition, query)
+            refusal = self._check_producer(partition, query, bool(body))
             if refusal is not None:
                 return refusal
         offset = partition.end
         await self._append_records(partition, _split_records(body))
         content = {'offset': offset, 'end_offset': partition.end}
-        if 'producer_id' in query:
+        if 'producer_id' in query and body:
             self._cache_response(
                 partition, query, msgspec.json.encode(content)
             )
         return _make_response(content)
 
     def _check_producer(
-        self, partition: _Partition, query: typing.Mapping[str, str]
+        self,
+        partition: _Partition,
+        query: typing.Mapping[str, str],
+        has_records: bool,
     ) -> web.Response | None:
         producer_id = query['producer_id']
         epoch, sequence = int(query['epoch']), int(query['sequence'])
-        last_epoch, last_sequence = partition.epochs.get(producer_id, (-1, -1))
+        last_epoch, last_sequence = partition.epochs.get(
+            producer_id, (-1, None)
+        )
         cached = partition.answers.get((producer_id, epoch, sequence))
         if epoch < last_epoch:
             return _make_response({'reason': 'fenced'}, 409)
         if cached is not None:
             return web.Response(body=cached, content_type='application/json')
-        if epoch == last_epoch and sequence != last_sequence + 1:
+        if not has_records:
+            # Sets the epoch. The next append with records may have any number
+            # if it is the first of the epoch.
+            if epoch > last_epoch:
+                partition.epochs[producer_id] = (epoch, None)
+            return None
+        if (
+            epoch == last_epoch
+            and last_sequence is not None
+            and sequence != last_sequence + 1
+        ):
             return _make_response(
                 {'reason': 'seq', 'sequence': last_sequence + 1}, 409
             )
