Pace beside a tail too small to divide, and ask one piece who shares a service

A strategy of test_pacing_standings had been narrowed to leave such values out, which it should not have been. Queues of several priorities on one service were also counted a second time in coordination/_learning.py.

Change: the ratio is bounded below, exact for every normal value; the strategies draw subnormal measures again. find_shared_queues asks Configuration.is_contended.

--- a/chivespoke/coordination/_learning.py
+++ b/chivespoke/coordination/_learning.py
@@ -163,15 +163,10 @@
     configuration: workloads.Configuration,
 ) -> frozenset[str]:
     """Return the queues whose service has queues of other priorities."""
-    priorities: dict[str, set[int]] = {}
-    for queue in configuration.queues:
-        priorities.setdefault(queue.terms.service, set()).add(
-            queue.terms.priority
-        )
     return frozenset(
         queue.name
         for queue in configuration.queues
-        if len(priorities[queue.terms.service]) > 1
+        if configuration.is_contended(queue.terms.service)
     )
 
 
--- a/chivespoke/decisions/_pacing.py
+++ b/chivespoke/decisions/_pacing.py
@@ -14,6 +14,7 @@
 
 import collections.abc
 import math
+import sys
 
 from chivespoke.decisions import _interference
 from chivespoke.decisions import _paced_runs
@@ -121,8 +122,11 @@
             }
         for run in serving:
             gap = math.log(
-                run.measure
-                / (_paced_runs.TARGET_TAIL_SHARE * run.target_latency_ms)
+                max(
+                    sys.float_info.min,
+                    run.measure
+                    / (_paced_runs.TARGET_TAIL_SHARE * run.target_latency_ms),
+                )
             )
             if gap > 0:
                 throttle_fillers(
--- a/chivespoke/decisions/tests/test_pacing_standings.py
+++ b/chivespoke/decisions/tests/test_pacing_standings.py
@@ -33,7 +33,6 @@
 # Objective of a job as a multiple of its work at full speed.
 STRETCH = 2.0
 
-# Both rules divide by measures, so that subnormal ones would be taken for 0.
 FILLERS = strategies.builds(
     decisions.PacedRun,
     task=strategies.just(''),
@@ -41,7 +40,7 @@
     image=strategies.sampled_from(['f1', 'f2', 'f3', 'new']),
     filler=strategies.just(True),
     target_latency_ms=strategies.just(0),
-    measure=strategies.floats(0.0, 4000.0, allow_subnormal=False),
+    measure=strategies.floats(0.0, 4000.0),
     pace=strategies.integers(0, 100),
     is_new=strategies.integers(0, 9).map(lambda draw: draw == 0),
     standing=strategies.sampled_from(decisions.Standing),
@@ -54,7 +53,7 @@
     image=strategies.sampled_from(['s1', 's2']),
     filler=strategies.just(False),
     target_latency_ms=strategies.just(TARGET_MS),
-    measure=strategies.floats(0.0, 40.0, allow_subnormal=False),
+    measure=strategies.floats(0.0, 40.0),
     pace=strategies.just(100),
     cpu_millis=strategies.integers(0, 4000),
 )
--- a/chivespoke/decisions/tests/unranked_pacing.py
+++ b/chivespoke/decisions/tests/unranked_pacing.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import math
+import sys
 
 from chivespoke import decisions
 
@@ -97,7 +98,10 @@
             }
         for run in serving:
             gap = math.log(
-                run.measure / (TARGET_TAIL_SHARE * run.target_latency_ms)
+                max(
+                    sys.float_info.min,
+                    run.measure / (TARGET_TAIL_SHARE * run.target_latency_ms),
+                )
             )
             if gap > 0:
                 throttle_fillers(
