Speed up fillers whose use is too small to divide

The earlier rule did the same.

Change: the growth is bounded below, exact for every normal value; the rule kept as a reference in the tests likewise. A test holds both cases; it fails without the change.

--- a/chivespoke/decisions/_pacing.py
+++ b/chivespoke/decisions/_pacing.py
@@ -309,7 +309,7 @@
     `growth` is that of the log tail at full speed.
     """
     return _paced_runs.FULL_PACE_PERCENT * (
-        RELEASE_HEADROOM_SHARE * headroom / growth
+        RELEASE_HEADROOM_SHARE * headroom / max(sys.float_info.min, growth)
     )
 
 
--- a/chivespoke/decisions/tests/test_pacing.py
+++ b/chivespoke/decisions/tests/test_pacing.py
@@ -41,6 +41,23 @@
         self.assertEqual(['heavy'], list(throttled))
         self.assertLess(throttled['heavy'], 100)
 
+    def test_measures_too_small_to_divide_are_paced(self) -> None:
+        for serving, filler in ((5e-324, 1000.0), (5.0, 5e-324)):
+            with self.subTest(serving=serving, filler=filler):
+                changes = decisions.Pacer().adjust(
+                    [
+                        builders.make_paced('s', 's1', serving, TARGET_MS),
+                        builders.make_paced('f', 'heavy', filler, 0, 50),
+                    ],
+                    self.interference,
+                    CAPACITY_MILLIS,
+                    100.0,
+                )
+                self.assertEqual(
+                    [('f', 80)],
+                    [(change.task, change.percent) for change in changes],
+                )
+
     def test_throttled_fillers_speed_up_only_below_the_release_share(
         self,
     ) -> None:
--- a/chivespoke/decisions/tests/unranked_pacing.py
+++ b/chivespoke/decisions/tests/unranked_pacing.py
@@ -191,7 +191,9 @@
         if headroom <= 0:
             return filler.pace
         allowed = (
-            RELEASE_HEADROOM_SHARE * headroom / (coefficient * full_use_share)
+            RELEASE_HEADROOM_SHARE
+            * headroom
+            / max(sys.float_info.min, coefficient * full_use_share)
         )
         step = min(step, FULL_PACE_PERCENT * allowed)
     return min(FULL_PACE_PERCENT, filler.pace + int(step))
