Log and measure the age of what an entry has read

A 404 named the version that it rests on, but not how old this was, and nothing showed that a read ended before its topic did. Nothing decides differently.

--- a/chivespoke/control.py
+++ b/chivespoke/control.py
@@ -2,8 +2,6 @@
 
 import collections.abc
 
-from opentelemetry import metrics
-
 from chivespoke import application
 from chivespoke import clock as clocks
 from chivespoke import entries
@@ -121,22 +119,8 @@
         ),
     }
     for name, measure in gauges.items():
-        instruments.meter.create_observable_gauge(
+        instruments.add_gauge(
             f'chivespoke_configuration_{name}',
-            callbacks=(_make_callback(measure),),
-            description=f'Configuration of this process: {name}',
+            f'Configuration of this process: {name}',
+            measure,
         )
-
-
-def _make_callback(
-    measure: collections.abc.Callable[[], float],
-) -> collections.abc.Callable[
-    [metrics.CallbackOptions],
-    collections.abc.Iterable[metrics.Observation],
-]:
-    def observe(
-        options: metrics.CallbackOptions,
-    ) -> collections.abc.Iterable[metrics.Observation]:
-        return (metrics.Observation(measure()),)
-
-    return observe
--- a/chivespoke/coordination/_coordinator.py
+++ b/chivespoke/coordination/_coordinator.py
@@ -73,6 +73,16 @@
         self.operator_follower = _followers.TopicFollower(
             store, platform.OPERATOR_TOPIC, self.operator, time, 0.0
         )
+        instruments.add_gauge(
+            'chivespoke_ledger_age_seconds',
+            'Time since the ledger was last known to be up to date',
+            self.follower.measure_age,
+        )
+        instruments.add_gauge(
+            'chivespoke_operator_view_age_seconds',
+            'Time since the configuration was last known to be the newest',
+            self.operator_follower.measure_age,
+        )
         self._timeouts = _engine_state.LeaderTimeouts(
             final_job_retention_seconds=machine.bounds.status_retention_seconds
             * 1.5,
--- a/chivespoke/coordination/_followers.py
+++ b/chivespoke/coordination/_followers.py
@@ -224,6 +224,16 @@
         self._apply(page.records)
         self._next_offset = page.next_offset
         if page.next_offset < page.end_offset:
+            LOGGER.info(
+                'A topic has records beyond the page.',
+                topic=self._topic,
+                records=len(page.records),
+                value_bytes=sum(len(record.value) for record in page.records),
+                offset=page.next_offset,
+                end_offset=page.end_offset,
+                seconds=self._clock.read_monotonic() - requested_at,
+                age=self.measure_age(),
+            )
             return
         if self._full_read is not None:
             if not self._full_read.pages_complete:
--- a/chivespoke/intake/_job_routes.py
+++ b/chivespoke/intake/_job_routes.py
@@ -87,6 +87,9 @@
                 'No queue matches this path.',
                 path=request.path,
                 version=configuration.version,
+                view_age=round(
+                    self._coordinator.operator_follower.measure_age(), 3
+                ),
                 outcome=_responses.Outcome.UNKNOWN_QUEUE.value,
             )
             return self._respond(_responses.Outcome.UNKNOWN_QUEUE)
--- a/chivespoke/telemetry.py
+++ b/chivespoke/telemetry.py
@@ -78,6 +78,24 @@
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
 
+    def add_gauge(
+        self,
+        name: str,
+        description: str,
+        measure: collections.abc.Callable[[], float],
+    ) -> None:
+        """Add a gauge that is measured at each scrape."""
+
+        def observe(
+            options: metrics_interface.CallbackOptions,
+        ) -> collections.abc.Iterable[metrics_interface.Observation]:
+            del options
+            return (metrics_interface.Observation(measure()),)
+
+        self.meter.create_observable_gauge(
+            name, callbacks=(observe,), description=description
+        )
+
     def _make_instruments(self) -> None:
         self.request_latency = self.meter.create_histogram(
             'chivespoke_request_latency',
