--- /dev/null
+++ b/chivespoke/intake/tests/narrow_link.py
@@ -0,0 +1,243 @@
+"""A store that an entry reads over a narrow link, in simulated time."""
+
+import asyncio
+import bisect
+import collections.abc
+import operator
+from unittest import mock
+
+from aiohttp import test_utils
+import msgspec
+
+from chivespoke import coordination
+from chivespoke import errors
+from chivespoke import intake
+from chivespoke.intake.tests import builders
+from chivespoke import platform
+from chivespoke import telemetry
+
+CONNECT_TIMEOUT_SECONDS = 0.5
+CALL_TIMEOUT_SECONDS = 1.0
+ROUND_TRIP_SECONDS = 0.006
+CHUNK_BYTES = 16_384
+READ_PAGE_BYTES = 1_048_576
+# Values of the newest records are sent in base64.
+NEWEST_SIZE_FACTOR = 4 / 3
+HOST = 'callers.example'
+ROUTE_BYTES = 200
+
+
+class Written(msgspec.Struct, frozen=True):
+    """Hold a record and the time at which the store acknowledged it."""
+
+    at: float
+    key: str
+    value: bytes
+
+
+class NarrowLinkStore(platform.Store):
+    """Serve reads over a link of a set rate, with periods without a path."""
+
+    def __init__(
+        self,
+        bytes_per_second: float,
+        outages: tuple[tuple[float, float], ...] = (),
+    ) -> None:
+        transport = platform.Transport('store', 1)
+        super().__init__(transport, transport)
+        self.topics: dict[str, list[Written]] = {}
+        self.outages = outages
+        self._bytes_per_second = bytes_per_second
+        # Calls share the link chunk by chunk.
+        self._link = asyncio.Lock()
+
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_seconds: float,
+        partition: int = 0,
+        max_bytes: int = READ_PAGE_BYTES,
+    ) -> platform.Page:
+        await self._reach('read')
+        records = self.topics.get(topic, [])
+        now = asyncio.get_running_loop().time()
+        if self._count_written(topic, now) <= start:
+            next_at = (
+                records[start].at if start < len(records) else float('inf')
+            )
+            await asyncio.sleep(min(wait_seconds, next_at - now))
+            now = asyncio.get_running_loop().time()
+        end = self._count_written(topic, now)
+        page: list[platform.Record] = []
+        size = 0
+        for offset in range(start, end):
+            written = records[offset]
+            size += len(written.value)
+            if page and size > max_bytes:
+                size -= len(written.value)
+                break
+            page.append(platform.Record(offset, written.key, written.value))
+        await self._transfer('read', size)
+        return platform.Page(tuple(page), start + len(page), end)
+
+    async def read_newest(
+        self, topic: str, last_key: str = '', partition: int = 0
+    ) -> platform.NewestPage:
+        await self._reach('read newest')
+        now = asyncio.get_running_loop().time()
+        end = self._count_written(topic, now)
+        newest: dict[str, platform.Record] = {}
+        for offset, written in enumerate(self.topics.get(topic, [])[:end]):
+            newest[written.key] = platform.Record(
+                offset, written.key, written.value
+            )
+        records = tuple(
+            newest[key]
+            for key in sorted(newest)
+            if newest[key].value and key > last_key
+        )
+        size = sum(len(record.value) for record in records)
+        await self._transfer('read newest', int(size * NEWEST_SIZE_FACTOR))
+        return platform.NewestPage(records, end, True)
+
+    async def join(
+        self,
+        group: str,
+        member: str,
+        topic: str,
+        ttl_seconds: float,
+        generation: int,
+    ) -> platform.Membership:
+        await self._reach('join group')
+        return platform.Membership(1, frozenset())
+
+    async def append(
+        self,
+        topic: str,
+        records: bytes,
+        producer: platform.Producer | None = None,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+        partition: int = 0,
+    ) -> int:
+        await self._reach('append')
+        now = asyncio.get_running_loop().time()
+        return self._count_written(topic, now)
+
+    def _count_written(self, topic: str, now: float) -> int:
+        return bisect.bisect_right(
+            self.topics.get(topic, []), now, key=operator.attrgetter('at')
+        )
+
+    def _is_cut(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return any(start <= now < end for start, end in self.outages)
+
+    async def _reach(self, step: str) -> None:
+        if self._is_cut():
+            await asyncio.sleep(CONNECT_TIMEOUT_SECONDS)
+            raise errors.RefusedError(step, 'store', 'connection timeout')
+        await asyncio.sleep(ROUND_TRIP_SECONDS)
+
+    async def _transfer(self, step: str, size: int) -> None:
+        while size > 0:
+            chunk = min(size, CHUNK_BYTES)
+            async with self._link:
+                await asyncio.sleep(chunk / self._bytes_per_second)
+            size -= chunk
+        if self._is_cut():
+            await asyncio.sleep(CALL_TIMEOUT_SECONDS)
+            raise errors.UnavailableError(step, 'store', 'timeout')
+
+
+def encode_configuration(version: int, paths: list[str], size: int) -> bytes:
+    """Return a version with a queue for each path, of about a size."""
+    routes = [
+        {
+            'name': f'queue-{path}',
+            'host': HOST,
+            'path_prefix': path,
+            'service': 'service',
+        }
+        for path in paths
+    ]
+    while len(routes) * ROUTE_BYTES < size:
+        filler = f'/filler-{len(routes)}/'
+        routes.append(
+            {
+                'name': filler.ljust(ROUTE_BYTES - 100, '-'),
+                'host': HOST,
+                'path_prefix': filler,
+                'service': 'service',
+            }
+        )
+    return msgspec.json.encode(
+        {
+            'version': version,
+            'routes': routes,
+            'services': [{'name': 'service'}],
+        }
+    )
+
+
+def write_versions(
+    times: collections.abc.Iterable[float], size: int
+) -> list[Written]:
+    """Return versions that each add a route; see `make_added_path`."""
+    records: list[Written] = []
+    paths: list[str] = []
+    for version, at in enumerate(times):
+        paths.append(make_added_path(version))
+        records.append(
+            Written(at, 'config', encode_configuration(version, paths, size))
+        )
+    return records
+
+
+def make_added_path(version: int) -> str:
+    """Return the path of the route that a version adds."""
+    return f'/added-{version}/'
+
+
+class Entry:
+    """Run the followers of an entry and handle requests in it."""
+
+    def __init__(self, store: platform.Store) -> None:
+        time = builders.LoopClock()
+        instruments = telemetry.Telemetry()
+        machine = mock.Mock(
+            advisor_address='127.0.0.1:1',
+            store_min_ttl_seconds=1.0,
+            store_max_record_bytes=262_144,
+        )
+        machine.bounds.status_retention_seconds = 120.0
+        self.coordinator = coordination.Coordinator(
+            store, machine, 'entry-1', time, instruments
+        )
+        self.submissions = mock.create_autospec(
+            intake.Submissions, instance=True
+        )
+        relay = mock.create_autospec(intake.Relay, instance=True)
+        self.routes = intake.JobRoutes(
+            self.coordinator, self.submissions, relay, time, instruments, 100
+        )
+        self.readiness = intake.Readiness(self.coordinator, self.routes, time)
+
+    async def start(self) -> None:
+        """Start to follow the topics, without a part in elections."""
+        await self.coordinator.operator_follower.start()
+        await self.coordinator.follower.start()
+
+    async def stop(self) -> None:
+        """Stop the followers."""
+        await self.coordinator.follower.stop()
+        await self.coordinator.operator_follower.stop()
+
+    async def request(self, method: str, path: str) -> int:
+        """Return the status with which a request is answered here."""
+        response = await self.routes.handle_here(
+            test_utils.make_mocked_request(
+                method, path, headers={'Host': HOST}
+            )
+        )
+        return response.status
