Deny a route and accept a job only from a current configuration

Cause: an entry answered from whatever configuration it had. The age of the operator's topic was measured, and asked for only by the leader. A 404 is final for callers, and is not handed to a neighbour.

A path that no queue matches is now denied only if the operator's topic was read to its end within 1.8 s, the bound that the leader starts tasks by; otherwise the answer is 503, which a neighbour with a current view takes over. The same holds for paths below a known route, counts of pending jobs, new jobs and their size limit: a route may be gone or another one may match. Status and cancelling of known jobs rest on the ledger, and are served as before.

--- a/chivespoke/coordination/_coordinator.py
+++ b/chivespoke/coordination/_coordinator.py
@@ -102,6 +102,15 @@
         """Return the current term, None if this process does not lead."""
         return self._term
 
+    @property
+    def is_operator_view_current(self) -> bool:
+        """Return whether decisions may rest on the operator's records."""
+        return (
+            self.operator.configuration is not None
+            and self.operator_follower.measure_age()
+            <= _operator_view.MAX_AGE_SECONDS
+        )
+
     @property
     def can_lead(self) -> bool:
         return all(
--- a/chivespoke/coordination/_operator_view.py
+++ b/chivespoke/coordination/_operator_view.py
@@ -8,6 +8,10 @@
 
 LOGGER = logs.make_logger('operator')
 
+# Age above which nothing is decided from the operator's records. Less than the
+# shortest time within which an operator's change must take effect.
+MAX_AGE_SECONDS = 1.8
+
 
 class OperatorView(_followers.TopicFold):
     """Hold the active configuration and the data centres under evacuation."""
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -43,10 +43,6 @@
 # while nothing is to be stored: late enough for the joins, which prove it at
 # no cost, and early enough for a store that is slow.
 MIN_MANDATE_SECONDS = 9.0
-# No task starts if the last read of the operator's topic is older than this.
-# Less than the shortest time within which an operator's change must take
-# effect.
-MAX_OPERATOR_VIEW_AGE_SECONDS = 1.8
 
 
 def join_records(
@@ -327,12 +323,14 @@
     def _read_desired_state(self) -> _placer.DesiredState | None:
         configuration = self._operator.configuration
         age = self._operator_follower.measure_age()
-        if configuration is None or age > MAX_OPERATOR_VIEW_AGE_SECONDS:
+        if configuration is None or age > _operator_view.MAX_AGE_SECONDS:
             return None
         return _placer.DesiredState(
             configuration,
             frozenset(self._operator.evacuating),
-            self._clock.read_monotonic() - age + MAX_OPERATOR_VIEW_AGE_SECONDS,
+            self._clock.read_monotonic()
+            - age
+            + _operator_view.MAX_AGE_SECONDS,
         )
 
     async def _append(self, records: bytes) -> int:
--- a/chivespoke/intake/_job_routes.py
+++ b/chivespoke/intake/_job_routes.py
@@ -83,16 +83,7 @@
         host = request.host.partition(':')[0]
         queue = configuration.find_queue(host, request.path)
         if queue is None:
-            LOGGER.info(
-                'No queue matches this path.',
-                path=request.path,
-                version=configuration.version,
-                view_age=round(
-                    self._coordinator.operator_follower.measure_age(), 3
-                ),
-                outcome=_responses.Outcome.UNKNOWN_QUEUE.value,
-            )
-            return self._respond(_responses.Outcome.UNKNOWN_QUEUE)
+            return self._respond_unknown_queue(request, configuration)
         identifier = request.path[len(queue.path_prefix) :]
         response = await self._handle_queue(
             request, configuration, queue, identifier, limit
@@ -117,7 +108,8 @@
         if not identifier and request.method == 'GET':
             return self._count_pending(queue)
         if not platform.is_job_identifier(identifier):
-            return self._respond(_responses.Outcome.UNKNOWN_QUEUE)
+            # A later version may have a queue with a longer prefix.
+            return self._respond_unknown_queue(request, configuration)
         if request.method == 'GET':
             return self._report_phase(identifier)
         if request.method == 'DELETE':
@@ -145,12 +137,18 @@
         limit: float,
     ) -> web.Response:
         body = await request.read()
-        if len(body) > configuration.body_limit:
-            return self._respond(_responses.Outcome.TOO_LARGE)
         if self._find_entry(identifier) is not None:
             return self._log_and_respond(
                 identifier, _responses.Outcome.ACCEPTED, 'already submitted'
             )
+        if not self._coordinator.is_operator_view_current:
+            return self._log_and_respond(
+                identifier,
+                _responses.Outcome.UNAVAILABLE,
+                'configuration too old',
+            )
+        if len(body) > configuration.body_limit:
+            return self._respond(_responses.Outcome.TOO_LARGE)
         if not self._can_write():
             return self._log_and_respond(
                 identifier,
@@ -266,7 +264,10 @@
         )
 
     def _count_pending(self, queue: workloads.Queue) -> web.Response:
-        if not self._is_ledger_fresh():
+        if not (
+            self._is_ledger_fresh()
+            and self._coordinator.is_operator_view_current
+        ):
             return self._respond(_responses.Outcome.UNAVAILABLE)
         count = sum(
             entry.job is not None
@@ -302,6 +303,26 @@
             and not self._submissions.refuses
         )
 
+    def _respond_unknown_queue(
+        self, request: web.Request, configuration: workloads.Configuration
+    ) -> web.Response:
+        """Deny a path only if no later version can be in force."""
+        outcome = (
+            _responses.Outcome.UNKNOWN_QUEUE
+            if self._coordinator.is_operator_view_current
+            else _responses.Outcome.UNAVAILABLE
+        )
+        LOGGER.info(
+            'No queue matches this path.',
+            path=request.path,
+            version=configuration.version,
+            view_age=round(
+                self._coordinator.operator_follower.measure_age(), 3
+            ),
+            outcome=outcome.value,
+        )
+        return self._respond(outcome)
+
     def _respond_unknown(self, identifier: str) -> web.Response:
         if self._is_ledger_fresh():
             return self._log_and_respond(
--- a/chivespoke/intake/tests/narrow_link.py
+++ b/chivespoke/intake/tests/narrow_link.py
@@ -6,12 +6,14 @@
 import operator
 from unittest import mock
 
+from aiohttp import streams
 from aiohttp import test_utils
 import msgspec
 
 from chivespoke import coordination
 from chivespoke import errors
 from chivespoke import intake
+from chivespoke.intake import _responses
 from chivespoke.intake.tests import builders
 from chivespoke import platform
 from chivespoke import telemetry
@@ -47,6 +49,8 @@
         super().__init__(transport, transport)
         self.topics: dict[str, list[Written]] = {}
         self.outages = outages
+        # Topics that an outage concerns; all if empty.
+        self.hidden_topics: frozenset[str] = frozenset()
         self._bytes_per_second = bytes_per_second
         # Calls share the link chunk by chunk.
         self._link = asyncio.Lock()
@@ -59,7 +63,7 @@
         partition: int = 0,
         max_bytes: int = READ_PAGE_BYTES,
     ) -> platform.Page:
-        await self._reach('read')
+        await self._reach('read', topic)
         records = self.topics.get(topic, [])
         now = asyncio.get_running_loop().time()
         if self._count_written(topic, now) <= start:
@@ -78,13 +82,13 @@
                 size -= len(written.value)
                 break
             page.append(platform.Record(offset, written.key, written.value))
-        await self._transfer('read', size)
+        await self._transfer('read', topic, size)
         return platform.Page(tuple(page), start + len(page), end)
 
     async def read_newest(
         self, topic: str, last_key: str = '', partition: int = 0
     ) -> platform.NewestPage:
-        await self._reach('read newest')
+        await self._reach('read newest', topic)
         now = asyncio.get_running_loop().time()
         end = self._count_written(topic, now)
         newest: dict[str, platform.Record] = {}
@@ -98,7 +102,9 @@
             if newest[key].value and key > last_key
         )
         size = sum(len(record.value) for record in records)
-        await self._transfer('read newest', int(size * NEWEST_SIZE_FACTOR))
+        await self._transfer(
+            'read newest', topic, int(size * NEWEST_SIZE_FACTOR)
+        )
         return platform.NewestPage(records, end, True)
 
     async def join(
@@ -109,7 +115,7 @@
         ttl_seconds: float,
         generation: int,
     ) -> platform.Membership:
-        await self._reach('join group')
+        await self._reach('join group', topic)
         return platform.Membership(1, frozenset())
 
     async def append(
@@ -120,7 +126,7 @@
         timeout_seconds: float = CALL_TIMEOUT_SECONDS,
         partition: int = 0,
     ) -> int:
-        await self._reach('append')
+        await self._reach('append', topic)
         now = asyncio.get_running_loop().time()
         return self._count_written(topic, now)
 
@@ -129,23 +135,25 @@
             self.topics.get(topic, []), now, key=operator.attrgetter('at')
         )
 
-    def _is_cut(self) -> bool:
+    def _is_cut(self, topic: str) -> bool:
         now = asyncio.get_running_loop().time()
-        return any(start <= now < end for start, end in self.outages)
+        return (not self.hidden_topics or topic in self.hidden_topics) and any(
+            start <= now < end for start, end in self.outages
+        )
 
-    async def _reach(self, step: str) -> None:
-        if self._is_cut():
+    async def _reach(self, step: str, topic: str) -> None:
+        if self._is_cut(topic):
             await asyncio.sleep(CONNECT_TIMEOUT_SECONDS)
             raise errors.RefusedError(step, 'store', 'connection timeout')
         await asyncio.sleep(ROUND_TRIP_SECONDS)
 
-    async def _transfer(self, step: str, size: int) -> None:
+    async def _transfer(self, step: str, topic: str, size: int) -> None:
         while size > 0:
             chunk = min(size, CHUNK_BYTES)
             async with self._link:
                 await asyncio.sleep(chunk / self._bytes_per_second)
             size -= chunk
-        if self._is_cut():
+        if self._is_cut(topic):
             await asyncio.sleep(CALL_TIMEOUT_SECONDS)
             raise errors.UnavailableError(step, 'store', 'timeout')
 
@@ -180,17 +188,22 @@
     )
 
 
+def write_version(
+    at: float, version: int, paths: list[str], size: int = 0
+) -> Written:
+    """Return a version that is acknowledged at a time."""
+    return Written(at, 'config', encode_configuration(version, paths, size))
+
+
 def write_versions(
     times: collections.abc.Iterable[float], size: int
 ) -> list[Written]:
     """Return versions that each add a route; see `make_added_path`."""
-    records: list[Written] = []
     paths: list[str] = []
+    records: list[Written] = []
     for version, at in enumerate(times):
         paths.append(make_added_path(version))
-        records.append(
-            Written(at, 'config', encode_configuration(version, paths, size))
-        )
+        records.append(write_version(at, version, paths, size))
     return records
 
 
@@ -215,7 +228,13 @@
             store, machine, 'entry-1', time, instruments
         )
         self.submissions = mock.create_autospec(
-            intake.Submissions, instance=True
+            intake.Submissions,
+            instance=True,
+            given_up_at=float('-inf'),
+            refuses=False,
+        )
+        self.submissions.append.return_value = mock.Mock(
+            outcome=_responses.Outcome.ACCEPTED, detail='stored'
         )
         relay = mock.create_autospec(intake.Relay, instance=True)
         self.routes = intake.JobRoutes(
@@ -233,11 +252,23 @@
         await self.coordinator.follower.stop()
         await self.coordinator.operator_follower.stop()
 
-    async def request(self, method: str, path: str) -> int:
-        """Return the status with which a request is answered here."""
+    async def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        body_seconds: float = 0.0,
+    ) -> int:
+        """Return the status with which a request is answered here.
+
+        Its body arrives after some seconds.
+        """
+        payload = streams.StreamReader(mock.Mock(_reading_paused=False), 2**16)
+        payload.feed_data(body)
+        asyncio.get_running_loop().call_later(body_seconds, payload.feed_eof)
         response = await self.routes.handle_here(
             test_utils.make_mocked_request(
-                method, path, headers={'Host': HOST}
+                method, path, headers={'Host': HOST}, payload=payload
             )
         )
         return response.status
--- a/chivespoke/intake/tests/test_old_views.py
+++ b/chivespoke/intake/tests/test_old_views.py
@@ -7,7 +7,11 @@
 from chivespoke.intake.tests import narrow_link
 from chivespoke import platform
 
+OK = 200
 NOT_FOUND = 404
+UNAVAILABLE = 503
+JOB = '00000000000000a1'
+SUBMISSION = b'{"spec":"work","steps":[{"count":1,"cpu":1000}]}'
 # Time after which an acknowledged change is in force.
 APPLY_SECONDS = 2.0
 # Time without a fault after which this holds for a process.
@@ -77,6 +81,57 @@
         )
         self.assertEqual([], denied)
 
+    def test_entry_whose_view_is_old_accepts_no_job_for_a_removed_route(
+        self,
+    ) -> None:
+        self.assertEqual(
+            [OK, UNAVAILABLE, NOT_FOUND],
+            builders.run_simulated(self.submit_around_an_outage()),
+        )
+
+    async def submit_around_an_outage(self) -> list[int]:
+        """Return the statuses before, in and after an outage of the view.
+
+        The ledger stays in sight.
+        """
+        store = narrow_link.NarrowLinkStore(LINK_BYTES_PER_SECOND)
+        store.hidden_topics = frozenset((platform.OPERATOR_TOPIC,))
+        store.outages = (OUTAGE,)
+        store.topics[platform.OPERATOR_TOPIC] = [
+            narrow_link.write_version(0.0, 1, ['/removed/']),
+            narrow_link.write_version(OUTAGE[0] + 1.0, 2, ['/other/']),
+        ]
+        entry = narrow_link.Entry(store)
+        await entry.start()
+        statuses = []
+        for at in (OUTAGE[0] - 1.0, OUTAGE[1] - 1.0, OUTAGE[1] + 3.0):
+            await asyncio.sleep(at - asyncio.get_running_loop().time())
+            statuses.append(
+                await entry.request('POST', f'/removed/{JOB}', SUBMISSION)
+            )
+        await entry.stop()
+        return statuses
+
+    def test_entry_whose_view_is_old_denies_no_path_below_a_known_route(
+        self,
+    ) -> None:
+        # A later version may have a route with a longer prefix.
+        async def request() -> int:
+            store = narrow_link.NarrowLinkStore(LINK_BYTES_PER_SECOND)
+            store.outages = (OUTAGE,)
+            store.topics[platform.OPERATOR_TOPIC] = [
+                narrow_link.write_version(0.0, 1, ['/a/']),
+                narrow_link.write_version(OUTAGE[0] + 1.0, 2, ['/a/b/']),
+            ]
+            entry = narrow_link.Entry(store)
+            await entry.start()
+            await asyncio.sleep(OUTAGE[1] - 1.0)
+            status = await entry.request('GET', '/a/b/')
+            await entry.stop()
+            return status
+
+        self.assertEqual(UNAVAILABLE, builders.run_simulated(request()))
+
 
 if __name__ == '__main__':
     unittest.main()
