Look a queue up after the body of its job has arrived

A caller whose body took seconds got 200 for a route that was removed meanwhile: the queue was looked up when the headers arrived, and its terms and the size limit came from that version. The configuration is read after the body now. The test sends a body over 3 s, with the removal after 1 s; it failed with 200 and gets 404.

--- a/chivespoke/intake/_job_routes.py
+++ b/chivespoke/intake/_job_routes.py
@@ -77,6 +77,8 @@
         """Handle a request in this entry, without its neighbours."""
         started_at = time.perf_counter()
         limit = self._find_limit(request)
+        # A body may arrive slowly. The configuration is that of its end.
+        await request.read()
         configuration = self._coordinator.operator.configuration
         if configuration is None:
             return self._respond(_responses.Outcome.UNAVAILABLE)
--- a/chivespoke/intake/tests/test_old_views.py
+++ b/chivespoke/intake/tests/test_old_views.py
@@ -132,6 +132,26 @@
 
         self.assertEqual(UNAVAILABLE, builders.run_simulated(request()))
 
+    def test_job_whose_body_arrives_slowly_is_refused_for_a_removed_route(
+        self,
+    ) -> None:
+        async def submit() -> int:
+            store = narrow_link.NarrowLinkStore(LINK_BYTES_PER_SECOND)
+            store.topics[platform.OPERATOR_TOPIC] = [
+                narrow_link.write_version(0.0, 1, ['/removed/']),
+                narrow_link.write_version(2.0, 2, ['/other/']),
+            ]
+            entry = narrow_link.Entry(store)
+            await entry.start()
+            await asyncio.sleep(1.0)
+            status = await entry.request(
+                'POST', f'/removed/{JOB}', SUBMISSION, body_seconds=3.0
+            )
+            await entry.stop()
+            return status
+
+        self.assertEqual(NOT_FOUND, builders.run_simulated(submit()))
+
 
 if __name__ == '__main__':
     unittest.main()
