Skip superseded versions of the configuration

Cause: the operator's topic was followed through its log, though each version is whole and only the newest counts. Evidence: offsets 4 to 23 activated at once at 19.34 s, 24 to 42 at 21.20 s, on a full link.

A follower of its own for such topics reads the newest record of each key when its view is old, or when a read of the log does not reach the end, and goes on so while the topic changes meanwhile; one read of the log is limited to the largest record. Both kinds of followers now let the store wait only so long that their age stays about a second: a wait of one second after a read with records doubled it.

The test failed before with ages of 15.9, 17.4 and 22.5 s where 2 s are allowed; they are 0.4, 0.5 and 1.1 s.

--- a/chivespoke/coordination/_coordinator.py
+++ b/chivespoke/coordination/_coordinator.py
@@ -5,6 +5,7 @@
 from chivespoke.coordination import _engine_state
 from chivespoke.coordination import _followers
 from chivespoke.coordination import _leadership
+from chivespoke.coordination import _newest_follower
 from chivespoke.coordination import _operator_view
 from chivespoke.coordination import _records
 from chivespoke.coordination import _term
@@ -70,8 +71,12 @@
             time,
             FOLLOWER_READ_PAUSE_SECONDS,
         )
-        self.operator_follower = _followers.TopicFollower(
-            store, platform.OPERATOR_TOPIC, self.operator, time, 0.0
+        self.operator_follower = _newest_follower.NewestFollower(
+            store,
+            platform.OPERATOR_TOPIC,
+            self.operator,
+            time,
+            machine.store_max_record_bytes,
         )
         instruments.add_gauge(
             'chivespoke_ledger_age_seconds',
--- a/chivespoke/coordination/_followers.py
+++ b/chivespoke/coordination/_followers.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import math
 
 from chivespoke import application
 from chivespoke import clock
@@ -11,7 +12,7 @@
 
 LOGGER = logs.make_logger('follower')
 
-# Time for which the store may delay the answer to a read until new records
+# Age up to which the store may delay the answer to a read until new records
 # arrive. A silent connection is detected within this time plus the timeout of
 # one call.
 READ_WAIT_SECONDS = 1.0
@@ -217,23 +218,14 @@
             await self._read_newest_page(self._full_read)
         assert self._next_offset is not None
         requested_at = self._clock.read_monotonic()
-        wait_seconds = READ_WAIT_SECONDS if self._full_read is None else 0.0
+        wait_seconds = self._choose_wait() if self._full_read is None else 0.0
         page = await self._store.read(
             self._topic, self._next_offset, wait_seconds
         )
         self._apply(page.records)
         self._next_offset = page.next_offset
         if page.next_offset < page.end_offset:
-            LOGGER.info(
-                'A topic has records beyond the page.',
-                topic=self._topic,
-                records=len(page.records),
-                value_bytes=sum(len(record.value) for record in page.records),
-                offset=page.next_offset,
-                end_offset=page.end_offset,
-                seconds=self._clock.read_monotonic() - requested_at,
-                age=self.measure_age(),
-            )
+            self._log_unread(page, requested_at)
             return
         if self._full_read is not None:
             if not self._full_read.pages_complete:
@@ -247,6 +239,11 @@
         if page.records and self._read_pause_seconds:
             await self._clock.sleep(self._read_pause_seconds)
 
+    def _choose_wait(self) -> float:
+        """Return a wait, in whole milliseconds, that bounds the age."""
+        seconds = max(0.0, READ_WAIT_SECONDS - self.measure_age())
+        return math.floor(seconds * 1000) / 1000
+
     async def _read_newest_page(self, full_read: FullRead) -> None:
         page = await self._store.read_newest(self._topic, full_read.last_key)
         self._apply(page.records)
@@ -256,6 +253,18 @@
             full_read.last_key = page.records[-1].key
         full_read.pages_complete = page.is_last
 
+    def _log_unread(self, page: platform.Page, requested_at: float) -> None:
+        LOGGER.info(
+            'A topic has records beyond the page.',
+            topic=self._topic,
+            records=len(page.records),
+            value_bytes=sum(len(record.value) for record in page.records),
+            offset=page.next_offset,
+            end_offset=page.end_offset,
+            seconds=self._clock.read_monotonic() - requested_at,
+            age=self.measure_age(),
+        )
+
     def _finish_full_read(self, full_read: FullRead) -> None:
         self._fold.retain(full_read.keys)
         self._full_read = None
--- a/chivespoke/coordination/tests/test_coordinator.py
+++ b/chivespoke/coordination/tests/test_coordinator.py
@@ -41,7 +41,9 @@
         store = mock.create_autospec(platform.Store, instance=True)
         store.append.return_value = 1
         machine = mock.Mock(
-            advisor_address='127.0.0.1:1', store_min_ttl_seconds=1.0
+            advisor_address='127.0.0.1:1',
+            store_min_ttl_seconds=1.0,
+            store_max_record_bytes=262_144,
         )
         machine.bounds.status_retention_seconds = 120.0
         return coordination.Coordinator(
--- a/chivespoke/coordination/tests/test_followers.py
+++ b/chivespoke/coordination/tests/test_followers.py
@@ -53,9 +53,16 @@
         self.clock = clock.ManualClock()
 
     async def read(
-        self, topic: str, start: int, wait_seconds: float, partition: int = 0
+        self,
+        topic: str,
+        start: int,
+        wait_seconds: float,
+        partition: int = 0,
+        max_bytes: int = 1_048_576,
     ) -> platform.Page:
-        page = await super().read(topic, start, wait_seconds, partition)
+        page = await super().read(
+            topic, start, wait_seconds, partition, max_bytes
+        )
         self.clock.advance(READ_SECONDS)
         return page
 
--- a/chivespoke/intake/tests/test_old_views.py
+++ b/chivespoke/intake/tests/test_old_views.py
@@ -21,6 +21,8 @@
 REQUEST_INTERVAL_SECONDS = 0.05
 VERSION_BYTES = 50_000
 LINK_BYTES_PER_SECOND = 550_000
+# Interval of changes and size of each version.
+CHANGES = ((0.4, VERSION_BYTES), (0.25, VERSION_BYTES), (0.25, 250_000))
 
 
 def make_store(
@@ -63,6 +65,21 @@
     return denied
 
 
+async def measure_worst_age(store: narrow_link.NarrowLinkStore) -> float:
+    """Return the largest age of the configuration once back for a while."""
+    entry = narrow_link.Entry(store)
+    await entry.start()
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(OUTAGE[1] + CONTACT_SECONDS - loop.time())
+    worst = 0.0
+    while loop.time() < DAY_SECONDS:
+        follower = entry.coordinator.operator_follower
+        worst = max(worst, follower.measure_age())
+        await asyncio.sleep(REQUEST_INTERVAL_SECONDS)
+    await entry.stop()
+    return worst
+
+
 class ReturningEntryTest(unittest.TestCase):
     """Ask an entry that was out of the store's sight for new routes."""
 
@@ -81,6 +98,17 @@
         )
         self.assertEqual([], denied)
 
+    def test_entry_back_from_an_outage_has_the_newest_version_in_time(
+        self,
+    ) -> None:
+        # Regression: superseded versions were read one by one, so that one
+        # page of them took 1.9 s.
+        for interval, version_bytes in CHANGES:
+            with self.subTest(interval=interval, version_bytes=version_bytes):
+                store = make_store(interval, version_bytes)
+                worst = builders.run_simulated(measure_worst_age(store))
+                self.assertLess(worst, APPLY_SECONDS)
+
     def test_entry_whose_view_is_old_accepts_no_job_for_a_removed_route(
         self,
     ) -> None:
--- a/chivespoke/platform/__init__.py
+++ b/chivespoke/platform/__init__.py
@@ -26,6 +26,7 @@
 from chivespoke.platform._store import Page
 from chivespoke.platform._store import Producer
 from chivespoke.platform._store import Record
+from chivespoke.platform._store import RECORD_HEADER_BYTES
 from chivespoke.platform._store import RecordRefusedError
 from chivespoke.platform._store import Store
 from chivespoke.platform._store import TruncatedError
@@ -73,6 +74,7 @@
     'READINESS_PATH',
     'REGISTRATION_PATH',
     'Record',
+    'RECORD_HEADER_BYTES',
     'RecordRefusedError',
     'Refusal',
     'Registration',
--- a/chivespoke/platform/_store.py
+++ b/chivespoke/platform/_store.py
@@ -4,6 +4,7 @@
 """
 
 import base64
+import math
 import struct
 import typing
 import urllib.parse
@@ -16,10 +17,13 @@
 # Prefix of compacted topics: the store keeps the newest record of each key.
 KEYED_PREFIX = 'keyed.'
 RECORD_LENGTH = struct.Struct('>I')
+RECORD_HEADER_BYTES = RECORD_LENGTH.size
 # End offset of the partition and its first available offset.
 READ_HEADER = struct.Struct('>QQ')
 # A call takes about 5 ms, and up to sixty times that when the store is slow.
 CALL_TIMEOUT_SECONDS = 1.0
+# Size of one answer with records of the log.
+MAX_READ_BYTES = 1_048_576
 OK = 200
 GONE = 410
 CONFLICT = 409
@@ -212,6 +216,7 @@
         start: int,
         wait_seconds: float,
         partition: int = 0,
+        max_bytes: int = MAX_READ_BYTES,
     ) -> Page:
         """Return records from an offset on; wait if there are none yet.
 
@@ -223,7 +228,8 @@
                 'topic': topic,
                 'part': partition,
                 'from': start,
-                'wait_ms': int(wait_seconds * 1000),
+                'wait_ms': round(wait_seconds * 1000),
+                'max_kb': math.ceil(max_bytes / 1024),
             }
         )
         response = await self._read_transport.call(
