Be ready only with a current configuration

Both ages count now. The test, with an outage of the operator's topic only, failed with 200 instead of 503. A second test holds that an evacuation that ended while an entry was away is over.

--- a/chivespoke/intake/_readiness.py
+++ b/chivespoke/intake/_readiness.py
@@ -17,9 +17,10 @@
 # Time from the start of a drain until the balancer sends no new connections:
 # it probes once a second and removes an entry after two failed probes.
 BALANCER_NOTICE_SECONDS = 2.6
-# Age of the ledger above which an entry is not ready, because it cannot accept
-# jobs without the store. It is above MAX_LEDGER_AGE_SECONDS of the job routes.
-READY_LEDGER_AGE_SECONDS = 3.0
+# Age of the ledger or of the operator's records above which an entry is not
+# ready, because it can neither accept jobs nor deny a route. It is above the
+# ages up to which the job routes decide.
+READY_AGE_SECONDS = 3.0
 
 
 class Readiness(application.Component, chivespoke_web.RouteProvider):
@@ -62,6 +63,11 @@
         return (
             not self._job_routes.closing
             and coordinator.operator.configuration is not None
-            and coordinator.follower.loaded
-            and coordinator.follower.measure_age() < READY_LEDGER_AGE_SECONDS
+            and all(
+                follower.loaded and follower.measure_age() < READY_AGE_SECONDS
+                for follower in (
+                    coordinator.follower,
+                    coordinator.operator_follower,
+                )
+            )
         )
--- a/chivespoke/intake/tests/narrow_link.py
+++ b/chivespoke/intake/tests/narrow_link.py
@@ -8,6 +8,7 @@
 
 from aiohttp import streams
 from aiohttp import test_utils
+from aiohttp import web
 import msgspec
 
 from chivespoke import coordination
@@ -252,6 +253,16 @@
         await self.coordinator.follower.stop()
         await self.coordinator.operator_follower.stop()
 
+    async def probe(self) -> int:
+        """Return the status of the readiness check."""
+        (route,) = self.readiness.list_routes()
+        assert isinstance(route, web.RouteDef)
+        response = await route.handler(
+            test_utils.make_mocked_request('GET', platform.READINESS_PATH)
+        )
+        assert isinstance(response, web.Response)
+        return response.status
+
     async def request(
         self,
         method: str,
--- a/chivespoke/intake/tests/test_old_views.py
+++ b/chivespoke/intake/tests/test_old_views.py
@@ -65,6 +65,13 @@
     return denied
 
 
+def make_store_that_hides_changes() -> narrow_link.NarrowLinkStore:
+    """Return a store whose outage concerns the operator's topic only."""
+    store = narrow_link.NarrowLinkStore(LINK_BYTES_PER_SECOND, (OUTAGE,))
+    store.hidden_topics = frozenset((platform.OPERATOR_TOPIC,))
+    return store
+
+
 async def measure_worst_age(store: narrow_link.NarrowLinkStore) -> float:
     """Return the largest age of the configuration once back for a while."""
     entry = narrow_link.Entry(store)
@@ -118,13 +125,8 @@
         )
 
     async def submit_around_an_outage(self) -> list[int]:
-        """Return the statuses before, in and after an outage of the view.
-
-        The ledger stays in sight.
-        """
-        store = narrow_link.NarrowLinkStore(LINK_BYTES_PER_SECOND)
-        store.hidden_topics = frozenset((platform.OPERATOR_TOPIC,))
-        store.outages = (OUTAGE,)
+        """Return the statuses before, in and after an outage of the view."""
+        store = make_store_that_hides_changes()
         store.topics[platform.OPERATOR_TOPIC] = [
             narrow_link.write_version(0.0, 1, ['/removed/']),
             narrow_link.write_version(OUTAGE[0] + 1.0, 2, ['/other/']),
@@ -140,6 +142,51 @@
         await entry.stop()
         return statuses
 
+    def test_entry_whose_view_is_old_is_not_ready(self) -> None:
+        # Regression: the ledger alone made an entry ready.
+        async def probe() -> list[int]:
+            store = make_store_that_hides_changes()
+            store.topics[platform.OPERATOR_TOPIC] = [
+                narrow_link.write_version(0.0, 1, ['/a/'])
+            ]
+            entry = narrow_link.Entry(store)
+            await entry.start()
+            statuses = []
+            for at in (OUTAGE[0] - 1.0, OUTAGE[1] - 1.0, OUTAGE[1] + 2.0):
+                await asyncio.sleep(at - asyncio.get_running_loop().time())
+                statuses.append(await entry.probe())
+            await entry.stop()
+            return statuses
+
+        self.assertEqual(
+            [OK, UNAVAILABLE, OK], builders.run_simulated(probe())
+        )
+
+    def test_evacuation_that_ended_in_an_outage_is_over(self) -> None:
+        # Its end is a record that a reader of the newest ones never sees.
+        async def list_evacuating() -> list[set[str]]:
+            store = make_store()
+            changes = store.topics[platform.OPERATOR_TOPIC]
+            changes += [
+                narrow_link.Written(1.0, 'evacuate/zone-1', b'{}'),
+                narrow_link.Written(OUTAGE[0] + 2, 'evacuate/zone-1', b''),
+                narrow_link.Written(OUTAGE[0] + 3, 'evacuate/zone-2', b'{}'),
+            ]
+            changes.sort(key=lambda change: change.at)
+            entry = narrow_link.Entry(store)
+            await entry.start()
+            seen = []
+            for at in (OUTAGE[0] - 1.0, OUTAGE[1] + CONTACT_SECONDS):
+                await asyncio.sleep(at - asyncio.get_running_loop().time())
+                seen.append(set(entry.coordinator.operator.evacuating))
+            await entry.stop()
+            return seen
+
+        self.assertEqual(
+            [{'zone-1'}, {'zone-2'}],
+            builders.run_simulated(list_evacuating()),
+        )
+
     def test_entry_whose_view_is_old_denies_no_path_below_a_known_route(
         self,
     ) -> None:
