Count the age of the load from before it was told

An entry that came back from an outage refused jobs with 429 for a load of before: the age of the leader's summary counted from its arrival, and a summary in the backlog looked new. The age now counts from the last time at which the ledger was known to be up to date before the record, an upper bound.

--- a/chivespoke/coordination/_coordinator.py
+++ b/chivespoke/coordination/_coordinator.py
@@ -62,7 +62,7 @@
             machine.advisor_address, 1
         )
         self._clock = time
-        self.ledger = _records.Ledger(time)
+        self.ledger = _records.Ledger()
         self.operator = _operator_view.OperatorView()
         self.follower = _followers.TopicFollower(
             store,
--- a/chivespoke/coordination/_followers.py
+++ b/chivespoke/coordination/_followers.py
@@ -33,6 +33,13 @@
     def apply(self, record: platform.Record) -> None:
         """Apply one record."""
 
+    def begin_page(self, written_after: float) -> None:
+        """Announce a page, and the monotonic time that precedes its records.
+
+        The time is that at which the fold was last known to be up to date.
+        """
+        return None
+
     @abc.abstractmethod
     def retain(self, keys: frozenset[str]) -> None:
         """Drop state whose key is not among the keys of a full read."""
@@ -279,6 +286,8 @@
         )
 
     def _apply(self, records: tuple[platform.Record, ...]) -> None:
+        if self._up_to_date_at is not None:
+            self._fold.begin_page(self._up_to_date_at)
         for record in records:
             if self._full_read is None or self._full_read.admit(record):
                 self._fold.apply(record)
--- a/chivespoke/coordination/_records.py
+++ b/chivespoke/coordination/_records.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from chivespoke import clock
 from chivespoke.coordination import _followers
 from chivespoke import decisions
 from chivespoke import logs
@@ -196,18 +195,19 @@
         'entry_addresses',
         'learned',
         'load',
-        'load_applied_at',
+        'load_written_after',
         'listener',
-        '_clock',
+        '_written_after',
         '_key_events',
     )
 
-    def __init__(self, time: clock.Clock | None = None) -> None:
-        self._clock = time or clock.SystemClock()
-        # The latest summary of the load, and its time of arrival in monotonic
-        # seconds.
+    def __init__(self) -> None:
+        # The latest summary of the load, and a monotonic time that precedes
+        # its record.
         self.load: LoadSummary | None = None
-        self.load_applied_at = float('-inf')
+        self.load_written_after = float('-inf')
+        # Monotonic time that precedes the records that are applied.
+        self._written_after = float('-inf')
         self.entries: dict[str, JobEntry] = {}
         self.sidecars: dict[str, str] = {}
         # Address for neighbours' requests, by the name of the entry.
@@ -219,6 +219,9 @@
         # Events to set when a record with the key is applied.
         self._key_events: dict[str, list[asyncio.Event]] = {}
 
+    def begin_page(self, written_after: float) -> None:
+        self._written_after = written_after
+
     def apply(self, record: platform.Record) -> None:
         """Apply one record; skip it if it cannot be decoded."""
         for key_event in self._key_events.get(record.key, ()):
@@ -315,7 +318,7 @@
     def _apply_load(self, summary: LoadSummary) -> None:
         if self.load is None or summary.epoch >= self.load.epoch:
             self.load = summary
-            self.load_applied_at = self._clock.read_monotonic()
+            self.load_written_after = self._written_after
 
     def _find_or_add(self, identifier: str) -> JobEntry:
         return self.entries.setdefault(identifier, JobEntry())
--- a/chivespoke/coordination/tests/test_load.py
+++ b/chivespoke/coordination/tests/test_load.py
@@ -37,7 +37,7 @@
 class LoadTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = clock.ManualClock()
-        self.ledger = coordination.Ledger(self.clock)
+        self.ledger = coordination.Ledger()
         self.leader = builders.Leader(self.ledger)
         self.state = self.leader.engine.state
         self.reporter = _load.LoadReporter(self.state, builders.EPOCH)
@@ -136,11 +136,16 @@
         assert self.ledger.load is not None
         self.assertEqual(builders.EPOCH, self.ledger.load.epoch)
 
-    def test_age_counts_from_the_arrival_of_the_record(self) -> None:
+    def test_age_counts_from_the_last_read_before_the_record(self) -> None:
+        # Regression: a summary from before an outage counted from its arrival
+        # after it, and jobs were refused for a load that was over.
         self.set_outlook(OUTLOOK)
-        self.report(3.0)
+        self.ledger.begin_page(self.clock.read_monotonic())
+        self.clock.advance(9.0)
+        self.report()
         self.assertEqual(
-            self.clock.read_monotonic(), self.ledger.load_applied_at
+            9.0,
+            self.clock.read_monotonic() - self.ledger.load_written_after,
         )
 
     def test_full_read_leaves_no_summary_of_unknown_age(self) -> None:
--- a/chivespoke/decisions/_admission.py
+++ b/chivespoke/decisions/_admission.py
@@ -107,8 +107,8 @@
 ) -> Admission:
     """Decide whether a job is admitted at the load of its service.
 
-    The load is None if the leader has told none. Its age is the time since
-    it was received.
+    The load is None if the leader has told none. Its age is an
+    upper bound of the time since it was told.
     """
     if load is None:
         return Admission(AdmissionCause.NO_SUMMARY)
--- a/chivespoke/intake/_job_routes.py
+++ b/chivespoke/intake/_job_routes.py
@@ -195,7 +195,7 @@
         load: decisions.ServiceLoad | None = None
         if ledger.load is not None:
             load = ledger.load.services.get(job.terms.service)
-        age = self._clock.read_monotonic() - ledger.load_applied_at
+        age = self._clock.read_monotonic() - ledger.load_written_after
         admission = decisions.decide_admission(demand, load, age)
         outlook = load.outlook if load is not None else None
         LOGGER.info(
--- a/chivespoke/intake/tests/test_old_views.py
+++ b/chivespoke/intake/tests/test_old_views.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from chivespoke import coordination
 from chivespoke.intake.tests import builders
 from chivespoke.intake.tests import narrow_link
 from chivespoke import platform
@@ -187,6 +188,32 @@
             builders.run_simulated(list_evacuating()),
         )
 
+    def test_load_of_an_outage_is_not_taken_for_the_load_after_it(
+        self,
+    ) -> None:
+        # Regression: its age counted from its arrival.
+        async def measure_age() -> float:
+            store = make_store()
+            (load,) = platform.decode_records(
+                coordination.encode_load(coordination.LoadSummary(1)), 0
+            )
+            store.topics[coordination.SYSTEM_TOPIC] = [
+                narrow_link.Written(OUTAGE[0] + 1.0, load.key, load.value)
+            ]
+            entry = narrow_link.Entry(store)
+            await entry.start()
+            await asyncio.sleep(OUTAGE[1] + CONTACT_SECONDS)
+            now = asyncio.get_running_loop().time()
+            await entry.stop()
+            ledger = entry.coordinator.ledger
+            self.assertIsNotNone(ledger.load)
+            return now - ledger.load_written_after
+
+        self.assertGreaterEqual(
+            builders.run_simulated(measure_age()),
+            OUTAGE[1] + CONTACT_SECONDS - (OUTAGE[0] + 1.0),
+        )
+
     def test_entry_whose_view_is_old_denies_no_path_below_a_known_route(
         self,
     ) -> None:
