Deny nothing from an outdated process of the scheduler without keys

An entry of the scheduler on a plain log that had lost sight of it told callers that a new job is unknown (404, or a cancel refused), refused a job for a data centre that it did not know yet, and told operators that a new service or version does not exist.

What the process knows it still tells.

--- a/chivespoke/errors.py
+++ b/chivespoke/errors.py
@@ -33,7 +33,7 @@
 
 
 class NotLoadedError(RefusedError):
-    """Report a request that cannot be answered before the state is loaded."""
+    """Report a request that needs a state that is loaded and current."""
 
 
 def check_invariant(
--- a/chivespoke/operators/_routes.py
+++ b/chivespoke/operators/_routes.py
@@ -295,11 +295,7 @@
             identifiers.ProposalId(request.match_info['id'])
         )
         if decision is None:
-            recent = self._configuration.is_recent()
-            reason = 'no such patch' + (
-                '' if recent else ' so far; this entry may be out of date'
-            )
-            return self._refuse(404 if recent else 503, reason)
+            return self._deny('no such patch')
         return self._respond(decision)
 
     async def _show_rollout(self, request: web.Request) -> web.Response:
@@ -308,7 +304,7 @@
         wait = min(_read_query(request, 'wait', 0), int(MAX_WAIT_SECONDS))
         deadline = self._clock.read_monotonic() + wait
         if not await self._configuration.wait_for_version(version, wait):
-            return self._refuse(404, f'version {version} is not known here')
+            return self._deny(f'version {version} is not known here')
         while True:
             in_force = await self._collect_rollout(version)
             if in_force.is_complete():
@@ -357,7 +353,15 @@
             if known_names
             else ''
         )
-        return self._refuse(404, f'no {kind} is named {name}{hint}')
+        return self._deny(f'no {kind} is named {name}{hint}')
+
+    def _deny(self, reason: str) -> web.Response:
+        """Say that something does not exist, unless it may be new."""
+        if self._configuration.is_recent():
+            return self._refuse(404, reason)
+        return self._refuse(
+            503, f'{reason} so far; this entry may be out of date'
+        )
 
 
 class _BadRequestError(errors.ChivespokeError):
--- a/chivespoke/operators/tests/test_routes.py
+++ b/chivespoke/operators/tests/test_routes.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 import unittest
+from unittest import mock
 
 from aiohttp import test_utils
 from aiohttp import web
@@ -202,6 +203,23 @@
                         expected == 503, 'Retry-After' in answer.headers
                     )
 
+    async def test_outdated_process_denies_nothing_that_may_be_new(
+        self,
+    ) -> None:
+        cases = (
+            '/explain/service/new',
+            '/configuration/patches/new',
+            '/configuration/in-force?version=9',
+        )
+        for is_recent, expected in ((False, 503), (True, 404)):
+            with mock.patch.object(
+                operators.Configuration, 'is_recent', return_value=is_recent
+            ):
+                for path in cases:
+                    with self.subTest(path=path, is_recent=is_recent):
+                        status, _ = await self.send_request('GET', path)
+                        self.assertEqual(expected, status)
+
     async def test_lost_answer_is_recovered_by_reading(self) -> None:
         self.log.faults.lost_answers = 1
         status, decision = await self.patch(1, 5)
--- a/chivespoke/scheduling/_api.py
+++ b/chivespoke/scheduling/_api.py
@@ -7,6 +7,7 @@
 
 from chivespoke import errors
 from chivespoke import identifiers
+from chivespoke import operators
 from chivespoke.scheduling import _configuration
 from chivespoke.scheduling import _crashes
 from chivespoke.scheduling import _feasibility
@@ -20,6 +21,7 @@
 # Time limit for a record to be committed and read back from the log.
 COMMIT_TIMEOUT_SECONDS = 10.0
 SUBMIT_STEP = 'submit a job'
+LOOK_UP_STEP = 'look up jobs'
 
 
 class SchedulingApi:
@@ -68,8 +70,8 @@
                 spec,
             )
             if reason:
-                self._check_configuration()
-                self.check_loaded()
+                self._check_configuration(stream)
+                self.check_current()
                 return _refuse(job_id, reason)
             record = _records.JobSubmitted(job_id, spec, request.tasks)
             await self._commit(stream, record)
@@ -85,7 +87,7 @@
     ) -> list[_requests.JobAnswer]:
         """Cancel jobs; repeated cancellations are accepted.
 
-        Raise NotLoadedError when one is not known before its shard is loaded.
+        Raise NotLoadedError when one is not known and its shard not current.
         """
         answers = await asyncio.gather(
             *(self._cancel_one(job_id) for job_id in job_ids)
@@ -151,10 +153,14 @@
     ) -> _requests.JobReport | None:
         """Return the report of a job over all followed shards, or None.
 
-        Raise NotLoadedError before all of them are loaded.
+        Raise NotLoadedError before all of them are loaded, or if the job is
+        unknown and one of them is not current.
         """
         self.check_loaded()
-        return self._find_report(job_id)
+        report = self._find_report(job_id)
+        if report is None:
+            self.check_current()
+        return report
 
     def _find_report(
         self, job_id: identifiers.JobId
@@ -202,13 +208,30 @@
 
     def check_loaded(self) -> None:
         """Raise NotLoadedError unless all followed shards are loaded."""
+        for stream in self.streams.values():
+            if not stream.is_loaded:
+                raise errors.NotLoadedError(
+                    LOOK_UP_STEP,
+                    stream.name,
+                    'the shard is still being loaded',
+                )
+
+    def check_current(self) -> None:
+        """Raise NotLoadedError unless all followed shards are current."""
         for stream in self.streams.values():
             _check_stream(stream)
 
-    def _check_configuration(self) -> None:
-        if self._configuration.last_read_at is None:
+    def _check_configuration(self, stream: _stream.ShardStream) -> None:
+        read_at = self._configuration.last_read_at
+        if (
+            read_at is None
+            or stream.follower.measure_age(read_at)
+            > operators.MAX_READ_AGE_SECONDS
+        ):
             raise errors.NotLoadedError(
-                SUBMIT_STEP, 'configuration', 'it is still being loaded'
+                SUBMIT_STEP,
+                'configuration',
+                'its newest version has not been read',
             )
 
     async def _commit(
@@ -224,9 +247,9 @@
 
 
 def _check_stream(stream: _stream.ShardStream) -> None:
-    if not stream.is_loaded:
+    if stream.measure_read_age() > operators.MAX_READ_AGE_SECONDS:
         raise errors.NotLoadedError(
-            'look up jobs', stream.name, 'the shard is still being loaded'
+            LOOK_UP_STEP, stream.name, 'its newest records have not been read'
         )
 
 
--- a/chivespoke/scheduling/tests/test_loading.py
+++ b/chivespoke/scheduling/tests/test_loading.py
@@ -19,6 +19,8 @@
 
 JOB_ID = identifiers.JobId('job-1')
 TEST_TIMEOUT_SECONDS = 20.0
+# Longer than any age of a state from which something is denied.
+OUTAGE_SECONDS = 6.0
 
 
 class LoadingApiTest(unittest.IsolatedAsyncioTestCase):
@@ -73,6 +75,39 @@
                     self.assertIn('Retry-After', answer.headers)
 
 
+class OutdatedApiTest(unittest.IsolatedAsyncioTestCase):
+    """Ask a process that lost sight of the log for a job of meanwhile."""
+
+    async def asyncSetUp(self) -> None:
+        self.cluster = await builders.build_cluster()
+        self.addAsyncCleanup(self.cluster.stop)
+        self.api = (await self.cluster.add_process('entry-2')).api
+        await self.cluster.run(2)
+        self.cluster.log.faults.read_down = True
+        await self.cluster.run(OUTAGE_SECONDS)
+
+    async def test_new_job_is_neither_unknown_nor_uncancellable(self) -> None:
+        with self.assertRaises(errors.NotLoadedError):
+            self.api.report_job(JOB_ID)
+        with self.assertRaises(errors.NotLoadedError):
+            await self.api.cancel([JOB_ID])
+
+    async def test_job_is_not_refused_by_an_old_configuration(self) -> None:
+        new_place = identifiers.DataCentreName('new')
+        request = scheduling.JobRequest(
+            id=JOB_ID, team=builders.TEAM, data_centres=(new_place,)
+        )
+        with self.assertRaises(errors.NotLoadedError):
+            await self.api.submit([request])
+
+    async def test_unknown_job_is_denied_once_the_log_is_read(self) -> None:
+        self.cluster.log.faults.read_down = False
+        await self.cluster.run(OUTAGE_SECONDS)
+        self.assertIsNone(self.api.report_job(JOB_ID))
+        (answer,) = await self.api.cancel([JOB_ID])
+        self.assertEqual('the job is unknown', answer.reason)
+
+
 class LoadingHealthTest(unittest.IsolatedAsyncioTestCase):
     """Probe an entry whose log answers late or not at all."""
 
