Test the follower of newest records against the stand-in of the store

Superseded records are skipped after refused reads, a record of a later page is not replaced by an earlier one of the log, and a dropped history leads to the newest records.

--- a/chivespoke/coordination/tests/test_followers.py
+++ b/chivespoke/coordination/tests/test_followers.py
@@ -5,6 +5,7 @@
 
 from chivespoke import clock
 from chivespoke.coordination import _followers
+from chivespoke.coordination import _newest_follower
 from chivespoke import platform
 from chivespoke import standins
 
@@ -18,6 +19,9 @@
 KEPT_RECORDS = 16
 FORGOTTEN_VALUES = 8
 WRITE_INTERVAL_SECONDS = 0.05
+MAX_RECORD_BYTES = 262_144
+SUPERSEDED_RECORDS = 40
+RECORD_DIGITS = 30_000
 TIMEOUT_SECONDS = 20.0
 READ_SECONDS = 10.0
 
@@ -67,8 +71,8 @@
         return page
 
 
-class TopicFollowerTest(unittest.IsolatedAsyncioTestCase):
-    """Read a topic that fills several pages of the store."""
+class FollowerCase(unittest.IsolatedAsyncioTestCase):
+    """Run a follower against the stand-in of the store."""
 
     async def asyncSetUp(self) -> None:
         self.standin = standins.PlatformStore()
@@ -83,10 +87,15 @@
         self.store = TimedStore(transport)
         self.fold = RecordingFold()
 
-    async def start_follower(self, time: clock.Clock) -> None:
-        follower = _followers.TopicFollower(
+    def make_follower(self, time: clock.Clock) -> _followers.TopicFollower:
+        """Return the follower to test."""
+        return _followers.TopicFollower(
             self.store, TOPIC, self.fold, time, 0.0
         )
+
+    async def start_follower(self, time: clock.Clock) -> None:
+        """Start the follower, and stop it after the test."""
+        follower = self.make_follower(time)
         self.fold.follower = follower
         await follower.start()
         self.addAsyncCleanup(follower.stop)
@@ -100,6 +109,10 @@
             while len(self.fold.keys) < count:
                 await asyncio.sleep(0.01)
 
+
+class TopicFollowerTest(FollowerCase):
+    """Read a topic that fills several pages of the store."""
+
     async def test_interrupted_full_read_continues_where_it_broke_off(
         self,
     ) -> None:
@@ -179,5 +192,66 @@
         )
 
 
+class NewestFollowerTest(FollowerCase):
+    """Read only the newest records of a topic."""
+
+    def make_follower(self, time: clock.Clock) -> _followers.TopicFollower:
+        return _newest_follower.NewestFollower(
+            self.store, TOPIC, self.fold, time, MAX_RECORD_BYTES
+        )
+
+    async def test_superseded_records_are_not_read(self) -> None:
+        await self.start_follower(clock.SystemClock())
+        await self.wait_for_reads(1)
+        self.standin.faults.refuse_with = 503
+        for number in range(SUPERSEDED_RECORDS):
+            value = str(number).encode() * RECORD_DIGITS
+            await self.standin.put(TOPIC, 'k', value[:MAX_RECORD_BYTES])
+        self.standin.faults.refuse_with = 0
+        await self.wait_for_offset(SUPERSEDED_RECORDS)
+        self.assertIn(SUPERSEDED_RECORDS - 1, self.fold.offsets['k'])
+        # One read of the log, with few records, before it is known how many
+        # there are.
+        self.assertLess(len(self.fold.offsets['k']), SUPERSEDED_RECORDS / 4)
+
+    async def test_record_is_not_replaced_by_an_earlier_one_of_the_log(
+        self,
+    ) -> None:
+        await self.put_large_values()
+        self.standin.faults.link_bytes_per_second = LINK_BYTES_PER_SECOND
+        await self.start_follower(clock.SystemClock())
+        await self.wait_for_reads(1)
+        await self.standin.put(TOPIC, 'k3', b'earlier')
+        await self.standin.put(TOPIC, 'k3', b'later')
+        await self.wait_for_offset(LARGE_VALUES + 2)
+        self.assertEqual(b'later', self.fold.values['k3'])
+        self.assertEqual(
+            sorted(self.fold.offsets['k3']), self.fold.offsets['k3']
+        )
+
+    async def test_dropped_history_is_no_obstacle(self) -> None:
+        await self.start_follower(clock.SystemClock())
+        await self.wait_for_reads(1)
+        self.standin.faults.refuse_with = 503
+        await self.standin.put(TOPIC, 'a', b'1')
+        await self.standin.put(TOPIC, 'b', b'2')
+        self.standin.expire_records_before(TOPIC, 2)
+        self.standin.faults.refuse_with = 0
+        await self.wait_for_keys(2)
+        self.assertEqual({'a': b'1', 'b': b'2'}, self.fold.values)
+
+    async def wait_for_reads(self, count: int) -> None:
+        """Wait until reads of the newest records have begun."""
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while len(self.standin.asked_after) < count:
+                await asyncio.sleep(0.01)
+
+    async def wait_for_offset(self, offset: int) -> None:
+        """Wait until the log is read up to an offset."""
+        assert self.fold.follower is not None
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            await self.fold.follower.wait_until(offset)
+
+
 if __name__ == '__main__':
     unittest.main()
