Never deny what a neighbour has served for an entry

A caller asked one entry for a new route and got 404, then 200, then 404 again 0.3 s later.

Cause: callers see the newest version that has answered for an entry, and the entry compares only its own. Neighbours now name their version in what they answer to each other, and an entry decides by its own configuration only if it is not older than the newest one named. Until then it answers 503, and the neighbour serves. The test failed before with 404 instead of 503.

--- a/chivespoke/intake/_job_routes.py
+++ b/chivespoke/intake/_job_routes.py
@@ -60,6 +60,12 @@
     def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
         return (web.route('*', '/{path:.*}', self._handle),)
 
+    @property
+    def configuration_version(self) -> int:
+        """Return the version in force in this entry; 0 if there is none."""
+        configuration = self._coordinator.operator.configuration
+        return configuration.version if configuration is not None else 0
+
     async def _handle(self, request: web.Request) -> web.Response:
         limit = self._find_limit(request)
         response = await self.handle_here(request)
@@ -143,7 +149,7 @@
             return self._log_and_respond(
                 identifier, _responses.Outcome.ACCEPTED, 'already submitted'
             )
-        if not self._coordinator.is_operator_view_current:
+        if not self._is_view_current():
             return self._log_and_respond(
                 identifier,
                 _responses.Outcome.UNAVAILABLE,
@@ -266,10 +272,7 @@
         )
 
     def _count_pending(self, queue: workloads.Queue) -> web.Response:
-        if not (
-            self._is_ledger_fresh()
-            and self._coordinator.is_operator_view_current
-        ):
+        if not (self._is_ledger_fresh() and self._is_view_current()):
             return self._respond(_responses.Outcome.UNAVAILABLE)
         count = sum(
             entry.job is not None
@@ -293,6 +296,16 @@
             follower.loaded and follower.measure_age() < MAX_LEDGER_AGE_SECONDS
         )
 
+    def _is_view_current(self) -> bool:
+        """Return whether routes may be denied, and jobs accepted.
+
+        Callers have seen what neighbours answered from a newer version.
+        """
+        coordinator = self._coordinator
+        return coordinator.is_operator_view_current and (
+            self.configuration_version >= self._relay.newest_version
+        )
+
     def _can_write(self) -> bool:
         # If the store did not confirm an append, the caller would not know its
         # outcome. After an immediate refusal the caller can safely retry.
@@ -311,7 +324,7 @@
         """Deny a path only if no later version can be in force."""
         outcome = (
             _responses.Outcome.UNKNOWN_QUEUE
-            if self._coordinator.is_operator_view_current
+            if self._is_view_current()
             else _responses.Outcome.UNAVAILABLE
         )
         LOGGER.info(
@@ -370,4 +383,11 @@
         self._job_routes = job_routes
 
     def list_routes(self) -> collections.abc.Sequence[web.RouteDef]:
-        return (web.route('*', '/{path:.*}', self._job_routes.handle_here),)
+        return (web.route('*', '/{path:.*}', self._handle),)
+
+    async def _handle(self, request: web.Request) -> web.Response:
+        response = await self._job_routes.handle_here(request)
+        response.headers[platform.CONFIGURATION_VERSION_HEADER] = str(
+            self._job_routes.configuration_version
+        )
+        return response
--- a/chivespoke/intake/_relay.py
+++ b/chivespoke/intake/_relay.py
@@ -28,6 +28,7 @@
     """
 
     __slots__ = (
+        'newest_version',
         '_name',
         '_address',
         '_ledger',
@@ -46,6 +47,9 @@
         store: platform.Store,
         time: clock.Clock,
     ) -> None:
+        # Newest version of the configuration that a neighbour has answered
+        # from.
+        self.newest_version = 0
         self._name = name
         self._address = address
         self._ledger = ledger
@@ -147,6 +151,9 @@
             # The neighbour may have stored the request before it went silent.
             return _responses.make_response(_responses.Outcome.UNCERTAIN)
         self._log(name, request, answer.status, '')
+        self.newest_version = max(
+            self.newest_version, answer.configuration_version
+        )
         if answer.status == _responses.Outcome.UNAVAILABLE.value:
             self._selector.record_refused(name, self._clock.read_monotonic())
             return None
--- a/chivespoke/intake/tests/narrow_link.py
+++ b/chivespoke/intake/tests/narrow_link.py
@@ -28,6 +28,7 @@
 NEWEST_SIZE_FACTOR = 4 / 3
 HOST = 'callers.example'
 ROUTE_BYTES = 200
+EMPTY = mock.Mock(readany=mock.AsyncMock(return_value=b''))
 
 
 class Written(msgspec.Struct, frozen=True):
@@ -237,9 +238,16 @@
         self.submissions.append.return_value = mock.Mock(
             outcome=_responses.Outcome.ACCEPTED, detail='stored'
         )
-        relay = mock.create_autospec(intake.Relay, instance=True)
+        self.relay = intake.Relay(
+            'entry-1', '', self.coordinator.ledger, store, time
+        )
         self.routes = intake.JobRoutes(
-            self.coordinator, self.submissions, relay, time, instruments, 100
+            self.coordinator,
+            self.submissions,
+            self.relay,
+            time,
+            instruments,
+            100,
         )
         self.readiness = intake.Readiness(self.coordinator, self.routes, time)
 
@@ -253,6 +261,18 @@
         await self.coordinator.follower.stop()
         await self.coordinator.operator_follower.stop()
 
+    async def relay_once(self, answer: platform.Response) -> None:
+        """Hand a request to a neighbour that gives an answer."""
+        self.coordinator.ledger.entry_addresses['entry-2'] = 'neighbour:1'
+        transport = mock.create_autospec(platform.Transport, instance=True)
+        transport.call.return_value = answer
+        with mock.patch.object(platform, 'Transport', return_value=transport):
+            forwarded = await self.relay.forward(
+                test_utils.make_mocked_request('GET', '/', payload=EMPTY),
+                float('inf'),
+            )
+        assert forwarded is not None
+
     async def probe(self) -> int:
         """Return the status of the readiness check."""
         (route,) = self.readiness.list_routes()
--- a/chivespoke/intake/tests/test_old_views.py
+++ b/chivespoke/intake/tests/test_old_views.py
@@ -234,6 +234,34 @@
 
         self.assertEqual(UNAVAILABLE, builders.run_simulated(request()))
 
+    def test_entry_denies_nothing_that_a_neighbour_has_served_for_it(
+        self,
+    ) -> None:
+        # Regression: a caller got 200 through a neighbour with a newer
+        # version, and 404 afterwards.
+        async def request() -> list[int]:
+            store = narrow_link.NarrowLinkStore(LINK_BYTES_PER_SECOND)
+            store.topics[platform.OPERATOR_TOPIC] = [
+                narrow_link.write_version(0.0, 1, ['/a/']),
+                narrow_link.write_version(2.0, 2, ['/a/', '/b/']),
+            ]
+            entry = narrow_link.Entry(store)
+            await entry.start()
+            statuses = []
+            for at in (1.0, 3.0):
+                await asyncio.sleep(at - asyncio.get_running_loop().time())
+                await entry.relay_once(
+                    platform.Response(OK, b'{}', configuration_version=2)
+                )
+                statuses.append(await entry.request('GET', '/b/'))
+            statuses.append(await entry.request('GET', '/c/'))
+            await entry.stop()
+            return statuses
+
+        self.assertEqual(
+            [UNAVAILABLE, OK, NOT_FOUND], builders.run_simulated(request())
+        )
+
     def test_job_whose_body_arrives_slowly_is_refused_for_a_removed_route(
         self,
     ) -> None:
--- a/chivespoke/platform/__init__.py
+++ b/chivespoke/platform/__init__.py
@@ -37,7 +37,9 @@
 from chivespoke.platform._submissions import is_job_identifier
 from chivespoke.platform._submissions import read_caller_wait
 from chivespoke.platform._submissions import READINESS_PATH
+from chivespoke.platform._transport import CONFIGURATION_VERSION_HEADER
 from chivespoke.platform._transport import NotListeningError
+from chivespoke.platform._transport import Response
 from chivespoke.platform._transport import Transport
 from chivespoke.platform._workers import decode_registration
 from chivespoke.platform._workers import EndCause
@@ -55,6 +57,7 @@
     'Advice',
     'AdvisorClient',
     'Bounds',
+    'CONFIGURATION_VERSION_HEADER',
     'ConditionFailedError',
     'ConfigurationWritten',
     'EndCause',
@@ -78,6 +81,7 @@
     'RecordRefusedError',
     'Refusal',
     'Registration',
+    'Response',
     'RunningTask',
     'Store',
     'Transport',
--- a/chivespoke/platform/_transport.py
+++ b/chivespoke/platform/_transport.py
@@ -18,6 +18,7 @@
 UNNEEDED_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent')
 # Methods of calls without an effect, which aiohttp may send again.
 SAFE_METHODS = frozenset(('GET', 'HEAD'))
+CONFIGURATION_VERSION_HEADER = 'Chivespoke-Configuration-Version'
 JSON_HEADERS = {'Content-Type': 'application/json'}
 
 
@@ -28,6 +29,9 @@
     body: bytes
     # Value of the Retry-After header in seconds; 0 if there is none.
     retry_after_seconds: int = 0
+    # Version of the configuration that an entry has answered from; 0 if it
+    # names none.
+    configuration_version: int = 0
 
 
 class NotListeningError(errors.RefusedError):
@@ -105,7 +109,10 @@
                 return Response(
                     response.status,
                     bytes(received),
-                    _read_retry_after(response.headers),
+                    _read_number(response.headers, 'Retry-After'),
+                    _read_number(
+                        response.headers, CONFIGURATION_VERSION_HEADER
+                    ),
                 )
         except (
             aiohttp.ClientConnectorError,
@@ -126,8 +133,8 @@
             ) from error
 
 
-def _read_retry_after(headers: collections.abc.Mapping[str, str]) -> int:
-    text = headers.get('Retry-After', '')
+def _read_number(headers: collections.abc.Mapping[str, str], name: str) -> int:
+    text = headers.get(name, '')
     return int(text) if text.isdecimal() else 0
 
 
