Soak real daemons behind loopback proxies under seeded faults

Entries and sidecars run as processes; links to the store are cut, reset or narrowed, processes are stopped, killed, paused and reloaded in series that overlap, the store refuses, is slow, loses answers and forgets, while an operator writes large versions and callers keep their connections.

--- /dev/null
+++ b/chivespoke/bench/soak/_proxy.py
@@ -0,0 +1,104 @@
+"""A TCP proxy on the loopback interface that cuts, resets and narrows."""
+
+import asyncio
+
+from chivespoke import application
+
+CHUNK_BYTES = 16_384
+POLL_SECONDS = 0.02
+
+
+class LinkProxy(application.Component):
+    """Forward connections to one address, and do harm to them on request."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._host = host
+        self._port = port
+        self._server: asyncio.Server | None = None
+        self._tasks = application.TaskOwner()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._answers_link = asyncio.Lock()
+        # Nothing passes, and connections stay open.
+        self.is_cut = False
+        # Connections are aborted, as soon as they are opened too.
+        self.resets = False
+        # Rate of what the server sends, over all connections; 0 for no limit.
+        self.bytes_per_second = 0
+
+    @property
+    def address(self) -> str:
+        """Return the address to connect to."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f'{host}:{port}'
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(
+            self._forward, '127.0.0.1', 0
+        )
+
+    async def stop(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        self.abort_connections()
+        await self._tasks.cancel()
+
+    def abort_connections(self) -> None:
+        """Reset all connections."""
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def heal(self) -> None:
+        """Do no more harm; what was held up passes."""
+        self.is_cut = False
+        self.resets = False
+        self.bytes_per_second = 0
+
+    async def _forward(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        server_writer: asyncio.StreamWriter | None = None
+        try:
+            await self._wait_for_link()
+            if self.resets:
+                return
+            server_reader, server_writer = await asyncio.open_connection(
+                self._host, self._port
+            )
+            self._writers.add(server_writer)
+            copies = (
+                self._tasks.spawn(self._copy(reader, server_writer, False)),
+                self._tasks.spawn(self._copy(server_reader, writer, True)),
+            )
+            await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
+        except OSError:
+            # The server is gone; the client sees the abort below.
+            pass
+        finally:
+            for each in (writer, server_writer):
+                if each is not None:
+                    self._writers.discard(each)
+                    each.transport.abort()
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_answer: bool,
+    ) -> None:
+        try:
+            while chunk := await reader.read(CHUNK_BYTES):
+                await self._wait_for_link()
+                if is_answer and self.bytes_per_second:
+                    async with self._answers_link:
+                        await asyncio.sleep(len(chunk) / self.bytes_per_second)
+                writer.write(chunk)
+                await writer.drain()
+        except OSError:
+            # One side is gone; the end of this copy aborts the other.
+            pass
+
+    async def _wait_for_link(self) -> None:
+        while self.is_cut:
+            await asyncio.sleep(POLL_SECONDS)
--- /dev/null
+++ b/chivespoke/bench/soak/_schedule.py
@@ -0,0 +1,118 @@
+"""A seeded schedule of faults."""
+
+import enum
+import random
+
+import msgspec
+
+# Faults end this many seconds before the run does, so that what they held up
+# can be seen to go on.
+CALM_SECONDS = 2.0
+FIRST_FAULT_SECONDS = 1.0
+
+
+class FaultKind(enum.Enum):
+    """Name what happens to a process, its link to the store, or the store."""
+
+    CUT = 'cut'
+    RESET = 'reset'
+    NARROW = 'narrow'
+    TERMINATE = 'terminate'
+    KILL = 'kill'
+    PAUSE = 'pause'
+    RELOAD = 'reload'
+    STORE_REFUSES = 'store-refuses'
+    STORE_SLOW = 'store-slow'
+    STORE_LOSES_ANSWERS = 'store-loses-answers'
+    STORE_FORGETS = 'store-forgets'
+    STORM = 'storm'
+
+
+LINK_FAULTS = (FaultKind.CUT, FaultKind.RESET, FaultKind.NARROW)
+PROCESS_FAULTS = (
+    FaultKind.TERMINATE,
+    FaultKind.KILL,
+    FaultKind.PAUSE,
+    FaultKind.RELOAD,
+)
+STORE_FAULTS = (
+    FaultKind.STORE_REFUSES,
+    FaultKind.STORE_SLOW,
+    FaultKind.STORE_LOSES_ANSWERS,
+    FaultKind.STORE_FORGETS,
+)
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """Hold one fault; times are in seconds of the run."""
+
+    at: float
+    kind: FaultKind
+    seconds: float
+    # Name of a process; empty for the store and the operator.
+    target: str = ''
+
+
+def make_schedule(
+    seed: int,
+    seconds: float,
+    entries: tuple[str, ...],
+    sidecars: tuple[str, ...],
+) -> tuple[Fault, ...]:
+    """Return faults in series that overlap, in the order of their times."""
+    generator = random.Random(seed)
+    last = seconds - CALM_SECONDS
+    faults: list[Fault] = []
+
+    def add(kind: FaultKind, at: float, length: float, target: str) -> None:
+        if at < last:
+            length = min(length, last - at)
+            faults.append(Fault(round(at, 3), kind, round(length, 3), target))
+
+    at = FIRST_FAULT_SECONDS
+    while at < last:
+        series = generator.randrange(4)
+        if series == 0:
+            # Entries lose sight of the store while the operator is busy.
+            length = generator.uniform(2.0, 7.0)
+            add(FaultKind.STORM, at, length + 3.0, '')
+            for name in generator.sample(
+                entries, generator.randint(1, len(entries))
+            ):
+                add(
+                    generator.choice(LINK_FAULTS),
+                    at + generator.uniform(0.0, 1.0),
+                    length,
+                    name,
+                )
+        elif series == 1:
+            # Processes are signalled one after the other.
+            kind = generator.choice(PROCESS_FAULTS)
+            for number, name in enumerate(
+                generator.sample(entries, generator.randint(1, len(entries)))
+            ):
+                add(
+                    kind,
+                    at + number * generator.uniform(0.3, 1.5),
+                    generator.uniform(0.5, 4.0),
+                    name,
+                )
+        elif series == 2:
+            for name in generator.sample(
+                sidecars, generator.randint(1, len(sidecars))
+            ):
+                add(
+                    generator.choice((*PROCESS_FAULTS, FaultKind.CUT)),
+                    at + generator.uniform(0.0, 2.0),
+                    generator.uniform(0.5, 4.0),
+                    name,
+                )
+        else:
+            add(
+                generator.choice(STORE_FAULTS),
+                at,
+                generator.uniform(0.5, 4.0),
+                '',
+            )
+        at += generator.uniform(0.5, 3.0)
+    return tuple(sorted(faults, key=lambda fault: fault.at))
--- /dev/null
+++ b/chivespoke/bench/soak/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak."""
--- a/chivespoke/cli/_bench.py
+++ b/chivespoke/cli/_bench.py
@@ -53,3 +53,8 @@
     name='routing',
     help='Measure the request path and compare it with naive routing.',
 )
+BENCH.command(
+    'chivespoke.cli._bench_soak:show_soak',
+    name='soak',
+    help='Run real daemons under faults and check what callers see.',
+)
--- a/chivespoke/standins/_store.py
+++ b/chivespoke/standins/_store.py
@@ -138,6 +138,10 @@
         """Expire the records before an offset; newest values stay readable."""
         self._get_partition(topic, 0).first = offset
 
+    def forget_history(self, topic: str) -> None:
+        """Expire all records of a topic; newest values stay readable."""
+        self.expire_records_before(topic, self._get_partition(topic, 0).end)
+
     def reassign_partitions(self, group: str) -> None:
         """Rotate the partitions of a group among its members."""
         state = self._groups[group]
