--- a/chivespoke/bench/soak/_callers.py
+++ b/chivespoke/bench/soak/_callers.py
@@ -20,8 +20,10 @@
 STORM_SECONDS = 0.25
 PAUSE_SECONDS = 0.05
 ROUTE_BYTES = 190
-# Routes added before the oldest one is removed.
-KEPT_ROUTES = 8
+# Routes that stay in force, longer than any fault lasts.
+KEPT_ROUTES = 24
+# Newest routes, and last removed ones, that callers ask for.
+ASKED_ROUTES = 16
 
 
 class History:
@@ -36,6 +38,15 @@
         """Return the seconds of the run."""
         return time.monotonic() - self._started_at
 
+    def list_recent_paths(self, in_force: bool) -> list[str]:
+        """Return the paths of the last routes added, or removed."""
+        paths = [
+            path
+            for path, route in self.routes.items()
+            if (route.removing_at == float('inf')) is in_force
+        ]
+        return paths[-ASKED_ROUTES:]
+
 
 class Operator:
     """Write versions that add a route each, and remove old ones."""
@@ -148,8 +159,7 @@
         elif choice < 0.5 and self._jobs:
             job = self._random.choice(self._jobs)
             await self._request('GET', JOB_PREFIX + job, job)
-        elif self._history.routes:
-            paths = list(self._history.routes)[-2 * KEPT_ROUTES :]
+        elif paths := self._history.list_recent_paths(choice < 0.8):
             await self._request('GET', self._random.choice(paths))
 
     async def _submit(self) -> None:
