--- a/chivespoke/intake/tests/narrow_link.py
+++ b/chivespoke/intake/tests/narrow_link.py
@@ -273,6 +273,15 @@
             )
         assert forwarded is not None
 
+    async def find_named_version(self, path: str) -> int:
+        """Return the version that an answer to a neighbour names."""
+        (route,) = intake.NeighbourRoutes(self.routes).list_routes()
+        assert isinstance(route, web.RouteDef)
+        response = await route.handler(
+            test_utils.make_mocked_request('GET', path, payload=EMPTY)
+        )
+        return int(response.headers[platform.CONFIGURATION_VERSION_HEADER])
+
     async def probe(self) -> int:
         """Return the status of the readiness check."""
         (route,) = self.readiness.list_routes()
--- a/chivespoke/intake/tests/test_old_views.py
+++ b/chivespoke/intake/tests/test_old_views.py
@@ -255,6 +255,7 @@
                 )
                 statuses.append(await entry.request('GET', '/b/'))
             statuses.append(await entry.request('GET', '/c/'))
+            self.assertEqual(2, await entry.find_named_version('/c/'))
             await entry.stop()
             return statuses
 
