Give reads without a wait the time of reads with one

Since a follower lets the store wait only until its view is a second old, one that is behind asked without a wait, and gave up after 1 s without a byte instead of 2 s, when its link or the store is at its slowest. The test answers after 1.4 s; it failed before.

--- a/chivespoke/platform/_store.py
+++ b/chivespoke/platform/_store.py
@@ -22,6 +22,9 @@
 READ_HEADER = struct.Struct('>QQ')
 # A call takes about 5 ms, and up to sixty times that when the store is slow.
 CALL_TIMEOUT_SECONDS = 1.0
+# Shortest time for which a read of the log may bring nothing, whether it waits
+# for records or not: other answers share its link.
+READ_TIMEOUT_SECONDS = 2.0
 # Size of one answer with records of the log.
 MAX_READ_BYTES = 1_048_576
 OK = 200
@@ -236,7 +239,9 @@
             'read',
             'GET',
             f'/log-read?{query}',
-            timeout_seconds=wait_seconds + CALL_TIMEOUT_SECONDS,
+            timeout_seconds=max(
+                READ_TIMEOUT_SECONDS, wait_seconds + CALL_TIMEOUT_SECONDS
+            ),
             idle_timeout=True,
         )
         if response.status != OK:
--- a/chivespoke/platform/tests/test_store.py
+++ b/chivespoke/platform/tests/test_store.py
@@ -13,6 +13,8 @@
 VALUE = b'v' * 15_000
 VALUES = 14
 TIMEOUT_SECONDS = 20.0
+# Longer than the timeout of a call, shorter than that of a read.
+SLOW_SECONDS = 1.4
 
 
 class StoreTest(unittest.IsolatedAsyncioTestCase):
@@ -96,6 +98,13 @@
             page = await self.store.read(TOPIC, 0, 0.0)
         self.assertEqual(VALUES, len(page.records))
 
+    async def test_read_without_a_wait_is_as_patient_as_one_with(self) -> None:
+        # A reader that is behind lets the store wait for nothing.
+        await self.append('a', b'1')
+        self.standin.faults.delay = SLOW_SECONDS
+        page = await self.store.read(TOPIC, 0, 0.0)
+        self.assertEqual(1, len(page.records))
+
     async def test_answer_without_header_is_an_error(self) -> None:
         self.standin.faults.empty_answers = True
         with self.assertRaises(errors.UnavailableError):
