Apply a record again that a fold of newest records failed on

The follower of newest records marked a record as applied before the fold had taken it, so that one failure would have hidden a version of the configuration for good; the other follower reads it again. Found in review. The test, a fold that fails once, failed before.

--- a/chivespoke/coordination/_newest_follower.py
+++ b/chivespoke/coordination/_newest_follower.py
@@ -113,9 +113,12 @@
         )
 
     def _apply(self, records: tuple[platform.Record, ...]) -> None:
-        for record in records:
-            # The log from the end of the first page on repeats records of
-            # later pages.
-            if record.offset > self._offsets.get(record.key, -1):
-                self._offsets[record.key] = record.offset
-                self._fold.apply(record)
+        # The log from the end of the first page on repeats records of later
+        # pages.
+        newer = tuple(
+            record
+            for record in records
+            if record.offset > self._offsets.get(record.key, -1)
+        )
+        super()._apply(newer)
+        self._offsets.update((record.key, record.offset) for record in newer)
--- a/chivespoke/coordination/tests/test_followers.py
+++ b/chivespoke/coordination/tests/test_followers.py
@@ -35,8 +35,13 @@
         self.values: dict[str, bytes] = {}
         self.offsets: dict[str, list[int]] = {}
         self.follower: _followers.TopicFollower | None = None
+        # Number of records that cannot be applied.
+        self.failures = 0
 
     def apply(self, record: platform.Record) -> None:
+        if self.failures:
+            self.failures -= 1
+            raise ValueError('a fault of the fold')
         assert self.follower is not None
         self.keys.append(record.key)
         self.ages.append(self.follower.measure_age())
@@ -229,6 +234,15 @@
             sorted(self.fold.offsets['k3']), self.fold.offsets['k3']
         )
 
+    async def test_record_that_could_not_be_applied_is_read_again(
+        self,
+    ) -> None:
+        self.fold.failures = 1
+        await self.standin.put(TOPIC, 'k', b'1')
+        await self.start_follower(clock.SystemClock())
+        await self.wait_for_keys(1)
+        self.assertEqual({'k': b'1'}, self.fold.values)
+
     async def test_dropped_history_is_no_obstacle(self) -> None:
         await self.start_follower(clock.SystemClock())
         await self.wait_for_reads(1)
