--- a/chivespoke/bench/_fault_audit.py
+++ b/chivespoke/bench/_fault_audit.py
@@ -106,7 +106,11 @@
         report.simulated_seconds = round(self._cluster.now() - 1000.0, 1)
         report.jobs = len(self._submitted)
         for job_id in self._submitted:
-            found = api.report_job(job_id)
+            try:
+                found = api.report_job(job_id)
+            except errors.NotLoadedError:
+                # The run has failed while the process was behind.
+                continue
             if found is None:
                 continue
             report.tasks += found.submitted
--- a/chivespoke/bench/_fault_world.py
+++ b/chivespoke/bench/_fault_world.py
@@ -521,7 +521,11 @@
         if not all(stream.is_loaded for stream in api.streams.values()):
             return False
         for job_id in self.submitted:
-            report = api.report_job(job_id)
+            try:
+                report = api.report_job(job_id)
+            except errors.NotLoadedError:
+                # The process has not read the newest records yet.
+                return False
             if report is None or report.waiting or report.running:
                 return False
         return not any(
