--- a/chivespoke/bench/soak/_callers.py
+++ b/chivespoke/bench/soak/_callers.py
@@ -185,7 +185,7 @@
                 timeout=aiohttp.ClientTimeout(total=CALL_SECONDS),
             )
         daemon = self._world.daemons[self._entry]
-        asked = f'{self._entry}/{len(daemon.started_at)}'
+        asked = f'{self._entry}/{daemon.starts}'
         sent_at = self._history.read_time()
         status, content = 0, b''
         try:
--- a/chivespoke/bench/soak/_checks.py
+++ b/chivespoke/bench/soak/_checks.py
@@ -47,7 +47,7 @@
 class Observation(msgspec.Struct, frozen=True):
     """Hold a request as its caller saw it."""
 
-    # Name and start of the process that was asked.
+    # Name of the daemon that was asked, and number of its process.
     entry: str
     method: str
     path: str
--- a/chivespoke/bench/soak/_daemon.py
+++ b/chivespoke/bench/soak/_daemon.py
@@ -5,7 +5,6 @@
 import pathlib
 import signal
 import sys
-import time
 
 from chivespoke import application
 
@@ -60,8 +59,8 @@
         self._log_path = folder / f'{name}.log'
         self._process: asyncio.subprocess.Process | None = None
         self._changes = asyncio.Lock()
-        # Times of the starts of its processes, in monotonic seconds.
-        self.started_at: list[float] = []
+        # Number of its processes so far.
+        self.starts = 0
 
     async def start(self) -> None:
         with self._log_path.open('ab') as output:
@@ -74,7 +73,7 @@
                 stderr=output,
                 env={**os.environ, SETTINGS_VARIABLE: str(self._settings)},
             )
-        self.started_at.append(time.monotonic())
+        self.starts += 1
 
     async def stop(self) -> None:
         self.send(signal.SIGCONT)
