Review: a late start runs a completed task again on a new life

Cause: a start that got no answer is repeated, answered and reported as taken. The first call may be carried out later; on a runner that has started again under its identifier nothing bars it before the first poll of the next session (TWICE).

The stand-in of a runner can hold back starts and report late; a stand-in that fails makes a case end with 2.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec "$(dirname "$0")/../case.sh" 5
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import json
+import logging
 import math
 import os
 import pathlib
@@ -365,6 +366,7 @@
     async def _serve_store(self, ip):
         """Serve the store at an address that only one machine uses."""
         self._refusals[ip] = asyncio.Event()
+
         @web.middleware
         async def refuse(request, handler):
             """Answer 503 while the machine is turned away, also long polls."""
@@ -424,7 +426,9 @@
             'services': [service],
             'limits': {'max_body_bytes': 262144},
         }
-        await self.store.put('keyed.op', 'config', json.dumps(content).encode())
+        await self.store.put(
+            'keyed.op', 'config', json.dumps(content).encode()
+        )
         self.world.note('configuration written', version=version)
 
     def turn_away(self, entry_number):
@@ -532,6 +536,8 @@
     `case` takes the deployment and whether to cause the disruption.
     """
     trouble = os.environ.get('TROUBLE', '1') != '0'
+    # Crashes of runners break off calls, which the server library reports.
+    logging.getLogger('aiohttp.server').setLevel(logging.CRITICAL)
 
     async def run():
         path = pathlib.Path(folder) / 'record.txt'
@@ -561,7 +567,12 @@
             print('rule broken' if broken else 'rule held')
             return 1 if broken else 0
 
-    return asyncio.run(run())
+    try:
+        return asyncio.run(run())
+    except Exception as error:
+        # Python would exit with 1, which says that the rule was broken.
+        print(f'cannot run: {error!r}')
+        return 2
 
 
 if __name__ == '__main__':
--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -13,6 +13,7 @@
 import aiohttp
 from aiohttp import web
 
+TARGET_HEADER = 'Chivespoke-Target-Instance'
 CHECKPOINT_SECONDS = 1.0
 GANG_TIMEOUT_SECONDS = 3.0
 MAX_HOLD_MS = 10_000
@@ -33,6 +34,8 @@
         self.started_at = time.monotonic()
         self.start_checkpoint = body.get('checkpoint', '')
         self.saved = self.start_checkpoint
+        # All checkpoints of the run.
+        self.checkpoints = {self.start_checkpoint}
         self.pace = 100
         self.done_ms = int(self.saved[:8], 16) if self.saved else 0
         # A gang works from the moment when all its members are present.
@@ -64,6 +67,7 @@
     def save(self):
         """Make a checkpoint."""
         self.saved = f'{int(self.done_ms):08x}{self.task[:8]}'
+        self.checkpoints.add(self.saved)
 
     def list_row(self):
         """Return the row of the list of running tasks."""
@@ -115,6 +119,11 @@
         self.enforces = True
         # The runner answers each start with this status and does nothing.
         self.refuse_starts = 0
+        # Time from the start of a later boot to its first status report.
+        self.first_report_seconds = 0.0
+        # Number of start calls that get no answer and are held back.
+        self.late_starts = 0
+        self._held_starts = []
         self.address = ''
         self.control = ''
         self.boot = None
@@ -213,8 +222,12 @@
 
     async def _beat(self):
         async with aiohttp.ClientSession() as session:
+            reported = self.boot
             while True:
                 boot = self.boot
+                if boot is not reported:
+                    await asyncio.sleep(self.first_report_seconds)
+                    reported = boot
                 if boot.up:
                     await self._report(session, boot)
                 await asyncio.sleep(HEARTBEAT_SECONDS if boot.up else 0.02)
@@ -304,13 +317,38 @@
         )
 
     def _is_addressed(self, request, boot):
-        target = request.headers.get('Chivespoke-Target-Instance')
+        target = request.headers.get(TARGET_HEADER)
         return target in (None, boot.identifier)
 
+    def carry_out_late(self):
+        """Execute the start calls that were held back; return their number."""
+        held, self._held_starts = self._held_starts, []
+        for target, body in held:
+            response = self._execute_start(target, body)
+            self.world.note(
+                'late start',
+                task=body['task'],
+                run=body['run_id'],
+                status=response.status,
+                body=response.text,
+            )
+        return len(held)
+
     async def _handle_start(self, request):
         body = await request.json()
+        target = request.headers.get(TARGET_HEADER)
+        if self.late_starts:
+            self.late_starts -= 1
+            self._held_starts.append((target, body))
+            self.world.note(
+                'start unanswered', task=body['task'], run=body['run_id']
+            )
+            await asyncio.sleep(3600)
+        return self._execute_start(target, body)
+
+    def _execute_start(self, target, body):
         boot = self.boot
-        if not self._is_addressed(request, boot):
+        if target not in (None, boot.identifier):
             return web.Response(status=421)
         if self.refuse_starts:
             self.world.note(
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -123,10 +123,8 @@
         if not runner.enforces and not self.fits(boot, run):
             self.report('LIMIT', f'{who} brings the runner over its capacity')
         cancelled_at = run.job['cancel_acknowledged_at']
-        if (
-            cancelled_at is not None
-            and time.monotonic()
-            > max(cancelled_at + CANCEL_SECONDS, self.calm_from)
+        if cancelled_at is not None and time.monotonic() > max(
+            cancelled_at + CANCEL_SECONDS, self.calm_from
         ):
             late = time.monotonic() - cancelled_at
             self.report(
@@ -135,9 +133,7 @@
                 f'cancelling',
             )
         self._check_checkpoint(run, who)
-        earlier.append(
-            {'run': run, 'end': None, 'acknowledged': False, 'saved': set()}
-        )
+        earlier.append({'run': run, 'end': None, 'acknowledged': False})
 
     def _check_order(self, run, who):
         identifier, occurrence, _, _ = run.task.split('.')
@@ -149,8 +145,9 @@
                     self.report('ORDER', f'{who} starts before {task} is done')
                     return
         if run.job['repeat_count']:
-            due = run.job['start_at_ms'] + int(occurrence) * (
-                run.job['interval_ms']
+            due = (
+                run.job['start_at_ms']
+                + int(occurrence) * (run.job['interval_ms'])
             )
             early = due / 1000 - time.time()
             if early > EARLY_SECONDS:
@@ -192,7 +189,7 @@
             count = run.step['count']
             names = [f'{head}.{index}' for index in range(count)]
         if not any(
-            run.start_checkpoint in row['saved'] | {row['run'].saved}
+            run.start_checkpoint in row['run'].checkpoints
             for name in names
             for row in self.runs.get(name, ())
         ):
@@ -210,7 +207,6 @@
         for row in self.runs.get(run.task, ()):
             if row['run'] is run:
                 row['end'] = cause
-                row['saved'].add(run.saved)
         if cause == 'alone' and run.job['cancel_acknowledged_at'] is None:
             self.report('GANG', f'{run.task}#{run.run} ends alone')
 
