Count a job as begun once a worker has begun it

Cause: the assignment of a job's first task set its phase to running, and a start that was refused, lost or withdrawn did not set it back. A decision to start was shown as a start; `chivespoke_start_wait` was measured in the same way.

Change: the phase follows what a worker shows: an answered order, a listed run, an end, or a run lost after one of these. The start is stored with the progress, so that entries and the next leader give the same phase. Two tests of phases that asked before the first plan after the start now plan first; their checks are the same.

--- a/chivespoke/coordination/_crashes.py
+++ b/chivespoke/coordination/_crashes.py
@@ -94,6 +94,9 @@
         is_complete: bool,
     ) -> None:
         self._handled.append(crash.worker)
+        for suspect in crash.suspects:
+            if suspect.begun:
+                self._state.record_start(suspect.task, wall_ms)
         suspects = self._find_suspects(crash)
         crashed_at = now - crash.silent_ms / 1000
         # A leader that has not seen it does not know what else was lost.
@@ -236,7 +239,12 @@
         int((now - worker.answered_at) * 1000),
         len(ages),
         tuple(
-            _messages.SuspectRun(run.task_id, run.number, int(age * 1000))
+            _messages.SuspectRun(
+                run.task_id,
+                run.number,
+                int(age * 1000),
+                run.started_at is not None,
+            )
             for run, age in ages[: _messages.MAX_SUSPECTS]
         ),
     )
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -79,6 +79,13 @@
         self.runs: list[_fleet.Run] = []
 
 
+class StartWait(msgspec.Struct, frozen=True):
+    """Hold how long a job has waited until its first task began."""
+
+    queue: str
+    seconds: float
+
+
 class State:
     """Hold jobs and workers and keep their task assignments consistent."""
 
@@ -99,6 +106,7 @@
         'fences',
         'suspects',
         '_crash_blames',
+        '_start_waits',
         'late_starts',
     )
 
@@ -112,6 +120,8 @@
         self.suspects = _suspects.SuspectTasks()
         # What the crashes since the last look were put down to.
         self._crash_blames: list[CrashBlame] = []
+        # Of the jobs that have begun since the last look.
+        self._start_waits: list[StartWait] = []
         self.late_starts = _late_starts.LateStarts(
             timeouts.late_call_seconds, timeouts.start_order_seconds
         )
@@ -167,6 +177,27 @@
         if entry.cancelled:
             self.cancel_job(entry.job.identifier, wall_ms)
 
+    def record_start(self, task_id: str, wall_ms: int) -> None:
+        """Record that a run of a task has begun on a worker."""
+        name = workloads.parse_task_name(task_id)
+        state = self.jobs.get(name.job) if name else None
+        if state is None or not state.record_start():
+            return
+        seconds = max(0, wall_ms - state.job.accepted_ms) / 1000
+        LOGGER.info(
+            'The first task of a job has begun.',
+            task=task_id,
+            queue=state.job.queue,
+            wait_seconds=seconds,
+        )
+        self._start_waits.append(StartWait(state.job.queue, seconds))
+
+    def take_start_waits(self) -> tuple[StartWait, ...]:
+        """Return and forget the waits of the jobs that have begun."""
+        waits = tuple(self._start_waits)
+        self._start_waits.clear()
+        return waits
+
     def cancel_job(self, identifier: str, wall_ms: int) -> None:
         """Cancel a job and stop its runs."""
         state = self.jobs[identifier]
--- a/chivespoke/coordination/_jobs.py
+++ b/chivespoke/coordination/_jobs.py
@@ -174,8 +174,17 @@
         task.run = run
         task.worker = worker
         self.dirty = True
-        if self.progress.phase is workloads.JobPhase.QUEUED:
-            self.progress.phase = workloads.JobPhase.RUNNING
+
+    def record_start(self) -> bool:
+        """Record that a task has begun; return whether it is the first.
+
+        An assignment alone is no start: the worker may refuse the order.
+        """
+        if self.progress.phase is not workloads.JobPhase.QUEUED:
+            return False
+        self.progress.phase = workloads.JobPhase.RUNNING
+        self.dirty = True
+        return True
 
     def requeue(self, name: workloads.TaskName, checkpoint: str) -> None:
         """Return an assigned task to the queue, with its latest checkpoint.
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -78,7 +78,7 @@
                     sent=worker.directives,
                 )
             self._state.release_lapsed_runs(worker, report.covered, now)
-        self._reconcile_runs(worker, report.running)
+        self._reconcile_runs(worker, report.running, wall_ms)
         add_unrecorded_starts(worker, report.unanswered)
         record_paces(worker, report.paces)
         self._observe_runs(worker, is_new_poll)
@@ -87,7 +87,7 @@
             _fleet.learn_tails(worker, self._state.interference)
             worker.candidate = None
         for outcome in report.outcomes:
-            self._handle_outcome(worker, outcome, report.covered, now)
+            self._handle_outcome(worker, outcome, report.covered, now, wall_ms)
         return worker
 
     def _find_replaced(
@@ -146,6 +146,7 @@
             return
         worker.processed_end = end.number
         worker.unrecorded_runs.pop(end.task, None)
+        self._state.record_start(end.task, wall_ms)
         run = worker.runs.get(end.task)
         if run is None or run.number != end.run:
             LOGGER.info(
@@ -227,12 +228,16 @@
         self,
         worker: _fleet.Worker,
         running: tuple[platform.RunningTask, ...],
+        wall_ms: int,
     ) -> None:
         listed = {row.task: row for row in running}
         for task_id, run in worker.runs.items():
             row = listed.get(task_id)
             if row is not None and row.run == run.number:
-                self._update_listed_run(worker, run, row)
+                if run.started_at is None:
+                    run.started_at = worker.reported_at
+                    self._state.record_start(task_id, wall_ms)
+                self._update_listed_run(run, row)
             elif run.last_listing is not None:
                 # The worker no longer lists the run but has not reported its
                 # end. The reply to a repeated order shows the run's state.
@@ -247,16 +252,13 @@
             if row.task not in worker.runs
             or worker.runs[row.task].number != row.run
         }
+        for task_id in worker.unrecorded_runs:
+            self._state.record_start(task_id, wall_ms)
 
     def _update_listed_run(
-        self,
-        worker: _fleet.Worker,
-        run: _fleet.Run,
-        row: platform.RunningTask,
+        self, run: _fleet.Run, row: platform.RunningTask
     ) -> None:
         run.last_listing = row
-        if run.started_at is None:
-            run.started_at = worker.reported_at
         if run.state is _fleet.RunState.ORDERED and run.sent_at is not None:
             run.state = _fleet.RunState.RUNNING
         state = self._state.jobs.get(run.name.job)
@@ -333,7 +335,10 @@
         outcome: _messages.OrderOutcome,
         covered: int | None,
         now: float,
+        wall_ms: int,
     ) -> None:
+        if outcome.refusal is None:
+            self._state.record_start(outcome.task, wall_ms)
         run = worker.runs.get(outcome.task)
         if run is None or run.number != outcome.run:
             return
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -191,6 +191,10 @@
                 self._telemetry.run_ends.add(1, {'cause': end.cause.value})
         for blame in self._engine.state.take_crash_blames():
             self._telemetry.worker_crashes.add(1, {'blame': blame.value})
+        for wait in self._engine.state.take_start_waits():
+            self._telemetry.start_wait.record(
+                wait.seconds, {'queue': wait.queue}
+            )
         if worker is not None:
             self._workers_by_sidecar[report.sidecar] = worker
         if report.ended or report.outcomes or report.lapsed:
@@ -285,7 +289,6 @@
             # Nothing has proven the leadership for a while.
             await self._append(b'')
         self._engine.confirm(plan)
-        self._record_start_waits(plan)
         for standing in self._engine.state.take_standing_changes():
             self._telemetry.standing_changes.add(
                 1, {'standing': standing.name.lower()}
@@ -302,16 +305,6 @@
             ):
                 self._links[sidecar].wake()
 
-    def _record_start_waits(self, plan: _engine.Plan) -> None:
-        wall = self._clock.read_wall()
-        for run in plan.decided_runs:
-            state = self._engine.state.jobs.get(run.name.job)
-            if state is not None:
-                self._telemetry.start_wait.record(
-                    max(0.0, wall - state.job.accepted_ms / 1000),
-                    {'queue': state.job.queue},
-                )
-
     def _record_learning(self) -> None:
         for model, count in self._engine.take_learned_samples().items():
             if count:
--- a/chivespoke/coordination/tests/test_engine.py
+++ b/chivespoke/coordination/tests/test_engine.py
@@ -64,6 +64,7 @@
 
     def test_job_is_completed_once_all_tasks_are_done(self) -> None:
         self.start_job()
+        self.leader.plan()
         for number, task in (
             (1, engine_case.FIRST_TASK),
             (2, engine_case.SECOND_TASK),
@@ -341,6 +342,7 @@
         # a process that led twice kept unstored progress of its first term,
         # so that its second term never stored it.
         self.start_job(engine_case.ONE_TASK_STEP)
+        self.leader.plan()
         self.take_over()
         report = builders.make_report(
             ended=(builders.make_end(1, engine_case.FIRST_TASK),)
--- a/chivespoke/serving/tests/test_end_to_end.py
+++ b/chivespoke/serving/tests/test_end_to_end.py
@@ -31,6 +31,7 @@
 # timeout of a call.
 SLOW_LINK_BYTES_PER_SECOND = 100_000
 CANCELLED_JOBS = 20
+MANY_CALLS = 10_000
 PAYLOAD_BYTES = 10_000
 # Enough for a change of leader and an expired lease on a loaded machine.
 TIMEOUT_SECONDS = 40.0
@@ -400,6 +401,28 @@
             self.platform.wait_for_state(OTHER_JOB, 'completed')
         )
 
+    async def test_job_is_pending_until_a_worker_begins_it(self) -> None:
+        # Regression: a job was shown as running, and not counted as pending,
+        # once it was assigned, though its worker refused all starts.
+        await self.start(workers=1)
+        faults = self.platform.runners[0].faults
+        faults.unhealthy_starts = MANY_CALLS
+        await self.submit(TWO_STEP_JOB)
+        while faults.unhealthy_starts == MANY_CALLS:
+            await asyncio.sleep(0.02)
+        for _ in range(10):
+            status, content = await self.platform.request('GET', '')
+            self.assertEqual((200, {'pending': 1}), (status, content))
+            await asyncio.sleep(0.1)
+        status, content = await self.platform.request('GET', JOB)
+        self.assertEqual((200, {'state': 'queued'}), (status, content))
+        faults.unhealthy_starts = 0
+        await self.run_with_timeout(
+            self.platform.wait_for_state(JOB, 'completed')
+        )
+        status, content = await self.platform.request('GET', '')
+        self.assertEqual((200, {'pending': 0}), (status, content))
+
     async def test_queue_and_job_requests_return_their_status(self) -> None:
         await self.start(workers=0)
         status, _ = await self.platform.request('GET', JOB)
--- a/chivespoke/telemetry.py
+++ b/chivespoke/telemetry.py
@@ -143,7 +143,7 @@
         self.start_wait = self.meter.create_histogram(
             'chivespoke_start_wait',
             unit='s',
-            description='Acceptance of a job to a run of it, by queue',
+            description='Acceptance of a job to its first start, by queue',
         )
         self.run_ends = self.meter.create_counter(
             'chivespoke_run_ends', description='Ends of runs, by cause'
