Say that tasks are placed, not that they run, in the scheduler's reports

Cause: the reports of `chivespoke.scheduling` counted each attempt that is placed as a running task, as the shards store no starts: the same confusion of a decision with a start as in the phases of jobs.

Change: the field, the state, the status line and the explanation of a job say `placed`, as that of a task did already. The tests check the same counts and states under this name.

--- a/chivespoke/bench/_fault_world.py
+++ b/chivespoke/bench/_fault_world.py
@@ -526,7 +526,7 @@
             except errors.NotLoadedError:
                 # The process has not read the newest records yet.
                 return False
-            if report is None or report.waiting or report.running:
+            if report is None or report.waiting or report.placed:
                 return False
         return not any(
             queue
--- a/chivespoke/cli/_job.py
+++ b/chivespoke/cli/_job.py
@@ -85,14 +85,14 @@
         return
     _output.print_table(
         'Jobs',
-        ('id', 'team', 'state', 'waiting', 'running', 'completed', 'reason'),
+        ('id', 'team', 'state', 'waiting', 'placed', 'completed', 'reason'),
         [
             (
                 report.id,
                 report.team,
                 report.state,
                 report.waiting,
-                report.running,
+                report.placed,
                 report.completed,
                 report.reason,
             )
--- a/chivespoke/demo/_story.py
+++ b/chivespoke/demo/_story.py
@@ -162,14 +162,14 @@
         if not answer.accepted:
             raise errors.RefusedError('submit', answer.id, answer.reason)
         submitted_at = self._clock.read_monotonic()
-        while (await client.show_job(job.name)).running == 0:
+        while (await client.show_job(job.name)).placed == 0:
             await asyncio.sleep(POLL_SECONDS)
         report = await client.show_job(job.name)
-        while self._count_all_running_tasks() < report.running:
+        while self._count_all_running_tasks() < report.placed:
             await asyncio.sleep(POLL_SECONDS)
         seconds = self._clock.read_monotonic() - submitted_at
         self._reporter.report_result(
-            f'{report.running} of {job.tasks} tasks of {job.name} run on '
+            f'{report.placed} of {job.tasks} tasks of {job.name} run on '
             f'workers after {seconds:.1f} s.'
         )
         return submitted_at
--- a/chivespoke/scheduling/_explanation.py
+++ b/chivespoke/scheduling/_explanation.py
@@ -91,7 +91,7 @@
         crashed_workers = sum(job.crashed_workers for job in jobs)
         if crashed_workers:
             lines['workers crashed'] = str(crashed_workers)
-        lines['tasks running'] = str(sum(job.running for job in jobs))
+        lines['tasks placed'] = str(sum(job.placed for job in jobs))
         lines['tasks waiting'] = str(sum(job.waiting for job in jobs))
         return operators.Section(
             title='scheduling',
@@ -103,7 +103,7 @@
                 f'job {job.id} is suspected of {job.crashed_workers} crashes '
                 'of workers'
                 for job in jobs
-                if job.crashed_workers and (job.waiting or job.running)
+                if job.crashed_workers and (job.waiting or job.placed)
             ),
         )
 
@@ -161,7 +161,7 @@
         name=report.id,
         what=(
             f'{report.state}: {report.completed} of {report.submitted} '
-            f'completed, {report.running} running, {report.waiting} waiting'
+            f'completed, {report.placed} placed, {report.waiting} waiting'
         ),
         why=(report.reason,) if report.reason else (),
         would_change=would_change,
--- a/chivespoke/scheduling/_requests.py
+++ b/chivespoke/scheduling/_requests.py
@@ -74,7 +74,8 @@
     state: str
     reason: str
     waiting: int
-    running: int
+    # Tasks that a worker holds or has yet to start; shards store no starts.
+    placed: int
     completed: int
     failed: int
     cancelled: int
@@ -133,11 +134,11 @@
     first_part = parts[0]
     counts = [part.counts for part in parts]
     waiting = sum(part.count_fresh() + len(part.requeued) for part in parts)
-    running = sum(len(part.running) for part in parts)
+    placed = sum(len(part.running) for part in parts)
     return JobReport(
         id=first_part.job_id,
         team=first_part.spec.team,
-        state=_describe_state(parts, waiting, running),
+        state=_describe_state(parts, waiting, placed),
         reason=next(
             (
                 part.infeasible_reason or part.evidence
@@ -148,7 +149,7 @@
         )
         or next((part.evidence for part in parts if part.evidence), ''),
         waiting=waiting,
-        running=running,
+        placed=placed,
         completed=sum(count.completed for count in counts),
         failed=sum(count.failed for count in counts),
         cancelled=sum(count.cancelled for count in counts),
@@ -170,16 +171,14 @@
     )
 
 
-def _describe_state(
-    parts: list[_state.Job], waiting: int, running: int
-) -> str:
+def _describe_state(parts: list[_state.Job], waiting: int, placed: int) -> str:
     phase = max(part.phase for part in parts)
-    if waiting or running:
+    if waiting or placed:
         if phase is not _state.JobPhase.OPEN:
             return 'stopping'
-        if not running and any(part.infeasible_reason for part in parts):
+        if not placed and any(part.infeasible_reason for part in parts):
             return 'impossible'
-        return 'running' if running else 'waiting'
+        return 'placed' if placed else 'waiting'
     if phase is _state.JobPhase.CANCELLED:
         return 'cancelled'
     if any(part.counts.failed for part in parts):
--- a/chivespoke/scheduling/tests/test_daemon.py
+++ b/chivespoke/scheduling/tests/test_daemon.py
@@ -90,7 +90,7 @@
             )
         report = await self._wait('job-1', 'completed')
         self.assertEqual((report.completed, report.attempts), (5, 5))
-        await self._wait('job-2', 'running')
+        await self._wait('job-2', 'placed')
         await self._post('/v1/jobs/cancel', {'jobs': ['job-2']})
         report = await self._wait('job-2', 'cancelled')
         self.assertEqual(report.cancelled, 1)
@@ -98,11 +98,11 @@
     async def test_jobs_tasks_and_workers_are_explained(self) -> None:
         endless = scheduling.JobRequest(id='job-1', tasks=20, team='billing')
         await self._post('/v1/jobs', {'jobs': [endless]})
-        await self._wait('job-1', 'running')
+        await self._wait('job-1', 'placed')
         # The worker has 16 processors, one for each of 16 tasks.
         cases = (
             ('worker/worker-1', 'up, 16 tasks, in'),
-            ('job/job-1', '16 running, 4 waiting'),
+            ('job/job-1', '16 placed, 4 waiting'),
             ('task/job-1/0', 'attempt 1 is placed on worker-1'),
             ('task/job-1/19', 'waits for attempt 1'),
         )
@@ -114,7 +114,7 @@
         async with self.session.get(f'{self.url}/status') as answer:
             status = await answer.json()
         (section,) = status['sections']
-        self.assertEqual('16', section['lines']['tasks running'])
+        self.assertEqual('16', section['lines']['tasks placed'])
 
     async def _explain(self, path: str) -> dict[str, str]:
         async with self.session.get(f'{self.url}/explain/{path}') as answer:
--- a/chivespoke/scheduling/tests/test_faults.py
+++ b/chivespoke/scheduling/tests/test_faults.py
@@ -152,7 +152,7 @@
         self.assertEqual(evicted, set(cluster.agents[0].runs))
         await cluster.run(60, STEP_SECONDS)
         self.assertFalse(cluster.agents[0].runs)
-        self.assertEqual(3, cluster.get_report().running)
+        self.assertEqual(3, cluster.get_report().placed)
 
     async def test_a_task_runs_twice_as_its_worker_registers_elsewhere(
         self,
@@ -174,7 +174,7 @@
         self.assertEqual(
             later.registration.incarnation, shard.workers[0].incarnation
         )
-        self.assertEqual(4, cluster.get_report().running)
+        self.assertEqual(4, cluster.get_report().placed)
 
     async def test_a_late_registration_cuts_off_the_living_incarnation(
         self,
--- a/chivespoke/scheduling/tests/test_owner.py
+++ b/chivespoke/scheduling/tests/test_owner.py
@@ -111,7 +111,7 @@
         ]
         self.assertEqual(3, len(runs))
         report = self.cluster.get_report('service:web@default')
-        self.assertEqual(3, report.running)
+        self.assertEqual(3, report.placed)
 
     async def test_runs_outlive_their_owner_without_a_configuration(
         self,
@@ -137,8 +137,8 @@
     async def test_unloaded_process_does_not_cancel_services(self) -> None:
         await self.start_service()
         report = self.cluster.get_report('service:web@default')
-        self.assertEqual(3, report.running)
+        self.assertEqual(3, report.placed)
         await self.restart_without_configuration()
         await self.cluster.run(60)
         report = self.cluster.get_report('service:web@default')
-        self.assertEqual(3, report.running)
+        self.assertEqual(3, report.placed)
--- a/chivespoke/scheduling/tests/test_shards.py
+++ b/chivespoke/scheduling/tests/test_shards.py
@@ -41,7 +41,7 @@
         cluster = await self._build()
         await builders.submit(cluster, 60, payload=builders.build_payload(500))
         await cluster.run(20, STEP_SECONDS)
-        self.assertEqual(cluster.get_report().running, 24)
+        self.assertEqual(cluster.get_report().placed, 24)
         api = cluster.processes['entry-1'].api
         cancelling = api.cancel([identifiers.JobId('job-1')])
         await builders.run_concurrently(cluster, cancelling, 10.0)
