Start a task elsewhere at once where nothing can execute late calls

Cause: a start call without an answer was waited for as long as it may be on its way, also where no process listens that could execute it.

Change: sidecars report refused connections, which end the wait once the leases have expired. Polls of a silent worker carry a token above that of all starts, each 50 ms while a start is without an answer. A start is not called again once its run is listed; the reports of a process cover orders to its earlier sessions; a stop ends where nothing listens. A test of messages of earlier versions expected the empty tuple as the last default and now compares with the declared one.

That the users' runs broke by this wait is suspected, not shown.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -25,6 +25,9 @@
 # A poll also renews the leases and returns the measurements for pacing.
 POLL_WAIT_SECONDS = 0.3
 POLL_RETRY_SECONDS = 0.2
+# The same while a start that got no answer may still be executed: the first
+# poll that another incarnation of the worker answers bars it.
+LATE_START_POLL_RETRY_SECONDS = 0.05
 # Pause between polls while ended runs are unacknowledged: about the time that
 # the leader takes to record them.
 UNACKNOWLEDGED_PAUSE_SECONDS = 0.02
@@ -67,6 +70,8 @@
         'epoch',
         'deregistered',
         '_fence',
+        '_fence_end',
+        '_is_fence_used',
         '_sidecar',
         '_client',
         '_listener',
@@ -85,7 +90,7 @@
         '_pace_tracker',
         '_fenced',
         '_replaced',
-        '_has_ended',
+        '_refuses_connections',
         '_doubted',
         '_applied',
         '_lapsed',
@@ -117,8 +122,12 @@
         self.identifier = identifier
         # Epoch of the current leader.
         self.epoch = epoch
-        # Fencing token that the leader has assigned to this session.
+        # Fencing token of this session, and the end of those that the leader
+        # has assigned to it.
         self._fence = 0
+        self._fence_end = 0
+        # A start was sent with the current token.
+        self._is_fence_used = False
         self.deregistered = False
         self._sidecar = sidecar
         self._client = client
@@ -145,8 +154,8 @@
         self._fenced = asyncio.Event()
         # Another incarnation of the worker has answered or registered.
         self._replaced = False
-        # The worker has deregistered, and nothing listens at its address.
-        self._has_ended = False
+        # The last poll failed because nothing listens at the worker's address.
+        self._refuses_connections = False
         # Another incarnation has registered since the last poll was sent.
         self._doubted = False
         # Number of the last directive of the current epoch that was applied.
@@ -229,6 +238,7 @@
             self._applied = 0
         if directive.session == self.identifier and directive.fence:
             self._fence = max(self._fence, directive.fence)
+            self._fence_end = max(self._fence_end, directive.fence_end)
             self._fenced.set()
         if directive.incarnation != self.incarnation.key:
             return
@@ -299,6 +309,8 @@
             crashes=crashes,
             unanswered=self._unanswered.list_starts(self._starting),
             paces=self._pace_tracker.list_reduced_paces(status),
+            refuses_connections=self._refuses_connections,
+            fence=self._fence,
         )
 
     def _update_lapsed(self) -> None:
@@ -312,7 +324,8 @@
                     self._clock.read_monotonic()
                 ),
                 lease_end_ms=self._leases.end_ms,
-                has_ended=self._has_ended,
+                deregistered=self.deregistered,
+                refuses_connections=self._refuses_connections,
                 applied=self._applied,
                 orders=len(self._in_progress),
             )
@@ -321,7 +334,10 @@
     def _have_leases_expired(self) -> bool:
         if self._answering or self._status is None or self._starting:
             return False
-        return self._has_ended or self._leases.have_expired(
+        # A deregistration alone does not show the end: it may be late, and a
+        # worker runs on for a while if it is not acknowledged.
+        has_ended = self.deregistered and self._refuses_connections
+        return has_ended or self._leases.have_expired(
             self._clock.read_monotonic()
         )
 
@@ -343,8 +359,15 @@
                 await self._poll_once()
             except errors.ChivespokeError as error:
                 self._set_answering(False, str(error))
-                self._check_end(error)
-                await self._clock.sleep(POLL_RETRY_SECONDS)
+                self._set_refuses_connections(
+                    isinstance(error, platform.NotListeningError)
+                )
+                self._raise_fence()
+                await self._clock.sleep(
+                    LATE_START_POLL_RETRY_SECONDS
+                    if self._unanswered.list_starts(self._starting)
+                    else POLL_RETRY_SECONDS
+                )
         # The calls of this session would reach the incarnation that has
         # replaced its worker. It ends when that one registers.
         await asyncio.Event().wait()
@@ -368,11 +391,14 @@
             self._doubted = False
             self._listener.handle_confirmation()
         self._set_answering(True, '')
+        self._set_refuses_connections(False)
         async with self._polled:
             self._status = status
             now = self._clock.read_monotonic()
             self._leases.record_reading(status.clock_ms, now)
             self._run_ages.record_status(status, now)
+            for row in status.running:
+                self._unanswered.record_listing(row.task, row.run)
             self._poll_count += 1
             self._polled.notify_all()
         if previous is None or have_ends_changed(previous, status):
@@ -389,19 +415,28 @@
             # The worker answers at once while ended runs are unacknowledged.
             await self._clock.sleep(UNACKNOWLEDGED_PAUSE_SECONDS)
 
-    def _check_end(self, error: errors.ChivespokeError) -> None:
-        # A deregistration alone does not show the end: it may be late, and a
-        # worker runs on for a while if it is not acknowledged.
-        has_ended = self.deregistered and isinstance(
-            error, platform.NotListeningError
+    def _set_refuses_connections(self, refuses_connections: bool) -> None:
+        if refuses_connections == self._refuses_connections:
+            return
+        self._refuses_connections = refuses_connections
+        LOGGER.info(
+            'Nothing listens at the address of the worker.'
+            if refuses_connections
+            else 'The address of the worker is not refused any more.',
+            worker=self.incarnation.key,
+            deregistered=self.deregistered,
         )
-        if has_ended and not self._has_ended:
-            LOGGER.info(
-                'The deregistered worker has ended.',
-                worker=self.incarnation.key,
-            )
-            self._listener.request_report()
-        self._has_ended = has_ended
+        self._listener.request_report()
+
+    def _raise_fence(self) -> None:
+        """Let the next poll bar all starts that were sent before it.
+
+        They may be on their way to a later incarnation of the worker, which
+        knows no token yet.
+        """
+        if self._is_fence_used and self._fence + 1 < self._fence_end:
+            self._fence += 1
+            self._is_fence_used = False
 
     def _handle_replacement(self, status: platform.WorkerStatus) -> None:
         """Stop calling a worker that has started again."""
@@ -556,11 +591,11 @@
         Returns the refusal, None if the run has started, and whether it may
         have started or may still start nevertheless.
         """
-        if self._is_listed(order.task, order.run):
-            return None, True
         may_have_started = order.repeated
         refusal = platform.Refusal.UNHEALTHY
         for _ in range(START_ATTEMPTS):
+            if self._is_listed(order.task, order.run):
+                return None, True
             if (
                 not self._accepts_starts()
                 or (order.task, order.run) in self._withdrawn
@@ -576,10 +611,17 @@
             if not self._has_room():
                 refusal = platform.Refusal.NO_CAPACITY
                 break
+            fence = self._fence
             try:
                 await self._send_start(order, lease_until_ms)
             except platform.OrderRefusedError as error:
                 refusal = error.refusal
+                if (
+                    refusal is platform.Refusal.STALE_FENCE
+                    and fence < self._fence
+                ):
+                    # A poll with a raised token has overtaken the call.
+                    continue
                 may_have_started |= refusal is platform.Refusal.SUPERSEDED
                 break
             except errors.RefusedError:
@@ -620,10 +662,13 @@
         # longer expects its run. The lease that is sent ends no later than the
         # order's own, so that the worker refuses a delayed order as expired.
         self._extend_leases()
+        self._is_fence_used = True
         self._run_ages.record_order(
             order.task, order.run, self._clock.read_monotonic()
         )
-        with self._unanswered.record_call(order.task, order.run):
+        with self._unanswered.record_call(
+            order.task, order.run, is_first=not order.repeated
+        ):
             await self._client.start(
                 order.task,
                 order.run,
@@ -652,6 +697,14 @@
                 await self._client.stop(task, run, self._fence)
                 break
             except errors.ChivespokeError as error:
+                if self._refuses_connections and self._have_leases_expired():
+                    LOGGER.info(
+                        'A stop is given up, as the worker has ended.',
+                        task=task,
+                        run=run,
+                        failures=failures,
+                    )
+                    return
                 failures += 1
                 if failures % STOPS_PER_WARNING == 1:
                     LOGGER.warning(
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -23,6 +23,8 @@
 EPOCH = 7
 SESSION = 'a/1'
 FENCE = 70
+# The session may raise its token to any below this one.
+FENCE_END = 73
 HOUR_MS = 3600 * 1000
 MAX_LEASE_SECONDS = 10.0
 # Calls to start a run before its order is reported as refused.
@@ -126,6 +128,7 @@
                 fence=FENCE,
                 reserved=reserved,
                 standings=standings,
+                fence_end=FENCE_END,
             )
         )
 
@@ -286,6 +289,76 @@
         self.assertEqual({TASK}, self.runner.running)
         self.assertEqual(1, len(self.runner.began))
 
+    async def test_start_is_not_repeated_once_its_run_is_listed(self) -> None:
+        # Regression: the calls of a run that works were counted as such that
+        # may still be executed.
+        self.runner.faults.lost_starts = 1
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        self.assertIsNone((await self.wait_for_outcome()).refusal)
+        self.assertEqual((), self.session.make_report('a').unanswered)
+        self.assertEqual(1, self.runner.starts)
+
+    async def test_stop_on_a_worker_that_is_gone_is_given_up(self) -> None:
+        # Regression: stops were repeated to the end of the day.
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        await self.wait_for_outcome()
+        self.session.deregistered = True
+        self.runner.exit()
+        await self.server.stop()
+        self.send_directive(
+            self.clock_ms + HOUR_MS, stops=(coordination.StopOrder(TASK, 1),)
+        )
+        outcome = await self.wait_for_outcome()
+        self.assertIs(platform.Refusal.SUPERSEDED, outcome.refusal)
+
+    async def test_poll_of_a_silent_worker_bars_earlier_starts(self) -> None:
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        await self.wait_for_outcome()
+        for _ in range(3):
+            await self.silence_worker()
+        # Starts were sent before the first of these silences only.
+        self.assertEqual(FENCE + 1, self.session.make_report('a').fence)
+
+    async def test_token_is_not_raised_beyond_those_of_the_session(
+        self,
+    ) -> None:
+        for run in range(1, 5):
+            start = msgspec.structs.replace(self.make_start(), run=run)
+            self.send_directive(self.clock_ms + HOUR_MS, start)
+            await self.wait_for_outcome()
+            await self.silence_worker()
+        self.assertEqual(FENCE_END - 1, self.session.make_report('a').fence)
+
+    async def test_start_that_a_poll_has_overtaken_is_repeated(self) -> None:
+        self.send_directive(self.clock_ms + HOUR_MS)
+        start = platform.WorkerClient.start
+
+        async def start_after_a_silence(
+            client: platform.WorkerClient, *arguments: typing.Any
+        ) -> None:
+            if self.session.make_report('a').fence == FENCE:
+                await self.silence_worker()
+            await start(client, *arguments)
+
+        with mock.patch.object(
+            platform.WorkerClient, 'start', start_after_a_silence
+        ):
+            self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+            self.assertIsNone((await self.wait_for_outcome()).refusal)
+        self.assertEqual(['fence'], self.runner.refusals)
+        self.assertEqual({TASK}, self.runner.running)
+
+    async def silence_worker(self) -> None:
+        """Let a poll fail, and wait for the answer of a later one."""
+        failure = errors.UnavailableError('look', 'i-1', 'cut off')
+        with mock.patch.object(
+            platform.WorkerClient, 'poll', side_effect=failure
+        ):
+            while self.session.answering:
+                await asyncio.sleep(0.01)
+        while not self.session.answering:
+            await asyncio.sleep(0.01)
+
     async def test_restarted_sidecar_stops_no_run_on_a_shrunk_worker(
         self,
     ) -> None:
--- a/chivespoke/agents/tests/test_unanswered.py
+++ b/chivespoke/agents/tests/test_unanswered.py
@@ -17,10 +17,12 @@
         self.time = clock.ManualClock()
         self.starts = _unanswered.UnansweredStarts(self.time)
 
-    def call(self, error: BaseException | None) -> None:
+    def call(
+        self, error: BaseException | None, is_first: bool = False
+    ) -> None:
         """Make a call with an outcome, for one second."""
         try:
-            with self.starts.record_call(TASK, 1):
+            with self.starts.record_call(TASK, 1, is_first):
                 self.time.advance(1.0)
                 if error is not None:
                     raise error
@@ -48,6 +50,20 @@
                     self.call(error)
                 self.assertEqual(expected, self.list_ages())
 
+    def test_only_call_is_forgotten_once_the_run_is_listed(self) -> None:
+        for name, is_first, calls, expected in (
+            ('only call', True, (LOST,), []),
+            ('after another process', False, (LOST,), [1000]),
+            ('answered after a lost one', True, (LOST, None), [2000]),
+            ('lost twice', True, (LOST, LOST), [1000]),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                for error in calls:
+                    self.call(error, is_first)
+                self.starts.record_listing(TASK, 1)
+                self.assertEqual(expected, self.list_ages())
+
     def test_call_in_progress_is_listed(self) -> None:
         with self.starts.record_call(TASK, 1):
             self.assertEqual([0], self.list_ages())
--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -112,6 +112,7 @@
         """
         if not self._state.fences.admit(report.sidecar, report.session):
             return None
+        self._state.fences.record_use(report.sidecar, report.fence)
         self._state.late_starts.record_report(report, now)
         if report.incarnation is None and report.epoch == self._epoch:
             self._state.limit_unreported_leases(report.sidecar, now)
@@ -325,6 +326,7 @@
             fence=self._state.fences.find_token(worker.sidecar),
             reserved=self._measure_reserved(worker),
             standings=self._list_standings(worker),
+            fence_end=self._state.fences.find_token_end(worker.sidecar),
         )
 
     def _measure_reserved(self, worker: _fleet.Worker) -> workloads.Resources:
@@ -348,6 +350,7 @@
             0,
             session=self._state.fences.find_session(sidecar),
             fence=self._state.fences.find_token(sidecar),
+            fence_end=self._state.fences.find_token_end(sidecar),
         )
 
     def find_session(self, sidecar: str) -> str:
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -353,23 +353,33 @@
             self.release_run(worker, run)
 
     def release_lapsed_runs(
-        self, worker: _fleet.Worker, covered: int | None, now: float
+        self,
+        worker: _fleet.Worker,
+        covered: int | None,
+        now: float,
+        refuses_connections: bool,
     ) -> None:
-        """Requeue the tasks of a worker whose sidecar says leases expired."""
-        self.release_runs(
-            worker,
-            'leases expired',
-            covered,
-            self._stop_late_runs(
-                worker.incarnation.key,
-                [
-                    run
-                    for run in worker.runs.values()
-                    if covered is None or run.ordered_in <= covered
-                ],
-                now,
-            ),
+        """Requeue the tasks of a worker whose sidecar says leases expired.
+
+        A call may start a run late on a worker that is silent, or has started
+        again unnoticed, but not where no process listens. The first poll that
+        a later incarnation answers bars the call.
+        """
+        if refuses_connections:
+            self.release_runs(
+                worker, 'leases expired, and nothing listens there', covered
+            )
+            return
+        late = self._stop_late_runs(
+            worker.incarnation.key,
+            [
+                run
+                for run in worker.runs.values()
+                if covered is None or run.ordered_in <= covered
+            ],
+            now,
         )
+        self.release_runs(worker, 'leases expired', covered, late)
 
     def _stop_late_runs(
         self, key: str, runs: list[_fleet.Run], now: float
--- a/chivespoke/coordination/_late_starts.py
+++ b/chivespoke/coordination/_late_starts.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from chivespoke.coordination import _fences
 from chivespoke.coordination import _fleet
 from chivespoke.coordination import _messages
 
@@ -16,9 +17,18 @@
     until: float
 
     def is_covered(self, report: _messages.Report) -> bool:
-        """Return whether a report of the sidecar covers the order."""
-        return report.covered is None or (
-            report.session == self.session and self.directive <= report.covered
+        """Return whether a report of the sidecar covers the order.
+
+        The reports of a process name the calls of all its sessions, and no
+        calls follow for the orders to an earlier session.
+        """
+        return (
+            report.covered is None
+            or (
+                report.session == self.session
+                and self.directive <= report.covered
+            )
+            or _fences.is_earlier(self.session, report.session)
         )
 
 
--- a/chivespoke/coordination/_messages.py
+++ b/chivespoke/coordination/_messages.py
@@ -122,6 +122,11 @@
     unanswered: tuple[UnansweredStart, ...] = ()
     # Those of the listed fillers that are below full speed.
     paces: tuple[RunPace, ...] = ()
+    # The worker's machine refused the last poll's connection: no process is
+    # there to execute a call, until another incarnation begins.
+    refuses_connections: bool = False
+    # Fencing token of the session's calls.
+    fence: int = 0
 
     @property
     def covered(self) -> int | None:
@@ -200,6 +205,9 @@
     reserved: workloads.Resources | None = None
     # Jobs of the worker's fillers that are not to be in time.
     standings: tuple[JobStanding, ...] = ()
+    # The session may raise its token to any below this one; 0 from a leader of
+    # a version that allows none.
+    fence_end: int = 0
 
 
 REPORT_DECODER = msgspec.msgpack.Decoder(Report)
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -77,7 +77,9 @@
                     applied=report.applied,
                     sent=worker.directives,
                 )
-            self._state.release_lapsed_runs(worker, report.covered, now)
+            self._state.release_lapsed_runs(
+                worker, report.covered, now, report.refuses_connections
+            )
         self._reconcile_runs(worker, report.running, wall_ms)
         add_unrecorded_starts(worker, report.unanswered)
         record_paces(worker, report.paces)
--- a/chivespoke/coordination/tests/builders.py
+++ b/chivespoke/coordination/tests/builders.py
@@ -89,6 +89,7 @@
     session: str | None = None,
     crashes: tuple[coordination.CrashReport, ...] = (),
     unanswered: tuple[coordination.UnansweredStart, ...] = (),
+    refuses_connections: bool = False,
 ) -> coordination.Report:
     """Return a sidecar's report; the same clock_ms means the same poll."""
     return coordination.Report(
@@ -110,6 +111,7 @@
         else session,
         crashes=crashes,
         unanswered=unanswered,
+        refuses_connections=refuses_connections,
     )
 
 
--- a/chivespoke/coordination/tests/test_incarnations.py
+++ b/chivespoke/coordination/tests/test_incarnations.py
@@ -83,9 +83,33 @@
                 self.assertTrue(fences.admit('side-1', session))
                 self.assertTrue(fences.admit('side-1', session))
                 tokens.append(fences.find_token('side-1'))
+                tokens.append(fences.find_token_end('side-1') - 1)
                 self.assertEqual(session, fences.find_session('side-1'))
         self.assertEqual(sorted(set(tokens)), tokens)
 
+    def test_session_that_uses_its_last_token_gets_another(self) -> None:
+        fences = _fences.SessionFences(7)
+        fences.admit('side-1', 'a/1')
+        for _ in range(3):
+            end = fences.find_token_end('side-1')
+            fences.record_use('side-1', end - 2)
+            self.assertEqual(end, fences.find_token_end('side-1'))
+            fences.record_use('side-1', end - 1)
+            self.assertEqual(end + 1, fences.find_token_end('side-1'))
+        fences.admit('side-1', 'a/2')
+        self.assertEqual(end + 1, fences.find_token('side-1'))
+
+    def test_raised_tokens_leave_some_of_the_epoch_for_later_sessions(
+        self,
+    ) -> None:
+        fences = _fences.SessionFences(7)
+        fences.admit('side-1', 'a/1')
+        for _ in range(_fences.TOKENS_PER_EPOCH):
+            fences.record_use('side-1', fences.find_token_end('side-1') - 1)
+        fences.admit('side-1', 'a/2')
+        end = (7 + 1) * _fences.TOKENS_PER_EPOCH
+        self.assertLess(fences.find_token_end('side-1'), end)
+
     def test_earlier_session_that_is_heard_late_is_not_admitted(self) -> None:
         fences = _fences.SessionFences(7)
         self.assertTrue(fences.admit('side-1', 'a/10'))
--- a/chivespoke/coordination/tests/test_late_orders.py
+++ b/chivespoke/coordination/tests/test_late_orders.py
@@ -110,6 +110,32 @@
         self.leader.report(builders.make_report(outcomes=(outcome,)))
         self.assertEqual([FIRST_TASK], self.list_starts_elsewhere())
 
+    def test_task_does_not_wait_where_nothing_listens(self) -> None:
+        # Regression: a task that lasts stayed idle for up to 14 s after its
+        # worker was gone for good, if a call to start it got no answer.
+        self.answer_repeated_call()
+        self.leader.now += 5.0
+        lapsed = builders.make_report(answering=False, lapsed=True)
+        self.leader.report(lapsed)
+        self.assertEqual([], self.list_starts_elsewhere())
+        refused = msgspec.structs.replace(lapsed, refuses_connections=True)
+        self.leader.report(refused)
+        self.assertEqual([FIRST_TASK], self.list_starts_elsewhere())
+
+    def test_task_waits_for_leases_although_nothing_listens(self) -> None:
+        # The machine may refuse connections while the worker runs.
+        self.answer_repeated_call()
+        self.leader.report(
+            builders.make_report(answering=False, refuses_connections=True)
+        )
+        self.assertEqual([], self.list_starts_elsewhere())
+
+    def test_order_to_a_session_that_has_ended_needs_no_wait(self) -> None:
+        # The process would name a call that it had made for the order.
+        self.report_without_worker()
+        self.advance_past_leases()
+        self.assertEqual([FIRST_TASK], self.list_starts_elsewhere())
+
     def test_next_leader_waits_for_a_call_without_an_answer(self) -> None:
         self.answer_repeated_call()
         self.leader = builders.Leader(self.leader.ledger, builders.EPOCH + 1)
--- a/chivespoke/coordination/tests/test_paces.py
+++ b/chivespoke/coordination/tests/test_paces.py
@@ -224,7 +224,8 @@
                 read = msgspec.msgpack.decode(
                     msgspec.msgpack.encode(values), type=type(message)
                 )
-                self.assertEqual((), getattr(read, names[-1]))
+                (*_, last) = msgspec.structs.fields(type(message))
+                self.assertEqual(last.default, getattr(read, last.name))
                 for name in changed:
                     (item,) = getattr(read, name)
                     self.assertEqual(TASK, item.task)
--- a/chivespoke/serving/tests/builders.py
+++ b/chivespoke/serving/tests/builders.py
@@ -109,6 +109,7 @@
         # Indices of the workers that do not register at first.
         self.unregistered: frozenset[int] = frozenset()
         self._servers: list[web.HttpServer] = []
+        self._worker_servers: list[web.HttpServer] = []
         self._folder = tempfile.TemporaryDirectory()
         self._stack = contextlib.AsyncExitStack()
         self._address_count = 0
@@ -146,7 +147,9 @@
             runner.advisor = self.advisor
             runner.faults.max_hold_ms = MAX_HOLD_MS
             runner.faults.skips_registration = number in self.unregistered
-            runner.address = await self._start_server(runner.make_server())
+            server = runner.make_server()
+            self._worker_servers.append(server)
+            runner.address = await self._start_server(server)
             await runner.start()
             self.runners.append(runner)
             sidecar = self._make_daemon(
@@ -170,6 +173,11 @@
             await server.stop()
         self._folder.cleanup()
 
+    async def end_worker(self, number: int) -> None:
+        """End a worker for good; its machine then refuses connections."""
+        self.runners[number].exit()
+        await self._worker_servers[number].stop()
+
     async def put_cancelled_jobs(self, count: int, payload_bytes: int) -> None:
         """Store the records of cancelled jobs."""
         now_ms = int(time.time() * 1000)
--- a/chivespoke/serving/tests/test_disruptions.py
+++ b/chivespoke/serving/tests/test_disruptions.py
@@ -18,6 +18,19 @@
     'spec': 'work',
     'steps': [{'count': TASK_COUNT, 'cpu': 1000, 'estimated_ms': 2000}],
 }
+LASTING_JOB = {
+    'spec': 'serve',
+    'steps': [
+        {
+            'count': TASK_COUNT,
+            'cpu': 1000,
+            'estimated_ms': 2000,
+            'long_running': True,
+        }
+    ],
+}
+# Time after its last run within which a task that lasts has to run again.
+MAX_IDLE_SECONDS = 9.0
 HOUR_MS = 3_600_000
 # Attempts to start a task before its order is reported as refused.
 START_ATTEMPTS = 3
@@ -293,6 +306,54 @@
         runner.faults.holds_stall = False
         await self.assert_completed_once()
 
+    async def test_late_calls_do_not_begin_on_a_new_boot_that_was_polled(
+        self,
+    ) -> None:
+        # Regression: the earlier session polled the new boot, until that
+        # registered, with the token of the late calls.
+        await self.start(workers=1)
+        (runner,) = self.platform.runners
+        await asyncio.sleep(DIRECTIVE_SECONDS)
+        runner.faults.late_starts = TASK_COUNT
+        runner.faults.late_seconds = 2 * STALL_SECONDS
+        began_at = asyncio.get_running_loop().time()
+        await self.submit()
+        await self.complete()
+        runner.faults.skips_registration = True
+        runner.exit()
+        await asyncio.sleep(
+            began_at
+            + 2 * STALL_SECONDS
+            - REGISTRATION_SECONDS
+            - asyncio.get_running_loop().time()
+        )
+        runner.restart()
+        await asyncio.sleep(2 * REGISTRATION_SECONDS + LATE_SECONDS)
+        runner.faults.skips_registration = False
+        await self.assert_completed_once()
+
+    async def test_lasting_tasks_of_a_worker_that_is_gone_run_on_elsewhere(
+        self,
+    ) -> None:
+        # Regression: they waited for 14 s for calls that had got no answer,
+        # though nothing listened any more where these would begin.
+        await self.start()
+        first, second = self.platform.runners
+        # Until then, earlier processes may have renewed leases.
+        await asyncio.sleep(BEYOND_LEASE_SECONDS)
+        first.faults.late_starts = TASK_COUNT
+        first.faults.late_seconds = HOUR_MS
+        await self.submit_job(JOB, LASTING_JOB)
+        await self.wait_until(lambda: len(first.running) == TASK_COUNT)
+        self.register_others()
+        await asyncio.sleep(REGISTRATION_SECONDS)
+        await self.platform.end_worker(0)
+        ended_at = asyncio.get_running_loop().time()
+        await self.wait_until(lambda: len(second.running) == TASK_COUNT)
+        idle_seconds = asyncio.get_running_loop().time() - ended_at
+        self.assertLess(idle_seconds, MAX_IDLE_SECONDS)
+        self.assertEqual([], self.platform.ledger.broken)
+
     async def test_repeated_start_order_crosses_a_refusal_for_room(
         self,
     ) -> None:
--- a/chivespoke/standins/_runner.py
+++ b/chivespoke/standins/_runner.py
@@ -47,6 +47,7 @@
         'faults',
         'capacity',
         'advisor',
+        'starts',
         'began',
         'crashes',
         'refusals',
@@ -76,6 +77,8 @@
         self.capacity = _runner_capacity.RunnerCapacity()
         # If set, a start needs a valid ticket of this advisor.
         self.advisor: _advisor.PlatformAdvisor | None = None
+        # Number of calls to start a run.
+        self.starts = 0
         # The started runs of all boots.
         self.began: list[_run_ledger.Ran] = []
         # Deadly tasks whose starts have crashed the worker, in order.
@@ -272,6 +275,7 @@
             self._boot.enforce_lease()
 
     async def _handle_start(self, request: web.Request) -> web.Response:
+        self.starts += 1
         if self.faults.use_up('unhealthy_starts'):
             return web.Response(status=503)
         reason = await self._execute(request, 'starts', self._start_run)
