Decode in one place what another writer may have left, and skip what is odd

What is seen: with one odd record in the system's topic, entries read it again and again and no later ones, so that accepted jobs were never completed; a sidecar could not encode its reports after a registration with a number of 400 digits.

Cause: decoders refused malformed input only. RecursionError passed, and so did values that later places cannot use: numbers beyond 64 bits, addresses without a port or with one out of range, jobs with more tasks than memory.

Change: chivespoke.decoding serves all decoders and raises RefusedError. Followers skip unreadable records, with a log line and a gauge; a job without a readable progress is left alone. The ledger raises where it skipped by itself, so that a test of it now expects the error, and one of the follower the skipping. The soak has another writer in each run.

--- a/chivespoke/agents/_agent.py
+++ b/chivespoke/agents/_agent.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import msgspec
 import zmq
 import zmq.asyncio
 
@@ -13,6 +12,8 @@
 from chivespoke import application
 from chivespoke import clock
 from chivespoke import coordination
+from chivespoke import decoding
+from chivespoke import errors
 from chivespoke import identifiers
 from chivespoke import logs
 from chivespoke import platform
@@ -249,11 +250,14 @@
         while True:
             sender, frame = await socket.recv_multipart()
             try:
-                directive = coordination.DIRECTIVE_DECODER.decode(frame)
-            except msgspec.MsgspecError as error:
-                LOGGER.error(
-                    'A directive cannot be decoded.', error=str(error)
+                directive = decoding.decode(
+                    coordination.DIRECTIVE_DECODER,
+                    frame,
+                    'read directive',
+                    'leader',
                 )
+            except errors.RefusedError as error:
+                LOGGER.error('A directive cannot be decoded.', error=error)
                 continue
             await self._handle_directive(socket, sender, directive)
 
--- a/chivespoke/bench/soak/_run.py
+++ b/chivespoke/bench/soak/_run.py
@@ -9,6 +9,7 @@
 from chivespoke import application
 from chivespoke.bench.soak import _callers
 from chivespoke.bench.soak import _checks
+from chivespoke.bench.soak import _odd_writer
 from chivespoke.bench.soak import _schedule
 from chivespoke.bench.soak import _world
 
@@ -62,6 +63,7 @@
             for number in range(options.callers)
         ]
         tasks.spawn(operator.run())
+        tasks.spawn(_odd_writer.OddWriter(world).run())
         for caller in callers:
             tasks.spawn(caller.run())
         await _carry_out(world, schedule, options.seconds)
--- a/chivespoke/bench/soak/_world.py
+++ b/chivespoke/bench/soak/_world.py
@@ -21,6 +21,7 @@
 NARROW_BYTES_PER_SECOND = 550_000
 SLOW_STORE_SECONDS = 0.3
 LOST_ANSWERS = 3
+CONTROL_PORT = 8166
 
 
 class World(application.Component):
@@ -74,7 +75,14 @@
             self.daemons[name] = daemon
             await daemon.start()
             if runner is not None:
-                runner.register_at(f'{daemon.ip}:8166')
+                runner.register_at(self._find_control(name))
+
+    def find_control_url(self, sidecar: str) -> str:
+        """Return the URL at which a sidecar takes registrations."""
+        return f'http://{self._find_control(sidecar)}'
+
+    def _find_control(self, sidecar: str) -> str:
+        return f'{self.daemons[sidecar].ip}:{CONTROL_PORT}'
 
     async def stop(self) -> None:
         for daemon in self.daemons.values():
--- a/chivespoke/coordination/_coordinator.py
+++ b/chivespoke/coordination/_coordinator.py
@@ -88,6 +88,14 @@
             'Time since the configuration was last known to be the newest',
             self.operator_follower.measure_age,
         )
+        instruments.add_gauge(
+            'chivespoke_unreadable_records',
+            'Records of the store that were skipped as unreadable',
+            lambda: (
+                self.follower.unreadable_records
+                + self.operator_follower.unreadable_records
+            ),
+        )
         self._timeouts = _engine_state.LeaderTimeouts(
             final_job_retention_seconds=machine.bounds.status_retention_seconds
             * 1.5,
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -12,6 +12,7 @@
 from chivespoke.coordination import _records
 from chivespoke.coordination import _suspects
 from chivespoke import decisions
+from chivespoke import errors
 from chivespoke import logs
 from chivespoke import workloads
 
@@ -152,7 +153,17 @@
         """Load a job from the ledger, with the runs recorded for it."""
         if entry.job is None:
             return
-        state = _jobs.JobState(entry.job, entry.copy_progress())
+        try:
+            progress = entry.copy_progress()
+        except errors.RefusedError as error:
+            # Its tasks may run or have ended.
+            LOGGER.error(
+                'The progress of a job cannot be read; it is left alone.',
+                job=entry.job.identifier,
+                error=error,
+            )
+            return
+        state = _jobs.JobState(entry.job, progress)
         self.jobs[entry.job.identifier] = state
         self.suspects.load(state)
         expires_at = (
--- a/chivespoke/coordination/_followers.py
+++ b/chivespoke/coordination/_followers.py
@@ -31,7 +31,7 @@
 
     @abc.abstractmethod
     def apply(self, record: platform.Record) -> None:
-        """Apply one record."""
+        """Apply one record; raise RefusedError if it is unreadable."""
 
     def begin_page(self, written_after: float) -> None:
         """Announce a page, and the monotonic time that precedes its records.
@@ -99,6 +99,7 @@
         '_up_to_date_at',
         '_reachable',
         '_failures',
+        '_unreadable_records',
         '_changed',
     )
 
@@ -127,6 +128,7 @@
         self._reachable = True
         # Number of failed reads in a row.
         self._failures = 0
+        self._unreadable_records = 0
         self._changed = asyncio.Event()
 
     @property
@@ -144,6 +146,11 @@
         """Return whether the store answered one of the last two reads."""
         return self._reachable
 
+    @property
+    def unreadable_records(self) -> int:
+        """Return the number of records that were skipped as unreadable."""
+        return self._unreadable_records
+
     def set_read_pause(self, seconds: float) -> None:
         """Set the pause after a read with records."""
         self._read_pause_seconds = seconds
@@ -290,7 +297,24 @@
             self._fold.begin_page(self._up_to_date_at)
         for record in records:
             if self._full_read is None or self._full_read.admit(record):
-                self._fold.apply(record)
+                self._apply_record(record)
+
+    def _apply_record(self, record: platform.Record) -> None:
+        """Apply a record; skip it if it is unreadable.
+
+        The topics have other writers. What the fold knows of the key stays.
+        """
+        try:
+            self._fold.apply(record)
+        except errors.RefusedError as error:
+            self._unreadable_records += 1
+            LOGGER.error(
+                'A record cannot be read; skipped.',
+                topic=self._topic,
+                key=record.key,
+                offset=record.offset,
+                error=error,
+            )
 
     def _set_reachable(self, reachable: bool, detail: str) -> None:
         if reachable == self._reachable:
--- a/chivespoke/coordination/_learned_record.py
+++ b/chivespoke/coordination/_learned_record.py
@@ -13,6 +13,7 @@
 
 from chivespoke.coordination import _records
 from chivespoke import decisions
+from chivespoke import decoding
 from chivespoke import errors
 
 MAX_RECORD_BYTES = 16_384
@@ -213,12 +214,9 @@
 
     Raises RefusedError if it cannot be decoded, or its numbers are unusable.
     """
-    try:
-        return RECORD_DECODER.decode(encoded)
-    except msgspec.MsgspecError as error:
-        raise errors.RefusedError(
-            'decode', 'the record of what was learned', str(error)
-        ) from error
+    return decoding.decode(
+        RECORD_DECODER, encoded, 'decode', 'the record of what was learned'
+    )
 
 
 def read_record(record: LearnedRecord) -> LearnedState:
--- a/chivespoke/coordination/_links.py
+++ b/chivespoke/coordination/_links.py
@@ -3,12 +3,13 @@
 import abc
 import asyncio
 
-import msgspec
 import zmq
 import zmq.asyncio
 
 from chivespoke import application
 from chivespoke.coordination import _messages
+from chivespoke import decoding
+from chivespoke import errors
 from chivespoke import logs
 
 LOGGER = logs.make_logger('links')
@@ -103,12 +104,13 @@
         while True:
             frame = await self._socket.recv()
             try:
-                report = _messages.REPORT_DECODER.decode(frame)
-            except msgspec.MsgspecError as error:
-                LOGGER.error(
-                    'A report cannot be decoded.',
-                    sidecar=self._sidecar,
-                    error=str(error),
+                report = decoding.decode(
+                    _messages.REPORT_DECODER,
+                    frame,
+                    'read report',
+                    self._sidecar,
                 )
+            except errors.RefusedError as error:
+                LOGGER.error('A report cannot be decoded.', error=error)
                 continue
             self._owner.handle_report(report)
--- a/chivespoke/coordination/_operator_view.py
+++ b/chivespoke/coordination/_operator_view.py
@@ -1,7 +1,6 @@
 """The operator's configuration and evacuations, as read from the store."""
 
 from chivespoke.coordination import _followers
-from chivespoke import errors
 from chivespoke import logs
 from chivespoke import platform
 from chivespoke import workloads
@@ -24,16 +23,7 @@
         self._data_centres_by_key: dict[str, str] = {}
 
     def apply(self, record: platform.Record) -> None:
-        try:
-            change = platform.decode_operator_record(record)
-        except errors.RefusedError as error:
-            LOGGER.error(
-                'An operator record cannot be decoded; the last valid '
-                'one stays active.',
-                offset=record.offset,
-                error=error,
-            )
-            return
+        change = platform.decode_operator_record(record)
         if isinstance(change, platform.ConfigurationWritten):
             self._apply_configuration(change.configuration, record.offset)
         elif isinstance(change, platform.EvacuationChanged):
--- a/chivespoke/coordination/_records.py
+++ b/chivespoke/coordination/_records.py
@@ -7,6 +7,8 @@
 
 from chivespoke.coordination import _followers
 from chivespoke import decisions
+from chivespoke import decoding
+from chivespoke import errors
 from chivespoke import logs
 from chivespoke import platform
 from chivespoke import workloads
@@ -22,6 +24,7 @@
 # What the leaders have learned; see `_learning`.
 LEARNED_KEY = 'learned/model'
 LOAD_KEY = 'load/summary'
+READ_STEP = 'read record'
 
 # Maximum size of the record of one task: the names of its worker and of its
 # checkpoint, and small numbers.
@@ -60,6 +63,23 @@
 LOAD_DECODER = msgspec.msgpack.Decoder(LoadSummary)
 
 
+def decode_job(encoded: bytes, identifier: str) -> workloads.Job:
+    """Decode an accepted job; raise RefusedError if it is unreadable."""
+    job = decoding.decode(JOB_DECODER, encoded, READ_STEP, identifier)
+    flaw = workloads.describe_flaw(job)
+    if job.identifier != identifier:
+        flaw = f'the record of another job, {job.identifier[:64]!r}'
+    if flaw:
+        raise errors.RefusedError(READ_STEP, identifier, flaw)
+    return job
+
+
+def decode_address(encoded: bytes, key: str) -> str:
+    """Decode a process's address; raise RefusedError if it is unreadable."""
+    record = decoding.decode(ADDRESS_DECODER, encoded, READ_STEP, key)
+    return decoding.check_address(record.address, READ_STEP, key)
+
+
 def compute_max_job_tasks(max_record_bytes: int) -> int:
     """Return the size of the largest job whose progress fits a record."""
     suspects_bytes = (
@@ -125,35 +145,61 @@
 class JobEntry:
     """Hold the ledger's state of one job."""
 
-    __slots__ = ('job', 'cancelled', '_encoded', '_progress')
+    __slots__ = ('job', 'cancelled', '_encoded', '_is_decoded', '_progress')
 
     def __init__(self) -> None:
         self.job: workloads.Job | None = None
         self.cancelled = False
         self._encoded = b''
+        self._is_decoded = True
+        # The latest progress that was read; None if there is none.
         self._progress: workloads.JobProgress | None = None
 
     def set_encoded_progress(self, encoded: bytes) -> None:
         """Replace the encoded progress, which is decoded on first access."""
         self._encoded = encoded
-        self._progress = None
+        self._is_decoded = False
 
     @property
     def progress(self) -> workloads.JobProgress | None:
-        """Return the stored progress, None before the first record."""
-        if self._progress is None and self._encoded:
-            self._progress = PROGRESS_DECODER.decode(self._encoded)
+        """Return the stored progress, None before the first record.
+
+        If the record is unreadable, the progress that was read before it
+        stays. Raise RefusedError if none was.
+        """
+        if not self._is_decoded:
+            try:
+                self._progress = self._decode_progress()
+            except errors.RefusedError as error:
+                if self._progress is None:
+                    raise
+                LOGGER.error(
+                    'A progress cannot be read; the one before it stays.',
+                    error=error,
+                )
+                self._encoded = ENCODER.encode(self._progress)
+            self._is_decoded = True
         return self._progress
 
     def copy_progress(self) -> workloads.JobProgress | None:
         """Return a copy of the stored progress that a leader may modify.
 
         The leader's changes must not affect the entry before they are stored,
-        which may never happen.
+        which may never happen. Raise RefusedError if there is one, but no
+        readable one.
         """
-        if not self._encoded:
-            return None
-        return PROGRESS_DECODER.decode(self._encoded)
+        return self._decode_progress() if self.progress else None
+
+    def _decode_progress(self) -> workloads.JobProgress:
+        peer = self.job.identifier if self.job else ''
+        progress = decoding.decode(
+            PROGRESS_DECODER, self._encoded, READ_STEP, peer
+        )
+        if self.job is not None and not workloads.fits(self.job, progress):
+            raise errors.RefusedError(
+                READ_STEP, peer, 'the progress of a job with other steps'
+            )
+        return progress
 
     @property
     def phase(self) -> workloads.JobPhase:
@@ -223,18 +269,9 @@
         self._written_after = written_after
 
     def apply(self, record: platform.Record) -> None:
-        """Apply one record; skip it if it cannot be decoded."""
         for key_event in self._key_events.get(record.key, ()):
             key_event.set()
-        try:
-            self._apply(record)
-        except msgspec.MsgspecError as error:
-            LOGGER.error(
-                'A record cannot be decoded; skipped.',
-                key=record.key,
-                offset=record.offset,
-                error=str(error),
-            )
+        self._apply(record)
 
     async def wait_for(self, key: str) -> None:
         """Wait until a record with a key is applied."""
@@ -269,23 +306,23 @@
         elif key.startswith(WORKER_PREFIX):
             self._apply_sidecar(key.removeprefix(WORKER_PREFIX), record)
         elif key.startswith(ENTRY_PREFIX):
-            self._apply_entry_address(
-                key.removeprefix(ENTRY_PREFIX), record.value
-            )
+            self._apply_entry_address(key.removeprefix(ENTRY_PREFIX), record)
         elif key == LEARNED_KEY:
             self.learned = record.value
         elif key == LOAD_KEY and record.value:
-            self._apply_load(LOAD_DECODER.decode(record.value))
+            self._apply_load(record.value)
 
     def _apply_job(self, identifier: str, record: platform.Record) -> None:
         if not record.value:
             self.entries.pop(identifier, None)
             return
-        entry = self._find_or_add(identifier)
-        if entry.job is not None:
+        entry = self.entries.get(identifier)
+        if entry is not None and entry.job is not None:
             # The same submission was stored again after a lost answer.
             return
-        entry.job = JOB_DECODER.decode(record.value)
+        job = decode_job(record.value, identifier)
+        entry = self._find_or_add(identifier)
+        entry.job = job
         self._notify_listener(entry)
 
     def _apply_cancel(self, identifier: str) -> None:
@@ -304,18 +341,21 @@
         if not record.value:
             self.sidecars.pop(name, None)
             return
-        address = ADDRESS_DECODER.decode(record.value).address
+        address = decode_address(record.value, record.key)
         self.sidecars[name] = address
         if self.listener is not None:
             self.listener.handle_sidecar(name, address)
 
-    def _apply_entry_address(self, name: str, value: bytes) -> None:
-        if not value:
+    def _apply_entry_address(self, name: str, record: platform.Record) -> None:
+        if not record.value:
             self.entry_addresses.pop(name, None)
             return
-        self.entry_addresses[name] = ADDRESS_DECODER.decode(value).address
+        address = decode_address(record.value, record.key)
+        self.entry_addresses[name] = address
 
-    def _apply_load(self, summary: LoadSummary) -> None:
+    def _apply_load(self, value: bytes) -> None:
+        summary = decoding.decode(LOAD_DECODER, value, READ_STEP, LOAD_KEY)
+        decoding.check_finite(summary, READ_STEP, LOAD_KEY)
         if self.load is None or summary.epoch >= self.load.epoch:
             self.load = summary
             self.load_written_after = self._written_after
--- a/chivespoke/coordination/tests/test_followers.py
+++ b/chivespoke/coordination/tests/test_followers.py
@@ -6,6 +6,7 @@
 from chivespoke import clock
 from chivespoke.coordination import _followers
 from chivespoke.coordination import _newest_follower
+from chivespoke import errors
 from chivespoke import platform
 from chivespoke import standins
 
@@ -37,11 +38,14 @@
         self.follower: _followers.TopicFollower | None = None
         # Number of records that cannot be applied.
         self.failures = 0
+        self.unreadable_keys: frozenset[str] = frozenset()
 
     def apply(self, record: platform.Record) -> None:
         if self.failures:
             self.failures -= 1
             raise ValueError('a fault of the fold')
+        if record.key in self.unreadable_keys:
+            raise errors.RefusedError('read record', record.key, 'odd')
         assert self.follower is not None
         self.keys.append(record.key)
         self.ages.append(self.follower.measure_age())
@@ -243,6 +247,20 @@
         await self.wait_for_keys(1)
         self.assertEqual({'k': b'1'}, self.fold.values)
 
+    async def test_unreadable_record_is_skipped(self) -> None:
+        # Regression: it was read again and again, and no later one was.
+        self.fold.unreadable_keys = frozenset(('b',))
+        for key in ('a', 'b', 'c'):
+            await self.standin.put(TOPIC, key, b'1')
+        await self.start_follower(clock.SystemClock())
+        await self.wait_for_keys(2)
+        for key in ('b', 'd'):
+            await self.standin.put(TOPIC, key, b'1')
+        await self.wait_for_keys(3)
+        self.assertEqual(['a', 'c', 'd'], self.fold.keys)
+        assert self.fold.follower is not None
+        self.assertEqual(2, self.fold.follower.unreadable_records)
+
     async def test_dropped_history_is_no_obstacle(self) -> None:
         await self.start_follower(clock.SystemClock())
         await self.wait_for_reads(1)
--- a/chivespoke/coordination/tests/test_load.py
+++ b/chivespoke/coordination/tests/test_load.py
@@ -10,6 +10,7 @@
 from chivespoke.coordination import _records
 from chivespoke.coordination.tests import builders
 from chivespoke import decisions
+from chivespoke import errors
 from chivespoke import platform
 from chivespoke import workloads
 
@@ -154,12 +155,18 @@
         self.ledger.retain(frozenset((_records.LOAD_KEY,)))
         self.assertIsNone(self.ledger.load)
 
-    def test_unknown_and_unreadable_records_are_skipped(self) -> None:
+    def test_unknown_record_is_skipped(self) -> None:
         # Processes of earlier versions skip the summary in the same way.
-        for key, value in (('other/key', b'1'), (_records.LOAD_KEY, b'\xc1')):
-            with self.subTest(key):
-                self.leader.write(platform.encode_record(key, value))
-                self.assertIsNone(self.ledger.load)
+        self.leader.write(platform.encode_record('other/key', b'1'))
+        self.assertIsNone(self.ledger.load)
+
+    def test_unreadable_summary_is_refused(self) -> None:
+        # The follower skips it.
+        with self.assertRaises(errors.RefusedError):
+            self.leader.write(
+                platform.encode_record(_records.LOAD_KEY, b'\xc1')
+            )
+        self.assertIsNone(self.ledger.load)
 
 
 class DemandTest(unittest.TestCase):
--- a/chivespoke/intake/_job_routes.py
+++ b/chivespoke/intake/_job_routes.py
@@ -93,9 +93,15 @@
         if queue is None:
             return self._respond_unknown_queue(request, configuration)
         identifier = request.path[len(queue.path_prefix) :]
-        response = await self._handle_queue(
-            request, configuration, queue, identifier, limit
-        )
+        try:
+            response = await self._handle_queue(
+                request, configuration, queue, identifier, limit
+            )
+        except errors.RefusedError as error:
+            # The record of the job's progress is unreadable.
+            response = self._log_and_respond(
+                identifier, _responses.Outcome.UNAVAILABLE, str(error)
+            )
         self._telemetry.request_latency.record(
             time.perf_counter() - started_at,
             {'queue': queue.name, 'method': request.method},
@@ -275,9 +281,7 @@
         if not (self._is_ledger_fresh() and self._is_view_current()):
             return self._respond(_responses.Outcome.UNAVAILABLE)
         count = sum(
-            entry.job is not None
-            and entry.job.queue == queue.name
-            and entry.phase is workloads.JobPhase.QUEUED
+            self._is_pending(entry, queue)
             for entry in self._coordinator.ledger.entries.values()
         )
         return _responses.make_response(
@@ -290,6 +294,16 @@
         entry = self._coordinator.ledger.entries.get(identifier)
         return entry if entry is not None and entry.job else None
 
+    def _is_pending(
+        self, entry: coordination.JobEntry, queue: workloads.Queue
+    ) -> bool:
+        if entry.job is None or entry.job.queue != queue.name:
+            return False
+        try:
+            return entry.phase is workloads.JobPhase.QUEUED
+        except errors.RefusedError:
+            return False
+
     def _is_ledger_fresh(self) -> bool:
         follower = self._coordinator.follower
         return (
--- a/chivespoke/platform/_advisor.py
+++ b/chivespoke/platform/_advisor.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from chivespoke import decoding
 from chivespoke import errors
 from chivespoke.platform import _transport
 
@@ -16,7 +17,10 @@
 class _AdviceResponse(msgspec.Struct):
     # Pairs of a worker's identifier and the ticket that lets it run the step.
     allowed: list[tuple[str, str]]
-    valid_ms: int
+    valid_ms: decoding.Amount
+
+
+ADVICE_DECODER = msgspec.json.Decoder(_AdviceResponse)
 
 
 class Advice(msgspec.Struct, frozen=True):
@@ -54,10 +58,7 @@
             raise errors.RefusedError(
                 STEP, self._transport.peer, f'status {response.status}'
             )
-        try:
-            decoded = msgspec.json.decode(response.body, type=_AdviceResponse)
-        except msgspec.MsgspecError as error:
-            raise errors.UnavailableError(
-                STEP, self._transport.peer, f'unreadable response: {error}'
-            ) from error
+        decoded = _transport.decode_response(
+            ADVICE_DECODER, response.body, STEP, self._transport.peer
+        )
         return Advice(dict(decoded.allowed), decoded.valid_ms / 1000)
--- a/chivespoke/platform/_operator.py
+++ b/chivespoke/platform/_operator.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from chivespoke import errors
+from chivespoke import decoding
 from chivespoke.platform import _store
 from chivespoke import workloads
 
@@ -22,8 +22,8 @@
     host: str
     path_prefix: str
     service: str
-    priority: int = 0
-    max_attempts: int = 1
+    priority: decoding.Number = 0
+    max_attempts: decoding.Number = 1
     stretch: float = 1.0
     # Not a limit on the completion of a job: the margin in milliseconds that
     # is added to its stretched critical path.
@@ -37,16 +37,19 @@
 
 
 class _Limits(msgspec.Struct):
-    max_body_bytes: int = 262144
+    max_body_bytes: decoding.Number = 262144
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: decoding.Number
     routes: list[_QueueRoute] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
+CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
+
+
 class ConfigurationWritten(msgspec.Struct, frozen=True):
     """Report a new version of the configuration."""
 
@@ -74,12 +77,12 @@
         return EvacuationChanged(data_centre, bool(record.value))
     if record.key != CONFIGURATION_KEY or not record.value:
         return None
-    try:
-        decoded = msgspec.json.decode(record.value, type=_Configuration)
-    except msgspec.MsgspecError as error:
-        raise errors.RefusedError(
-            'read configuration', OPERATOR_TOPIC, str(error)
-        ) from error
+    decoded = decoding.decode(
+        CONFIGURATION_DECODER,
+        record.value,
+        'read configuration',
+        OPERATOR_TOPIC,
+    )
     return ConfigurationWritten(_convert_configuration(decoded))
 
 
--- a/chivespoke/platform/_store.py
+++ b/chivespoke/platform/_store.py
@@ -3,7 +3,6 @@
 A topic consists of partitions, each of which is a log of records.
 """
 
-import base64
 import math
 import struct
 import typing
@@ -11,6 +10,7 @@
 
 import msgspec
 
+from chivespoke import decoding
 from chivespoke import errors
 from chivespoke.platform import _transport
 
@@ -107,8 +107,8 @@
 
 
 class _AppendResponse(msgspec.Struct):
-    offset: int
-    end_offset: int
+    offset: decoding.Amount
+    end_offset: decoding.Amount
 
 
 class _RefusalBody(msgspec.Struct):
@@ -117,20 +117,27 @@
 
 class _NewestRecord(msgspec.Struct):
     key: str
-    value: str
-    offset: int
+    # In base64.
+    value: bytes
+    offset: decoding.Amount
 
 
 class _NewestResponse(msgspec.Struct):
     items: list[_NewestRecord]
-    end_offset: int
+    end_offset: decoding.Amount
     has_more: bool = False
 
 
 class _JoinResponse(msgspec.Struct):
-    generation: int
+    generation: decoding.Amount
     # Topic, partition and committed offset.
-    parts: list[tuple[str, int, int]]
+    parts: list[tuple[str, decoding.Number, decoding.Number]]
+
+
+APPEND_DECODER = msgspec.json.Decoder(_AppendResponse)
+NEWEST_DECODER = msgspec.json.Decoder(_NewestResponse)
+JOIN_DECODER = msgspec.json.Decoder(_JoinResponse)
+REFUSAL_DECODER = msgspec.json.Decoder(_RefusalBody)
 
 
 def encode_record(key: str, value: bytes) -> bytes:
@@ -210,7 +217,7 @@
             timeout_seconds,
         )
         if response.status == OK:
-            return self._decode(response, _AppendResponse, 'append').end_offset
+            return self._decode(response, APPEND_DECODER, 'append').end_offset
         self._raise_refusal('append', response)
 
     async def read(
@@ -277,10 +284,9 @@
         )
         if response.status != OK:
             self._raise_refusal('read newest', response)
-        page = self._decode(response, _NewestResponse, 'read newest')
+        page = self._decode(response, NEWEST_DECODER, 'read newest')
         records = tuple(
-            Record(item.offset, item.key, base64.b64decode(item.value))
-            for item in page.items
+            Record(item.offset, item.key, item.value) for item in page.items
         )
         is_last = not page.has_more or not page.items
         return NewestPage(records, page.end_offset, is_last)
@@ -302,7 +308,7 @@
             'generation': generation,
         }
         response = await self._post('join group', '/log-join', body)
-        joined = self._decode(response, _JoinResponse, 'join group')
+        joined = self._decode(response, JOIN_DECODER, 'join group')
         return Membership(
             joined.generation,
             frozenset(part for name, part, _ in joined.parts if name == topic),
@@ -329,16 +335,14 @@
         return response
 
     def _decode(
-        self, response: _transport.Response, expected: type[Body], step: str
+        self,
+        response: _transport.Response,
+        decoder: decoding.Decoder[Body],
+        step: str,
     ) -> Body:
-        try:
-            return msgspec.json.decode(response.body, type=expected)
-        except msgspec.MsgspecError as error:
-            raise errors.UnavailableError(
-                step,
-                self._call_transport.peer,
-                f'unreadable response: {error}',
-            ) from error
+        return _transport.decode_response(
+            decoder, response.body, step, self._call_transport.peer
+        )
 
     def _raise_refusal(
         self, step: str, response: _transport.Response
@@ -360,6 +364,8 @@
 
 def _read_reason(body: bytes) -> str:
     try:
-        return msgspec.json.decode(body, type=_RefusalBody).reason
-    except msgspec.MsgspecError:
+        return decoding.decode(
+            REFUSAL_DECODER, body, 'read refusal', 'store'
+        ).reason
+    except errors.RefusedError:
         return ''
--- a/chivespoke/platform/_submissions.py
+++ b/chivespoke/platform/_submissions.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from chivespoke import decoding
 from chivespoke import errors
 from chivespoke import workloads
 
@@ -20,39 +21,41 @@
 DEFAULT_WAIT_SECONDS = 3.0
 MAX_WAIT_SECONDS = 10.0
 
-# Larger numbers lose digits in JSON readers that use floating point.
-MAX_NUMBER = 2**53
-_Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
-_Milliseconds = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_Milliseconds = typing.Annotated[
+    float, msgspec.Meta(ge=0, le=decoding.MAX_NUMBER)
+]
 
 
 class _Step(msgspec.Struct):
-    count: _Amount
-    cpu: _Amount = 0
-    mem_mb: _Amount = 0
-    gpu: _Amount = 0
-    estimated_ms: _Amount = 0
-    depends_on: list[int] = []
+    count: decoding.Amount
+    cpu: decoding.Amount = 0
+    mem_mb: decoding.Amount = 0
+    gpu: decoding.Amount = 0
+    estimated_ms: decoding.Amount = 0
+    depends_on: list[decoding.Number] = []
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     requirements: str = ''
     affinity: str = ''
-    anti_affinity: _Amount = 0
+    anti_affinity: decoding.Amount = 0
     allow_duplicates: bool = False
     long_running: bool = False
     image: str = ''
     target_ms: _Milliseconds = 0
     fills: bool = False
-    may_miss: _Amount = 0
+    may_miss: decoding.Amount = 0
 
 
 class _Submission(msgspec.Struct):
     steps: list[_Step]
     spec: str = ''
-    repeat_count: _Amount = 0
-    start_at_ms: _Amount = 0
-    interval_ms: _Amount = 0
+    repeat_count: decoding.Amount = 0
+    start_at_ms: decoding.Amount = 0
+    interval_ms: decoding.Amount = 0
+
+
+SUBMISSION_DECODER = msgspec.json.Decoder(_Submission)
 
 
 class _JobStateResponse(msgspec.Struct, omit_defaults=True):
@@ -94,14 +97,10 @@
     body: bytes, identifier: str, queue: workloads.Queue, accepted_ms: int
 ) -> workloads.Job:
     """Return the job that a request body describes; raise RefusedError."""
-    try:
-        submission = msgspec.json.decode(body, type=_Submission)
-    except msgspec.MsgspecError as error:
-        raise errors.RefusedError(
-            'read submission', identifier, str(error)
-        ) from error
-    _check_steps(submission, identifier)
-    return workloads.Job(
+    submission = decoding.decode(
+        SUBMISSION_DECODER, body, 'read submission', identifier
+    )
+    job = workloads.Job(
         identifier=identifier,
         queue=queue.name,
         terms=queue.terms,
@@ -112,21 +111,10 @@
         first_due_ms=submission.start_at_ms,
         interval_ms=submission.interval_ms,
     )
-
-
-def _check_steps(submission: _Submission, identifier: str) -> None:
-    for index, step in enumerate(submission.steps):
-        if step.count < 1:
-            detail = f'step {index} has no tasks'
-        elif any(
-            not 0 <= dependency < index for dependency in step.depends_on
-        ):
-            detail = f'step {index} depends on a step that does not precede it'
-        else:
-            continue
-        raise errors.RefusedError('check submission', identifier, detail)
-    if not submission.steps:
-        raise errors.RefusedError('check submission', identifier, 'no steps')
+    flaw = workloads.describe_flaw(job)
+    if flaw:
+        raise errors.RefusedError('check submission', identifier, flaw)
+    return job
 
 
 def _convert_step(step: _Step) -> workloads.Step:
--- a/chivespoke/platform/_transport.py
+++ b/chivespoke/platform/_transport.py
@@ -5,11 +5,13 @@
 
 import asyncio
 import collections.abc
+import typing
 
 import aiohttp
 import msgspec
 
 from chivespoke import application
+from chivespoke import decoding
 from chivespoke import errors
 
 # Well above a round trip between data centres, and well below every time limit
@@ -20,6 +22,7 @@
 SAFE_METHODS = frozenset(('GET', 'HEAD'))
 CONFIGURATION_VERSION_HEADER = 'Chivespoke-Configuration-Version'
 JSON_HEADERS = {'Content-Type': 'application/json'}
+Body = typing.TypeVar('Body')
 
 
 class Response(msgspec.Struct, frozen=True):
@@ -125,6 +128,10 @@
             raise errors.RefusedError(
                 step, self._base_url, repr(error)
             ) from error
+        except (aiohttp.InvalidURL, UnicodeError) as error:
+            raise errors.RefusedError(
+                step, self._base_url, f'no address: {error!r}'
+            ) from error
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             raise errors.UnavailableError(
                 step,
@@ -135,7 +142,19 @@
 
 def _read_number(headers: collections.abc.Mapping[str, str], name: str) -> int:
     text = headers.get(name, '')
-    return int(text) if text.isdecimal() else 0
+    return int(text) if decoding.is_number(text) else 0
+
+
+def decode_response(
+    decoder: decoding.Decoder[Body], body: bytes, step: str, peer: str
+) -> Body:
+    """Decode the body of a response; raise UnavailableError if unreadable."""
+    try:
+        return decoding.decode(decoder, body, step, peer)
+    except errors.RefusedError as error:
+        raise errors.UnavailableError(
+            step, peer, f'unreadable response: {error.detail}'
+        ) from error
 
 
 async def _send_changes_once(
--- a/chivespoke/platform/_workers.py
+++ b/chivespoke/platform/_workers.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from chivespoke import decoding
 from chivespoke import errors
 from chivespoke.platform import _transport
 from chivespoke import workloads
@@ -22,10 +23,23 @@
     DRAINING = 'draining'
 
 
+class EndCause(enum.Enum):
+    """Name the cause of a run's end."""
+
+    DONE = 'done'
+    FAILED = 'failed'
+    STOPPED = 'stopped'
+    LEASE_EXPIRED = 'lapsed'
+    # Another member of its gang ended.
+    GANG_MEMBER_ENDED = 'broken'
+    # The other members of its gang did not start in time.
+    GANG_TIMEOUT = 'alone'
+
+
 class _Capacity(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: decoding.Amount = 0
+    mem_mb: decoding.Amount = 0
+    gpu: decoding.Amount = 0
 
 
 class _Registration(msgspec.Struct):
@@ -33,26 +47,32 @@
     address: str
     zone: str
     state: WorkerState
-    sequence: int
-    born: int
+    sequence: decoding.Number
+    born: decoding.Number
     capacity: _Capacity
-    clock_ms: int = 0
-    remaining_ms: int = 0
+    clock_ms: decoding.Number = 0
+    remaining_ms: decoding.Number = 0
     labels: list[str] = []
 
 
 class _PollResponse(msgspec.Struct):
-    clock_ms: int
+    clock_ms: decoding.Number
     # Task, run, checkpoint, progress and measure, as in RunningTask.
-    running: list[tuple[str, int, str, float, float]] = []
+    running: list[tuple[str, decoding.Number, str, float, float]] = []
     # Number of the end, task, run, cause and checkpoint, as in EndedRun.
-    ended_runs: list[tuple[int, str, int, str, str]] = []
-    born: int = 0
+    ended_runs: list[
+        tuple[decoding.Number, str, decoding.Number, EndCause, str]
+    ] = []
+    born: decoding.Number = 0
 
 
 class _RefusalBody(msgspec.Struct):
     reason: str = ''
-    clock_ms: int = 0
+
+
+REGISTRATION_DECODER = msgspec.json.Decoder(_Registration)
+STATUS_DECODER = msgspec.json.Decoder(_PollResponse)
+REFUSAL_DECODER = msgspec.json.Decoder(_RefusalBody)
 
 
 class Registration(msgspec.Struct, frozen=True):
@@ -72,19 +92,6 @@
     labels: tuple[str, ...]
 
 
-class EndCause(enum.Enum):
-    """Name the cause of a run's end."""
-
-    DONE = 'done'
-    FAILED = 'failed'
-    STOPPED = 'stopped'
-    LEASE_EXPIRED = 'lapsed'
-    # Another member of its gang ended.
-    GANG_MEMBER_ENDED = 'broken'
-    # The other members of its gang did not start in time.
-    GANG_TIMEOUT = 'alone'
-
-
 class RunningTask(msgspec.Struct, frozen=True, array_like=True):
     """Hold a run that a worker lists as running."""
 
@@ -154,18 +161,14 @@
 
 def decode_registration(identifier: str, body: bytes) -> Registration:
     """Decode a registration; raise RefusedError if it is unreadable."""
-    try:
-        decoded = msgspec.json.decode(body, type=_Registration)
-    except msgspec.MsgspecError as error:
-        raise errors.RefusedError(
-            'read registration', identifier, str(error)
-        ) from error
+    step = 'read registration'
+    decoded = decoding.decode(REGISTRATION_DECODER, body, step, identifier)
     return Registration(
         identifier=identifier,
         born_ms=decoded.born,
         sequence=decoded.sequence,
         service=decoded.service,
-        address=decoded.address,
+        address=decoding.check_address(decoded.address, step, identifier),
         data_centre=decoded.zone,
         draining=decoded.state is WorkerState.DRAINING,
         remaining_ms=decoded.remaining_ms,
@@ -176,6 +179,17 @@
     )
 
 
+def decode_status(body: bytes, peer: str) -> WorkerStatus:
+    """Decode a worker's state; raise UnavailableError if unreadable."""
+    decoded = _transport.decode_response(STATUS_DECODER, body, 'look', peer)
+    return WorkerStatus(
+        decoded.clock_ms,
+        tuple(RunningTask(*row) for row in decoded.running),
+        tuple(EndedRun(*row) for row in decoded.ended_runs),
+        decoded.born,
+    )
+
+
 class WorkerClient:
     """Send orders to a worker and poll its state.
 
@@ -259,23 +273,7 @@
         response = await self._send_order(
             'look', '/hold', body, ORDER_TIMEOUT_SECONDS + wait_seconds
         )
-        try:
-            decoded = msgspec.json.decode(response, type=_PollResponse)
-            return WorkerStatus(
-                decoded.clock_ms,
-                tuple(RunningTask(*row) for row in decoded.running),
-                tuple(
-                    EndedRun(number, task, run, EndCause(cause), checkpoint)
-                    for number, task, run, cause, checkpoint in (
-                        decoded.ended_runs
-                    )
-                ),
-                decoded.born,
-            )
-        except (msgspec.MsgspecError, ValueError) as error:
-            raise errors.UnavailableError(
-                'look', self._transport.peer, f'unreadable response: {error}'
-            ) from error
+        return decode_status(response, self._transport.peer)
 
     async def _send_order(
         self,
@@ -303,7 +301,9 @@
     if response.status in STATUS_REFUSALS:
         return STATUS_REFUSALS[response.status]
     try:
-        decoded = msgspec.json.decode(response.body, type=_RefusalBody)
+        decoded = decoding.decode(
+            REFUSAL_DECODER, response.body, 'read refusal', 'worker'
+        )
         return Refusal(decoded.reason)
-    except (msgspec.MsgspecError, ValueError):
+    except (errors.RefusedError, ValueError):
         return Refusal.INVALID
--- a/chivespoke/standins/__init__.py
+++ b/chivespoke/standins/__init__.py
@@ -6,6 +6,8 @@
 from chivespoke.standins._log import LogFaults
 from chivespoke.standins._log import MemoryLog
 from chivespoke.standins._log_server import LogServer
+from chivespoke.standins._odd_contents import list_odd_records
+from chivespoke.standins._odd_contents import list_odd_registrations
 from chivespoke.standins._run_ledger import Ran
 from chivespoke.standins._run_ledger import RunLedger
 from chivespoke.standins._runner import PlatformRunner
@@ -43,5 +45,7 @@
     'WorkerAgent',
     'WORKERS_PER_RACK',
     'WorkerServer',
+    'list_odd_records',
+    'list_odd_registrations',
     'make_worker_registration',
 ]
--- a/chivespoke/workloads/__init__.py
+++ b/chivespoke/workloads/__init__.py
@@ -4,6 +4,8 @@
 from chivespoke.workloads._model import compute_reservation
 from chivespoke.workloads._model import Configuration
 from chivespoke.workloads._model import Crash
+from chivespoke.workloads._model import describe_flaw
+from chivespoke.workloads._model import fits
 from chivespoke.workloads._model import Job
 from chivespoke.workloads._model import JobPhase
 from chivespoke.workloads._model import JobProgress
@@ -34,6 +36,8 @@
     'TaskProgress',
     'TaskStatus',
     'compute_reservation',
+    'describe_flaw',
+    'fits',
     'make_initial_progress',
     'parse_task_name',
 ]
--- a/chivespoke/workloads/_model.py
+++ b/chivespoke/workloads/_model.py
@@ -4,35 +4,41 @@
 
 import msgspec
 
+from chivespoke import decoding
+
+
+# Largest number of tasks of a job, however large the records of the store are.
+MAX_JOB_TASKS = 1_000_000
+
 
 class Step(msgspec.Struct, frozen=True, omit_defaults=True):
     """Specify the tasks of one step of a job."""
 
-    count: int
-    cpu_millis: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
+    count: decoding.Amount
+    cpu_millis: decoding.Amount = 0
+    memory_mb: decoding.Amount = 0
+    accelerators: decoding.Amount = 0
     # Rough estimate of the duration of a task, given by the submitter.
-    estimated_ms: int = 0
+    estimated_ms: decoding.Amount = 0
     # Indexes of earlier steps whose tasks must all be done first.
-    depends_on: tuple[int, ...] = ()
+    depends_on: tuple[decoding.Amount, ...] = ()
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     required_label: str = ''
     preferred_rack: str = ''
     # Maximum number of tasks of the step on one worker; 0 for no limit.
-    max_per_worker: int = 0
+    max_per_worker: decoding.Amount = 0
     allow_copies: bool = False
     long_running: bool = False
     image: str = ''
     # Maximum tail latency of a serving task; 0 if the task serves no requests.
-    target_latency_ms: int = 0
+    target_latency_ms: decoding.Amount = 0
     # The task uses processor time that other tasks leave unused; none is
     # reserved for it.
     filler: bool = False
     # Maximum number of tasks that the scheduler may make unavailable at once.
-    max_unavailable: int = 0
+    max_unavailable: decoding.Amount = 0
 
 
 class AdviceTiming(msgspec.Struct, frozen=True):
@@ -53,12 +59,12 @@
 
     service: str
     # 0 is the most urgent.
-    priority: int = 0
-    max_attempts: int = 1
+    priority: decoding.Number = 0
+    max_attempts: decoding.Number = 1
     # The objective is the duration of the critical path times `stretch`, plus
     # the margin.
-    stretch: float = 1.0
-    margin_ms: int = 0
+    stretch: decoding.Quantity = 1.0
+    margin_ms: decoding.Number = 0
     # Set if an advisor decides which workers may run a step.
     advice: AdviceTiming | None = None
 
@@ -72,11 +78,11 @@
     payload: str
     steps: tuple[Step, ...]
     # Wall-clock time of acceptance, in milliseconds since 1970.
-    accepted_ms: int
+    accepted_ms: decoding.Amount
     # 0 for a job that runs once and immediately.
-    occurrences: int = 0
-    first_due_ms: int = 0
-    interval_ms: int = 0
+    occurrences: decoding.Amount = 0
+    first_due_ms: decoding.Amount = 0
+    interval_ms: decoding.Amount = 0
 
     @property
     def occurrence_count(self) -> int:
@@ -124,7 +130,7 @@
 def parse_task_name(text: str) -> TaskName | None:
     """Parse a formatted task name; return None if it is malformed."""
     parts = text.split('.')
-    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+    if len(parts) != 4 or not all(map(decoding.is_number, parts[1:])):
         return None
     return TaskName(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
 
@@ -161,9 +167,9 @@
     # Where the worker ran; a later incarnation at the same place has the same.
     place: str
     # Wall-clock time, in milliseconds since 1970.
-    at_ms: int
+    at_ms: decoding.Amount
     # Number of the run that was lost.
-    run: int
+    run: decoding.Amount
     # Tasks of no other job were suspects.
     conclusive: bool
 
@@ -173,15 +179,15 @@
 
     status: TaskStatus = TaskStatus.WAITING
     # Number of the latest run.
-    run: int = 0
+    run: decoding.Amount = 0
     worker: str = ''
-    failures: int = 0
+    failures: decoding.Amount = 0
     checkpoint: str = ''
     # Crashes of workers of which the task is suspected; an entry of an earlier
     # version stores none.
     crashes: tuple[Crash, ...] = ()
     # Number of the latest run that cleared the task of suspicion.
-    cleared_run: int = 0
+    cleared_run: decoding.Amount = 0
 
 
 class JobProgress(msgspec.Struct, array_like=True):
@@ -192,11 +198,33 @@
     tasks: list[list[list[TaskProgress]]] = msgspec.field(default_factory=list)
     # Wall-clock time at which the phase became final, in milliseconds since
     # 1970.
-    finished_ms: int = 0
+    finished_ms: decoding.Amount = 0
     # Why the job failed; empty if a task has failed too often.
     reason: str = ''
 
 
+def describe_flaw(job: Job) -> str:
+    """Return why a job cannot be scheduled, empty if it can."""
+    if not job.steps:
+        return 'no steps'
+    for index, step in enumerate(job.steps):
+        if step.count < 1:
+            return f'step {index} has no tasks'
+        if any(not 0 <= dependency < index for dependency in step.depends_on):
+            return f'step {index} depends on a step that does not precede it'
+    if job.task_count > MAX_JOB_TASKS:
+        return f'{job.task_count} tasks, at most {MAX_JOB_TASKS}'
+    return ''
+
+
+def fits(job: Job, progress: JobProgress) -> bool:
+    """Return whether a progress has the occurrences and steps of a job."""
+    counts = [step.count for step in job.steps]
+    return len(progress.tasks) == job.occurrence_count and all(
+        [len(tasks) for tasks in steps] == counts for steps in progress.tasks
+    )
+
+
 def make_initial_progress(job: Job) -> JobProgress:
     """Return the progress of a job before its first task starts."""
     return JobProgress(
