Take a worker that has given notice and refuses connections for ended

Cause: a worker that leaves without deregistering kept its runs until its leases had expired, though its notice was over and its machine refused connections. Its sidecar was stopped before; and each leader that followed waited 18 s anew for a worker that it never heard.

Change: a notice counts as a deregistration does: with refused connections it shows the end, at once.

--- a/chivespoke/agents/_agent.py
+++ b/chivespoke/agents/_agent.py
@@ -148,8 +148,7 @@
                     worker=registration.identifier,
                     remaining_ms=registration.remaining_ms,
                 )
-            session.registration = registration
-            session.deregistered = False
+            session.update_registration(registration)
             self._report_due.set()
             return
         if session is not None and session.answering:
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -69,6 +69,7 @@
         'identifier',
         'epoch',
         'deregistered',
+        '_leaves_at',
         '_fence',
         '_fence_end',
         '_is_fence_used',
@@ -133,6 +134,9 @@
         self._client = client
         self._listener = listener
         self._clock = time
+        # Monotonic time from which on the worker may end, by its notice; None
+        # if it has given none.
+        self._leaves_at = self._compute_leave_time(registration)
         self._tasks = application.TaskOwner()
         self._leases = _leases.WorkerLeases(max_lease_seconds)
         # Number of the last run end that the leader has stored.
@@ -211,6 +215,19 @@
             self._run_ages.list_suspects(),
         )
 
+    def update_registration(self, registration: platform.Registration) -> None:
+        """Take over what the worker reports about itself."""
+        self.registration = registration
+        self.deregistered = False
+        self._leaves_at = self._compute_leave_time(registration)
+
+    def _compute_leave_time(
+        self, registration: platform.Registration
+    ) -> float | None:
+        if not registration.draining:
+            return None
+        return self._clock.read_monotonic() + registration.remaining_ms / 1000
+
     def doubt(self) -> None:
         """Start no runs until the worker has answered another poll."""
         self._doubted = True
@@ -334,12 +351,14 @@
     def _have_leases_expired(self) -> bool:
         if self._answering or self._status is None or self._starting:
             return False
-        # A deregistration alone does not show the end: it may be late, and a
-        # worker runs on for a while if it is not acknowledged.
-        has_ended = self.deregistered and self._refuses_connections
-        return has_ended or self._leases.have_expired(
-            self._clock.read_monotonic()
+        now = self._clock.read_monotonic()
+        is_leaving = self.deregistered or (
+            self._leaves_at is not None and now >= self._leaves_at
         )
+        # A deregistration or a notice alone does not show the end: it may be
+        # late, and a worker runs on for a while if it is not acknowledged.
+        has_ended = is_leaving and self._refuses_connections
+        return has_ended or self._leases.have_expired(now)
 
     def _extend_leases(self) -> int | None:
         """Advance the end of the leases and return it, None if unchanged."""
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -530,6 +530,37 @@
             await self.wait_for_report()
         self.assertGreater(report.lease_end_ms, report.clock_ms + 5_000)
 
+    def announce_end(self, remaining_ms: int) -> None:
+        """Let the worker report that it leaves, after some time at least."""
+        self.session.update_registration(
+            msgspec.structs.replace(
+                self.session.registration,
+                draining=True,
+                remaining_ms=remaining_ms,
+            )
+        )
+
+    async def test_worker_that_has_left_after_its_notice_is_given_up_at_once(
+        self,
+    ) -> None:
+        # Regression (cedarhollow-booking-grown, day spot-workers, seed 71):
+        # without a deregistration its runs were kept for their leases, longer
+        # than its sidecar stayed to report.
+        self.announce_end(remaining_ms=200)
+        await asyncio.sleep(0.3)
+        await self.server.stop()
+        while not (report := self.session.make_report('a')).lapsed:
+            await self.wait_for_report()
+        self.assertGreater(report.lease_end_ms, report.clock_ms + 5_000)
+
+    async def test_worker_that_may_not_have_left_keeps_its_runs(self) -> None:
+        # Its machine may refuse connections while it runs.
+        self.announce_end(remaining_ms=HOUR_MS)
+        await self.server.stop()
+        while not self.session.make_report('a').refuses_connections:
+            await self.wait_for_report()
+        self.assertFalse(self.session.make_report('a').lapsed)
+
     async def test_leases_are_not_extended_after_a_deregistration(
         self,
     ) -> None:
--- a/chivespoke/coordination/tests/test_engine.py
+++ b/chivespoke/coordination/tests/test_engine.py
@@ -11,6 +11,10 @@
 from chivespoke import workloads
 
 
+# Time after its last run within which a task that lasts has to run again.
+MAX_IDLE_SECONDS = 9.0
+
+
 class RecordsTest(engine_case.EngineTest):
     def test_no_order_is_sent_before_its_record_is_stored(self) -> None:
         self.leader.report(builders.make_report())
@@ -230,6 +234,19 @@
         self.leader.report(builders.make_report('side-2'))
         self.assertEqual([], self.list_starts('side-2'))
 
+    def test_runs_of_a_machine_that_is_gone_start_elsewhere_in_time(
+        self,
+    ) -> None:
+        # Known red: each new leader waits for 18 s, as the one before it may
+        # renew leases for 12 s.
+        self.start_job(engine_case.ONE_TASK_STEP)
+        self.leader.plan()
+        self.take_over()
+        self.leader.now += MAX_IDLE_SECONDS
+        self.leader.report(builders.make_report('side-2'))
+        self.leader.plan()
+        self.assertEqual([engine_case.FIRST_TASK], self.list_starts('side-2'))
+
     def test_adopted_runs_are_sent_without_their_payload(self) -> None:
         # Regression: a new leader sent the payload of each running task, which
         # filled its link and held up its appends and its membership.
