Record the announced end of a worker for the leaders to come

Cause: that an incarnation has ended is known to its sidecar alone, and lost with it.

Change: the sidecar appends the end to the system's topic, in the same place as its address. A leader that has not heard the worker takes its runs for ended. The end is final for the session.

--- a/chivespoke/agents/_agent.py
+++ b/chivespoke/agents/_agent.py
@@ -169,6 +169,15 @@
     def handle_confirmation(self) -> None:
         self._pending = None
 
+    def handle_end(self, worker: str) -> None:
+        # The sidecar may be stopped, and the leader be lost, before a report
+        # has told it.
+        self._tasks.spawn(
+            coordination.announce_end(
+                self._store, self._clock, self._machine.name, worker
+            )
+        )
+
     def handle_silence(self) -> None:
         if self._pending is not None:
             self._adopt(self._pending)
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -56,6 +56,10 @@
     def handle_confirmation(self) -> None:
         """Handle that a worker in doubt has answered."""
 
+    @abc.abstractmethod
+    def handle_end(self, worker: str) -> None:
+        """Handle that the session's worker has ended, by its key."""
+
     @abc.abstractmethod
     def handle_silence(self) -> None:
         """Handle that the session's worker does not answer any more."""
@@ -92,6 +96,7 @@
         '_fenced',
         '_replaced',
         '_refuses_connections',
+        '_has_ended',
         '_doubted',
         '_applied',
         '_lapsed',
@@ -160,6 +165,9 @@
         self._replaced = False
         # The last poll failed because nothing listens at the worker's address.
         self._refuses_connections = False
+        # The worker has announced its end, and nothing listens there any more.
+        # This is final: others may have started its tasks elsewhere.
+        self._has_ended = False
         # Another incarnation has registered since the last poll was sent.
         self._doubted = False
         # Number of the last directive of the current epoch that was applied.
@@ -351,18 +359,35 @@
     def _have_leases_expired(self) -> bool:
         if self._answering or self._status is None or self._starting:
             return False
-        now = self._clock.read_monotonic()
-        is_leaving = self.deregistered or (
-            self._leaves_at is not None and now >= self._leaves_at
+        return self._has_ended or self._leases.have_expired(
+            self._clock.read_monotonic()
         )
+
+    def _check_end(self) -> None:
         # A deregistration or a notice alone does not show the end: it may be
         # late, and a worker runs on for a while if it is not acknowledged.
-        has_ended = is_leaving and self._refuses_connections
-        return has_ended or self._leases.have_expired(now)
+        is_leaving = self.deregistered or (
+            self._leaves_at is not None
+            and self._clock.read_monotonic() >= self._leaves_at
+        )
+        if (
+            self._has_ended
+            or not (is_leaving and self._refuses_connections)
+            or self._starting
+        ):
+            return
+        self._has_ended = True
+        LOGGER.info(
+            'The worker has ended, as it had announced.',
+            worker=self.incarnation.key,
+            deregistered=self.deregistered,
+        )
+        self._listener.handle_end(self.incarnation.key)
+        self._listener.request_report()
 
     def _extend_leases(self) -> int | None:
         """Advance the end of the leases and return it, None if unchanged."""
-        if self.deregistered:
+        if self.deregistered or self._has_ended:
             return None
         return self._leases.extend(
             self._clock.read_monotonic(),
@@ -381,6 +406,7 @@
                 self._set_refuses_connections(
                     isinstance(error, platform.NotListeningError)
                 )
+                self._check_end()
                 self._raise_fence()
                 await self._clock.sleep(
                     LATE_START_POLL_RETRY_SECONDS
@@ -663,6 +689,7 @@
             or self.deregistered
             or self._replaced
             or self._doubted
+            or self._has_ended
         )
 
     def _has_room(self) -> bool:
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -40,6 +40,7 @@
         self.report_requested = asyncio.Event()
         self.confirmations = 0
         self.silences = 0
+        self.ended: list[str] = []
 
     def request_report(self) -> None:
         self.report_requested.set()
@@ -50,6 +51,9 @@
     def handle_silence(self) -> None:
         self.silences += 1
 
+    def handle_end(self, worker: str) -> None:
+        self.ended.append(worker)
+
 
 class SessionTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
@@ -552,6 +556,21 @@
         while not (report := self.session.make_report('a')).lapsed:
             await self.wait_for_report()
         self.assertGreater(report.lease_end_ms, report.clock_ms + 5_000)
+        self.assertEqual([self.session.incarnation.key], self.listener.ended)
+
+    async def test_worker_that_was_given_up_gets_no_starts(self) -> None:
+        # Its end is on record, and its tasks may run elsewhere.
+        self.announce_end(remaining_ms=0)
+        await self.server.stop()
+        while not self.listener.ended:
+            await self.wait_for_report()
+        self.session.update_registration(
+            msgspec.structs.replace(self.session.registration, draining=False)
+        )
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        outcome = await self.wait_for_outcome()
+        self.assertIs(platform.Refusal.UNHEALTHY, outcome.refusal)
+        self.assertEqual(0, self.runner.starts)
 
     async def test_worker_that_may_not_have_left_keeps_its_runs(self) -> None:
         # Its machine may refuse connections while it runs.
--- a/chivespoke/coordination/__init__.py
+++ b/chivespoke/coordination/__init__.py
@@ -1,6 +1,7 @@
 """Leader election, the ledger of jobs, and the leader's scheduling."""
 
 from chivespoke.coordination._announcements import announce_address
+from chivespoke.coordination._announcements import announce_end
 from chivespoke.coordination._coordinator import Coordinator
 from chivespoke.coordination._engine import Engine
 from chivespoke.coordination._engine_state import LeaderTimeouts
@@ -30,6 +31,7 @@
 from chivespoke.coordination._records import CANCEL_PREFIX
 from chivespoke.coordination._records import compute_max_job_tasks
 from chivespoke.coordination._records import encode_cancel
+from chivespoke.coordination._records import encode_ended_worker
 from chivespoke.coordination._records import encode_entry_address
 from chivespoke.coordination._records import encode_entry_departure
 from chivespoke.coordination._records import encode_job
@@ -76,9 +78,11 @@
     'UnansweredStart',
     'WorkerIncarnation',
     'announce_address',
+    'announce_end',
     'compute_max_job_tasks',
     'describe_demand',
     'encode_cancel',
+    'encode_ended_worker',
     'encode_entry_address',
     'encode_entry_departure',
     'encode_job',
--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -103,6 +103,10 @@
         elif entry.cancelled and not existing.final:
             self._state.cancel_job(entry.job.identifier, wall_ms)
 
+    def handle_ended_worker(self, worker: str) -> None:
+        """Requeue the tasks of a worker that its sidecar recorded as ended."""
+        self._state.release_ended_worker(worker)
+
     def handle_report(
         self, report: _messages.Report, now: float, wall: float
     ) -> _fleet.Worker | None:
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -460,6 +460,14 @@
         """Record the new standing of a job for the metrics."""
         self._standing_changes.append(standing)
 
+    def release_ended_worker(self, key: str) -> None:
+        """Requeue the tasks of a worker that has ended and was not reported.
+
+        Of one that was reported, the reports tell the same.
+        """
+        if key in self.unreported:
+            self._release_unreported(key, 'its sidecar has recorded its end')
+
     def limit_unreported_leases(self, sidecar: str, now: float) -> None:
         """Bound the wait for a worker whose sidecar reports without it.
 
--- a/chivespoke/coordination/_records.py
+++ b/chivespoke/coordination/_records.py
@@ -21,6 +21,7 @@
 PROGRESS_PREFIX = 'progress/'
 WORKER_PREFIX = 'worker/'
 ENTRY_PREFIX = 'entry/'
+ENDED_PREFIX = 'ended/'
 # What the leaders have learned; see `_learning`.
 LEARNED_KEY = 'learned/model'
 LOAD_KEY = 'load/summary'
@@ -32,6 +33,8 @@
 # Maximum size of the record of one crash that a task is suspected of: the
 # names of the worker and its place, and small numbers.
 MAX_CRASH_RECORD_BYTES = 100
+# Largest number of tasks of a job, however large the records of the store are.
+MAX_JOB_TASKS = 1_000_000
 # Number of suspects of one job that are recorded at a time.
 MAX_JOB_SUSPECTS = 64
 
@@ -49,6 +52,14 @@
     address: str
 
 
+class EndedWorkerRecord(msgspec.Struct, frozen=True):
+    """Hold the last worker beside a sidecar that has ended."""
+
+    # Key of its incarnation.
+    worker: str
+
+
+ENDED_WORKER_DECODER = msgspec.msgpack.Decoder(EndedWorkerRecord)
 ADDRESS_DECODER = msgspec.msgpack.Decoder(AddressRecord)
 
 
@@ -67,6 +78,8 @@
     """Decode an accepted job; raise RefusedError if it is unreadable."""
     job = decoding.decode(JOB_DECODER, encoded, READ_STEP, identifier)
     flaw = workloads.describe_flaw(job)
+    if job.task_count > MAX_JOB_TASKS:
+        flaw = f'{job.task_count} tasks, at most {MAX_JOB_TASKS}'
     if job.identifier != identifier:
         flaw = f'the record of another job, {job.identifier[:64]!r}'
     if flaw:
@@ -137,6 +150,13 @@
     return platform.encode_record(ENTRY_PREFIX + name, b'')
 
 
+def encode_ended_worker(sidecar: str, worker: str) -> bytes:
+    """Return the record that the worker beside a sidecar has ended."""
+    return platform.encode_record(
+        ENDED_PREFIX + sidecar, ENCODER.encode(EndedWorkerRecord(worker))
+    )
+
+
 def encode_load(summary: LoadSummary) -> bytes:
     """Return the record of the load."""
     return platform.encode_record(LOAD_KEY, ENCODER.encode(summary))
@@ -227,6 +247,10 @@
     def handle_job(self, entry: JobEntry) -> None:
         """Handle a job that was accepted or cancelled."""
 
+    @abc.abstractmethod
+    def handle_ended_worker(self, worker: str) -> None:
+        """Handle that a worker has ended, by the key of its incarnation."""
+
     @abc.abstractmethod
     def handle_sidecar(self, name: str, address: str) -> None:
         """Handle a new address of a sidecar."""
@@ -239,6 +263,7 @@
         'entries',
         'sidecars',
         'entry_addresses',
+        'ended_workers',
         'learned',
         'load',
         'load_written_after',
@@ -258,6 +283,8 @@
         self.sidecars: dict[str, str] = {}
         # Address for neighbours' requests, by the name of the entry.
         self.entry_addresses: dict[str, str] = {}
+        # Key of the last worker that has ended, by the name of its sidecar.
+        self.ended_workers: dict[str, str] = {}
         # Record of what a leader has learned, which only the next leader
         # decodes; empty if there is none.
         self.learned = b''
@@ -307,6 +334,8 @@
             self._apply_sidecar(key.removeprefix(WORKER_PREFIX), record)
         elif key.startswith(ENTRY_PREFIX):
             self._apply_entry_address(key.removeprefix(ENTRY_PREFIX), record)
+        elif key.startswith(ENDED_PREFIX) and record.value:
+            self._apply_ended_worker(key.removeprefix(ENDED_PREFIX), record)
         elif key == LEARNED_KEY:
             self.learned = record.value
         elif key == LOAD_KEY and record.value:
@@ -353,6 +382,14 @@
         address = decode_address(record.value, record.key)
         self.entry_addresses[name] = address
 
+    def _apply_ended_worker(self, name: str, record: platform.Record) -> None:
+        worker = decoding.decode(
+            ENDED_WORKER_DECODER, record.value, READ_STEP, record.key
+        ).worker
+        self.ended_workers[name] = worker
+        if self.listener is not None:
+            self.listener.handle_ended_worker(worker)
+
     def _apply_load(self, value: bytes) -> None:
         summary = decoding.decode(LOAD_DECODER, value, READ_STEP, LOAD_KEY)
         decoding.check_finite(summary, READ_STEP, LOAD_KEY)
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -167,6 +167,10 @@
         self._engine.apply_entry(entry, now, self._clock.read_wall())
         self._wake.set()
 
+    def handle_ended_worker(self, worker: str) -> None:
+        self._engine.handle_ended_worker(worker)
+        self._wake.set()
+
     def handle_sidecar(self, name: str, address: str) -> None:
         replaced = self._links.pop(name, None)
         if replaced is not None:
@@ -246,6 +250,8 @@
         self._engine.offer_learned(self._ledger.learned)
         for entry in self._ledger.entries.values():
             self.handle_job(entry)
+        for worker in self._ledger.ended_workers.values():
+            self.handle_ended_worker(worker)
         for name, address in self._ledger.sidecars.items():
             self.handle_sidecar(name, address)
         LOGGER.info(
--- a/chivespoke/coordination/tests/builders.py
+++ b/chivespoke/coordination/tests/builders.py
@@ -165,6 +165,8 @@
         self.engine.offer_learned(self.ledger.learned)
         for entry in self.ledger.entries.values():
             self.engine.apply_entry(entry, self.now, WALL)
+        for worker in self.ledger.ended_workers.values():
+            self.engine.handle_ended_worker(worker)
 
     def submit(self, job: workloads.Job) -> None:
         """Submit a job through its ledger record."""
--- a/chivespoke/coordination/tests/test_engine.py
+++ b/chivespoke/coordination/tests/test_engine.py
@@ -234,6 +234,28 @@
         self.leader.report(builders.make_report('side-2'))
         self.assertEqual([], self.list_starts('side-2'))
 
+    def test_runs_of_a_worker_on_record_as_ended_start_elsewhere_at_once(
+        self,
+    ) -> None:
+        # Regression (cedarhollow-booking-grown, day spot-workers, seed 72):
+        # sidecars were stopped soon after their workers had ended, and each
+        # new leader waited for 18 s for these.
+        for ended, expected in (
+            (builders.make_incarnation(born_ms=9).key, []),
+            (builders.make_incarnation().key, [engine_case.FIRST_TASK]),
+        ):
+            with self.subTest(ended):
+                self.setUp()
+                self.start_job(engine_case.ONE_TASK_STEP)
+                self.leader.plan()
+                self.leader.write(
+                    coordination.encode_ended_worker('side-1', ended)
+                )
+                self.take_over()
+                self.leader.report(builders.make_report('side-2'))
+                self.leader.plan()
+                self.assertEqual(expected, self.list_starts('side-2'))
+
     def test_runs_of_a_machine_that_is_gone_start_elsewhere_in_time(
         self,
     ) -> None:
--- a/chivespoke/standins/_odd_contents.py
+++ b/chivespoke/standins/_odd_contents.py
@@ -19,6 +19,7 @@
         f'progress/{JOB}',
         f'worker/{NAME}',
         f'entry/{NAME}',
+        f'ended/{NAME}',
         'load/summary',
         'learned/model',
         NAME,
--- a/chivespoke/tests/test_decoders.py
+++ b/chivespoke/tests/test_decoders.py
@@ -83,6 +83,7 @@
     'progress': apply_record(_records.PROGRESS_PREFIX),
     'sidecar': apply_record(_records.WORKER_PREFIX),
     'entry': apply_record(_records.ENTRY_PREFIX),
+    'ended worker': apply_record(_records.ENDED_PREFIX),
     'load': lambda value: _records.Ledger().apply(
         platform.Record(0, _records.LOAD_KEY, value)
     ),
--- a/chivespoke/workloads/_model.py
+++ b/chivespoke/workloads/_model.py
@@ -7,10 +7,6 @@
 from chivespoke import decoding
 
 
-# Largest number of tasks of a job, however large the records of the store are.
-MAX_JOB_TASKS = 1_000_000
-
-
 class Step(msgspec.Struct, frozen=True, omit_defaults=True):
     """Specify the tasks of one step of a job."""
 
@@ -212,8 +208,6 @@
             return f'step {index} has no tasks'
         if any(not 0 <= dependency < index for dependency in step.depends_on):
             return f'step {index} depends on a step that does not precede it'
-    if job.task_count > MAX_JOB_TASKS:
-        return f'{job.task_count} tasks, at most {MAX_JOB_TASKS}'
     return ''
 
 
