Tell the wait for an earlier leader from the wait for leases

A lasting task on a worker that a new leader had not heard showed one cause and one part of the time, whether an earlier leader might still renew its leases or these had to expire.

'A lasting task is idle.' has a cause of its own for it and names the worker; 'A lasting task runs.' and the histogram have the part 'succeeded'. No logic is changed.

--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -495,10 +495,13 @@
         for worker in self.workers.values():
             if not worker.is_heard(now):
                 self.idle_tasks.record_silence(worker)
-        for unreported in self.unreported.values():
+        for key, unreported in self.unreported.items():
             for run in unreported.runs:
                 self.idle_tasks.record_unreported(
-                    run, unreported.expires_at - now
+                    run,
+                    key,
+                    unreported.expires_at - now,
+                    self.timeouts.max_lease_seconds,
                 )
 
     def expire_leases(self, now: float) -> None:
--- a/chivespoke/coordination/_idle_tasks.py
+++ b/chivespoke/coordination/_idle_tasks.py
@@ -18,6 +18,7 @@
     """Name why a task has nothing running."""
 
     LEASES = 'leases on its worker have not expired'
+    EARLIER_LEADER = 'an earlier leader may renew leases on its worker'
     NO_VIEW = 'no current configuration'
     NO_WORKER = 'no worker accepts tasks'
     NOT_ALLOWED = 'no worker is allowed'
@@ -37,8 +38,10 @@
 
     total: float
     # From the last sign of the earlier run until its worker was known to be
-    # silent, and until no call could revive the run.
+    # silent, until no earlier leader could renew its leases, and until no call
+    # could revive the run.
     noticed: float | None
+    succeeded: float | None
     released: float | None
     decided: float | None
     stored: float | None
@@ -52,6 +55,7 @@
     __slots__ = (
         'since',
         'noticed_at',
+        'succeeded_at',
         'released_at',
         'release',
         'decided_at',
@@ -69,6 +73,8 @@
         # Time of the last sign of the earlier run.
         self.since = since
         self.noticed_at: float | None = None
+        # Last time at which an earlier leader could renew the leases.
+        self.succeeded_at: float | None = None
         self.released_at: float | None = None
         # Evidence that released the earlier run.
         self.release = ''
@@ -141,15 +147,28 @@
                     },
                 )
 
-    def record_unreported(self, run: _fleet.Run, seconds_left: float) -> None:
+    def record_unreported(
+        self,
+        run: _fleet.Run,
+        worker: str,
+        seconds_left: float,
+        max_lease_seconds: float,
+    ) -> None:
         """Record a run on a worker that this leader has not heard."""
         if not run.step.long_running:
             return
         idle = self._find_or_add(run.task_id, self._now)
+        is_renewable = seconds_left > max_lease_seconds
+        if is_renewable:
+            idle.succeeded_at = self._now
         self._set_cause(
             idle,
-            IdleCause.LEASES,
-            {'seconds_left': round(seconds_left, 1), 'heard': False},
+            IdleCause.EARLIER_LEADER if is_renewable else IdleCause.LEASES,
+            {
+                'seconds_left': round(seconds_left, 1),
+                'heard': False,
+                'worker': worker,
+            },
         )
 
     def record_release(self, run: _fleet.Run, evidence: str) -> None:
@@ -242,6 +261,7 @@
         reached = idle.since
         for at in (
             idle.noticed_at,
+            idle.succeeded_at,
             idle.released_at,
             idle.decided_at,
             idle.stored_at,
--- a/chivespoke/coordination/tests/test_idle_tasks.py
+++ b/chivespoke/coordination/tests/test_idle_tasks.py
@@ -47,6 +47,7 @@
                 _idle_tasks.Restart(
                     total=3.75,
                     noticed=1.0,
+                    succeeded=None,
                     released=2.0,
                     decided=0.0,
                     stored=0.0,
@@ -58,6 +59,53 @@
         )
         self.assertEqual(0, idle.measure_oldest(self.leader.now))
 
+    def test_wait_for_an_earlier_leader_is_told_from_that_for_leases(
+        self,
+    ) -> None:
+        self.lose_worker()
+        timeouts = self.leader.engine.state.timeouts
+        self.leader = builders.Leader(
+            self.leader.ledger, builders.EPOCH + 1, now=self.leader.now
+        )
+        taken_over_at = self.leader.now
+        causes = []
+        for seconds in (
+            1.0,
+            timeouts.predecessor_renewal_seconds + 1.0,
+            timeouts.predecessor_renewal_seconds + timeouts.max_lease_seconds,
+        ):
+            self.leader.now = taken_over_at + seconds
+            self.leader.report(
+                builders.make_report('side-2', clock_ms=int(self.leader.now))
+            )
+            self.leader.plan()
+            causes.append(self.read_idle()[0])
+        self.assertEqual(
+            [
+                _idle_tasks.IdleCause.EARLIER_LEADER,
+                _idle_tasks.IdleCause.LEASES,
+                _idle_tasks.IdleCause.ORDER,
+            ],
+            causes,
+        )
+        (start,) = self.leader.make_directive('side-2').starts
+        self.leader.report(
+            builders.make_report(
+                'side-2',
+                running=(builders.make_running(start.task, start.run),),
+                clock_ms=7,
+            )
+        )
+        (restart,) = self.leader.engine.state.idle_tasks.take_restarts()
+        self.assertIsNone(restart.noticed)
+        self.assertEqual(0.0, restart.succeeded)
+        self.assertAlmostEqual(
+            timeouts.predecessor_renewal_seconds
+            + timeouts.max_lease_seconds
+            - 1.0,
+            restart.released or 0.0,
+        )
+
     def test_worker_that_answers_again_ends_the_wait(self) -> None:
         self.lose_worker({'answering': False})
         self.assertEqual(_idle_tasks.IdleCause.LEASES, self.read_idle()[0])
