Ask the leaders before whether they still renew leases

Cause: a new leader cannot hear such a worker and waits for the mandate of the leader before (12 s) and the longest lease. The record of silent sidecars ends that only if the leader before had two seconds and a store to write it. Class: a wait for a process that may act, although the process itself, or the one that has its address, can tell that it does not.

Change: the append that fences earlier leaders records the process and its address. A new leader asks each one on record there. A process that lives ends its earlier terms at once and says what is left of the leases and of the calls that may start a run late; another process at that address shows that the one on record had stopped to lead before its own start. A refused connection shows nothing, since a cut can refuse too, nor does silence: the wait stays as it was. Lasting runs that no call can start late any more are noted in their records, since a leader whose process has ended can no longer tell.

Why no task runs twice: a lease reaches to a reading of the worker's clock that a leader set by the last report, at most the longest lease beyond it, however late the directive arrives; an ended term sends none. All leaders on record must be known to have ended, and a record stays until its leases are past.

The wait for room after the release (7 to 11 s) is not changed here.

TakeOverTest stays known red: it has no answer of the leader before.

--- a/chivespoke/coordination/__init__.py
+++ b/chivespoke/coordination/__init__.py
@@ -10,6 +10,7 @@
 from chivespoke.coordination._fences import format_session
 from chivespoke.coordination._followers import TopicFold
 from chivespoke.coordination._followers import TopicFollower
+from chivespoke.coordination._handover import HandoverRoutes
 from chivespoke.coordination._links import open_socket
 from chivespoke.coordination._load import describe_demand
 from chivespoke.coordination._messages import AdoptedRun
@@ -54,6 +55,7 @@
     'Directive',
     'ENCODER',
     'Engine',
+    'HandoverRoutes',
     'JobEntry',
     'JobStanding',
     'JOB_PREFIX',
--- a/chivespoke/coordination/_coordinator.py
+++ b/chivespoke/coordination/_coordinator.py
@@ -4,6 +4,7 @@
 from chivespoke import clock
 from chivespoke.coordination import _engine_state
 from chivespoke.coordination import _followers
+from chivespoke.coordination import _handover
 from chivespoke.coordination import _leadership
 from chivespoke.coordination import _newest_follower
 from chivespoke.coordination import _operator_view
@@ -23,9 +24,14 @@
 # Age of the data above which a process does not stand for election: a read
 # from the store waits for 1 s at most, and a slow store answers within 1 s.
 MAX_CANDIDATE_DATA_AGE_SECONDS = 3.0
+# Number of terms of this process on which it answers the leaders that follow:
+# more than begin while leases last.
+KEPT_TERMS = 32
 
 
-class Coordinator(_leadership.Candidate, application.Component):
+class Coordinator(
+    _leadership.Candidate, application.Component, _handover.TermKeeper
+):
     """Follow the store's topics, and lead when elected."""
 
     __slots__ = (
@@ -42,6 +48,9 @@
         '_leadership',
         '_term',
         '_term_tasks',
+        '_record',
+        '_started_at',
+        '_stopped_terms',
     )
 
     def __init__(
@@ -53,6 +62,13 @@
         instruments: telemetry.Telemetry,
         delays_jobs: bool = False,
     ) -> None:
+        self._record = _records.LeaderRecord(
+            member, f'{machine.ip}:{machine.first_port}'
+        )
+        # Monotonic time since which the process has its address.
+        self._started_at: float | None = None
+        # By epoch, in the order in which they were closed.
+        self._stopped_terms: dict[int, _term.StoppedTerm] = {}
         self._store = store
         self._delays_jobs = delays_jobs
         self._telemetry = instruments
@@ -138,6 +154,8 @@
         )
 
     async def start(self) -> None:
+        # The servers were started before.
+        self._started_at = self._clock.read_monotonic()
         await self._advisor_transport.start()
         await self.operator_follower.start()
         await self.follower.start()
@@ -155,6 +173,25 @@
         await self.operator_follower.stop()
         await self._advisor_transport.stop()
 
+    def hand_over(
+        self, request: _handover.HandoverRequest
+    ) -> _handover.Handover | None:
+        if self._started_at is None:
+            return None
+        for term in self._term_tasks:
+            if term.epoch < request.epoch:
+                self._stopped_terms[term.epoch] = term.supersede()
+        now = self._clock.read_monotonic()
+        stopped = self._stopped_terms.get(request.earlier_epoch)
+        return _handover.Handover(
+            self._record.member,
+            int((now - self._started_at) * 1000),
+            None
+            if stopped is None
+            else int((now - stopped.stopped_at) * 1000),
+            {} if stopped is None else stopped.sidecars,
+        )
+
     async def lead(self, epoch: int) -> None:
         self.follower.set_read_pause(LEADER_READ_PAUSE_SECONDS)
         term = _term.Term(
@@ -169,6 +206,7 @@
             self._telemetry,
             platform.AdvisorClient(self._advisor_transport),
             self._leadership,
+            self._record,
             self._delays_jobs,
         )
         self._term = term
@@ -188,6 +226,9 @@
         tasks = self._term_tasks.get(term)
         if tasks is not None:
             await tasks.cancel()
+            self._stopped_terms[term.epoch] = term.stop_renewing()
+            while len(self._stopped_terms) > KEPT_TERMS:
+                del self._stopped_terms[min(self._stopped_terms)]
             await term.close()
             self._term_tasks.pop(term, None)
 
--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -1,5 +1,7 @@
 """The leader's scheduling: reports in, records and orders out; no I/O."""
 
+import collections.abc
+
 import msgspec
 
 from chivespoke.coordination import _advice_requester
@@ -10,6 +12,7 @@
 from chivespoke.coordination import _load
 from chivespoke.coordination import _messages
 from chivespoke.coordination import _placer
+from chivespoke.coordination import _predecessors
 from chivespoke.coordination import _records
 from chivespoke.coordination import _reports
 from chivespoke.coordination import _silent_sidecars
@@ -55,6 +58,7 @@
         '_learning_keeper',
         '_load_reporter',
         '_silent_sidecars',
+        '_predecessors',
         '_desired_state',
         '_checkpoints_marked_at',
     )
@@ -73,6 +77,7 @@
         self._learning_keeper = _learning.LearningKeeper(self._state)
         self._load_reporter = _load.LoadReporter(self._state, epoch)
         self._silent_sidecars = _silent_sidecars.SilentSidecars(self._state)
+        self._predecessors = _predecessors.Predecessors(self._state)
         # That of the latest plan; None if it was outdated.
         self._desired_state: _placer.DesiredState | None = None
         self._checkpoints_marked_at = 0.0
@@ -118,6 +123,32 @@
         """Take over the record of a sidecar that earlier leaders lost."""
         self._silent_sidecars.load(sidecar, silence, now)
 
+    def load_leaders(
+        self,
+        leaders: collections.abc.Mapping[int, _records.LeaderRecord],
+        now: float,
+    ) -> dict[int, _records.LeaderRecord]:
+        """Take over the records of leaders; return those before this one."""
+        earlier = {
+            epoch: leader
+            for epoch, leader in leaders.items()
+            if epoch < self._epoch
+        }
+        self._predecessors.load(
+            earlier, self._silent_sidecars.list_recorded(), now
+        )
+        return earlier
+
+    def record_leader_end(
+        self, epoch: int, end: _predecessors.LeaderEnd, now: float
+    ) -> None:
+        """Record that an earlier leader renews no leases any more."""
+        self._predecessors.record_end(epoch, end, now)
+
+    def describe_leases(self, now: float) -> dict[str, _records.SilentSidecar]:
+        """Return what is left of the leases, by sidecar with runs."""
+        return self._silent_sidecars.describe_all(now)
+
     def may_renew_leases(self, sidecar: str) -> bool:
         """Return whether leases may be renewed on a sidecar's worker."""
         return self._silent_sidecars.may_renew(sidecar)
@@ -192,6 +223,7 @@
             )
             if load_record is not None:
                 records.append(load_record)
+        records += self._predecessors.make_tombstones(now)
         silences, heard_sidecars = self._silent_sidecars.make_records(now)
         records += silences
         recorded_ends = {
@@ -201,7 +233,7 @@
         }
         return Plan(
             tuple(records),
-            decided_runs,
+            (*decided_runs, *self._state.take_unsettled_runs()),
             recorded_ends,
             heard_sidecars,
             self._placer.complete,
@@ -282,6 +314,8 @@
             return True
         if not self._is_start_permitted(worker, now):
             return False
+        if self._state.unsettle(run):
+            return False
         if not worker.has_recent_report(now):
             # The order may not arrive, and must not hold up the orders for
             # other workers.
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -52,6 +52,11 @@
         """Return the time after which leases granted now have expired."""
         return self.measure_lease(int(self.lease_seconds * 1000))
 
+    @property
+    def max_wait_seconds(self) -> float:
+        """Return the time after which leases of earlier leaders are past."""
+        return self.predecessor_renewal_seconds + self.max_lease_seconds
+
     def measure_lease(self, clock_ms: int) -> float:
         """Return the seconds after which a worker's clock has advanced."""
         return clock_ms / 1000 * (1 + 2 * self.clock_drift_share)
@@ -92,6 +97,7 @@
     """Hold jobs and workers and keep their task assignments consistent."""
 
     __slots__ = (
+        'epoch',
         'timeouts',
         'delays_jobs',
         'jobs',
@@ -111,11 +117,13 @@
         '_start_waits',
         'late_starts',
         'idle_tasks',
+        '_unsettled_runs',
     )
 
     def __init__(
         self, epoch: int, timeouts: LeaderTimeouts, delays_jobs: bool = False
     ) -> None:
+        self.epoch = epoch
         self.timeouts = timeouts
         # Jobs are delayed by what that costs while there is too little room.
         self.delays_jobs = delays_jobs
@@ -129,6 +137,8 @@
             timeouts.late_call_seconds, timeouts.start_order_seconds
         )
         self.idle_tasks = _idle_tasks.IdleTasks()
+        # Runs to be ordered once it is stored that calls may start them.
+        self._unsettled_runs: list[_fleet.Run] = []
         self.jobs: dict[str, _jobs.JobState] = {}
         self.workers: dict[str, _fleet.Worker] = {}
         self.unreported: dict[str, UnreportedWorker] = {}
@@ -169,11 +179,7 @@
         state = _jobs.JobState(entry.job, progress)
         self.jobs[entry.job.identifier] = state
         self.suspects.load(state)
-        expires_at = (
-            now
-            + self.timeouts.predecessor_renewal_seconds
-            + self.timeouts.max_lease_seconds
-        )
+        expires_at = now + self.timeouts.max_wait_seconds
         for name, task in state.list_assigned():
             run = _fleet.Run(
                 name,
@@ -206,6 +212,61 @@
         )
         self._start_waits.append(StartWait(state.job.queue, seconds))
 
+    def is_settled(self, run: _fleet.Run) -> bool:
+        """Return whether it is on record that no call can start a run."""
+        state = self.jobs.get(run.name.job)
+        task = state.find_task(run.name) if state else None
+        return task is not None and task.settled_run == run.number
+
+    def settle(self, run: _fleet.Run, now: float) -> None:
+        """Note that no call can start a listed run of a lasting task any more.
+
+        If this leader and the sidecar are lost, the task need not wait for
+        such calls.
+        """
+        if not run.step.long_running:
+            return
+        state = self.jobs.get(run.name.job)
+        task = state.find_task(run.name) if state else None
+        if (
+            state is None
+            or task is None
+            or task.run != run.number
+            or task.settled_run == run.number
+            or self.late_starts.may_begin(run, now)
+        ):
+            return
+        task.settled_run = run.number
+        state.dirty = True
+
+    def unsettle(self, run: _fleet.Run) -> bool:
+        """Hold the order for a settled run until the note is withdrawn.
+
+        Returns whether there was one.
+        """
+        if not self.is_settled(run):
+            return False
+        state = self.jobs[run.name.job]
+        task = state.find_task(run.name)
+        assert task is not None
+        LOGGER.info(
+            'A start order for a run that was listed is to be repeated.',
+            task=run.task_id,
+            run=run.number,
+            worker=task.worker,
+        )
+        task.settled_run = 0
+        state.dirty = True
+        run.state = _fleet.RunState.DECIDED
+        self._unsettled_runs.append(run)
+        return True
+
+    def take_unsettled_runs(self) -> tuple[_fleet.Run, ...]:
+        """Return and forget the runs whose notes were withdrawn."""
+        runs = tuple(self._unsettled_runs)
+        self._unsettled_runs.clear()
+        return runs
+
     def take_start_waits(self) -> tuple[StartWait, ...]:
         """Return and forget the waits of the jobs that have begun."""
         waits = tuple(self._start_waits)
--- a/chivespoke/coordination/_records.py
+++ b/chivespoke/coordination/_records.py
@@ -23,6 +23,7 @@
 ENTRY_PREFIX = 'entry/'
 ENDED_PREFIX = 'ended/'
 SILENT_PREFIX = 'silent/'
+LEADER_PREFIX = 'leader/'
 # What the leaders have learned; see `_learning`.
 LEARNED_KEY = 'learned/model'
 LOAD_KEY = 'load/summary'
@@ -85,6 +86,16 @@
     read_at: float | None
 
 
+class LeaderRecord(msgspec.Struct, frozen=True):
+    """Hold the process that leads in an epoch."""
+
+    # Its name in the group; unique among all processes.
+    member: str
+    # At which it answers the leaders that follow.
+    address: str
+
+
+LEADER_DECODER = msgspec.msgpack.Decoder(LeaderRecord)
 SILENT_SIDECAR_DECODER = msgspec.msgpack.Decoder(SilentSidecar)
 ENDED_WORKER_DECODER = msgspec.msgpack.Decoder(EndedWorkerRecord)
 ADDRESS_DECODER = msgspec.msgpack.Decoder(AddressRecord)
@@ -196,6 +207,18 @@
     return platform.encode_record(SILENT_PREFIX + sidecar, b'')
 
 
+def encode_leader(epoch: int, record: LeaderRecord) -> bytes:
+    """Return the record of the process that leads in an epoch."""
+    return platform.encode_record(
+        f'{LEADER_PREFIX}{epoch}', ENCODER.encode(record)
+    )
+
+
+def encode_past_leader(epoch: int) -> bytes:
+    """Return the tombstone of the record of a leader."""
+    return platform.encode_record(f'{LEADER_PREFIX}{epoch}', b'')
+
+
 def encode_load(summary: LoadSummary) -> bytes:
     """Return the record of the load."""
     return platform.encode_record(LOAD_KEY, ENCODER.encode(summary))
@@ -304,6 +327,7 @@
         'entry_addresses',
         'ended_workers',
         'silent_sidecars',
+        'leaders',
         'learned',
         'load',
         'load_written_after',
@@ -331,6 +355,8 @@
         self.ended_workers: dict[str, str] = {}
         # Sidecars that the leader does not hear, by name.
         self.silent_sidecars: dict[str, KnownSilence] = {}
+        # Leaders whose leases may not all have expired, by epoch.
+        self.leaders: dict[int, LeaderRecord] = {}
         # Record of what a leader has learned, which only the next leader
         # decodes; empty if there is none.
         self.learned = b''
@@ -371,6 +397,9 @@
         for name in tuple(self.silent_sidecars):
             if SILENT_PREFIX + name not in keys:
                 del self.silent_sidecars[name]
+        for epoch in tuple(self.leaders):
+            if f'{LEADER_PREFIX}{epoch}' not in keys:
+                del self.leaders[epoch]
 
     def _apply(self, record: platform.Record) -> None:
         key = record.key
@@ -388,6 +417,8 @@
             self._apply_ended_worker(key.removeprefix(ENDED_PREFIX), record)
         elif key.startswith(SILENT_PREFIX):
             self._apply_silent_sidecar(key.removeprefix(SILENT_PREFIX), record)
+        elif key.startswith(LEADER_PREFIX):
+            self._apply_leader(key.removeprefix(LEADER_PREFIX), record)
         elif key == LEARNED_KEY:
             self.learned = record.value
         elif key == LOAD_KEY and record.value:
@@ -457,6 +488,18 @@
             )
         self.silent_sidecars[name] = KnownSilence(silent, self._read_at)
 
+    def _apply_leader(self, epoch: str, record: platform.Record) -> None:
+        if not decoding.is_number(epoch):
+            raise errors.RefusedError(READ_STEP, record.key, 'no epoch')
+        if not record.value:
+            self.leaders.pop(int(epoch), None)
+            return
+        leader = decoding.decode(
+            LEADER_DECODER, record.value, READ_STEP, record.key
+        )
+        decoding.check_address(leader.address, READ_STEP, record.key)
+        self.leaders[int(epoch)] = leader
+
     def _apply_load(self, value: bytes) -> None:
         summary = decoding.decode(LOAD_DECODER, value, READ_STEP, LOAD_KEY)
         decoding.check_finite(summary, READ_STEP, LOAD_KEY)
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -84,6 +84,8 @@
         running = () if report.lapsed else report.running
         self._reconcile_runs(worker, running, wall_ms)
         add_unrecorded_starts(worker, report.unanswered)
+        if report.answering and report.epoch == self._state.epoch:
+            self._settle_runs(worker, now)
         record_paces(worker, report.paces)
         self._observe_runs(worker, is_new_poll)
         if report.answering and is_new_poll:
@@ -264,6 +266,14 @@
         for task_id in worker.unrecorded_runs:
             self._state.record_start(task_id, wall_ms)
 
+    def _settle_runs(self, worker: _fleet.Worker, now: float) -> None:
+        for run in worker.runs.values():
+            if (
+                run.state is _fleet.RunState.RUNNING
+                and run.last_listing is not None
+            ):
+                self._state.settle(run, now)
+
     def _update_listed_run(
         self, run: _fleet.Run, row: platform.RunningTask
     ) -> None:
--- a/chivespoke/coordination/_silent_sidecars.py
+++ b/chivespoke/coordination/_silent_sidecars.py
@@ -70,6 +70,10 @@
         """Return whether leases on a sidecar's worker may be renewed."""
         return sidecar not in self._recorded
 
+    def list_recorded(self) -> tuple[str, ...]:
+        """Return the sidecars whose record stands, or is under way."""
+        return tuple(sorted(self._recorded))
+
     def make_records(self, now: float) -> tuple[list[bytes], tuple[str, ...]]:
         """Return records to store, and the sidecars that they withdraw."""
         if now > self._planned_at + MAX_PLAN_GAP_SECONDS:
@@ -86,22 +90,14 @@
             ):
                 continue
             self._recorded.add(sidecar)
-            lease_seconds = max(0.0, lease_end - now)
-            late_starts = self._list_late_starts(sidecar, now)
+            record = self._describe(sidecar, lease_end, now)
             LOGGER.info(
                 'A sidecar is put on record as silent.',
                 sidecar=sidecar,
-                lease_seconds=round(lease_seconds, 1),
-                late_starts=len(late_starts),
-            )
-            records.append(
-                _records.encode_silent_sidecar(
-                    sidecar,
-                    _records.SilentSidecar(
-                        int(lease_seconds * 1000) + 1, late_starts
-                    ),
-                )
+                lease_seconds=round(record.lease_millis / 1000, 1),
+                late_starts=len(record.late_starts),
             )
+            records.append(_records.encode_silent_sidecar(sidecar, record))
         withdrawn = tuple(
             sidecar
             for sidecar in sorted(self._recorded)
@@ -119,6 +115,21 @@
             )
         self._recorded.difference_update(sidecars)
 
+    def describe_all(self, now: float) -> dict[str, _records.SilentSidecar]:
+        """Return what is left of the leases, by sidecar with runs."""
+        return {
+            sidecar: self._describe(sidecar, lease_end, now)
+            for sidecar, lease_end in self._list_lease_ends()
+        }
+
+    def _describe(
+        self, sidecar: str, lease_end: float, now: float
+    ) -> _records.SilentSidecar:
+        return _records.SilentSidecar(
+            int(max(0.0, lease_end - now) * 1000) + 1,
+            self._list_late_starts(sidecar, now),
+        )
+
     def _list_lease_ends(
         self,
     ) -> collections.abc.Iterator[tuple[str, float]]:
--- a/chivespoke/coordination/_term.py
+++ b/chivespoke/coordination/_term.py
@@ -14,6 +14,7 @@
 from chivespoke.coordination import _engine_state
 from chivespoke.coordination import _fleet
 from chivespoke.coordination import _followers
+from chivespoke.coordination import _handover
 from chivespoke.coordination import _links
 from chivespoke.coordination import _mandate
 from chivespoke.coordination import _messages
@@ -60,6 +61,15 @@
         yield bytes(joined)
 
 
+class StoppedTerm(msgspec.Struct, frozen=True):
+    """Hold what a term left when it renewed its last lease."""
+
+    # Monotonic time in seconds.
+    stopped_at: float
+    # What was left of the leases then, by sidecar with runs.
+    sidecars: dict[str, _records.SilentSidecar]
+
+
 class TakeOverError(errors.UnavailableError):
     """Report that the ledger could not be read up to the term's begin."""
 
@@ -90,6 +100,8 @@
         '_telemetry',
         '_advice_requester',
         '_mandate',
+        '_record',
+        '_stopped',
     )
 
     def __init__(
@@ -105,9 +117,14 @@
         instruments: telemetry.Telemetry,
         advisor: platform.AdvisorClient,
         mandate: _mandate.Mandate,
+        record: _records.LeaderRecord,
         delays_jobs: bool = False,
     ) -> None:
         self._mandate = mandate
+        # What the leaders that follow are told of this process.
+        self._record = record
+        # Set once no more leases are renewed.
+        self._stopped: StoppedTerm | None = None
         self._epoch = epoch
         self._store = store
         self._ledger = ledger
@@ -143,6 +160,18 @@
             self._clock.read_monotonic()
         )
 
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of the term."""
+        return self._epoch
+
+    def stop_renewing(self) -> StoppedTerm:
+        """Renew no leases and order no starts from now on."""
+        if self._stopped is None:
+            now = self._clock.read_monotonic()
+            self._stopped = StoppedTerm(now, self._engine.describe_leases(now))
+        return self._stopped
+
     async def run(self) -> str:
         """Lead until the epoch is superseded; return the reason.
 
@@ -155,10 +184,13 @@
             await self._plan_repeatedly()
         except (platform.FencedError, _appender.SupersededError) as error:
             return f'fenced: {error}'
+        finally:
+            self.stop_renewing()
         return 'superseded'
 
     async def close(self) -> None:
         """Stop all tasks and close all connections."""
+        self.stop_renewing()
         if self._ledger.listener is self:
             self._ledger.listener = None
         await self._tasks.cancel()
@@ -233,16 +265,25 @@
             sidecar=report.sidecar,
             epoch=report.epoch,
         )
+        self.supersede()
+
+    def supersede(self) -> StoppedTerm:
+        """End the term, as a later leader is known."""
         self._superseded = True
         self._appender.supersede()
         self._wake.set()
+        return self.stop_renewing()
 
     def make_directive(self, sidecar: str) -> _messages.Directive:
         now = self._clock.read_monotonic()
         worker = self._workers_by_sidecar.get(sidecar)
         # A process that stood still sends directives before it hears that
         # another one leads, which may have waited for all leases to expire.
-        if worker is None or now > self._mandate.valid_until:
+        if (
+            worker is None
+            or self._stopped is not None
+            or now > self._mandate.valid_until
+        ):
             return self._engine.make_empty_directive(sidecar)
         return self._engine.make_directive(worker, now)
 
@@ -252,8 +293,10 @@
 
     async def _take_over(self) -> None:
         started_at = self._clock.read_monotonic()
-        # An empty append with this epoch fences off all earlier leaders.
-        end_offset = await self._append(b'')
+        # An append with this epoch fences off all earlier leaders.
+        end_offset = await self._append(
+            _records.encode_leader(self._epoch, self._record)
+        )
         LOGGER.info(
             'Waiting for the ledger before taking over.',
             epoch=self._epoch,
@@ -274,6 +317,7 @@
             )
         for name, address in self._ledger.sidecars.items():
             self.handle_sidecar(name, address)
+        self._ask_earlier_leaders()
         LOGGER.info(
             'Leadership taken over.',
             epoch=self._epoch,
@@ -283,6 +327,44 @@
             seconds=self._clock.read_monotonic() - started_at,
         )
 
+    def _ask_earlier_leaders(self) -> None:
+        earlier = self._engine.load_leaders(
+            self._ledger.leaders, self._clock.read_monotonic()
+        )
+        for epoch, leader in earlier.items():
+            LOGGER.info(
+                'An earlier leader may still renew leases; asking it.',
+                epoch=epoch,
+                member=leader.member,
+                address=leader.address,
+            )
+            self._tasks.spawn(self._ask_earlier_leader(epoch, leader))
+
+    async def _ask_earlier_leader(
+        self, epoch: int, leader: _records.LeaderRecord
+    ) -> None:
+        timeouts = self._engine.state.timeouts
+        try:
+            async with asyncio.timeout(timeouts.max_wait_seconds):
+                end = await _handover.ask_leader(
+                    self._epoch,
+                    epoch,
+                    leader,
+                    self._clock,
+                    timeouts.clock_drift_share,
+                )
+        except TimeoutError:
+            LOGGER.warning(
+                'An earlier leader has not answered; its leases are past.',
+                epoch=epoch,
+                member=leader.member,
+            )
+            return
+        self._engine.record_leader_end(
+            epoch, end, self._clock.read_monotonic()
+        )
+        self._wake.set()
+
     async def _wait_for_ledger(self, offset: int) -> None:
         try:
             async with asyncio.timeout(TAKE_OVER_TIMEOUT_SECONDS):
--- a/chivespoke/coordination/tests/builders.py
+++ b/chivespoke/coordination/tests/builders.py
@@ -159,6 +159,7 @@
         self.engine = coordination.Engine(
             epoch, coordination.LeaderTimeouts(), delays_jobs
         )
+        self.epoch = epoch
         self.now = now
         self.desired_state: coordination.DesiredState | None = (
             make_desired_state()
@@ -170,6 +171,12 @@
             self.engine.handle_ended_worker(worker)
         for name, silence in self.ledger.silent_sidecars.items():
             self.engine.load_silent_sidecar(name, silence, self.now)
+        self.engine.load_leaders(self.ledger.leaders, self.now)
+
+    def announce(self) -> None:
+        """Put this leader on record, as a term does first."""
+        record = _records.LeaderRecord(f'member-{self.epoch}', '127.0.0.1:1')
+        self.write(_records.encode_leader(self.epoch, record))
 
     def submit(self, job: workloads.Job) -> None:
         """Submit a job through its ledger record."""
--- a/chivespoke/serving/_assembly.py
+++ b/chivespoke/serving/_assembly.py
@@ -93,7 +93,11 @@
                 addresses.Address(machine.ip, METRICS_PORT), (instruments,)
             ),
             web.HttpServer(
-                relay_address, (intake.NeighbourRoutes(job_routes),)
+                relay_address,
+                (
+                    coordination.HandoverRoutes(coordinator),
+                    intake.NeighbourRoutes(job_routes),
+                ),
             ),
             readiness,
             relay,
--- a/chivespoke/workloads/_model.py
+++ b/chivespoke/workloads/_model.py
@@ -184,6 +184,9 @@
     crashes: tuple[Crash, ...] = ()
     # Number of the latest run that cleared the task of suspicion.
     cleared_run: decoding.Amount = 0
+    # Number of the latest run of a lasting task that its worker has listed and
+    # that no call can start any more.
+    settled_run: decoding.Amount = 0
 
 
 class JobProgress(msgspec.Struct, array_like=True):
