Let searches for room without a find starve no lasting task

Cause: room is looked for two tasks at a time, in the order of the jobs. A search without a find was spent as well, and the next plan began with the same tasks, so that those behind them never had a turn.

Evidence: test_searches_without_a_find_starve_a_task_behind_them, eight workers, four of them lost, three lasting tasks that no worker can be freed for before one that fits: idle beyond the 3 s of the test before (failed), restarted after.

Why it works: a task that was searched for without a find is passed over until a plan leaves searches over, so that all that wait have had their turn. The number of searches a plan stays two.

--- a/chivespoke/coordination/_room.py
+++ b/chivespoke/coordination/_room.py
@@ -34,7 +34,7 @@
 class RoomKeeper:
     """Hold room for lasting tasks, and stop runs that are in its way."""
 
-    __slots__ = ('_state', '_now', '_holds', '_searches')
+    __slots__ = ('_state', '_now', '_holds', '_searches', '_searched')
 
     def __init__(self, state: _engine_state.State) -> None:
         self._state = state
@@ -43,12 +43,18 @@
         self._holds: dict[str, _Hold] = {}
         # Left for this plan.
         self._searches = 0
+        # Ids of the tasks for which room was looked for without a find, since
+        # all that wait have had their turn.
+        self._searched: set[str] = set()
 
     def begin_plan(
         self, accepting: collections.abc.Container[str], now: float
     ) -> None:
         """Drop the holds that have become pointless."""
         self._now = now
+        if self._searches:
+            # The plan before had searches left.
+            self._searched.clear()
         self._searches = MAX_SEARCHES
         for task_id, hold in tuple(self._holds.items()):
             if hold.worker in accepting:
@@ -110,9 +116,12 @@
     ) -> bool:
         """Return whether room is held for a task, or can be looked for."""
         return name.format() in self._holds or (
-            self._searches > 0 and self._has_run(state, name)
+            self._may_search(name) and self._has_run(state, name)
         )
 
+    def _may_search(self, name: workloads.TaskName) -> bool:
+        return self._searches > 0 and name.format() not in self._searched
+
     def _has_run(
         self, state: _jobs.JobState, name: workloads.TaskName
     ) -> bool:
@@ -142,7 +151,7 @@
         step = state.job.steps[name.step]
         hold = self._holds.get(name.format())
         if hold is None:
-            if not self._searches:
+            if not self._may_search(name):
                 return None
             self._searches -= 1
         elif hold.seen_at != self._now:
@@ -157,6 +166,7 @@
             ),
         )
         if choice is None:
+            self._searched.add(name.format())
             self.release(name)
             return hold.worker if hold is not None else None
         changed = None
--- a/chivespoke/coordination/tests/test_room.py
+++ b/chivespoke/coordination/tests/test_room.py
@@ -68,6 +68,43 @@
                     self.fleet.leader.find_phase(),
                 )
 
+    def test_searches_without_a_find_starve_a_task_behind_them(self) -> None:
+        # Regression (issue 50, days of ours): the same tasks, which no worker
+        # can be freed for, used up the searches of each plan.
+        self.fleet = fleet.Fleet(8, frozenset())
+        self.fleet.spread_seconds = fleet.STEP_SECONDS
+        large_jobs = [f'00000000000000a{number}' for number in range(3, 6)]
+        anchors = '00000000000000c1'
+        self.fleet.lasting_jobs = frozenset(
+            (LASTING_JOB, anchors, *large_jobs)
+        )
+        self.submit(
+            msgspec.structs.replace(LASTING, cpu_millis=1300), LASTING_JOB
+        )
+        for job in large_jobs:
+            self.submit(LASTING, job)
+        self.submit(
+            workloads.Step(count=4, cpu_millis=6700, long_running=True),
+            anchors,
+        )
+        self.fleet.run(2)
+        self.submit(
+            workloads.Step(count=400, cpu_millis=600, estimated_ms=2000),
+            builders.JOB,
+        )
+        self.fleet.run(4)
+        lost = [
+            sidecar
+            for sidecar, running in self.fleet.running.items()
+            if any(
+                task.partition('.')[0] in (LASTING_JOB, *large_jobs)
+                for task, _ in running
+            )
+        ]
+        for sidecar in lost:
+            self.fleet.remove_worker(sidecar)
+        self.assertIsNotNone(self.measure_wait(MAX_RESTART_SECONDS))
+
     def test_first_start_neither_holds_room_nor_stops_runs(self) -> None:
         # Regression (provamar-chive-grown, scale-1): the room that was held
         # for many new lasting tasks starved the batch work.
