Let a leader that has stopped tell of its own leases only

Cause: a leader that had just taken over was asked by the next one, and what it said of a worker that it had never heard counted its own wait for the leader before it. The one that asked knew by then that this one had ended, and waited for what the second had said.

Why it works: a leader grants no lease on a worker that it has not heard, and each leader whose leases may last is on record, so that it tells for itself. A leader that found no record, as after an entry of an earlier version, counts its wait as before.

--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -146,8 +146,13 @@
         self._predecessors.record_end(epoch, end, now)
 
     def describe_leases(self, now: float) -> dict[str, _records.SilentSidecar]:
-        """Return what is left of the leases, by sidecar with runs."""
-        return self._silent_sidecars.describe_all(now)
+        """Return what is left of the leases, by sidecar with runs.
+
+        Of leases that only earlier leaders can have granted, these tell.
+        """
+        return self._silent_sidecars.describe_all(
+            now, with_unreported=not self._predecessors.are_on_record
+        )
 
     def may_renew_leases(self, sidecar: str) -> bool:
         """Return whether leases may be renewed on a sidecar's worker."""
--- a/chivespoke/coordination/_predecessors.py
+++ b/chivespoke/coordination/_predecessors.py
@@ -33,6 +33,7 @@
 
     __slots__ = (
         '_state',
+        'are_on_record',
         '_taken_over_at',
         '_leaders',
         '_ends',
@@ -41,6 +42,9 @@
 
     def __init__(self, state: _engine_state.State) -> None:
         self._state = state
+        # Each earlier leader whose leases may last was on record. An entry of
+        # an earlier version leaves no record.
+        self.are_on_record = False
         self._taken_over_at = 0.0
         # On record as silent when this leader took over.
         self._silent_sidecars: frozenset[str] = frozenset()
@@ -58,6 +62,7 @@
         self._taken_over_at = now
         self._silent_sidecars = frozenset(silent_sidecars)
         self._leaders = dict(leaders)
+        self.are_on_record = bool(leaders)
 
     def list_unknown(self) -> dict[int, _records.LeaderRecord]:
         """Return the earlier leaders that may still renew leases."""
--- a/chivespoke/coordination/_silent_sidecars.py
+++ b/chivespoke/coordination/_silent_sidecars.py
@@ -115,10 +115,20 @@
             )
         self._recorded.difference_update(sidecars)
 
-    def describe_all(self, now: float) -> dict[str, _records.SilentSidecar]:
-        """Return what is left of the leases, by sidecar with runs."""
+    def describe_all(
+        self, now: float, with_unreported: bool
+    ) -> dict[str, _records.SilentSidecar]:
+        """Return what is left of the leases, by sidecar with runs.
+
+        Leases on workers that this leader has not heard count if asked for.
+        """
+        heard = {worker.sidecar for worker in self._state.workers.values()}
         return {
-            sidecar: self._describe(sidecar, lease_end, now)
+            sidecar: self._describe(
+                sidecar,
+                lease_end if with_unreported or sidecar in heard else now,
+                now,
+            )
             for sidecar, lease_end in self._list_lease_ends()
         }
 
--- a/chivespoke/coordination/tests/test_predecessors.py
+++ b/chivespoke/coordination/tests/test_predecessors.py
@@ -127,6 +127,29 @@
             taken_over_at - self.lost_at + self.timeouts.max_wait_seconds,
         )
 
+    def test_wait_for_a_leader_ends_though_the_next_one_did_not_know(
+        self,
+    ) -> None:
+        # Regression (soak, seed 5001): what the second leader said of the
+        # leases counted its own wait for the first one, of which the third
+        # knew that it had ended.
+        self.take_over(1.0)
+        leases = self.leader.engine.describe_leases(self.leader.now)
+        self.take_over(1.0)
+        self.end_leader(self.leader.now, leases, builders.EPOCH + 1)
+        self.end_leader(self.lost_at + 0.5)
+        self.assertLess(self.measure_idle_time(), MAX_IDLE_SECONDS)
+
+    def test_leader_without_a_record_is_waited_for_by_later_ones(self) -> None:
+        self.leader.write(_records.encode_past_leader(builders.EPOCH))
+        self.take_over()
+        leases = self.leader.engine.describe_leases(self.leader.now)
+        self.take_over(1.0)
+        self.end_leader(self.leader.now, leases, builders.EPOCH + 1)
+        self.assertGreaterEqual(
+            self.measure_idle_time(), self.timeouts.max_wait_seconds
+        )
+
     def test_last_end_counts(self) -> None:
         self.take_over(1.0)
         self.take_over(1.0)
