Let the soak lose machines with the lead while the store refuses

No test had all in one: a worker and its sidecar gone for good, the store away so that nothing is recorded, and the lead changed. Entries are killed one after the other, since any may lead; the machines stay away, so that nothing but the leader can end the wait.

--- a/chivespoke/bench/soak/_daemon.py
+++ b/chivespoke/bench/soak/_daemon.py
@@ -96,6 +96,12 @@
             await self.stop()
             await self.start()
 
+    async def end(self) -> None:
+        """Kill the process, and do not start it again."""
+        async with self._changes:
+            await self.stop()
+            self._process = None
+
     async def pause(self, seconds: float) -> None:
         """Let the process stand still."""
         self.send(signal.SIGSTOP)
--- a/chivespoke/bench/soak/_schedule.py
+++ b/chivespoke/bench/soak/_schedule.py
@@ -28,6 +28,7 @@
     STORE_FORGETS = 'store-forgets'
     STORM = 'storm'
     RUNNER_GONE = 'runner-gone'
+    SIDECAR_GONE = 'sidecar-gone'
 
 
 LINK_FAULTS = (FaultKind.CUT, FaultKind.RESET, FaultKind.NARROW)
@@ -121,7 +122,11 @@
                 '',
             )
         at += generator.uniform(0.5, 3.0)
-    for fault in _list_lost_workers(seed, last, entries, sidecars):
+    lost_workers = tuple(_list_lost_workers(seed, last, entries, sidecars))
+    for fault in (
+        *lost_workers,
+        *_list_lost_machines(seed, lost_workers, entries),
+    ):
         add(fault.kind, fault.at, fault.seconds, fault.target)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
@@ -149,3 +154,33 @@
             yield Fault(near, FaultKind.KILL, 0.0, generator.choice(entries))
         elif company == 2:
             yield Fault(near, FaultKind.KILL, 0.0, name)
+
+
+def _list_lost_machines(
+    seed: int,
+    lost_workers: collections.abc.Iterable[Fault],
+    entries: tuple[str, ...],
+) -> collections.abc.Iterator[Fault]:
+    """Yield the losses of sidecars with their workers, and of the lead.
+
+    The store refuses calls meanwhile, so that nothing is recorded. All entries
+    are killed in turn, as any may lead.
+    """
+    generator = random.Random(f'machines {seed}')
+    for fault in lost_workers:
+        if fault.kind is not FaultKind.RUNNER_GONE or generator.random() < 0.5:
+            continue
+        refuses_at = max(0.0, fault.at - generator.uniform(-0.5, 1.5))
+        yield Fault(
+            refuses_at, FaultKind.STORE_REFUSES, generator.uniform(3.0, 5.0)
+        )
+        yield Fault(
+            fault.at + generator.uniform(0.0, 0.4),
+            FaultKind.SIDECAR_GONE,
+            0.0,
+            fault.target,
+        )
+        at = fault.at + generator.uniform(0.3, 2.0)
+        for name in generator.sample(entries, len(entries)):
+            yield Fault(at, FaultKind.KILL, 0.0, name)
+            at += generator.uniform(0.0, 0.6)
--- a/chivespoke/bench/soak/_world.py
+++ b/chivespoke/bench/soak/_world.py
@@ -140,6 +140,8 @@
             await self._harm_store(fault)
         elif kind is _schedule.FaultKind.RUNNER_GONE:
             await self._lose_worker(self.sidecars.index(fault.target))
+        elif kind is _schedule.FaultKind.SIDECAR_GONE:
+            await self.daemons[fault.target].end()
         elif kind is _schedule.FaultKind.PAUSE:
             await self.daemons[fault.target].pause(fault.seconds)
         elif kind is _schedule.FaultKind.RELOAD:
