Tell sidecars that have just begun what leases were allowed

Cause: a new process does not know what the one before it asked for and expects leases of the longest kind that the worker grants, 10 s, although leaders allow 6 s from their last report at most.

Why it works: no process of a sidecar asks for more than a leader allows, and a leader that hears a session knows that the process before it has ended. Once the leases of earlier leaders are past it says how far it has allowed any, and the sidecar, and the leader by itself, expect no more. Before that all is as it was.

A stricter bound by the last answered poll failed six tests whose workers repeat one poll for seconds, and was dropped. Unit tests of both sides failed before by construction (the field is new).

--- a/chivespoke/agents/_leases.py
+++ b/chivespoke/agents/_leases.py
@@ -22,7 +22,8 @@
 
     __slots__ = (
         'sent_ms',
-        'end_ms',
+        '_own_end_ms',
+        '_others_end_ms',
         'clock_ms',
         '_max_lease_seconds',
         '_limit_ms',
@@ -32,8 +33,10 @@
     def __init__(self, max_lease_seconds: float) -> None:
         # The latest end that was requested.
         self.sent_ms = 0
-        # The latest end that any lease may have.
-        self.end_ms = 0
+        # The latest end of the leases that this process requested since the
+        # first reading, and of those that earlier processes may have.
+        self._own_end_ms = 0
+        self._others_end_ms = 0
         # The last reading of the worker's clock, and when it was received.
         self.clock_ms = 0
         self._read_at: float | None = None
@@ -41,6 +44,11 @@
         # The latest end that the leader allows.
         self._limit_ms = 0
 
+    @property
+    def end_ms(self) -> int:
+        """Return the latest end that any lease may have."""
+        return max(self._own_end_ms, self._others_end_ms)
+
     def measure_reading_age(self, now: float) -> float:
         """Return the age of the last reading in seconds."""
         return 0.0 if self._read_at is None else now - self._read_at
@@ -50,7 +58,10 @@
         if self._read_at is None:
             # Others may have renewed the leases, and the worker shortens any
             # lease to its longest.
-            self.end_ms = clock_ms + int(self._max_lease_seconds * 1000)
+            self._own_end_ms = 0
+            self._others_end_ms = clock_ms + int(
+                self._max_lease_seconds * 1000
+            )
         self.clock_ms = clock_ms
         self._read_at = received_at
 
@@ -59,6 +70,10 @@
         self._read_at = None
         self.record_reading(clock_ms, received_at)
 
+    def bound_others(self, granted_until_ms: int) -> None:
+        """Expect no lease of earlier processes beyond a reading."""
+        self._others_end_ms = min(self._others_end_ms, granted_until_ms)
+
     def raise_limit(self, limit_ms: int) -> None:
         """Allow leases up to a reading of the worker's clock."""
         self._limit_ms = max(self._limit_ms, limit_ms)
@@ -78,8 +93,7 @@
         extended_ms = min(desired_ms, self._limit_ms)
         if extended_ms <= self.sent_ms:
             return None
-        self.sent_ms = extended_ms
-        self.end_ms = max(self.end_ms, extended_ms)
+        self.sent_ms = self._own_end_ms = extended_ms
         return extended_ms
 
     def is_past(self, end_ms: int, now: float) -> bool:
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -279,6 +279,8 @@
             )
             return
         self._leases.raise_limit(directive.lease_until_ms)
+        if directive.granted_until_ms and not self._replaced:
+            self._leases.bound_others(directive.granted_until_ms)
         self._acknowledged_end = max(
             self._acknowledged_end, directive.acknowledged
         )
--- a/chivespoke/agents/tests/test_leases.py
+++ b/chivespoke/agents/tests/test_leases.py
@@ -20,6 +20,23 @@
             with self.subTest(seconds=seconds):
                 self.assertIs(expired, self.leases.have_expired(NOW + seconds))
 
+    def test_sidecar_that_has_just_begun_waits_for_leases_that_none_granted(
+        self,
+    ) -> None:
+        # Regression (soak, seed 5007): leases of the longest kind
+        # were waited for, which the leader had never allowed.
+        self.leases.bound_others(CLOCK_MS + 6_000)
+        for seconds, expired in ((5.9, False), (6.3, True)):
+            with self.subTest(seconds=seconds):
+                self.assertIs(expired, self.leases.have_expired(NOW + seconds))
+
+    def test_bound_on_others_leaves_own_leases(self) -> None:
+        self.leases.raise_limit(CLOCK_MS + 60_000)
+        self.assertEqual(CLOCK_MS + 5_000, self.leases.extend(NOW))
+        self.leases.bound_others(CLOCK_MS + 1_000)
+        self.assertFalse(self.leases.have_expired(NOW + 5.0))
+        self.assertTrue(self.leases.have_expired(NOW + 5.5))
+
     def test_slow_clock_of_the_worker_is_waited_for(self) -> None:
         self.assertFalse(
             self.leases.have_expired(NOW + MAX_LEASE_SECONDS * 1.02)
--- a/chivespoke/coordination/_engine.py
+++ b/chivespoke/coordination/_engine.py
@@ -389,11 +389,14 @@
             run.repeated = True
         for task_id, number in worker.unrecorded_runs.items():
             stops.append(_messages.StopOrder(task_id, number))
+        lease_until_ms = worker.worker_clock_ms + int(
+            timeouts.lease_seconds * 1000
+        )
+        worker.granted_until_ms = max(worker.granted_until_ms, lease_until_ms)
         return _messages.Directive(
             epoch=self._epoch,
             incarnation=worker.incarnation.key,
-            lease_until_ms=worker.worker_clock_ms
-            + int(timeouts.lease_seconds * 1000),
+            lease_until_ms=lease_until_ms,
             acknowledged=worker.acknowledged,
             starts=tuple(starts),
             stops=tuple(stops),
@@ -405,6 +408,9 @@
             reserved=self._measure_reserved(worker),
             standings=self._list_standings(worker),
             fence_end=self._state.fences.find_token_end(worker.sidecar),
+            granted_until_ms=worker.granted_until_ms
+            if now >= self._state.earlier_leases_end_at
+            else 0,
         )
 
     def _measure_reserved(self, worker: _fleet.Worker) -> workloads.Resources:
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -118,6 +118,7 @@
         'late_starts',
         'idle_tasks',
         '_unsettled_runs',
+        'earlier_leases_end_at',
     )
 
     def __init__(
@@ -137,6 +138,9 @@
             timeouts.late_call_seconds, timeouts.start_order_seconds
         )
         self.idle_tasks = _idle_tasks.IdleTasks()
+        # Time at which all leases that earlier leaders may have allowed are
+        # past; infinite before the take-over.
+        self.earlier_leases_end_at = float('inf')
         # Runs to be ordered once it is stored that calls may start them.
         self._unsettled_runs: list[_fleet.Run] = []
         self.jobs: dict[str, _jobs.JobState] = {}
--- a/chivespoke/coordination/_fleet.py
+++ b/chivespoke/coordination/_fleet.py
@@ -130,6 +130,7 @@
         'answered_at',
         'leases_expire_at',
         'worker_clock_ms',
+        'granted_until_ms',
         'directives',
         'runs',
         'reserved',
@@ -162,6 +163,9 @@
         # sidecar reports again.
         self.leases_expire_at = now
         self.worker_clock_ms = 0
+        # Reading of the worker's clock beyond which this leader has allowed no
+        # lease so far.
+        self.granted_until_ms = 0
         # Number of directives made for the worker.
         self.directives = 0
         # Keyed by task id.
--- a/chivespoke/coordination/_messages.py
+++ b/chivespoke/coordination/_messages.py
@@ -213,6 +213,9 @@
     # The session may raise its token to any below this one; 0 from a leader of
     # a version that allows none.
     fence_end: int = 0
+    # Reading of the worker's clock, in milliseconds, beyond which no leader
+    # has allowed a lease so far; 0 if the leader does not know.
+    granted_until_ms: int = 0
 
 
 REPORT_DECODER = msgspec.msgpack.Decoder(Report)
--- a/chivespoke/coordination/_predecessors.py
+++ b/chivespoke/coordination/_predecessors.py
@@ -60,6 +60,9 @@
     ) -> None:
         """Take over the records of the leaders before."""
         self._taken_over_at = now
+        self._state.earlier_leases_end_at = (
+            now + self._state.timeouts.max_wait_seconds
+        )
         self._silent_sidecars = frozenset(silent_sidecars)
         self._leaders = dict(leaders)
         self.are_on_record = bool(leaders)
@@ -109,6 +112,10 @@
         )
 
     def _bound_waits(self) -> None:
+        self._state.earlier_leases_end_at = (
+            max(end.ended_at for end in self._ends.values())
+            + self._state.timeouts.max_lease_seconds
+        )
         for key, unreported in self._state.unreported.items():
             sidecar = _messages.find_sidecar(key)
             self._state.bound_unreported_leases(
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -58,9 +58,13 @@
         # A heartbeat may repeat the result of the previous poll.
         is_new_poll = report.clock_ms != worker.worker_clock_ms
         worker.worker_clock_ms = report.clock_ms
+        lease_end_ms = report.lease_end_ms
+        if now >= self._state.earlier_leases_end_at:
+            # A sidecar that has just begun expects leases of the longest kind.
+            lease_end_ms = min(lease_end_ms, worker.granted_until_ms)
         worker.leases_expire_at = now + max(
             timeouts.max_lease_seconds,
-            timeouts.measure_lease(report.lease_end_ms - report.clock_ms),
+            timeouts.measure_lease(lease_end_ms - report.clock_ms),
         )
         if worker.session != report.session:
             worker.session = report.session
--- a/chivespoke/coordination/tests/test_predecessors.py
+++ b/chivespoke/coordination/tests/test_predecessors.py
@@ -226,6 +226,46 @@
                     [builders.EPOCH + 1], list(self.leader.ledger.leaders)
                 )
 
+    def test_grants_are_told_once_those_of_earlier_leaders_are_past(
+        self,
+    ) -> None:
+        self.take_over()
+        self.end_leader(self.lost_at)
+        self.leader.report(builders.make_report(clock_ms=5000))
+        self.assertEqual(0, self.leader.make_directive().granted_until_ms)
+        self.leader.now += self.timeouts.max_lease_seconds
+        first = self.leader.make_directive()
+        self.assertEqual(first.lease_until_ms, first.granted_until_ms)
+        # The worker's clock is read anew, by another process.
+        self.leader.report(
+            builders.make_report(clock_ms=4000, sidecar_incarnation='b')
+        )
+        self.assertEqual(
+            first.granted_until_ms,
+            self.leader.make_directive().granted_until_ms,
+        )
+
+    def test_leader_waits_for_leases_that_no_leader_allowed(self) -> None:
+        # Regression (soak, seed 5007): the sidecar had just begun, and was
+        # lost before it heard of the leader.
+        for seconds, expected in (
+            (0.0, 10.4),
+            (self.timeouts.max_lease_seconds, self.timeouts.max_lease_seconds),
+        ):
+            with self.subTest(seconds=seconds):
+                self.setUp()
+                self.take_over()
+                self.end_leader(self.lost_at)
+                self.leader.now += seconds
+                self.leader.report(
+                    builders.make_report(clock_ms=5000, lease_end_ms=15_000)
+                )
+                worker = self.leader.engine.state.find_worker_of('side-1')
+                assert worker is not None
+                self.assertAlmostEqual(
+                    expected, worker.leases_expire_at - self.leader.now
+                )
+
     def test_without_a_record_of_the_leader_before_the_wait_is_full(
         self,
     ) -> None:
