--- a/chivespoke/bench/soak/_daemon.py
+++ b/chivespoke/bench/soak/_daemon.py
@@ -62,6 +62,12 @@
         # Number of its processes so far.
         self.starts = 0
 
+    @property
+    def process_id(self) -> int:
+        """Return the identifier of the daemon's process."""
+        assert self._process is not None
+        return self._process.pid
+
     async def start(self) -> None:
         with self._log_path.open('ab') as output:
             self._process = await asyncio.create_subprocess_exec(
