Limit what the clients of a server make it hold

Cause: what one client may make a process hold was limited, what all of them may was not: bodies had 64 MiB each and no sum, requests and heads no time, connections no number; bodies were unpacked; and all connections that are readable at once were read in one turn of the loop, up to 256 KiB each.

Change: every HTTP server passes what it receives through one module, which counts it before it is parsed, against limits of that server. What has stopped in the middle of a request gives way first; a request without room is refused with 503 and Retry-After before a handler sees it, so that a job never runs; a length beyond the limit gets 413 by its head, a packed body 415. Errors that clients cause are counted, not logged one by one with a traceback.

Why it works: the count is of bytes before parsing, and at most 16 KiB a connection are not yet counted.

--- a/chivespoke/daemons.py
+++ b/chivespoke/daemons.py
@@ -16,6 +16,7 @@
 from chivespoke import settings
 from chivespoke import telemetry
 from chivespoke import web
+from chivespoke import web_limits
 
 # Time between the first failing health check and the first refused request.
 BALANCER_NOTICE_SECONDS = 1.0
@@ -24,6 +25,17 @@
 Part = application.Component | web.RouteProvider
 
 
+def make_limits(
+    configured: settings.Settings,
+) -> web_limits.ServerLimits:
+    """Return the limits of a daemon's HTTP server."""
+    return web_limits.ServerLimits(
+        max_connections=configured.max_connections,
+        max_body_bytes=configured.body_memory,
+        memory_bytes=configured.body_memory,
+    )
+
+
 class EntryContext:
     """Hold the shared objects on which the parts of an entry build."""
 
@@ -215,6 +227,7 @@
         self.http = web.HttpServer(
             entry.http,
             [part for part in parts if isinstance(part, web.RouteProvider)],
+            limits=make_limits(entry),
         )
         parts.insert(-1, self.http)
         super().__init__(
@@ -259,7 +272,11 @@
             time,
         )
         health = web.Health(0.0)
-        self.http = web.HttpServer(sidecar.http, (self.telemetry, health))
+        self.http = web.HttpServer(
+            sidecar.http,
+            (self.telemetry, health),
+            limits=make_limits(sidecar),
+        )
         # Components drain in reverse order: announce to the entries that
         # the server leaves, finish running requests, then hand over results.
         departure = backend_servers.KeyHandover(announcer)
--- a/chivespoke/serving/tests/test_crowds.py
+++ b/chivespoke/serving/tests/test_crowds.py
@@ -136,11 +136,20 @@
         )
 
     async def test_silent_connections_beyond_the_descriptors(self) -> None:
-        for port in (crowds.READINESS_PORT, crowds.CALLER_PORT):
-            with self.subTest(port=port):
-                await self.meet(
-                    port, OPEN_CROWD, (), max_descriptors=MAX_DESCRIPTORS
-                )
+        await self.meet(
+            crowds.CALLER_PORT,
+            OPEN_CROWD,
+            (),
+            max_descriptors=MAX_DESCRIPTORS,
+        )
+
+    async def test_silent_connections_to_the_readiness_check(self) -> None:
+        await self.meet(
+            crowds.READINESS_PORT,
+            OPEN_CROWD,
+            (),
+            max_descriptors=MAX_DESCRIPTORS,
+        )
 
 
 if __name__ == '__main__':
--- a/chivespoke/settings.py
+++ b/chivespoke/settings.py
@@ -57,6 +57,9 @@
     # a peer counts as failed.
     heartbeat_interval: Positive = 1.0
     heartbeat_limit: Positive = 3.0
+    # HTTP connections at a time, and bytes of the requests that they bring.
+    max_connections: PositiveCount = 2048
+    body_memory: PositiveCount = 67_108_864
 
     def __post_init__(self) -> None:
         _check_heartbeats(self.heartbeat_interval, self.heartbeat_limit)
@@ -82,6 +85,8 @@
     log: LogSettings = LogSettings()
     heartbeat_interval: Positive = 1.0
     heartbeat_limit: Positive = 3.0
+    max_connections: PositiveCount = 2048
+    body_memory: PositiveCount = 67_108_864
 
     def __post_init__(self) -> None:
         _check_heartbeats(self.heartbeat_interval, self.heartbeat_limit)
--- a/chivespoke/web.py
+++ b/chivespoke/web.py
@@ -9,11 +9,11 @@
 from chivespoke import addresses
 from chivespoke import application
 from chivespoke import errors
+from chivespoke import web_limits
 
-BYTES_PER_MIB = 1024 * 1024
-# Largest request body that the server accepts.
-MAX_BODY_BYTES = 64 * BYTES_PER_MIB
 SHUTDOWN_TIMEOUT_SECONDS = 5.0
+# Time for which what a client still sends is read after it was refused.
+LINGERING_SECONDS = 2.0
 
 
 class RouteProvider(abc.ABC):
@@ -33,6 +33,9 @@
         '_runner',
         '_bound_address',
         '_shutdown_seconds',
+        '_limits',
+        '_listener',
+        '_tasks',
     )
 
     def __init__(
@@ -40,7 +43,11 @@
         address: addresses.Address,
         providers: collections.abc.Iterable[RouteProvider],
         shutdown_seconds: float = SHUTDOWN_TIMEOUT_SECONDS,
+        limits: web_limits.ServerLimits | None = None,
     ) -> None:
+        self._limits = limits or web_limits.ServerLimits()
+        self._listener: asyncio.Server | None = None
+        self._tasks = application.TaskOwner()
         self._shutdown_seconds = shutdown_seconds
         self._configured_address = address
         self._providers = tuple(providers)
@@ -57,20 +64,31 @@
         return self._bound_address
 
     async def start(self) -> None:
-        server = web.Application(client_max_size=MAX_BODY_BYTES)
+        gate = web_limits.Gate(self._limits)
+        server = web.Application(
+            client_max_size=self._limits.max_body_bytes,
+            middlewares=(gate.middleware,),
+        )
         for provider in self._providers:
             server.add_routes(provider.list_routes())
         runner = web.AppRunner(
-            server, access_log=None, shutdown_timeout=self._shutdown_seconds
+            server,
+            access_log=None,
+            shutdown_timeout=self._shutdown_seconds,
+            # A small body may unpack to any size.
+            auto_decompress=False,
+            lingering_time=LINGERING_SECONDS,
+            logger=web_limits.ServerLog(gate),
         )
         await runner.setup()
-        site = web.TCPSite(
-            runner,
-            self._configured_address.host,
-            self._configured_address.port,
-        )
+        make_protocol = runner.server
+        assert make_protocol is not None
         try:
-            await site.start()
+            self._listener = await asyncio.get_running_loop().create_server(
+                lambda: gate.make_protocol(make_protocol()),
+                self._configured_address.host,
+                self._configured_address.port,
+            )
         except OSError as error:
             await runner.cleanup()
             raise errors.UnavailableError(
@@ -78,13 +96,17 @@
                 self._configured_address.format_http(),
                 str(error),
             ) from error
-        host, port = runner.addresses[0][:2]
+        host, port = self._listener.sockets[0].getsockname()[:2]
         self._bound_address = addresses.Address(host, port)
         self._runner = runner
+        self._tasks.spawn_loop(gate.sweep_repeatedly)
 
     async def stop(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
         if self._runner is not None:
             await self._runner.cleanup()
+        await self._tasks.cancel()
 
 
 class Health(application.Component, RouteProvider):
