Keep the late starts of a leader whose record is gone

What callers would see: a task that runs twice.

Cause: what a leader that has ended left of calls that may start a run late was taken over once all leaders on record had told. If the last one told later than 6.2 s after the end of the first, the record of the first was gone, and its calls, which may be executed for 16.5 s, with it.

Why it works: late starts are taken over when the end of a leader becomes known; only the bounds on leases wait for all.

Evidence: test_late_starts_of_a_leader_count_after_its_record_is_gone failed before.

--- a/chivespoke/coordination/_predecessors.py
+++ b/chivespoke/coordination/_predecessors.py
@@ -88,6 +88,11 @@
             sidecars=len(end.sidecars),
             unknown=len(self.list_unknown()),
         )
+        # Its record may go before all others have told.
+        for key, unreported in self._state.unreported.items():
+            self._record_late_starts(
+                end, _messages.find_sidecar(key), unreported.runs
+            )
         if not self.list_unknown():
             self._bound_waits()
 
@@ -116,7 +121,7 @@
             max(end.ended_at for end in self._ends.values())
             + self._state.timeouts.max_lease_seconds
         )
-        for key, unreported in self._state.unreported.items():
+        for key in self._state.unreported:
             sidecar = _messages.find_sidecar(key)
             self._state.bound_unreported_leases(
                 sidecar,
@@ -125,8 +130,6 @@
                     for end in self._ends.values()
                 ),
             )
-            for end in self._ends.values():
-                self._record_late_starts(end, sidecar, unreported.runs)
 
     def _find_lease_end(self, end: LeaderEnd, sidecar: str) -> float:
         """Return when the leases that a leader has granted have expired."""
--- a/chivespoke/coordination/tests/test_predecessors.py
+++ b/chivespoke/coordination/tests/test_predecessors.py
@@ -182,6 +182,33 @@
             + self.timeouts.late_call_seconds,
         )
 
+    def test_late_starts_of_a_leader_count_after_its_record_is_gone(
+        self,
+    ) -> None:
+        # The second leader on record tells once the first one's is past.
+        job = builders.make_job(LASTING, identifier='00000000000000b1')
+        self.leader.submit(job)
+        self.leader.plan()
+        (start,) = self.leader.make_directive().starts
+        self.take_over()
+        self.take_over()
+        self.end_leader(self.lost_at)
+        self.pass_time(self.timeouts.max_lease_seconds + STEP_SECONDS)
+        self.assertNotIn(builders.EPOCH, self.leader.ledger.leaders)
+        self.end_leader(
+            self.leader.now,
+            {'side-1': _records.SilentSidecar(1)},
+            builders.EPOCH + 1,
+        )
+        starts = []
+        while self.leader.now < self.lost_at + (
+            self.timeouts.late_call_seconds
+        ):
+            self.pass_time(STEP_SECONDS)
+            starts += self.list_starts('side-2')
+        self.assertIn(engine_case.FIRST_TASK, starts)
+        self.assertNotIn(start.task, starts)
+
     def test_record_of_a_silent_sidecar_names_all_late_starts(self) -> None:
         # The run was not listed before the sidecar fell silent, but the
         # leader knew that no call could start it.
