--- a/chivespoke/tests/test_decoders.py
+++ b/chivespoke/tests/test_decoders.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from chivespoke import coordination
+from chivespoke.coordination import _handover
 from chivespoke.coordination import _learned_record
 from chivespoke.coordination import _messages
 from chivespoke.coordination import _records
@@ -78,6 +79,12 @@
     'advice': decode_response(_advisor.ADVICE_DECODER),
     'report': decode_message(_messages.REPORT_DECODER),
     'directive': decode_message(_messages.DIRECTIVE_DECODER),
+    'question to a leader': decode_message(_handover.REQUEST_DECODER),
+    'answer of a leader': decode_message(_handover.HANDOVER_DECODER),
+    'silent sidecar': apply_record(_records.SILENT_PREFIX),
+    'leader': lambda value: _records.Ledger().apply(
+        platform.Record(0, f'{_records.LEADER_PREFIX}7', value)
+    ),
     'learned record': _learned_record.decode_record,
     'job': apply_record(_records.JOB_PREFIX),
     'progress': apply_record(_records.PROGRESS_PREFIX),
