Log which life answered a call, and under which lease

Change: the lines on the first and the last answered poll name the clock of the life, the lease end that was expected and requested, the acknowledged number and the token; a sidecar says when another life answered and what runs there, when runs go on although all leases were taken for expired, and at which clock leases have expired on the worker. The leader names the clock and the lease end with a new worker, and what it had granted when it gives up the runs of one.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -444,12 +444,13 @@
         if was_doubted:
             self._doubted = False
             self._listener.handle_confirmation()
+        self._log_unexpected_leases(status)
+        now = self._clock.read_monotonic()
+        self._leases.record_reading(status.clock_ms, now)
         self._set_answering(True, '')
         self._set_refuses_connections(False)
         async with self._polled:
             self._status = status
-            now = self._clock.read_monotonic()
-            self._leases.record_reading(status.clock_ms, now)
             self._run_ages.record_status(status, now)
             for row in status.running:
                 self._unanswered.record_listing(row.task, row.run)
@@ -469,6 +470,32 @@
             # The worker answers at once while ended runs are unacknowledged.
             await self._clock.sleep(UNACKNOWLEDGED_PAUSE_SECONDS)
 
+    def _log_unexpected_leases(self, status: platform.WorkerStatus) -> None:
+        """Log runs that go on after the leases that the sidecar expected."""
+        if self._have_leases_expired() and status.running:
+            LOGGER.warning(
+                'Runs go on although all leases were taken for expired.',
+                worker=self.incarnation.key,
+                clock_ms=status.clock_ms,
+                lease_end_ms=self._leases.end_ms,
+                runs=len(status.running),
+            )
+        lapsed = {
+            end.number
+            for end in status.ended
+            if end.cause is platform.EndCause.LEASE_EXPIRED
+        }
+        if self._status is not None:
+            lapsed -= {end.number for end in self._status.ended}
+        if lapsed:
+            LOGGER.warning(
+                'Leases have expired on the worker.',
+                worker=self.incarnation.key,
+                clock_ms=status.clock_ms,
+                lease_end_ms=self._leases.end_ms,
+                runs=len(lapsed),
+            )
+
     def _set_refuses_connections(self, refuses_connections: bool) -> None:
         if refuses_connections == self._refuses_connections:
             return
@@ -498,6 +525,10 @@
             'Another incarnation of the worker answered.',
             worker=self.incarnation.key,
             born_ms=status.born_ms,
+            clock_ms=status.clock_ms,
+            requested_lease_end_ms=self._leases.sent_ms,
+            fence=self._fence,
+            runs=len(status.running),
         )
         self._replaced = True
         # It may have carried out orders of this session, under leases as long
@@ -513,13 +544,21 @@
         self._answering = answering
         if answering:
             LOGGER.info(
-                'The worker answers polls.', worker=self.incarnation.key
+                'The worker answers polls.',
+                worker=self.incarnation.key,
+                clock_ms=self._leases.clock_ms,
+                lease_end_ms=self._leases.end_ms,
+                fence=self._fence,
             )
         else:
             LOGGER.warning(
                 'The worker does not answer polls.',
                 worker=self.incarnation.key,
                 error=detail,
+                clock_ms=self._leases.clock_ms,
+                requested_lease_end_ms=self._leases.sent_ms,
+                acknowledged=self._acknowledged_end,
+                fence=self._fence,
             )
         self._listener.request_report()
         if not answering:
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -319,7 +319,11 @@
                 run.sent_at = None
 
     def add_worker(
-        self, worker: _fleet.Worker, running: dict[str, int]
+        self,
+        worker: _fleet.Worker,
+        running: dict[str, int],
+        clock_ms: int = 0,
+        lease_end_ms: int = 0,
     ) -> None:
         """Add a new worker with the runs recorded for it.
 
@@ -350,6 +354,8 @@
             service=worker.incarnation.service,
             data_centre=worker.incarnation.data_centre,
             runs=len(worker.runs),
+            clock_ms=clock_ms,
+            lease_end_ms=lease_end_ms,
         )
 
     def _inherit_runs(
@@ -430,6 +436,9 @@
                 cause=cause,
                 runs=len(released),
                 kept=len(worker.runs) - len(released),
+                clock_ms=worker.worker_clock_ms,
+                granted_until_ms=worker.granted_until_ms,
+                answering=worker.answering,
             )
         for run in released:
             self.release_run(worker, run, cause)
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -132,7 +132,10 @@
             incarnation, report.sidecar, report.session, now
         )
         self._state.add_worker(
-            worker, {row.task: row.run for row in report.running}
+            worker,
+            {row.task: row.run for row in report.running},
+            report.clock_ms,
+            report.lease_end_ms,
         )
         return worker
 
