--- a/chivespoke/standins/_runner.py
+++ b/chivespoke/standins/_runner.py
@@ -58,6 +58,7 @@
         '_service',
         '_zone',
         '_boot',
+        '_returned',
         '_tasks',
         '_ledger',
         '_control',
@@ -103,6 +104,10 @@
             ledger,
             self.began,
         )
+        # Clear while the machine is dark: calls that arrive wait, and the next
+        # boot executes them.
+        self._returned = asyncio.Event()
+        self._returned.set()
         self._tasks = application.TaskOwner()
         self._control = ''
         self._session: aiohttp.ClientSession | None = None
@@ -185,6 +190,15 @@
         """Lose all state and break all connections until a restart."""
         self._boot.end()
 
+    def go_dark(self) -> None:
+        """Lose all state; the calls from now on wait for the next boot.
+
+        So does a connection whose first packets were dropped while the machine
+        was dark.
+        """
+        self._returned.clear()
+        self._boot.end()
+
     def crash_for(self, seconds: float) -> None:
         """Exit, and restart under another identifier after some seconds."""
         self.exit()
@@ -248,6 +262,7 @@
             self._ledger,
             self.began,
         )
+        self._returned.set()
 
     async def _register_periodically(self) -> None:
         while True:
@@ -292,10 +307,10 @@
             await withhold_response()
         if self.faults.use_up('slow_holds'):
             await asyncio.sleep(self.faults.slow_seconds)
-        boot = self._boot
         reason = await self._execute(
             request, 'holds', lambda body: self._boot.hold(body)
         )
+        boot = self._boot
         if reason:
             return await self._respond('holds', reason, {})
         wait_ms = msgspec.json.decode(await request.read()).get('wait_ms', 0)
@@ -322,6 +337,7 @@
         """
         target = request.headers.get(TARGET_HEADER, self.identifier)
         body = msgspec.json.decode(await request.read())
+        await self._returned.wait()
         if self._boot.ended:
             await break_connection(request)
         if self.faults.use_up(f'late_{calls}'):
@@ -332,6 +348,8 @@
                 execute,
                 body,
             )
+            if self.faults.breaks_late_calls:
+                await break_connection(request)
             await withhold_response()
         return self._execute_if_addressed(target, execute, body)
 
--- a/chivespoke/standins/_runner_faults.py
+++ b/chivespoke/standins/_runner_faults.py
@@ -21,6 +21,8 @@
     lost_holds: int = 0
     lost_paces: int = 0
     late_seconds: float = 0.2
+    # Whether the connection of a late call breaks at once.
+    breaks_late_calls: bool = False
     # Number of starts that are refused with status 503, as by an unhealthy
     # worker.
     unhealthy_starts: int = 0
