Test what a leader knows of a worker that is back under its identifier

An old leader, and the next one, keep apart what they granted to the earlier incarnation of a worker, and which of its ends they have acknowledged. No test let a worker come back under a leader for which earlier leases are past.

--- /dev/null
+++ b/chivespoke/coordination/tests/test_returned_workers.py
@@ -0,0 +1,116 @@
+"""Tests of workers that are back under their identifiers; no I/O.
+
+Calls that were built on the clock and the numbers of the earlier incarnation
+may have been executed by the new one, until it is polled with a later token.
+"""
+
+import unittest
+
+from chivespoke import coordination
+from chivespoke.coordination import _predecessors
+from chivespoke.coordination.tests import builders
+from chivespoke.coordination.tests import engine_case
+from chivespoke import platform
+
+FIRST_TASK = engine_case.FIRST_TASK
+# The longest lease that a worker grants.
+MAX_LEASE_MS = 10_000
+# The worker's clock: late in the first incarnation, and early in the second.
+LATE_CLOCK_MS = 500_000
+EARLY_CLOCK_MS = 1_200
+
+
+class ReturnedWorkerTest(engine_case.EngineTest):
+    """Let a worker start again once the leases of earlier leaders are past."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.leader.announce()
+        self.leader.now += self.timeouts.max_wait_seconds
+        self.leader.report(builders.make_report(clock_ms=LATE_CLOCK_MS))
+        self.leader.submit(builders.make_job(engine_case.ONE_TASK_STEP))
+        self.leader.plan()
+        self.leader.make_directive()
+        self.leader.report(
+            builders.make_report(
+                clock_ms=LATE_CLOCK_MS + 100,
+                running=(builders.make_running(FIRST_TASK),),
+            )
+        )
+
+    @property
+    def timeouts(self) -> coordination.LeaderTimeouts:
+        return self.leader.engine.state.timeouts
+
+    def take_over(self, ended_at: float, seconds: float) -> None:
+        """Let another leader take over, which knows when this one ended."""
+        self.leader = builders.Leader(
+            self.leader.ledger,
+            self.leader.epoch + 1,
+            now=ended_at + seconds,
+        )
+        self.leader.announce()
+        self.leader.engine.record_leader_end(
+            builders.EPOCH,
+            _predecessors.LeaderEnd(ended_at, {}),
+            self.leader.now,
+        )
+
+    def report_return(
+        self,
+        answering: bool = True,
+        ended: tuple[platform.EndedRun, ...] = (),
+    ) -> None:
+        """Report the first poll of the second incarnation."""
+        self.leader.report(
+            builders.make_report(
+                born_ms=2,
+                clock_ms=EARLY_CLOCK_MS,
+                lease_end_ms=EARLY_CLOCK_MS + MAX_LEASE_MS,
+                answering=answering,
+                ended=ended,
+            )
+        )
+
+    def test_leases_are_those_of_the_new_clock(self) -> None:
+        self.leader.make_directive()
+        self.report_return()
+        self.assertEqual(
+            EARLY_CLOCK_MS + int(self.timeouts.lease_seconds * 1000),
+            self.leader.make_directive().lease_until_ms,
+        )
+
+    def test_acknowledged_ends_are_those_of_the_new_incarnation(self) -> None:
+        for next_leader in (False, True):
+            with self.subTest(next_leader=next_leader):
+                self.setUp()
+                self.leader.report(
+                    builders.make_report(
+                        clock_ms=LATE_CLOCK_MS + 200,
+                        ended=(
+                            builders.make_end(
+                                57, FIRST_TASK, platform.EndCause.FAILED
+                            ),
+                        ),
+                    )
+                )
+                self.leader.plan()
+                self.assertEqual(57, self.leader.make_directive().acknowledged)
+                if next_leader:
+                    self.take_over(self.leader.now, 1.0)
+                self.report_return()
+                self.leader.plan()
+                self.assertEqual(0, self.leader.make_directive().acknowledged)
+                self.report_return(
+                    ended=(
+                        builders.make_end(
+                            1, FIRST_TASK, platform.EndCause.FAILED, run=2
+                        ),
+                    )
+                )
+                self.leader.plan()
+                self.assertEqual(1, self.leader.make_directive().acknowledged)
+
+
+if __name__ == '__main__':
+    unittest.main()
