Test calls of an earlier session that a new boot executes first

What was missed: calls that were built on one boot of a worker, executed by the next one before the first poll of its session.

- test_wait_does_not_end_early_once_earlier_leases_are_past: the wait that a young leader had set is shortened by 2.56 s once it is old.

--- a/chivespoke/coordination/tests/test_returned_workers.py
+++ b/chivespoke/coordination/tests/test_returned_workers.py
@@ -72,6 +72,13 @@
             )
         )
 
+    def measure_lease(self) -> float:
+        """Return for how long the leader waits for the worker's leases."""
+        worker = self.leader.engine.state.find_worker_of('side-1')
+        assert worker is not None
+        self.assertEqual(2, worker.incarnation.born_ms)
+        return worker.leases_expire_at - self.leader.now
+
     def test_leases_are_those_of_the_new_clock(self) -> None:
         self.leader.make_directive()
         self.report_return()
@@ -111,6 +118,38 @@
                 self.leader.plan()
                 self.assertEqual(1, self.leader.make_directive().acknowledged)
 
+    def test_leader_waits_for_leases_by_calls_to_the_earlier_incarnation(
+        self,
+    ) -> None:
+        # The longest lease lasts longer than any that this leader allows.
+        self.report_return()
+        self.assertGreaterEqual(
+            self.measure_lease(), self.timeouts.measure_lease(MAX_LEASE_MS)
+        )
+
+    def test_next_leader_waits_for_leases_by_such_calls(self) -> None:
+        # Of the leases of earlier leaders, it only knows that they are past.
+        self.take_over(self.leader.now, self.timeouts.max_lease_seconds)
+        self.report_return()
+        self.assertGreaterEqual(
+            self.measure_lease(), self.timeouts.measure_lease(MAX_LEASE_MS)
+        )
+
+    def test_wait_does_not_end_early_once_earlier_leases_are_past(
+        self,
+    ) -> None:
+        self.take_over(self.leader.now, 3.0)
+        self.leader.now += 2.0
+        self.report_return()
+        polled_at = self.leader.now
+        for _ in range(10):
+            self.leader.now += 0.4
+            self.report_return(answering=False)
+            self.assertGreaterEqual(
+                self.leader.now + self.measure_lease(),
+                polled_at + self.timeouts.measure_lease(MAX_LEASE_MS),
+            )
+
 
 if __name__ == '__main__':
     unittest.main()
