Renew leases only on a life that has answered the last poll

A connection that is being opened while the machine is dark goes through once it is back, and the poll then grants the longest lease on the next life.

Why it works: a poll after one that failed asks for none and is answered at once; the next one renews. What may reach the next life is the one poll that was on its way when the former life ended, and the leader waits for its lease.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -424,18 +424,16 @@
         await asyncio.Event().wait()
 
     async def _poll_once(self) -> None:
-        is_first = self._status is None
         was_doubted = self._doubted
+        # After a failed poll another incarnation may answer, to which readings
+        # of this one's clock and the numbers of its ends mean something else.
+        is_same_life = self._answering
         status = await self._client.poll(
             self._fence,
-            # After a failed poll another incarnation may answer, whose ends
-            # have numbers of their own.
-            self._acknowledged_end if self._answering else 0,
-            self._extend_leases(),
-            # The first answer allows longer leases.
-            0.0
-            if is_first or self._refuses_connections
-            else POLL_WAIT_SECONDS,
+            self._acknowledged_end if is_same_life else 0,
+            self._extend_leases() if is_same_life else None,
+            # The answer allows the next poll to renew the leases.
+            POLL_WAIT_SECONDS if is_same_life else 0.0,
         )
         previous = self._status
         if status.born_ms not in (0, self.registration.born_ms):
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -607,6 +607,20 @@
                 await asyncio.sleep(0.02)
         self.assertEqual([None, None, None], requested[:3])
 
+    async def test_poll_of_a_dark_worker_leaves_no_lease_on_the_next_life(
+        self,
+    ) -> None:
+        # The reading of the former life's clock is far ahead of the new one.
+        self.send_directive(self.clock_ms + HOUR_MS)
+        while not self.runner.lease_end_ms:
+            await asyncio.sleep(0.01)
+        self.runner.go_dark()
+        await asyncio.sleep(2 * _session.POLL_RETRY_SECONDS)
+        self.runner.restart()
+        while self.runner.polls == 0:
+            await asyncio.sleep(0.01)
+        self.assertEqual(0, self.runner.lease_end_ms)
+
     async def test_refused_polls_do_not_keep_the_tasks_of_a_dead_worker(
         self,
     ) -> None:
--- a/chivespoke/standins/_runner.py
+++ b/chivespoke/standins/_runner.py
@@ -155,6 +155,16 @@
         """Return the number of runs that have ended in the current boot."""
         return self._boot.number
 
+    @property
+    def lease_end_ms(self) -> int:
+        """Return the clock reading at which the current boot's lease ends."""
+        return self._boot.lease_end_ms
+
+    @property
+    def polls(self) -> int:
+        """Return the number of polls that the current boot has executed."""
+        return self._boot.polls
+
     @property
     def running(self) -> frozenset[str]:
         """Return the running tasks."""
--- a/chivespoke/standins/_runner_boot.py
+++ b/chivespoke/standins/_runner_boot.py
@@ -66,7 +66,8 @@
         '_ends',
         '_over',
         '_fence',
-        '_until',
+        'lease_end_ms',
+        'polls',
     )
 
     def __init__(
@@ -102,7 +103,9 @@
         # Highest fencing token seen.
         self._fence = 0
         # Clock reading in milliseconds at which the lease expires.
-        self._until = 0
+        self.lease_end_ms = 0
+        # Number of executed polls.
+        self.polls = 0
 
     @property
     def running(self) -> frozenset[str]:
@@ -126,7 +129,7 @@
 
     def enforce_lease(self) -> None:
         """End all runs if the lease has expired."""
-        if self.read_clock() <= self._until:
+        if self.read_clock() <= self.lease_end_ms:
             return
         for task in tuple(self._running):
             self._end_run(task, 'lapsed')
@@ -192,6 +195,7 @@
         self.enforce_lease()
         if not self.admit(body):
             return 'fence'
+        self.polls += 1
         self._extend_lease(body)
         cursor = body['ack_cursor']
         for end in self._ends:
@@ -242,7 +246,7 @@
         until = body.get('deadline_ms', 0)
         if self._faults.max_hold_ms is not None:
             until = min(until, self.read_clock() + self._faults.max_hold_ms)
-        self._until = max(self._until, until)
+        self.lease_end_ms = max(self.lease_end_ms, until)
 
     def _finish_stop(self, run: _Run) -> None:
         if self._running.get(run.ran.task) is run:
