Never have a start and a later acknowledgement on their way at once

Cause: every poll repeats the number of the last recorded end. A life that is back under the identifier numbers its ends anew: if it carries out a late start and then a late poll of the former session, it forgets the end of that run before anyone has seen it, and the task runs again.

Why it works: an end is acknowledged once, by a poll that is answered at once, never while an order to start a run is in progress; starts wait for such a poll, which takes a round trip, or its timeout where the worker is silent. So no acknowledgement that follows an open start can reach the next life. A start that was repeated and answered may still be carried out late there (listed as before).

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -84,6 +84,8 @@
         '_tasks',
         '_leases',
         '_acknowledged_end',
+        '_forgotten_end',
+        '_starts_may_be_sent',
         '_status',
         '_poll_count',
         '_polled',
@@ -146,6 +148,11 @@
         self._leases = _leases.WorkerLeases(max_lease_seconds)
         # Number of the last run end that the leader has stored.
         self._acknowledged_end = 0
+        # The same of the last one that the worker has forgotten by its answer.
+        self._forgotten_end = 0
+        # Clear while a poll that acknowledges ends is on its way.
+        self._starts_may_be_sent = asyncio.Event()
+        self._starts_may_be_sent.set()
         self._status: platform.WorkerStatus | None = None
         self._poll_count = 0
         self._polled = asyncio.Condition()
@@ -428,17 +435,25 @@
         # After a failed poll another incarnation may answer, to which readings
         # of this one's clock and the numbers of its ends mean something else.
         is_same_life = self._answering
-        status = await self._client.poll(
-            self._fence,
-            self._acknowledged_end if is_same_life else 0,
-            self._extend_leases() if is_same_life else None,
-            # The answer allows the next poll to renew the leases.
-            POLL_WAIT_SECONDS if is_same_life else 0.0,
-        )
+        acknowledged = self._select_acknowledgement() if is_same_life else 0
+        if acknowledged:
+            self._starts_may_be_sent.clear()
+        try:
+            status = await self._client.poll(
+                self._fence,
+                acknowledged,
+                self._extend_leases() if is_same_life else None,
+                # Starts wait for an acknowledgement; an answer of a worker
+                # that was silent allows the next poll to renew the leases.
+                POLL_WAIT_SECONDS if is_same_life and not acknowledged else 0,
+            )
+        finally:
+            self._starts_may_be_sent.set()
         previous = self._status
         if status.born_ms not in (0, self.registration.born_ms):
             self._handle_replacement(status)
             return
+        self._forgotten_end = max(self._forgotten_end, acknowledged)
         if was_doubted:
             self._doubted = False
             self._listener.handle_confirmation()
@@ -468,6 +483,21 @@
             # The worker answers at once while ended runs are unacknowledged.
             await self._clock.sleep(UNACKNOWLEDGED_PAUSE_SECONDS)
 
+    def _select_acknowledgement(self) -> int:
+        """Return the number of the last end to acknowledge, 0 if none.
+
+        The next incarnation numbers its ends anew. If it carries out both a
+        start of this session and a later acknowledgement, it forgets the end
+        of that run before anyone has seen it. So they are never on their way
+        at the same time.
+        """
+        is_starting = any(
+            kind is _OrderKind.START for kind, _, _ in self._in_progress
+        )
+        if is_starting or self._acknowledged_end <= self._forgotten_end:
+            return 0
+        return self._acknowledged_end
+
     def _log_unexpected_leases(self, status: platform.WorkerStatus) -> None:
         """Log runs that go on after the leases that the sidecar expected."""
         if self._have_leases_expired() and status.running:
@@ -685,6 +715,7 @@
         may_have_started = order.repeated
         refusal = platform.Refusal.UNHEALTHY
         for _ in range(START_ATTEMPTS):
+            await self._starts_may_be_sent.wait()
             if self._is_listed(order.task, order.run):
                 return None, True
             if (
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -1,6 +1,7 @@
 """Tests of a session with a worker, against the stand-in worker."""
 
 import asyncio
+import contextlib
 import math
 import typing
 import unittest
@@ -22,6 +23,7 @@
 from chivespoke import workloads
 
 TASK = '00000000000000a1.0.0.0'
+OTHER_TASK = '00000000000000a1.0.0.1'
 EPOCH = 7
 SESSION = 'a/1'
 FENCE = 70
@@ -119,6 +121,7 @@
         number: int | None = None,
         reserved: workloads.Resources | None = None,
         standings: tuple[coordination.JobStanding, ...] = (),
+        acknowledged: int = 0,
     ) -> None:
         self.directives += 1
         self.session.apply_directive(
@@ -126,7 +129,7 @@
                 EPOCH,
                 self.session.incarnation.key,
                 lease_ms,
-                0,
+                acknowledged,
                 starts,
                 stops,
                 number=self.directives if number is None else number,
@@ -621,6 +624,87 @@
             await asyncio.sleep(0.01)
         self.assertEqual(0, self.runner.lease_end_ms)
 
+    async def end_run(self) -> None:
+        """Let a run end, and have its end reported."""
+        self.runner.seconds = 0.05
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        while not (await self.wait_for_report()).ended:
+            pass
+
+    def record_acknowledgements(
+        self,
+    ) -> tuple[list[int], contextlib.AbstractContextManager[object]]:
+        """Return a list that polls add to, and the patch of the client."""
+        poll = platform.WorkerClient.poll
+        acknowledgements: list[int] = []
+
+        async def record(
+            client: platform.WorkerClient,
+            fence: int,
+            acknowledged: int,
+            lease_until_ms: int | None,
+            wait_seconds: float,
+        ) -> platform.WorkerStatus:
+            acknowledgements.append(acknowledged)
+            return await poll(
+                client, fence, acknowledged, lease_until_ms, wait_seconds
+            )
+
+        return acknowledgements, mock.patch.object(
+            platform.WorkerClient, 'poll', record
+        )
+
+    async def test_ends_are_not_acknowledged_during_a_start(self) -> None:
+        # The next life would forget the end of the run before it is seen.
+        acknowledgements, patch = self.record_acknowledgements()
+        await self.end_run()
+        self.runner.faults.late_starts = 1
+        self.runner.faults.late_seconds = HOUR_MS / 1000
+        with patch:
+            self.send_directive(
+                self.clock_ms + HOUR_MS,
+                msgspec.structs.replace(self.make_start(), task=OTHER_TASK),
+                acknowledged=1,
+            )
+            while self.runner.faults.late_starts:
+                await asyncio.sleep(0.01)
+            acknowledgements.clear()
+            await asyncio.sleep(MAX_CALL_SECONDS / 2)
+            self.assertEqual({0}, set(acknowledgements))
+            await self.wait_for_outcome()
+            while 1 not in acknowledgements:
+                await asyncio.sleep(0.01)
+
+    async def test_start_waits_for_an_acknowledgement(self) -> None:
+        await self.end_run()
+        starts = self.runner.starts
+        self.runner.faults.holds_stall = True
+        self.send_directive(self.clock_ms + HOUR_MS, acknowledged=1)
+        acknowledgements, patch = self.record_acknowledgements()
+        with patch:
+            while 1 not in acknowledgements:
+                await asyncio.sleep(0.01)
+            self.send_directive(
+                self.clock_ms + HOUR_MS,
+                msgspec.structs.replace(self.make_start(), task=OTHER_TASK),
+                acknowledged=1,
+            )
+            await asyncio.sleep(MAX_CALL_SECONDS / 2)
+            self.assertEqual(starts, self.runner.starts)
+            self.assertIsNone((await self.wait_for_outcome()).refusal)
+        self.assertEqual(starts + 1, self.runner.starts)
+
+    async def test_end_is_acknowledged_once(self) -> None:
+        # A poll that repeats it could reach the next life.
+        await self.end_run()
+        acknowledgements, patch = self.record_acknowledgements()
+        with patch:
+            self.send_directive(self.clock_ms + HOUR_MS, acknowledged=1)
+            await asyncio.sleep(3 * _session.POLL_WAIT_SECONDS)
+        self.assertEqual(
+            [1], [number for number in acknowledgements if number]
+        )
+
     async def test_refused_polls_do_not_keep_the_tasks_of_a_dead_worker(
         self,
     ) -> None:
