Ignore acknowledgements to another incarnation of a worker

An agent took the acknowledged ends of any renewal for its worker, also of one that names an earlier incarnation, whose lease it ignores. Attempts have numbers that rise, and starts and stops name the incarnation, so that no end of the next incarnation could be meant; the schedule was not harmed. The agent now applies nothing of such a renewal but its epoch.

--- a/chivespoke/standins/_worker.py
+++ b/chivespoke/standins/_worker.py
@@ -99,8 +99,9 @@
         if renewal.worker_id != self.registration.worker_id:
             return self.make_heartbeat()
         self._check_epoch(renewal.epoch)
-        if renewal.incarnation == self.registration.incarnation:
-            self.lease_until = max(self.lease_until, renewal.lease_until)
+        if renewal.incarnation != self.registration.incarnation:
+            return self.make_heartbeat()
+        self.lease_until = max(self.lease_until, renewal.lease_until)
         now = self.clock.read_monotonic()
         for key in renewal.acknowledged:
             if key in self._tombstones:
--- a/chivespoke/standins/tests/test_worker.py
+++ b/chivespoke/standins/tests/test_worker.py
@@ -71,6 +71,20 @@
         )
         self.assertLess(self.agent.renew(renewal).lease_until, 9e9)
 
+    def test_an_end_is_forgotten_by_an_acknowledgement_to_another_incarnation(
+        self,
+    ) -> None:
+        self.agent.renew(builders.build_renewal(self.clock, epoch=2))
+        ended = self.agent.stop(builders.build_stop())
+        renewal = builders.build_renewal(
+            self.clock,
+            epoch=2,
+            incarnation=identifiers.Incarnation('earlier'),
+            acknowledged=((ended.task_id, ended.attempt),),
+        )
+        self.agent.renew(renewal)
+        self.assertEqual((ended,), self.agent.make_heartbeat().statuses)
+
 
 if __name__ == '__main__':
     unittest.main()
