Register the next incarnation of a worker with its own capacity and place

A worker that started again under its identifier with less capacity got tasks for the capacity that it had before; one that was moved to a data centre that is out of service got tasks at once, as if it was where it had been. The owner learns of the next incarnation by a heartbeat, which had neither, and registered it with what the earlier one had; its own registration with an entry only updated the address. What was true of one incarnation was applied to the next.

A worker that gets a renewal for another incarnation now answers with its registration, and the owner takes place and capacity from there. Heartbeats to an owner that knows the incarnation are as short as before.

--- a/chivespoke/bench/_cluster.py
+++ b/chivespoke/bench/_cluster.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import collections.abc
+import typing
+
+import msgspec
 
 from chivespoke.bench import _gates
 from chivespoke import clock as clocks
@@ -179,12 +182,20 @@
         self.connector.add(agent)
         return agent
 
-    def restart_worker(self, number: int, life: int) -> None:
-        """Put the next life of a worker in the place of the present one."""
+    def restart_worker(
+        self, number: int, life: int, **changes: typing.Any
+    ) -> None:
+        """Put the next life of a worker in the place of the present one.
+
+        The changes are to its registration.
+        """
         address = self.agents[number].registration.address
         # Who is connected to the address now meets the new incarnation there.
         client = self.connector.clients[address]
         client.agent = self.add_worker(number, life, address=address)
+        client.agent.registration = msgspec.structs.replace(
+            client.agent.registration, **changes
+        )
         self.connector.clients[address] = client
 
     def add_worker_elsewhere(
--- a/chivespoke/scheduling/_link.py
+++ b/chivespoke/scheduling/_link.py
@@ -283,6 +283,13 @@
     ) -> None:
         worker = self._get_worker()
         self.survival.note_loss()
+        registration = heartbeat.registration
+        if registration is None:
+            LOGGER.warning(
+                'Another incarnation does not tell its capacity.',
+                worker=worker.worker_id,
+            )
+            return
         lost = self.survival.list_lost(
             list(worker.tasks.values()), self.contacted
         )
@@ -291,9 +298,9 @@
             _records.WorkerRegistered(
                 worker.worker_id,
                 heartbeat.incarnation,
-                worker.data_centre,
-                worker.rack,
-                worker.capacity,
+                registration.data_centre,
+                registration.rack,
+                registration.capacity,
                 address,
                 epoch,
                 # The incarnation to which the request was sent. If the shard
--- a/chivespoke/standins/_worker.py
+++ b/chivespoke/standins/_worker.py
@@ -100,7 +100,9 @@
             return self.make_heartbeat()
         self._check_epoch(renewal.epoch)
         if renewal.incarnation != self.registration.incarnation:
-            return self.make_heartbeat()
+            return msgspec.structs.replace(
+                self.make_heartbeat(), registration=self.registration
+            )
         self.lease_until = max(self.lease_until, renewal.lease_until)
         now = self.clock.read_monotonic()
         for key in renewal.acknowledged:
--- a/chivespoke/workers/_messages.py
+++ b/chivespoke/workers/_messages.py
@@ -171,3 +171,6 @@
     lease_until: float = float('-inf')
     # The latest usage report; its interval ended some time ago.
     report: UsageReport | None = None
+    # Set if the renewal names another incarnation, of which the scheduler
+    # knows the place and the capacity instead.
+    registration: Registration | None = None
