Check no epoch of a renewal for an earlier incarnation of a worker

A worker that started again in another group was locked up by the owner of its earlier group's shard: that owner still renews the earlier incarnation's lease at the same address, and the worker took over its epoch. Epochs of two shards are not comparable. If that one was higher, the worker refused every command of its own owner from then on.

An agent now checks the epoch only of a renewal that names its own incarnation, as it does for commands. A new owner of the shard loses nothing: an older one knows the incarnation only by a record before the new one's claim, so that the new owner names it too, and the worker learns the new epoch by that renewal.

--- a/chivespoke/standins/_worker.py
+++ b/chivespoke/standins/_worker.py
@@ -93,16 +93,17 @@
     def renew(self, renewal: workers.LeaseRenewal) -> workers.Heartbeat:
         """Extend the lease; refuse a stale owner.
 
-        The owner of another worker's shard only learns who answers here.
+        The owner of another worker's shard, or of that of an earlier
+        incarnation, only learns who answers here.
         """
         self.advance_runs()
         if renewal.worker_id != self.registration.worker_id:
             return self.make_heartbeat()
-        self._check_epoch(renewal.epoch)
         if renewal.incarnation != self.registration.incarnation:
             return msgspec.structs.replace(
                 self.make_heartbeat(), registration=self.registration
             )
+        self._check_epoch(renewal.epoch)
         self.lease_until = max(self.lease_until, renewal.lease_until)
         now = self.clock.read_monotonic()
         for key in renewal.acknowledged:
--- a/chivespoke/standins/tests/test_worker.py
+++ b/chivespoke/standins/tests/test_worker.py
@@ -71,6 +71,19 @@
         )
         self.assertLess(self.agent.renew(renewal).lease_until, 9e9)
 
+    def test_a_renewal_for_an_earlier_incarnation_locks_the_owner_out(
+        self,
+    ) -> None:
+        self.agent.renew(builders.build_renewal(self.clock, epoch=2))
+        earlier = identifiers.Incarnation('earlier')
+        renewal = builders.build_renewal(
+            self.clock, epoch=9, incarnation=earlier
+        )
+        self.assertEqual(
+            self.agent.registration, self.agent.renew(renewal).registration
+        )
+        self.agent.renew(builders.build_renewal(self.clock, epoch=2))
+
     def test_an_end_is_forgotten_by_an_acknowledgement_to_another_incarnation(
         self,
     ) -> None:
