Schedule a worker in its new group only

A worker that started again in another group was scheduled by the shards of both. The owner of the earlier group's shard heard the next incarnation at the address of the earlier one, and registered it in its own shard; the worker's registration put it into the other. Both committed its whole capacity, and each stopped the runs of the other as unknown. That a worker belongs to a shard was true of the earlier incarnation, and was applied to the next.

The worker's registration, which comes with its answer, names its group. If it is another one, the earlier incarnation has ended all the same, so that it is given up, and the next one is not registered. An answer of another incarnation now counts as none of the one that was asked: otherwise the worker that was given up was readmitted on the strength of it, and a registration that was lost left the link without failures.

--- a/chivespoke/scheduling/_lease_expiry.py
+++ b/chivespoke/scheduling/_lease_expiry.py
@@ -71,6 +71,12 @@
             return 'its data centre is declared dead'
         if link.giving_up:
             return 'it was silent for longer than its lease'
+        if link.successor is not None:
+            is_elsewhere = link.successor.group != context.shard.name
+            if is_elsewhere and link.address == worker.address:
+                return 'its next incarnation is in another group'
+            # The registration of that incarnation requeues the tasks.
+            return ''
         if not link.failures:
             return ''
         if not link.contacted:
--- a/chivespoke/scheduling/_link.py
+++ b/chivespoke/scheduling/_link.py
@@ -48,6 +48,7 @@
         'pending_throttles',
         'pending_checkpoints',
         'giving_up',
+        'successor',
         '_owner',
     )
 
@@ -79,6 +80,9 @@
         # Whether a WorkerGivenUp record may be in flight. Until its outcome is
         # known, no lease is extended and no task started on the worker.
         self.giving_up = False
+        # Registration of the incarnation that answered last, if it was not
+        # this one. It answered at the same address, so this one has ended.
+        self.successor: workers.Registration | None = None
         self._owner = owner
 
     def change_address(self, address: str) -> None:
@@ -218,15 +222,18 @@
         address = self.address
         self.max_lease_until = max(self.max_lease_until, lease_until)
         sent_at = owner.read_clock()
-        heartbeat = await self.client.renew(
-            workers.LeaseRenewal(
-                worker_id=self._get_worker().worker_id,
-                epoch=epoch,
-                lease_until=lease_until,
-                incarnation=self.incarnation,
-                acknowledged=self.tracker.list_acknowledged(),
-            )
+        renewal = workers.LeaseRenewal(
+            worker_id=self._get_worker().worker_id,
+            epoch=epoch,
+            lease_until=lease_until,
+            incarnation=self.incarnation,
+            acknowledged=self.tracker.list_acknowledged(),
         )
+        try:
+            heartbeat = await self.client.renew(renewal)
+        except errors.UnavailableError:
+            self.successor = None
+            raise
         now = owner.read_clock()
         if heartbeat.worker_id != self._get_worker().worker_id:
             raise errors.UnavailableError(
@@ -234,9 +241,14 @@
                 heartbeat.worker_id,
                 'another worker answered at its address',
             )
+        self.successor = heartbeat.registration
         if heartbeat.incarnation != self.incarnation:
             self._replace_incarnation(heartbeat, epoch, address)
-            return
+            raise errors.UnavailableError(
+                'renew a lease',
+                heartbeat.worker_id,
+                'another incarnation answered',
+            )
         # A lease of an earlier owner may end later than those of this owner.
         # It cannot be extended, as the worker now knows this epoch.
         self.max_lease_until = max(self.max_lease_until, heartbeat.lease_until)
@@ -290,6 +302,8 @@
                 worker=worker.worker_id,
             )
             return
+        if registration.group != self._owner.shard.name:
+            return
         lost = self.survival.list_lost(
             list(worker.tasks.values()), self.contacted
         )
--- a/chivespoke/scheduling/tests/test_next_incarnations.py
+++ b/chivespoke/scheduling/tests/test_next_incarnations.py
@@ -47,6 +47,25 @@
         await cluster.run(10, STEP_SECONDS)
         self.assertEqual([], cluster.list_runs())
 
+    async def test_two_shards_place_tasks_on_one_worker(self) -> None:
+        cluster = await self._build(1, shards=('default', 'second'))
+        cluster.restart_worker(0, 2, group='second')
+        await cluster.register(cluster.agents[0].registration)
+        await cluster.run(10, STEP_SECONDS)
+        for number in range(6):
+            await builders.submit(
+                cluster,
+                4,
+                f'job-{number}',
+                payload=builders.build_payload(300),
+            )
+        await cluster.run(60, STEP_SECONDS)
+        self.assertEqual(4, len(cluster.agents[0].runs))
+        self.assertEqual(4, len(cluster.agents[0].history))
+        first = cluster.processes['entry-1']
+        earlier = first.get_owner('default').shard.workers[0]
+        self.assertEqual('GIVEN_UP', earlier.state.name)
+
 
 if __name__ == '__main__':
     unittest.main()
