Test what a sidecar makes of a server in whose place the next one serves

No fault was found here. A connection that a server held unread is served by the next process at its address: the request, given up by then, is "unknown", and that process runs it. "Not run" is said only where no connection was made; the next process at the address then gets nothing.

--- a/chivespoke/backend_servers/tests/builders.py
+++ b/chivespoke/backend_servers/tests/builders.py
@@ -1,6 +1,7 @@
 """Builders of peers and backend servers that a test controls."""
 
 import asyncio
+import socket
 
 from chivespoke import backend_servers
 from chivespoke import clock
@@ -89,9 +90,11 @@
         self.runs: list[str] = []
         self._server: asyncio.Server | None = None
 
-    async def start(self) -> settings.Address:
+    async def start(self, port: int = 0) -> settings.Address:
         """Listen, and return the address."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self._server = await asyncio.start_server(
+            self._serve, '127.0.0.1', port
+        )
         port = self._server.sockets[0].getsockname()[1]
         return settings.Address(port=port)
 
@@ -111,6 +114,39 @@
         writer.close()
 
 
+class DarkServer:
+    """Hold connections unread; let the next process at the address serve."""
+
+    def __init__(self) -> None:
+        self.runs: list[str] = []
+        self._socket = socket.create_server(('127.0.0.1', 0))
+        self._server: asyncio.Server | None = None
+
+    @property
+    def address(self) -> settings.Address:
+        """Return the address, which no process serves yet."""
+        return settings.Address(port=self._socket.getsockname()[1])
+
+    async def serve(self) -> None:
+        """Read what the connections hold, and serve what comes."""
+        self._server = await asyncio.start_server(
+            self._serve, sock=self._socket
+        )
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+        self._socket.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(b'\r\n\r\n')
+        self.runs.append(head.split()[1].decode())
+        writer.close()
+
+
 class ExecutorHarness:
     """Hold an executor and the peer that stands for an entry."""
 
