Match the usage reports of a worker by its incarnation

The entry learnt nothing any more from a worker that had started again: its reports were rejected as duplicates until their numbers passed those of the earlier incarnation, and as stale until its clock did, which takes as long as the earlier one had lived. The last number and the last time of a report are true of one incarnation, and were kept by the worker's name.

A view of a worker now names its incarnation, and a history of reports belongs to one. A report that a link hears after its incarnation was replaced is dropped, as it would be taken for one of the next.

Failed before: python -m unittest chivespoke.scheduling.policies.tests.test_reports FAIL: test_reports_of_a_restarted_worker_are_taken_for_old_ones, AssertionError (the first report of the later incarnation is None). Passes now, 4 tests.

--- a/chivespoke/scheduling/_index.py
+++ b/chivespoke/scheduling/_index.py
@@ -79,6 +79,7 @@
         previous_tasks = previous.tasks if previous is not None else {}
         self.views[worker_number] = _policy.WorkerView(
             worker_id=worker.worker_id,
+            incarnation=worker.incarnation,
             data_centre=worker.data_centre,
             rack=worker.rack,
             capacity=worker.capacity,
--- a/chivespoke/scheduling/_link.py
+++ b/chivespoke/scheduling/_link.py
@@ -258,7 +258,8 @@
         self.survival.note_answer(sent_at)
         self.tracker.record_statuses(heartbeat, now)
         self.survival.check_attempts(now, epoch)
-        if heartbeat.report is not None:
+        is_present = self._get_worker().incarnation == self.incarnation
+        if heartbeat.report is not None and is_present:
             owner.handle_usage_report(self.number, heartbeat.report)
 
     def _check_ownership(self) -> None:
--- a/chivespoke/scheduling/_policy.py
+++ b/chivespoke/scheduling/_policy.py
@@ -55,6 +55,8 @@
     """Describe a worker and its tasks; policies must not change it."""
 
     worker_id: identifiers.WorkerId
+    # The worker's clock and its numbers of reports belong to it.
+    incarnation: identifiers.Incarnation = identifiers.Incarnation('')
     data_centre: identifiers.DataCentreName
     rack: identifiers.RackName
     capacity: resources.Resources
--- a/chivespoke/scheduling/policies/_reports.py
+++ b/chivespoke/scheduling/policies/_reports.py
@@ -65,9 +65,13 @@
 
 
 class _WorkerHistory:
-    """Hold the recent tasks, the last report and the clock of a worker."""
+    """Hold the recent tasks, the last report and the clock of a worker.
+
+    Each incarnation of the worker has its own.
+    """
 
     __slots__ = (
+        'incarnation',
         'demands',
         'sequence',
         'last_measured_until',
@@ -75,7 +79,11 @@
         'clock_offset',
     )
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        incarnation: identifiers.Incarnation = identifiers.Incarnation(''),
+    ) -> None:
+        self.incarnation = incarnation
         self.demands: collections.OrderedDict[
             tuple[str, int], scheduling.TaskDemand
         ] = collections.OrderedDict()
@@ -127,6 +135,9 @@
         Rejections are counted by reason.
         """
         history = self._get_history(report.worker_id)
+        if history.incarnation != worker.incarnation:
+            history = _WorkerHistory(worker.incarnation)
+            self._histories[report.worker_id] = history
         self._remember_tasks(history, worker)
         reason = self._check_header(now, report, history)
         if reason is not None:
--- a/chivespoke/scheduling/policies/tests/test_reports.py
+++ b/chivespoke/scheduling/policies/tests/test_reports.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from chivespoke import identifiers
 from chivespoke import resources
 from chivespoke.scheduling import policies
 from chivespoke.scheduling.policies.tests import builders
@@ -116,6 +117,21 @@
             matcher.rejections[policies.RejectionReason.SPANS_CHANGE], 2
         )
 
+    def test_reports_of_a_restarted_worker_are_taken_for_old_ones(
+        self,
+    ) -> None:
+        worker = builders.make_worker('w0', [builders.make_demand('main/0')])
+        matcher = policies.ReportMatcher()
+        worker.incarnation = identifiers.Incarnation('earlier')
+        for sequence in range(1, 5):
+            report = builders.make_report(worker, sequence)
+            self.assertIsNotNone(matcher.match_report(NOW, report, worker))
+        # Its numbers and its clock start anew.
+        worker.incarnation = identifiers.Incarnation('later')
+        for sequence in (1, 2):
+            report = builders.make_report(worker, sequence)
+            self.assertIsNotNone(matcher.match_report(NOW, report, worker))
+
     def test_delayed_reports_are_not_attributed_to_arrived_family(
         self,
     ) -> None:
