Keep the guard's state for each incarnation of a worker

Replicas on a worker that had started again were not guarded: the guard throttled nothing beside a slow one until the worker's clock passed the time of the last action on the earlier incarnation. After an action the guard waits for measurements that begin later than it, by the worker's clock, and it kept that time by the worker's name; the next incarnation's clock begins anew.

The state now belongs to one incarnation. A worker that starts again has nothing that the earlier actions could still have an effect on.

Failed before: python -m unittest chivespoke.scheduling.policies.tests.test_guards FAIL: test_guard_waits_for_the_clock_of_an_earlier_incarnation: Lists differ: [THROTTLE] != [THROTTLE, THROTTLE]. Passes now, 8 tests.

--- a/chivespoke/scheduling/policies/_guard.py
+++ b/chivespoke/scheduling/policies/_guard.py
@@ -35,8 +35,9 @@
 
 
 class _WorkerState(msgspec.Struct):
-    """Hold the recent actions of the guard on one worker."""
+    """Hold the recent actions of the guard on one incarnation of a worker."""
 
+    incarnation: identifiers.Incarnation
     # Measurements that start before this time, by the worker's clock, do not
     # show the effect of the last action.
     effect_visible_from: float = -math.inf
@@ -80,9 +81,13 @@
     def decide_actions(
         self, now: float, worker: scheduling.WorkerView
     ) -> tuple[scheduling.GuardAction, ...]:
-        worker_state = self._worker_states.setdefault(
-            worker.worker_id, _WorkerState()
-        )
+        worker_state = self._worker_states.get(worker.worker_id)
+        if (
+            worker_state is None
+            or worker_state.incarnation != worker.incarnation
+        ):
+            worker_state = _WorkerState(worker.incarnation)
+            self._worker_states[worker.worker_id] = worker_state
         self._refill_tokens(now, worker_state)
         slowest = self._find_slowest_replica(worker)
         if slowest is None:
--- a/chivespoke/scheduling/policies/tests/test_guards.py
+++ b/chivespoke/scheduling/policies/tests/test_guards.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from chivespoke import identifiers
 from chivespoke import operators
 from chivespoke import resources
 from chivespoke import scheduling
@@ -73,6 +74,18 @@
         self.actions: list[tuple[float, scheduling.GuardAction]] = []
         self._sent: list[workers.UsageReport] = []
         self._tick = 0
+        # Tick at which the worker's clock and reports began.
+        self._started_at = 0
+
+    def restart_worker(self) -> None:
+        """Let the next incarnation of the worker run its tasks anew."""
+        self.worker.incarnation = identifiers.Incarnation('later')
+        self._started_at = self._tick
+        self._sent = []
+        for task_id, placed in self.worker.tasks.items():
+            self.worker.tasks[task_id] = msgspec.structs.replace(
+                placed, attempt=identifiers.Attempt(2), throttled=False
+            )
 
     def run(
         self,
@@ -89,7 +102,7 @@
             self._tick += 1
             now = self._tick * builders.REPORT_SECONDS
             self.estimator.matcher.observe_clock(
-                now, self.worker.worker_id, now
+                now, self.worker.worker_id, self._read_worker_clock()
             )
             slowdown = (
                 self.measure(baseline)
@@ -105,6 +118,9 @@
                 self.actions.append((now, action))
                 self._apply(action)
 
+    def _read_worker_clock(self) -> float:
+        return (self._tick - self._started_at) * builders.REPORT_SECONDS
+
     def measure(self, baseline: float) -> float:
         """Return the log slowdown of the replica."""
         for placed in self.worker.tasks.values():
@@ -121,8 +137,11 @@
                 usage = builders.make_usage(
                     placed.demand, latency_p99=BASELINE_MS * math.exp(slowdown)
                 )
-            usages.append(usage)
-        return builders.make_report(self.worker, self._tick, usages)
+            usages.append(
+                msgspec.structs.replace(usage, attempt=placed.attempt)
+            )
+        sequence = self._tick - self._started_at
+        return builders.make_report(self.worker, sequence, usages)
 
     def _apply(self, action: scheduling.GuardAction) -> None:
         placed = self.worker.tasks[action.task_id]
@@ -196,6 +215,17 @@
         kinds = [action.kind for _, action in simulation.actions]
         self.assertEqual(kinds, [ACTIONS.THROTTLE])
 
+    def test_guard_waits_for_the_clock_of_an_earlier_incarnation(
+        self,
+    ) -> None:
+        simulation = GuardSimulation(('noisy-1',))
+        simulation.run(200, baseline=0.0)
+        simulation.run(30, baseline=0.5)
+        simulation.restart_worker()
+        simulation.run(30, baseline=0.5)
+        kinds = [action.kind for _, action in simulation.actions]
+        self.assertEqual(kinds, [ACTIONS.THROTTLE, ACTIONS.THROTTLE])
+
     def test_throttle_is_released_after_recovery(self) -> None:
         simulation = GuardSimulation(('noisy-1',))
         simulation.run(30, baseline=0.8)
