Change restarted workers of random runs of faults

The random run restarted a worker as exactly what it had been, so that it could not show that capacity and place of the earlier incarnation were applied to the next. Half of the restarts now change both.

--- a/chivespoke/bench/_fault_world.py
+++ b/chivespoke/bench/_fault_world.py
@@ -33,6 +33,11 @@
 MILLISECONDS = 1000
 # Seconds after which a worker that a task crashed is back.
 CRASH_SECONDS = 3.4
+# Share of the restarts after which a worker is what it was.
+UNCHANGED_SHARE = 0.5
+# Holds a task of any size that is submitted.
+MIN_MILLICORES = 8000
+NO_CHANGES: dict[str, typing.Any] = {}
 # Time until the owner of a worker notices a crash: between two renewals.
 MAX_NOTICE_MS = 25_000
 # Starts of a task that crashes its workers.
@@ -358,7 +363,7 @@
                 self.own_crashes.append(
                     (str(agent.registration.worker_id), self._read_wall_ms())
                 )
-                self._restart_worker(number)
+                self._restart_worker(number, self._draw_changes(action.size))
             case Kind.REPLACE_WORKER:
                 self._replace_worker(number, action.duration)
             case Kind.LOSE_WORKER_ANSWERS:
@@ -380,12 +385,28 @@
 
             self._end_after(seconds, restore)
 
-    def _restart_worker(self, number: int) -> None:
+    def _draw_changes(self, size: float) -> dict[str, typing.Any]:
+        """Return what is different about the next life of a worker."""
+        if size < UNCHANGED_SHARE:
+            return {}
+        names = _cluster.DATA_CENTRES
+        return {
+            'capacity': resources.Resources(
+                MIN_MILLICORES + int(size * MIN_MILLICORES), 30_720, 0
+            ),
+            'data_centre': identifiers.DataCentreName(
+                names[int(size * 1000) % len(names)]
+            ),
+        }
+
+    def _restart_worker(
+        self, number: int, changes: dict[str, typing.Any] = NO_CHANGES
+    ) -> None:
         old = self.cluster.agents[number]
         self.witness.note_killed(old)
         key = str(old.registration.worker_id)
         self._lives[key] += 1
-        self.cluster.restart_worker(number, 1 + self._lives[key])
+        self.cluster.restart_worker(number, 1 + self._lives[key], **changes)
 
     def _handle_crashes(self) -> None:
         """End what ran on crashed workers, and start these again later."""
