Let a seed of the random run of faults give the same run

Followers and snapshotters of the shards draw their pauses after failed reads from a generator of their own, which the run did not seed, unlike that of the committers. The runs were the same until the log was down for the first time in such a moment.

Scheduling takes a seed, of which each follower and snapshotter gets its own; the processes of the random run have one by their name and life. In service there is none, as before.

Failed before: test_a_seed_gives_another_run_each_time, AssertionError: simulated_seconds=884.1 != 883.6. The failure itself is not explained.

--- a/chivespoke/bench/_cluster.py
+++ b/chivespoke/bench/_cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import typing
+import zlib
 
 import msgspec
 
@@ -101,6 +102,8 @@
             identifiers.Incarnation(str(life)),
             retention=cluster.retention,
             plan=cluster.plan,
+            # Processes that read again at the same time would stay in step.
+            seed=zlib.crc32(f'{name}:{life}'.encode()),
         )
 
     @property
--- a/chivespoke/bench/tests/test_faults.py
+++ b/chivespoke/bench/tests/test_faults.py
@@ -23,6 +23,10 @@
         for name in ('never twice at once', 'no late start', 'whole replay'):
             self.assertGreater(checked[name], 0, name)
 
+    def test_a_seed_gives_another_run_each_time(self) -> None:
+        first, second = (_faults.run_faults(3, 500) for _ in range(2))
+        self.assertEqual(first, second)
+
 
 class RestartTest(unittest.IsolatedAsyncioTestCase):
     """Restart a worker that an owner is connected to."""
--- a/chivespoke/scheduling/_assembly.py
+++ b/chivespoke/scheduling/_assembly.py
@@ -1,6 +1,7 @@
 """Assemble the components of scheduling."""
 
 import collections.abc
+import random
 
 from chivespoke import application
 from chivespoke import clock as clocks
@@ -23,6 +24,8 @@
 from chivespoke.scheduling import _transfers
 from chivespoke import workers
 
+SEED_BITS = 64
+
 
 def make_planners(
     stream: _stream.ShardStream, peers: _transfers.ListPeers
@@ -89,14 +92,18 @@
         relay: replication.Relay | None = None,
         retention: float | None = None,
         plan: PlannerFactory = make_planners,
+        seed: int | None = None,
     ) -> None:
         # The name survives restarts; the incarnation is new in each process.
         own_incarnation = incarnation or identifiers.make_incarnation()
         identity = identifiers.Incarnation(f'{name}:{own_incarnation}')
         worker_connector = connector or workers.HttpWorkerConnector()
         names = tuple(shards) or (_configuration.DEFAULT_SHARD,)
+        jitter = random.Random(seed)
         streams = [
-            _stream.ShardStream(shard, log, committer, clock, relay)
+            _stream.ShardStream(
+                shard, log, committer, clock, relay, _draw_seed(jitter)
+            )
             for shard in names
         ]
 
@@ -121,7 +128,13 @@
         snapshotters: tuple[application.Component, ...] = ()
         if retention is not None:
             snapshotters = tuple(
-                replication.Snapshotter(follower, committer, clock, retention)
+                replication.Snapshotter(
+                    follower,
+                    committer,
+                    clock,
+                    retention,
+                    seed=_draw_seed(jitter),
+                )
                 for follower in self.followers
             )
         self._components: tuple[application.Component, ...] = (
@@ -141,3 +154,7 @@
 
     async def stop(self) -> None:
         await self._application.stop()
+
+
+def _draw_seed(jitter: random.Random) -> int:
+    return jitter.getrandbits(SEED_BITS)
--- a/chivespoke/scheduling/_stream.py
+++ b/chivespoke/scheduling/_stream.py
@@ -24,13 +24,16 @@
         committer: replication.GroupCommitter,
         clock: clocks.Clock,
         relay: replication.Relay | None = None,
+        seed: int | None = None,
     ) -> None:
         self.name = name
         self.clock = clock
         self.committer = committer
         self.fold = _fold.ShardFold(name)
         self.replica = replication.Replica(STREAM_PREFIX + name, self.fold)
-        self.follower = replication.Follower(log, self.replica, clock, relay)
+        self.follower = replication.Follower(
+            log, self.replica, clock, relay, seed
+        )
         committer.watch(self.replica)
 
     async def start(self) -> None:
