--- a/chivespoke/scheduling/_link.py
+++ b/chivespoke/scheduling/_link.py
@@ -48,6 +48,7 @@
         'pending_throttles',
         'pending_checkpoints',
         'giving_up',
+        'successor',
         '_owner',
     )
 
@@ -79,6 +80,9 @@
         # Whether a WorkerGivenUp record may be in flight. Until its outcome is
         # known, no lease is extended and no task started on the worker.
         self.giving_up = False
+        # Registration of the incarnation that answered last, if it was not
+        # this one. It answered at the same address, so this one has ended.
+        self.successor: workers.Registration | None = None
         self._owner = owner
 
     def change_address(self, address: str) -> None:
@@ -218,15 +222,18 @@
         address = self.address
         self.max_lease_until = max(self.max_lease_until, lease_until)
         sent_at = owner.read_clock()
-        heartbeat = await self.client.renew(
-            workers.LeaseRenewal(
-                worker_id=self._get_worker().worker_id,
-                epoch=epoch,
-                lease_until=lease_until,
-                incarnation=self.incarnation,
-                acknowledged=self.tracker.list_acknowledged(),
-            )
+        renewal = workers.LeaseRenewal(
+            worker_id=self._get_worker().worker_id,
+            epoch=epoch,
+            lease_until=lease_until,
+            incarnation=self.incarnation,
+            acknowledged=self.tracker.list_acknowledged(),
         )
+        try:
+            heartbeat = await self.client.renew(renewal)
+        except errors.UnavailableError:
+            self.successor = None
+            raise
         now = owner.read_clock()
         if heartbeat.worker_id != self._get_worker().worker_id:
             raise errors.UnavailableError(
@@ -234,9 +241,14 @@
                 heartbeat.worker_id,
                 'another worker answered at its address',
             )
+        self.successor = heartbeat.registration
         if heartbeat.incarnation != self.incarnation:
             self._replace_incarnation(heartbeat, epoch, address)
-            return
+            raise errors.UnavailableError(
+                'renew a lease',
+                heartbeat.worker_id,
+                'another incarnation answered',
+            )
         # A lease of an earlier owner may end later than those of this owner.
         # It cannot be extended, as the worker now knows this epoch.
         self.max_lease_until = max(self.max_lease_until, heartbeat.lease_until)
@@ -246,7 +258,8 @@
         self.survival.note_answer(sent_at)
         self.tracker.record_statuses(heartbeat, now)
         self.survival.check_attempts(now, epoch)
-        if heartbeat.report is not None:
+        is_present = self._get_worker().incarnation == self.incarnation
+        if heartbeat.report is not None and is_present:
             owner.handle_usage_report(self.number, heartbeat.report)
 
     def _check_ownership(self) -> None:
@@ -283,6 +296,15 @@
     ) -> None:
         worker = self._get_worker()
         self.survival.note_loss()
+        registration = heartbeat.registration
+        if registration is None:
+            LOGGER.warning(
+                'Another incarnation does not tell its capacity.',
+                worker=worker.worker_id,
+            )
+            return
+        if registration.group != self._owner.shard.name:
+            return
         lost = self.survival.list_lost(
             list(worker.tasks.values()), self.contacted
         )
@@ -291,9 +313,9 @@
             _records.WorkerRegistered(
                 worker.worker_id,
                 heartbeat.incarnation,
-                worker.data_centre,
-                worker.rack,
-                worker.capacity,
+                registration.data_centre,
+                registration.rack,
+                registration.capacity,
                 address,
                 epoch,
                 # The incarnation to which the request was sent. If the shard
