Play workers that return under their identifier in the soak

A worker is now dark for up to 2 s at seeded times, holds the connections that are opened meanwhile, starts again under its identifier with a new clock and a later time of birth, and serves what it held. In most cases it is cut off from its sidecar soon after, for 6 to 12 s, while its runs go on until their leases expire. Jobs whose tasks last for 11 s run beside the lasting ones in runs that are long enough, and every other run of 50 s or more leaves entries and store alone for 38 s, so that the leader is older than any lease of an earlier one.

The workers have the limit of leases that the settings of the daemons name; without it they gave leases as long as a call of an earlier life asked for. A run keeps a trace of what each life of a worker has carried out (runs.json).

--- a/chivespoke/bench/soak/_callers.py
+++ b/chivespoke/bench/soak/_callers.py
@@ -22,6 +22,10 @@
 PAUSE_SECONDS = 0.05
 ROUTE_BYTES = 190
 LASTING_CPU_MILLIS = 500
+# Longer than a lease.
+LONG_TASK_SECONDS = 11.0
+LONG_CPU_MILLIS = 200
+LONG_JOB_INTERVAL_SECONDS = 1.5
 # Routes that stay in force, longer than any fault lasts.
 KEPT_ROUTES = 24
 # Newest routes, and last removed ones, that callers ask for.
@@ -158,9 +162,36 @@
             'mem_mb': 64,
             'long_running': True,
         }
-        body = msgspec.json.encode(
-            {'spec': standins.LONG_RUNNING_PAYLOAD, 'steps': [step]}
+        await self._submit_until_accepted(
+            job, standins.LONG_RUNNING_PAYLOAD, step
         )
+
+    async def submit_long_jobs(self, until: float) -> None:
+        """Hand in jobs whose tasks outlast a lease, until a time of the run.
+
+        Each is accepted in the end.
+        """
+        while self._history.read_time() < until:
+            step = {
+                'count': 2,
+                'cpu': LONG_CPU_MILLIS,
+                'mem_mb': 64,
+                'estimated_ms': int(LONG_TASK_SECONDS * 1000),
+            }
+            await self._submit_until_accepted(
+                f'{self._random.getrandbits(64):016x}',
+                f'{standins.TIMED_PAYLOAD_PREFIX}{LONG_TASK_SECONDS}',
+                step,
+            )
+            await asyncio.sleep(LONG_JOB_INTERVAL_SECONDS)
+
+    async def _submit_until_accepted(
+        self,
+        job: str,
+        payload: str,
+        step: collections.abc.Mapping[str, object],
+    ) -> None:
+        body = msgspec.json.encode({'spec': payload, 'steps': [step]})
         status = 0
         while not 200 <= status < 300:
             status, _ = await self._request(
--- a/chivespoke/bench/soak/_daemon.py
+++ b/chivespoke/bench/soak/_daemon.py
@@ -9,6 +9,8 @@
 from chivespoke import application
 
 GRACE_SECONDS = 6.0
+# The workers' limit of leases.
+MAX_HOLD_MS = 10_000
 SETTINGS_VARIABLE = 'CHIVESPOKE_CONFIG'
 SETTINGS_TEMPLATE = """\
 node_name = "{name}"
@@ -23,7 +25,7 @@
 readiness = "{ip}:8167"
 control = "{ip}:8166"
 [bounds]
-max_hold_ms = 10000
+max_hold_ms = {max_hold_ms}
 [platform]
 address = "{store}"
 min_ttl_ms = 1000
@@ -53,6 +55,7 @@
                 ip=ip,
                 store=store,
                 worker=worker,
+                max_hold_ms=MAX_HOLD_MS,
             ),
             encoding='utf-8',
         )
--- a/chivespoke/bench/soak/_proxy.py
+++ b/chivespoke/bench/soak/_proxy.py
@@ -1,11 +1,15 @@
 """A TCP proxy on the loopback interface that cuts, resets and narrows."""
 
 import asyncio
+import random
 
 from chivespoke import application
 
 CHUNK_BYTES = 16_384
 POLL_SECONDS = 0.02
+# Time within which connections that were being opened go through, once the
+# server is back.
+OPENING_SECONDS = 0.8
 
 
 class LinkProxy(application.Component):
@@ -18,6 +22,11 @@
         self._tasks = application.TaskOwner()
         self._writers: set[asyncio.StreamWriter] = set()
         self._answers_link = asyncio.Lock()
+        self._random = random.Random(0)
+        # Writers to the server, and those of a server that has ended since.
+        self._server_writers: set[asyncio.StreamWriter] = set()
+        self._severed: set[asyncio.StreamWriter] = set()
+        self._is_dark = False
         # Nothing passes, and connections stay open.
         self.is_cut = False
         # Connections are aborted, as soon as they are opened too.
@@ -48,6 +57,22 @@
         for writer in self._writers:
             writer.transport.abort()
 
+    def go_dark(self) -> None:
+        """Let the server lose all connections, without a sign to clients.
+
+        New ones are held until the link is not cut any more.
+        """
+        self.is_cut = True
+        self._is_dark = True
+        self._severed |= self._server_writers
+        for writer in self._server_writers:
+            writer.transport.abort()
+
+    def return_from_dark(self) -> None:
+        """Let the connections that are being opened reach the server."""
+        self.is_cut = False
+        self._is_dark = False
+
     def heal(self) -> None:
         """Do no more harm; what was held up passes."""
         self.is_cut = False
@@ -60,18 +85,26 @@
         self._writers.add(writer)
         server_writer: asyncio.StreamWriter | None = None
         try:
+            was_dark = self._is_dark
             await self._wait_for_link()
+            if was_dark:
+                await asyncio.sleep(self._random.uniform(0, OPENING_SECONDS))
+                await self._wait_for_link()
             if self.resets:
                 return
             server_reader, server_writer = await asyncio.open_connection(
                 self._host, self._port
             )
             self._writers.add(server_writer)
+            self._server_writers.add(server_writer)
             copies = (
                 self._tasks.spawn(self._copy(reader, server_writer, False)),
                 self._tasks.spawn(self._copy(server_reader, writer, True)),
             )
             await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
+            if server_writer in self._severed:
+                # The client learns of it by the answer to what it sends.
+                await asyncio.wait(copies[:1])
         except OSError:
             # The server is gone; the client sees the abort below.
             pass
@@ -79,6 +112,8 @@
             for each in (writer, server_writer):
                 if each is not None:
                     self._writers.discard(each)
+                    self._server_writers.discard(each)
+                    self._severed.discard(each)
                     each.transport.abort()
 
     async def _copy(
--- a/chivespoke/bench/soak/_run.py
+++ b/chivespoke/bench/soak/_run.py
@@ -22,6 +22,9 @@
 # Jobs whose tasks last, and their tasks.
 LASTING_JOBS = ('00000000000000f1', '00000000000000f2')
 LASTING_TASKS = 4
+# Jobs with long tasks are handed in until their tasks would end this long
+# before the faults do.
+LONG_JOBS_END_SECONDS = 4.0
 
 
 class SoakOptions(msgspec.Struct, frozen=True):
@@ -77,6 +80,15 @@
         tasks.spawn(_odd_writer.OddWriter(world).run())
         for caller in callers:
             tasks.spawn(caller.run())
+        # Not so late that the end of the run waits for them.
+        tasks.spawn(
+            judge.submit_long_jobs(
+                history.read_time()
+                + options.seconds
+                - _callers.LONG_TASK_SECONDS
+                - LONG_JOBS_END_SECONDS
+            )
+        )
         await _carry_out(world, schedule, options.seconds)
         await tasks.cancel()
         completed = await _wait_for_completion(judge, history)
@@ -112,6 +124,14 @@
     (folder / 'observations.json').write_bytes(
         msgspec.json.encode(history.observations)
     )
+    (folder / 'runs.json').write_bytes(
+        msgspec.json.encode(
+            sorted(
+                (each for runner in world.runners for each in runner.events),
+                key=lambda each: each.at,
+            )
+        )
+    )
     (folder / 'report.json').write_bytes(msgspec.json.encode(report))
     return report
 
--- a/chivespoke/bench/soak/_schedule.py
+++ b/chivespoke/bench/soak/_schedule.py
@@ -29,6 +29,9 @@
     STORM = 'storm'
     RUNNER_GONE = 'runner-gone'
     SIDECAR_GONE = 'sidecar-gone'
+    # A worker is dark and starts again under its identifier; its link is cut.
+    RUNNER_RETURNS = 'runner-returns'
+    RUNNER_CUT = 'runner-cut'
 
 
 LINK_FAULTS = (FaultKind.CUT, FaultKind.RESET, FaultKind.NARROW)
@@ -48,6 +51,13 @@
 
 # Part of the workers that are lost for good at most.
 MAX_GONE_SHARE = 1 / 3
+# Share of the returns of workers that a cut follows.
+CUT_SHARE = 0.8
+# In every other long run the entries and the store are left alone for a while,
+# so that workers return under a leader that has been in office for longer than
+# any lease of its predecessor.
+LONG_RUN_SECONDS = 50.0
+LULL_SECONDS = 38.0
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -128,9 +138,56 @@
         *_list_lost_machines(seed, lost_workers, entries),
     ):
         add(fault.kind, fault.at, fault.seconds, fault.target)
+    lull = _find_lull(seed, seconds)
+    if lull is not None:
+        faults = [
+            fault
+            for fault in faults
+            if fault.target in sidecars
+            or fault.at + fault.seconds < lull
+            or fault.at > lull + LULL_SECONDS
+        ]
+    gone = {
+        fault.target
+        for fault in lost_workers
+        if fault.kind is FaultKind.RUNNER_GONE
+    }
+    for fault in _list_returns(
+        seed, last, [name for name in sidecars if name not in gone]
+    ):
+        add(fault.kind, fault.at, fault.seconds, fault.target)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
+def _find_lull(seed: int, seconds: float) -> float | None:
+    """Return when the entries and the store begin to be left alone."""
+    generator = random.Random(f'lull {seed}')
+    if seconds < LONG_RUN_SECONDS or generator.random() < 0.5:
+        return None
+    return generator.uniform(0.0, seconds - LULL_SECONDS - CALM_SECONDS)
+
+
+def _list_returns(
+    seed: int, last: float, sidecars: collections.abc.Iterable[str]
+) -> collections.abc.Iterator[Fault]:
+    """Yield the returns of workers, and the cuts soon after.
+
+    One worker may go through this more than once.
+    """
+    generator = random.Random(f'returns {seed}')
+    for name in sidecars:
+        at = FIRST_FAULT_SECONDS + generator.uniform(0.0, 12.0)
+        while at < last:
+            length = generator.uniform(0.3, 2.0)
+            yield Fault(at, FaultKind.RUNNER_RETURNS, length, name)
+            at += length + generator.uniform(0.5, 3.0)
+            if generator.random() < CUT_SHARE:
+                length = generator.uniform(6.0, 12.0)
+                yield Fault(at, FaultKind.RUNNER_CUT, length, name)
+                at += length
+            at += generator.uniform(1.0, 12.0)
+
+
 def _list_lost_workers(
     seed: int,
     last: float,
--- a/chivespoke/bench/soak/_world.py
+++ b/chivespoke/bench/soak/_world.py
@@ -41,6 +41,7 @@
         self._servers: list[web.HttpServer] = []
         # In the order of the runners.
         self._worker_servers: list[web.HttpServer] = []
+        self._worker_links: list[_proxy.LinkProxy] = []
         # Number of faults that hold each kind of harm, by target.
         self._held: dict[tuple[str, _schedule.FaultKind], int] = {}
         # Whether the operator writes as fast as it can.
@@ -93,6 +94,8 @@
             await daemon.stop()
         for proxy in self._proxies.values():
             await proxy.stop()
+        for link in self._worker_links:
+            await link.stop()
         for runner in self.runners:
             await runner.stop()
         for server in (*self._worker_servers, *self._servers):
@@ -110,7 +113,11 @@
         server = runner.make_server()
         await server.start()
         self._worker_servers.append(server)
-        runner.address = f'{server.address.host}:{server.address.port}'
+        link = _proxy.LinkProxy(server.address.host, server.address.port)
+        await link.start()
+        self._worker_links.append(link)
+        runner.address = link.address
+        runner.faults.max_hold_ms = _daemon.MAX_HOLD_MS
         await runner.start()
         self.runners.append(runner)
         return runner
@@ -140,6 +147,12 @@
             await self._harm_store(fault)
         elif kind is _schedule.FaultKind.RUNNER_GONE:
             await self._lose_worker(self.sidecars.index(fault.target))
+        elif kind is _schedule.FaultKind.RUNNER_RETURNS:
+            await self._start_worker_again(
+                self.sidecars.index(fault.target), fault.seconds
+            )
+        elif kind is _schedule.FaultKind.RUNNER_CUT:
+            await self._cut_worker(fault)
         elif kind is _schedule.FaultKind.SIDECAR_GONE:
             await self.daemons[fault.target].end()
         elif kind is _schedule.FaultKind.PAUSE:
@@ -154,8 +167,28 @@
     async def _lose_worker(self, number: int) -> None:
         """End a worker for good; its address refuses connections."""
         self.runners[number].exit()
+        await self._worker_links[number].stop()
         await self._worker_servers[number].stop()
 
+    async def _start_worker_again(self, number: int, seconds: float) -> None:
+        """Let a worker end without a word, and start again after a time."""
+        runner, link = self.runners[number], self._worker_links[number]
+        link.go_dark()
+        runner.exit()
+        await asyncio.sleep(seconds)
+        runner.restart(runner.born_ms + int(seconds * 1000) + 1)
+        link.return_from_dark()
+
+    async def _cut_worker(self, fault: _schedule.Fault) -> None:
+        """Let nothing pass between a worker and its sidecar."""
+        number = self.sidecars.index(fault.target)
+
+        def apply(held: bool) -> None:
+            self._worker_links[number].is_cut = held
+            self.runners[number].faults.skips_registration = held
+
+        await self._hold(fault, apply)
+
     async def _harm_link(self, fault: _schedule.Fault) -> None:
         proxy = self._proxies[fault.target]
 
--- a/chivespoke/standins/__init__.py
+++ b/chivespoke/standins/__init__.py
@@ -13,6 +13,8 @@
 from chivespoke.standins._runner import LONG_RUNNING_PAYLOAD
 from chivespoke.standins._runner import PlatformRunner
 from chivespoke.standins._runner import RunnerRegistration
+from chivespoke.standins._runner import TIMED_PAYLOAD_PREFIX
+from chivespoke.standins._runner_events import RunnerEvent
 from chivespoke.standins._runner_faults import RunnerFaults
 from chivespoke.standins._store import PlatformStore
 from chivespoke.standins._store import StoreFaults
@@ -40,9 +42,11 @@
     'Ran',
     'Run',
     'RunLedger',
+    'RunnerEvent',
     'RunnerFaults',
     'RunnerRegistration',
     'StoreFaults',
+    'TIMED_PAYLOAD_PREFIX',
     'TaskPlan',
     'WorkerAgent',
     'WORKERS_PER_RACK',
--- a/chivespoke/standins/_runner.py
+++ b/chivespoke/standins/_runner.py
@@ -14,6 +14,7 @@
 from chivespoke.standins import _run_ledger
 from chivespoke.standins import _runner_boot
 from chivespoke.standins import _runner_capacity
+from chivespoke.standins import _runner_events
 from chivespoke.standins import _runner_faults
 from chivespoke import web as chivespoke_web
 
@@ -24,6 +25,8 @@
 # A task with this payload runs until it is stopped.
 LONG_RUNNING_PAYLOAD = 'serve'
 LONG_RUNNING_SECONDS = 3600.0
+# A task whose payload is this and a number runs for so many seconds.
+TIMED_PAYLOAD_PREFIX = 'seconds '
 TARGET_HEADER = 'Chivespoke-Target-Instance'
 # Time between the start of a deadly task and the crash.
 CRASH_DELAY_SECONDS = 0.01
@@ -49,6 +52,7 @@
         'advisor',
         'starts',
         'began',
+        'events',
         'crashes',
         'refusals',
         'paces',
@@ -81,6 +85,8 @@
         self.starts = 0
         # The started runs of all boots.
         self.began: list[_run_ledger.Ran] = []
+        # What all boots have carried out.
+        self.events: list[_runner_events.RunnerEvent] = []
         # Deadly tasks whose starts have crashed the worker, in order.
         self.crashes: list[str] = []
         # Reasons of the refused calls, in order.
@@ -102,6 +108,7 @@
             self.capacity,
             ledger,
             self.began,
+            self.events,
         )
         self._tasks = application.TaskOwner()
         self._control = ''
@@ -247,6 +254,7 @@
             self.capacity,
             self._ledger,
             self.began,
+            self.events,
         )
 
     async def _register_periodically(self) -> None:
@@ -329,28 +337,31 @@
                 self.faults.late_seconds,
                 self._execute_if_addressed,
                 target,
+                calls,
                 execute,
                 body,
             )
             await withhold_response()
-        return self._execute_if_addressed(target, execute, body)
+        return self._execute_if_addressed(target, calls, execute, body)
 
     def _execute_if_addressed(
         self,
         target: str,
+        calls: str,
         execute: collections.abc.Callable[[Body], str],
         body: Body,
     ) -> str:
         if self._boot.ended or target != self.identifier:
             return MISDIRECTED
-        return execute(body)
+        reason = execute(body)
+        self._boot.record_call(calls, body, reason)
+        return reason
 
     def _start_run(self, body: Body) -> str:
-        is_long_running = body['spec'] == LONG_RUNNING_PAYLOAD
         step, _, _ = body['task'].rpartition('.')
         reason = self._boot.start_run(
             body,
-            LONG_RUNNING_SECONDS if is_long_running else self.seconds,
+            self._find_run_seconds(body['spec']),
             self.advisor is None
             or self.advisor.is_valid(
                 step, self.identifier, body.get('ticket', '')
@@ -362,6 +373,13 @@
             )
         return reason
 
+    def _find_run_seconds(self, payload: str) -> float:
+        if payload == LONG_RUNNING_PAYLOAD:
+            return LONG_RUNNING_SECONDS
+        if payload.startswith(TIMED_PAYLOAD_PREFIX):
+            return float(payload.removeprefix(TIMED_PAYLOAD_PREFIX))
+        return self.seconds
+
     def _crash_under(self, boot: _runner_boot.RunnerBoot, body: Body) -> None:
         if boot is self._boot and not boot.ended:
             self.crashes.append(body['task'])
--- a/chivespoke/standins/_runner_boot.py
+++ b/chivespoke/standins/_runner_boot.py
@@ -5,6 +5,7 @@
 
 from chivespoke.standins import _run_ledger
 from chivespoke.standins import _runner_capacity
+from chivespoke.standins import _runner_events
 from chivespoke.standins import _runner_faults
 
 # Processor time in use, or tail latency, of every run.
@@ -62,6 +63,7 @@
         '_capacity',
         '_ledger',
         '_began',
+        '_events',
         '_running',
         '_ends',
         '_over',
@@ -78,6 +80,7 @@
         capacity: _runner_capacity.RunnerCapacity,
         ledger: _run_ledger.RunLedger,
         began: list[_run_ledger.Ran],
+        events: list[_runner_events.RunnerEvent],
     ) -> None:
         self.identifier = identifier
         self.born_ms = born_ms
@@ -95,6 +98,7 @@
         self._ledger = ledger
         # The started runs of all boots of the worker.
         self._began = began
+        self._events = events
         self._running: dict[str, _Run] = {}
         self._ends: list[_End] = []
         # Highest identifier of a run that was stopped or ended, by task.
@@ -119,11 +123,33 @@
         for run in self._running.values():
             run.ends.cancel()
             self._ledger.record_end(run.ran)
+            self._record_end(run.ran, 'crashed')
         self._running.clear()
         self._ends.clear()
         self.ended = True
         self.changed.set()
 
+    def record_call(
+        self, calls: str, body: dict[str, typing.Any], outcome: str
+    ) -> None:
+        """Add a call that this boot has carried out to the trace."""
+        self._events.append(
+            _runner_events.RunnerEvent(
+                asyncio.get_running_loop().time(),
+                self.read_clock(),
+                self.identifier,
+                self.born_ms,
+                calls,
+                outcome,
+                body.get('task', ''),
+                body.get('run_id', 0),
+                body.get('fencing_token', 0),
+                body.get('deadline_ms', 0),
+                body.get('ack_cursor', 0),
+                self._until,
+            )
+        )
+
     def enforce_lease(self) -> None:
         """End all runs if the lease has expired."""
         if self.read_clock() <= self._until:
@@ -255,4 +281,20 @@
         self.number += 1
         self._ends.append(_End(self.number, run.ran, cause))
         self._ledger.record_end(run.ran, cause)
+        self._record_end(run.ran, cause)
         self.changed.set()
+
+    def _record_end(self, ran: _run_ledger.Ran, cause: str) -> None:
+        self._events.append(
+            _runner_events.RunnerEvent(
+                asyncio.get_running_loop().time(),
+                self.read_clock(),
+                self.identifier,
+                self.born_ms,
+                'end',
+                cause,
+                ran.task,
+                ran.run,
+                lease_until_ms=self._until,
+            )
+        )
--- a/chivespoke/standins/tests/test_runner.py
+++ b/chivespoke/standins/tests/test_runner.py
@@ -192,6 +192,56 @@
         self.runner.restart()
         self.assertEqual((), (await self.poll()).running)
 
+    async def test_call_of_an_earlier_boot_extends_to_the_longest_lease(
+        self,
+    ) -> None:
+        self.runner.faults.max_hold_ms = 300
+        self.runner.restart()
+        await self.client.poll(EPOCH, 7, LEASE_MS, 0.0)
+        call = self.runner.events[-1]
+        self.assertEqual(
+            ('holds', '', EPOCH, LEASE_MS, 7),
+            (
+                call.what,
+                call.outcome,
+                call.fencing_token,
+                call.deadline_ms,
+                call.acknowledged,
+            ),
+        )
+        self.assertEqual(self.runner.born_ms, call.born_ms)
+        self.assertEqual(call.clock_ms + 300, call.lease_until_ms)
+
+    async def test_trace_tells_calls_and_ends_by_boot(self) -> None:
+        await self.start_run()
+        self.runner.restart()
+        await self.start_run(run=2)
+        await self.assert_refused(
+            platform.Refusal.STALE_FENCE,
+            self.start_run(OTHER_TASK, fencing_token=EPOCH - 1),
+        )
+        self.assertEqual(
+            [
+                (5000, 'starts', '', TASK, 1),
+                (5000, 'end', 'crashed', TASK, 1),
+                (5001, 'starts', '', TASK, 2),
+                (5001, 'starts', 'fence', OTHER_TASK, 1),
+            ],
+            [
+                (each.born_ms, each.what, each.outcome, each.task, each.run)
+                for each in self.runner.events
+            ],
+        )
+
+    async def test_payload_sets_the_time_of_a_run(self) -> None:
+        payload = f'{standins.TIMED_PAYLOAD_PREFIX}0.05'
+        until_ms = self.runner.read_clock() + LEASE_MS
+        await self.client.start(TASK, 1, payload, until_ms, EPOCH, '', '')
+        self.assertEqual({TASK}, self.runner.running)
+        await self.wait_until_idle()
+        (end,) = (await self.poll()).ended
+        self.assertIs(platform.EndCause.DONE, end.cause)
+
 
 class LeaseTest(RunnerTest):
     """Extend leases and let them lapse."""
