--- a/chivespoke/standins/_runner_boot.py
+++ b/chivespoke/standins/_runner_boot.py
@@ -149,7 +149,7 @@
                 body.get('fencing_token', 0),
                 body.get('deadline_ms', 0),
                 body.get('ack_cursor', 0),
-                self._until,
+                self.lease_end_ms,
             )
         )
 
@@ -299,6 +299,6 @@
                 cause,
                 ran.task,
                 ran.run,
-                lease_until_ms=self._until,
+                lease_until_ms=self.lease_end_ms,
             )
         )
