--- a/chivespoke/bench/soak/_proxy.py
+++ b/chivespoke/bench/soak/_proxy.py
@@ -1,4 +1,4 @@
-"""A TCP proxy on the loopback interface that cuts, resets and narrows."""
+"""A TCP proxy on the loopback interface that does harm to its connections."""
 
 import asyncio
 import random
