Pass on no denial from an older configuration than an entry knows of

Cause: what neighbours answer was bounded by the age of their views, and passed on without a look at the version that it rests on. Two neighbours with views of at most 1.8 s may be some versions apart.

A request that is handed over now names the newest version that the entry has read or that a neighbour has named; the neighbour answers 503 to what would rest on an older one, before anything is stored. Its answer names the version that it rests on, and the entry compares it with the newest known when it arrives: a denial or a count from an older one, or without a version (earlier releases), goes to the next neighbour. An entry that has read a newer version meanwhile decides the request again. What rests on the ledger, and what has taken effect, is passed on as before.

--- a/chivespoke/decisions/__init__.py
+++ b/chivespoke/decisions/__init__.py
@@ -56,6 +56,8 @@
 from chivespoke.decisions._moves import RunForecast
 from chivespoke.decisions._moves import SpeedTracker
 from chivespoke.decisions._neighbours import MAX_NEIGHBOURS
+from chivespoke.decisions._neighbours import may_pass_on
+from chivespoke.decisions._neighbours import NeighbourAnswer
 from chivespoke.decisions._neighbours import NeighbourSelector
 from chivespoke.decisions._ordering import make_sort_key
 from chivespoke.decisions._ordering import measure_critical_path
@@ -130,6 +132,7 @@
     'MAX_SECONDS',
     'MAX_SUMMARY_AGE_SECONDS',
     'MIN_SECONDS',
+    'NeighbourAnswer',
     'NeighbourSelector',
     'OPEN_TRY_SECONDS',
     'OUTAGE_SECONDS',
@@ -177,6 +180,7 @@
     'is_worth_sending',
     'make_sort_key',
     'may_append',
+    'may_pass_on',
     'may_wait_for_proof',
     'may_wait_for_speed',
     'measure_critical_path',
--- a/chivespoke/decisions/_neighbours.py
+++ b/chivespoke/decisions/_neighbours.py
@@ -9,6 +9,8 @@
 
 import collections.abc
 
+import msgspec
+
 # Neighbours that one request is handed to at most, one after the other.
 MAX_NEIGHBOURS = 2
 # Time for which a neighbour that has refused a request is not chosen.
@@ -21,6 +23,27 @@
 EXHAUSTED_PAUSE_SECONDS = 0.5
 
 
+class NeighbourAnswer(msgspec.Struct, frozen=True):
+    """Hold what decides whether a neighbour's answer is passed on."""
+
+    # Version of the configuration that it rests on; 0 if it names none.
+    version: int
+    # It would be another one if the routes or limits were others, and the
+    # request has had no effect.
+    rests_on_version: bool
+
+
+def may_pass_on(answer: NeighbourAnswer, newest_version: int) -> bool:
+    """Return whether callers may get a neighbour's answer.
+
+    Callers have seen what the newest version known here allows, which an older
+    one would take back. An answer that names no version proves none.
+    """
+    return not answer.rests_on_version or (
+        answer.version > 0 and answer.version >= newest_version
+    )
+
+
 class NeighbourSelector:
     """Rank the neighbours by their latest answers."""
 
--- a/chivespoke/decisions/tests/test_neighbours.py
+++ b/chivespoke/decisions/tests/test_neighbours.py
@@ -7,6 +7,30 @@
 NAMES = ('e1', 'e2', 'e3')
 
 
+# Version of the answer, whether it rests on that, the newest version known,
+# and whether the answer is passed on.
+ANSWERS = (
+    ('older denial', 4, True, 5, False),
+    ('denial from the newest version', 5, True, 5, True),
+    ('denial from a version that is new here', 6, True, 5, True),
+    ('denial, nothing known here', 1, True, 0, True),
+    ('denial without a version', 0, True, 5, False),
+    ('denial without a version, nothing known here', 0, True, 0, False),
+    ('older answer that rests on the ledger', 4, False, 5, True),
+    ('answer without a version that rests on the ledger', 0, False, 5, True),
+)
+
+
+class NeighbourAnswerTest(unittest.TestCase):
+    def test_what_newer_versions_may_forbid_is_not_passed_on(self) -> None:
+        for name, version, rests_on_version, newest, expected in ANSWERS:
+            with self.subTest(name):
+                answer = decisions.NeighbourAnswer(version, rests_on_version)
+                self.assertEqual(
+                    expected, decisions.may_pass_on(answer, newest)
+                )
+
+
 class NeighbourSelectorTest(unittest.TestCase):
     def setUp(self) -> None:
         self.selector = decisions.NeighbourSelector()
--- a/chivespoke/intake/_job_routes.py
+++ b/chivespoke/intake/_job_routes.py
@@ -5,6 +5,7 @@
 import time
 
 from aiohttp import web
+import msgspec
 
 from chivespoke import clock
 from chivespoke import coordination
@@ -29,6 +30,16 @@
 MAX_PROOF_SECONDS = 1.5
 
 
+class _View(msgspec.Struct, frozen=True):
+    """Hold what a request is decided from."""
+
+    configuration: workloads.Configuration
+    # Newest version that callers have seen the effect of.
+    required_version: int
+    # Routes may be denied, jobs accepted and counted.
+    current: bool
+
+
 class JobRoutes(chivespoke_web.RouteProvider):
     """Handle the requests of the callers of this entry."""
 
@@ -71,35 +82,52 @@
         return configuration.version if configuration is not None else 0
 
     async def _handle(self, request: web.Request) -> web.Response:
-        limit = self._find_limit(request)
-        response = await self.handle_here(request)
+        limit = self.find_limit(request)
+        response = await self.handle_here(request, limit)
         if response.status != _responses.Outcome.UNAVAILABLE.value:
             return response
         # The request has had no effect, so that a neighbour may serve it.
+        version = self.configuration_version
         forwarded = await self._relay.forward(request, limit)
         if forwarded is None:
+            if self.configuration_version > version:
+                # The neighbours' views may be behind one that is new here.
+                response = await self.handle_here(request, limit)
             return response
         if self.closing:
             forwarded.force_close()
         return forwarded
 
-    async def handle_here(self, request: web.Request) -> web.Response:
-        """Handle a request in this entry, without its neighbours."""
+    async def handle_here(
+        self, request: web.Request, limit: float, required_version: int = 0
+    ) -> web.Response:
+        """Handle a request in this entry, without its neighbours.
+
+        The limit is the monotonic time by which the answer must leave. What
+        rests on the configuration is not answered from a version older than
+        the required one.
+        """
         started_at = time.perf_counter()
-        limit = self._find_limit(request)
         # A body may arrive slowly. The configuration is that of its end.
         await request.read()
         configuration = self._coordinator.operator.configuration
         if configuration is None:
             return self._respond(_responses.Outcome.UNAVAILABLE)
         host = request.host.partition(':')[0]
+        required_version = max(required_version, self._relay.newest_version)
+        view = _View(
+            configuration,
+            required_version,
+            configuration.version >= required_version
+            and self._coordinator.is_operator_view_current,
+        )
         queue = configuration.find_queue(host, request.path)
         if queue is None:
-            return self._respond_unknown_queue(request, configuration)
+            return self._respond_unknown_queue(request, view)
         identifier = request.path[len(queue.path_prefix) :]
         try:
             response = await self._handle_queue(
-                request, configuration, queue, identifier, limit
+                request, view, queue, identifier, limit
             )
         except errors.RefusedError as error:
             # The record of the job's progress is unreadable.
@@ -118,27 +146,25 @@
     async def _handle_queue(
         self,
         request: web.Request,
-        configuration: workloads.Configuration,
+        view: _View,
         queue: workloads.Queue,
         identifier: str,
         limit: float,
     ) -> web.Response:
         if not identifier and request.method == 'GET':
-            return self._count_pending(queue)
+            return self._count_pending(queue, view)
         if not platform.is_job_identifier(identifier):
             # A later version may have a queue with a longer prefix.
-            return self._respond_unknown_queue(request, configuration)
+            return self._respond_unknown_queue(request, view)
         if request.method == 'GET':
             return self._report_phase(identifier)
         if request.method == 'DELETE':
             return await self._cancel(identifier, limit)
         if request.method == 'POST':
-            return await self._submit(
-                request, configuration, queue, identifier, limit
-            )
+            return await self._submit(request, view, queue, identifier, limit)
         return self._respond(_responses.Outcome.INVALID)
 
-    def _find_limit(self, request: web.Request) -> float:
+    def find_limit(self, request: web.Request) -> float:
         """Return when the answer must leave, in monotonic seconds."""
         return (
             self._clock.read_monotonic()
@@ -149,7 +175,7 @@
     async def _submit(
         self,
         request: web.Request,
-        configuration: workloads.Configuration,
+        view: _View,
         queue: workloads.Queue,
         identifier: str,
         limit: float,
@@ -159,13 +185,13 @@
             return self._log_and_respond(
                 identifier, _responses.Outcome.ACCEPTED, 'already submitted'
             )
-        if not self._is_view_current():
+        if not view.current:
             return self._log_and_respond(
                 identifier,
                 _responses.Outcome.UNAVAILABLE,
                 'configuration too old',
             )
-        if len(body) > configuration.body_limit:
+        if len(body) > view.configuration.body_limit:
             return self._respond(_responses.Outcome.TOO_LARGE)
         if not self._can_write():
             return self._log_and_respond(
@@ -186,7 +212,7 @@
                 _responses.Outcome.TOO_LARGE,
                 f'{job.task_count} tasks, at most {self._max_job_tasks}',
             )
-        if configuration.is_contended(queue.terms.service):
+        if view.configuration.is_contended(queue.terms.service):
             admission = self._decide_admission(job)
             if admission is not None and not admission.admitted:
                 return self._refuse_for_load(job, admission)
@@ -303,8 +329,10 @@
             closing=self.closing,
         )
 
-    def _count_pending(self, queue: workloads.Queue) -> web.Response:
-        if not (self._is_ledger_fresh() and self._is_view_current()):
+    def _count_pending(
+        self, queue: workloads.Queue, view: _View
+    ) -> web.Response:
+        if not (self._is_ledger_fresh() and view.current):
             return self._respond(_responses.Outcome.UNAVAILABLE)
         count = sum(
             self._is_pending(entry, queue)
@@ -336,16 +364,6 @@
             follower.loaded and follower.measure_age() < MAX_LEDGER_AGE_SECONDS
         )
 
-    def _is_view_current(self) -> bool:
-        """Return whether routes may be denied, and jobs accepted.
-
-        Callers have seen what neighbours answered from a newer version.
-        """
-        coordinator = self._coordinator
-        return coordinator.is_operator_view_current and (
-            self.configuration_version >= self._relay.newest_version
-        )
-
     def _can_write(self) -> bool:
         # If the store did not confirm an append, the caller would not know its
         # outcome. After an immediate refusal the caller can safely retry.
@@ -359,18 +377,19 @@
         )
 
     def _respond_unknown_queue(
-        self, request: web.Request, configuration: workloads.Configuration
+        self, request: web.Request, view: _View
     ) -> web.Response:
         """Deny a path only if no later version can be in force."""
         outcome = (
             _responses.Outcome.UNKNOWN_QUEUE
-            if self._is_view_current()
+            if view.current
             else _responses.Outcome.UNAVAILABLE
         )
         LOGGER.info(
             'No queue matches this path.',
             path=request.path,
-            version=configuration.version,
+            version=view.configuration.version,
+            required_version=view.required_version,
             view_age=round(
                 self._coordinator.operator_follower.measure_age(), 3
             ),
@@ -426,8 +445,14 @@
         return (web.route('*', '/{path:.*}', self._handle),)
 
     async def _handle(self, request: web.Request) -> web.Response:
-        response = await self._job_routes.handle_here(request)
-        response.headers[platform.CONFIGURATION_VERSION_HEADER] = str(
-            self._job_routes.configuration_version
+        limit = self._job_routes.find_limit(request)
+        required_version = platform.read_configuration_version(request.headers)
+        # The request is decided from the version at the end of its body. A
+        # later one may arrive before the answer.
+        await request.read()
+        version = self._job_routes.configuration_version
+        response = await self._job_routes.handle_here(
+            request, limit, required_version
         )
+        response.headers.update(platform.encode_configuration_version(version))
         return response
--- a/chivespoke/intake/_relay.py
+++ b/chivespoke/intake/_relay.py
@@ -19,6 +19,13 @@
 # A neighbour answers a little before this time, or before the caller's.
 NEIGHBOUR_TIMEOUT_SECONDS = 1.3
 DEPARTURE_TIMEOUT_SECONDS = 0.5
+# Statuses that are told from the routes and limits of a configuration.
+_DENIALS = frozenset(
+    (
+        _responses.Outcome.UNKNOWN_QUEUE.value,
+        _responses.Outcome.TOO_LARGE.value,
+    )
+)
 
 
 class Relay(application.Component):
@@ -28,10 +35,10 @@
     """
 
     __slots__ = (
-        'newest_version',
+        '_newest_named_version',
         '_name',
         '_address',
-        '_ledger',
+        '_coordinator',
         '_store',
         '_clock',
         '_selector',
@@ -43,16 +50,16 @@
         self,
         name: str,
         address: str,
-        ledger: coordination.Ledger,
+        coordinator: coordination.Coordinator,
         store: platform.Store,
         time: clock.Clock,
     ) -> None:
         # Newest version of the configuration that a neighbour has answered
         # from.
-        self.newest_version = 0
+        self._newest_named_version = 0
         self._name = name
         self._address = address
-        self._ledger = ledger
+        self._coordinator = coordinator
         self._store = store
         self._clock = time
         self._selector = decisions.NeighbourSelector()
@@ -60,6 +67,14 @@
         self._transports: dict[str, platform.Transport] = {}
         self._tasks = application.TaskOwner()
 
+    @property
+    def newest_version(self) -> int:
+        """Return the newest version known here or named by a neighbour."""
+        configuration = self._coordinator.operator.configuration
+        if configuration is None:
+            return self._newest_named_version
+        return max(configuration.version, self._newest_named_version)
+
     async def start(self) -> None:
         record = coordination.encode_entry_address(self._name, self._address)
         self._tasks.spawn(
@@ -97,9 +112,10 @@
         None if no neighbour has taken the request, which then has had
         no effect. A response that is lost is reported as uncertain.
         """
+        ledger = self._coordinator.ledger
         addresses = {
             name: address
-            for name, address in self._ledger.entry_addresses.items()
+            for name, address in ledger.entry_addresses.items()
             if name != self._name
         }
         selected = self._selector.select(
@@ -139,6 +155,9 @@
                 {
                     'Host': request.host,
                     **platform.encode_caller_wait(wait_seconds),
+                    **platform.encode_configuration_version(
+                        self.newest_version
+                    ),
                 },
             )
         except errors.RefusedError as error:
@@ -150,11 +169,19 @@
             self._selector.record_silent(name, self._clock.read_monotonic())
             # The neighbour may have stored the request before it went silent.
             return _responses.make_response(_responses.Outcome.UNCERTAIN)
-        self._log(name, request, answer.status, '')
-        self.newest_version = max(
-            self.newest_version, answer.configuration_version
+        version = answer.configuration_version
+        self._newest_named_version = max(self._newest_named_version, version)
+        passed_on = (
+            answer.status != _responses.Outcome.UNAVAILABLE.value
+            and decisions.may_pass_on(
+                decisions.NeighbourAnswer(
+                    version, _rests_on_configuration(request, answer.status)
+                ),
+                self.newest_version,
+            )
         )
-        if answer.status == _responses.Outcome.UNAVAILABLE.value:
+        self._log(name, request, answer.status, '', version, passed_on)
+        if not passed_on:
             self._selector.record_refused(name, self._clock.read_monotonic())
             return None
         self._selector.record_served(name)
@@ -172,7 +199,13 @@
         return transport
 
     def _log(
-        self, name: str, request: web.Request, status: int, error: str
+        self,
+        name: str,
+        request: web.Request,
+        status: int,
+        error: str,
+        version: int = 0,
+        passed_on: bool = False,
     ) -> None:
         LOGGER.info(
             'A request was handed to a neighbour.',
@@ -181,4 +214,16 @@
             path=request.path,
             status=status,
             error=error,
+            version=version,
+            newest_version=self.newest_version,
+            passed_on=passed_on,
         )
+
+
+def _rests_on_configuration(request: web.Request, status: int) -> bool:
+    """Return whether another version could have led to another answer.
+
+    The answer to a request that has taken effect always stands.
+    """
+    is_count = request.method == 'GET' and not platform.names_job(request.path)
+    return is_count or status in _DENIALS
--- a/chivespoke/intake/tests/narrow_link.py
+++ b/chivespoke/intake/tests/narrow_link.py
@@ -28,7 +28,6 @@
 NEWEST_SIZE_FACTOR = 4 / 3
 HOST = 'callers.example'
 ROUTE_BYTES = 200
-EMPTY = mock.Mock(readany=mock.AsyncMock(return_value=b''))
 
 
 class Written(msgspec.Struct, frozen=True):
@@ -214,10 +213,62 @@
     return f'/added-{version}/'
 
 
+class LinkedTransport(platform.Transport):
+    """Hand requests to an entry without a connection."""
+
+    def __init__(self, entry: 'Entry', answer_seconds: float) -> None:
+        super().__init__('neighbour', 1)
+        self._entry = entry
+        # Time that an answer takes on its way.
+        self._answer_seconds = answer_seconds
+
+    async def start(self) -> None:
+        return None
+
+    async def call(
+        self,
+        step: str,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        timeout_seconds: float = 1.0,
+        headers: dict[str, str] | None = None,
+        idle_timeout: bool = False,
+    ) -> platform.Response:
+        await asyncio.sleep(ROUND_TRIP_SECONDS)
+        response = await self._entry.handle_for_neighbour(
+            make_request(method, path, body, headers)
+        )
+        assert isinstance(response.body, bytes)
+        await asyncio.sleep(self._answer_seconds)
+        return platform.Response(
+            response.status,
+            response.body,
+            int(response.headers.get('Retry-After', 0)),
+            int(response.headers[platform.CONFIGURATION_VERSION_HEADER]),
+        )
+
+
+def make_request(
+    method: str,
+    path: str,
+    body: bytes = b'',
+    headers: dict[str, str] | None = None,
+    body_seconds: float = 0.0,
+) -> web.Request:
+    """Return a request whose body arrives after some seconds."""
+    payload = streams.StreamReader(mock.Mock(_reading_paused=False), 2**16)
+    payload.feed_data(body)
+    asyncio.get_running_loop().call_later(body_seconds, payload.feed_eof)
+    return test_utils.make_mocked_request(
+        method, path, headers=headers or {'Host': HOST}, payload=payload
+    )
+
+
 class Entry:
     """Run the followers of an entry and handle requests in it."""
 
-    def __init__(self, store: platform.Store) -> None:
+    def __init__(self, store: platform.Store, name: str = 'entry-1') -> None:
         time = builders.LoopClock()
         instruments = telemetry.Telemetry()
         machine = mock.Mock(
@@ -227,7 +278,7 @@
         )
         machine.bounds.status_retention_seconds = 120.0
         self.coordinator = coordination.Coordinator(
-            store, machine, 'entry-1', time, instruments
+            store, machine, name, time, instruments
         )
         self.submissions = mock.create_autospec(
             intake.Submissions,
@@ -238,9 +289,7 @@
         self.submissions.append.return_value = mock.Mock(
             outcome=_responses.Outcome.ACCEPTED, detail='stored'
         )
-        self.relay = intake.Relay(
-            'entry-1', '', self.coordinator.ledger, store, time
-        )
+        self.relay = intake.Relay(name, '', self.coordinator, store, time)
         self.routes = intake.JobRoutes(
             self.coordinator,
             self.submissions,
@@ -261,26 +310,68 @@
         await self.coordinator.follower.stop()
         await self.coordinator.operator_follower.stop()
 
-    async def relay_once(self, answer: platform.Response) -> None:
-        """Hand a request to a neighbour that gives an answer."""
+    async def relay_once(
+        self,
+        answer: platform.Response,
+        method: str = 'GET',
+        path: str = '/',
+        seconds: float = 0.0,
+    ) -> int:
+        """Hand a request to a neighbour that gives an answer after a time.
+
+        Return the status that is passed on, 0 if there is none.
+        """
+
+        async def call(*arguments: object) -> platform.Response:
+            await asyncio.sleep(seconds)
+            return answer
+
         self.coordinator.ledger.entry_addresses['entry-2'] = 'neighbour:1'
         transport = mock.create_autospec(platform.Transport, instance=True)
-        transport.call.return_value = answer
+        transport.call.side_effect = call
         with mock.patch.object(platform, 'Transport', return_value=transport):
             forwarded = await self.relay.forward(
-                test_utils.make_mocked_request('GET', '/', payload=EMPTY),
-                float('inf'),
+                make_request(method, path), float('inf')
             )
-        assert forwarded is not None
+        return forwarded.status if forwarded is not None else 0
 
     async def find_named_version(self, path: str) -> int:
         """Return the version that an answer to a neighbour names."""
+        response = await self.handle_for_neighbour(make_request('GET', path))
+        return int(response.headers[platform.CONFIGURATION_VERSION_HEADER])
+
+    async def handle_for_neighbour(self, request: web.Request) -> web.Response:
+        """Return the answer to a request that a neighbour hands over."""
         (route,) = intake.NeighbourRoutes(self.routes).list_routes()
         assert isinstance(route, web.RouteDef)
-        response = await route.handler(
-            test_utils.make_mocked_request('GET', path, payload=EMPTY)
-        )
-        return int(response.headers[platform.CONFIGURATION_VERSION_HEADER])
+        response = await route.handler(request)
+        assert isinstance(response, web.Response)
+        return response
+
+    async def ask(
+        self,
+        neighbours: collections.abc.Mapping[str, 'Entry'],
+        method: str,
+        path: str,
+        body: bytes = b'',
+        answer_seconds: float = 0.0,
+    ) -> web.Response:
+        """Return the answer to a caller of an entry with neighbours."""
+        addresses = self.coordinator.ledger.entry_addresses
+        addresses.clear()
+        addresses.update({name: name for name in neighbours})
+        (route,) = self.routes.list_routes()
+        assert isinstance(route, web.RouteDef)
+        with mock.patch.object(
+            platform,
+            'Transport',
+            lambda address, connections: LinkedTransport(
+                neighbours[address], answer_seconds
+            ),
+        ):
+            response = await route.handler(make_request(method, path, body))
+        assert isinstance(response, web.Response)
+        return response
 
     async def probe(self) -> int:
         """Return the status of the readiness check."""
@@ -303,12 +394,8 @@
 
         Its body arrives after some seconds.
         """
-        payload = streams.StreamReader(mock.Mock(_reading_paused=False), 2**16)
-        payload.feed_data(body)
-        asyncio.get_running_loop().call_later(body_seconds, payload.feed_eof)
+        request = make_request(method, path, body, body_seconds=body_seconds)
         response = await self.routes.handle_here(
-            test_utils.make_mocked_request(
-                method, path, headers={'Host': HOST}, payload=payload
-            )
+            request, self.routes.find_limit(request)
         )
         return response.status
--- a/chivespoke/intake/tests/test_old_views.py
+++ b/chivespoke/intake/tests/test_old_views.py
@@ -250,9 +250,10 @@
             statuses = []
             for at in (1.0, 3.0):
                 await asyncio.sleep(at - asyncio.get_running_loop().time())
-                await entry.relay_once(
+                status = await entry.relay_once(
                     platform.Response(OK, b'{}', configuration_version=2)
                 )
+                self.assertEqual(OK, status)
                 statuses.append(await entry.request('GET', '/b/'))
             statuses.append(await entry.request('GET', '/c/'))
             self.assertEqual(2, await entry.find_named_version('/c/'))
--- a/chivespoke/platform/__init__.py
+++ b/chivespoke/platform/__init__.py
@@ -35,10 +35,13 @@
 from chivespoke.platform._submissions import encode_pending
 from chivespoke.platform._submissions import encode_phase
 from chivespoke.platform._submissions import is_job_identifier
+from chivespoke.platform._submissions import names_job
 from chivespoke.platform._submissions import read_caller_wait
 from chivespoke.platform._submissions import READINESS_PATH
 from chivespoke.platform._transport import CONFIGURATION_VERSION_HEADER
+from chivespoke.platform._transport import encode_configuration_version
 from chivespoke.platform._transport import NotListeningError
+from chivespoke.platform._transport import read_configuration_version
 from chivespoke.platform._transport import Response
 from chivespoke.platform._transport import Transport
 from chivespoke.platform._workers import decode_registration
@@ -93,11 +96,14 @@
     'decode_registration',
     'decode_submission',
     'encode_caller_wait',
+    'encode_configuration_version',
     'encode_pending',
     'encode_phase',
     'encode_record',
     'is_job_identifier',
+    'names_job',
     'read_caller_wait',
+    'read_configuration_version',
     'read_machine_settings',
     'replace_bounds',
 ]
--- a/chivespoke/platform/_submissions.py
+++ b/chivespoke/platform/_submissions.py
@@ -72,6 +72,11 @@
     return len(text) == IDENTIFIER_LENGTH and HEXADECIMAL.issuperset(text)
 
 
+def names_job(path: str) -> bool:
+    """Tell whether a path ends in a job identifier."""
+    return is_job_identifier(path[-IDENTIFIER_LENGTH:])
+
+
 def read_caller_wait(
     headers: collections.abc.Mapping[str, str],
 ) -> float:
--- a/chivespoke/platform/_transport.py
+++ b/chivespoke/platform/_transport.py
@@ -20,6 +20,8 @@
 UNNEEDED_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent')
 # Methods of calls without an effect, which aiohttp may send again.
 SAFE_METHODS = frozenset(('GET', 'HEAD'))
+# In an answer to a neighbour: the version that it rests on. In a request that
+# an entry hands over: the newest version that this entry knows of.
 CONFIGURATION_VERSION_HEADER = 'Chivespoke-Configuration-Version'
 JSON_HEADERS = {'Content-Type': 'application/json'}
 Body = typing.TypeVar('Body')
@@ -32,7 +34,7 @@
     body: bytes
     # Value of the Retry-After header in seconds; 0 if there is none.
     retry_after_seconds: int = 0
-    # Version of the configuration that an entry has answered from; 0 if it
+    # Version of the configuration that a neighbour's answer rests on; 0 if it
     # names none.
     configuration_version: int = 0
 
@@ -113,9 +115,7 @@
                     response.status,
                     bytes(received),
                     _read_number(response.headers, 'Retry-After'),
-                    _read_number(
-                        response.headers, CONFIGURATION_VERSION_HEADER
-                    ),
+                    read_configuration_version(response.headers),
                 )
         except (
             aiohttp.ClientConnectorError,
@@ -145,6 +145,18 @@
     return int(text) if decoding.is_number(text) else 0
 
 
+def read_configuration_version(
+    headers: collections.abc.Mapping[str, str],
+) -> int:
+    """Return the version that an entry names; 0 if it names none."""
+    return _read_number(headers, CONFIGURATION_VERSION_HEADER)
+
+
+def encode_configuration_version(version: int) -> dict[str, str]:
+    """Return the headers that name a version of the configuration."""
+    return {CONFIGURATION_VERSION_HEADER: str(version)}
+
+
 def decode_response(
     decoder: decoding.Decoder[Body], body: bytes, step: str, peer: str
 ) -> Body:
--- a/chivespoke/serving/_assembly.py
+++ b/chivespoke/serving/_assembly.py
@@ -74,7 +74,7 @@
     relay = intake.Relay(
         machine.name,
         f'{relay_address.host}:{relay_address.port}',
-        coordinator.ledger,
+        coordinator,
         store,
         time,
     )
