Renew leases again while polls of a worker fail

What callers would have seen: runs end as lapsed beside a link that loses polls.

A worker of which each second poll is lost was never renewed.

Why it works: polls renew as on.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -431,21 +431,23 @@
         await asyncio.Event().wait()
 
     async def _poll_once(self) -> None:
+        is_first = self._status is None
         was_doubted = self._doubted
-        # After a failed poll another incarnation may answer, to which readings
-        # of this one's clock and the numbers of its ends mean something else.
-        is_same_life = self._answering
-        acknowledged = self._select_acknowledgement() if is_same_life else 0
+        # After a failed poll another incarnation may answer, whose ends have
+        # numbers of their own.
+        acknowledged = self._select_acknowledgement() if self._answering else 0
         if acknowledged:
             self._starts_may_be_sent.clear()
         try:
             status = await self._client.poll(
                 self._fence,
                 acknowledged,
-                self._extend_leases() if is_same_life else None,
-                # Starts wait for an acknowledgement; an answer of a worker
-                # that was silent allows the next poll to renew the leases.
-                POLL_WAIT_SECONDS if is_same_life and not acknowledged else 0,
+                self._extend_leases(),
+                # The first answer allows longer leases, and starts wait for
+                # one to an acknowledgement.
+                0.0
+                if is_first or acknowledged or self._refuses_connections
+                else POLL_WAIT_SECONDS,
             )
         finally:
             self._starts_may_be_sent.set()
