Test that leases of a life that answers a start before any poll count

Missed: the worker starts again under its identifier, its next life answers a start of the session (200) and then no poll. The start grants the longest lease, 10 s, as its lease end is a reading of the former clock. The session says after 6 s that all leases have expired, and the leader starts the task elsewhere: the call was answered, so that it is no late start either.

--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -31,6 +31,8 @@
 FENCE_END = 73
 HOUR_MS = 3600 * 1000
 MAX_LEASE_SECONDS = 10.0
+# How far ahead of its last reading a leader allows leases.
+ALLOWED_MS = 6000
 # Calls to start a run before its order is reported as refused.
 START_ATTEMPTS = 3
 # Longest time for one of them.
@@ -122,6 +124,7 @@
         reserved: workloads.Resources | None = None,
         standings: tuple[coordination.JobStanding, ...] = (),
         acknowledged: int = 0,
+        granted_ms: int = 0,
     ) -> None:
         self.directives += 1
         self.session.apply_directive(
@@ -138,6 +141,7 @@
                 reserved=reserved,
                 standings=standings,
                 fence_end=FENCE_END,
+                granted_until_ms=granted_ms,
             )
         )
 
@@ -705,6 +709,26 @@
             [1], [number for number in acknowledgements if number]
         )
 
+    async def test_run_on_a_life_that_is_not_polled_keeps_its_lease(
+        self,
+    ) -> None:
+        # The next life answers the start, by a clock that has begun anew, and
+        # grants the longest lease.
+        self.runner.seconds = 2 * MAX_LEASE_SECONDS
+        self.runner.faults.max_hold_ms = int(MAX_LEASE_SECONDS * 1000)
+        allowed_ms = self.clock_ms + ALLOWED_MS
+        self.send_directive(allowed_ms, granted_ms=allowed_ms)
+        while not self.runner.lease_end_ms:
+            await asyncio.sleep(0.01)
+        self.runner.faults.holds_stall = True
+        self.runner.restart()
+        self.send_directive(allowed_ms, self.make_start())
+        self.assertIsNone((await self.wait_for_outcome()).refusal)
+        self.assertEqual({TASK}, self.runner.running)
+        while not self.session.make_report('a').lapsed:
+            await asyncio.sleep(0.05)
+        self.assertEqual(frozenset(), self.runner.running)
+
     async def test_refused_polls_do_not_keep_the_tasks_of_a_dead_worker(
         self,
     ) -> None:
