Test that no start overtakes an acknowledgement without an answer

Missed: a poll that acknowledges ends gets no answer within 1 s; then starts are sent, while that poll may be carried out up to 12 s later. The next life that carries out a start and then the poll forgets the end of the run. A raised token bars it only if a start was sent since the token was raised last.

--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -746,6 +746,57 @@
             await asyncio.sleep(0.05)
         self.assertEqual(frozenset(), self.runner.running)
 
+    async def test_start_does_not_overtake_an_unanswered_acknowledgement(
+        self,
+    ) -> None:
+        # It may be carried out late, after a start that was sent later, by the
+        # next life, which then forgets the end of that run. The token does not
+        # bar it: a poll has raised it since the last start.
+        self.runner.seconds = 2.0
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        await self.wait_for_outcome()
+        await self.silence_worker()
+        while not (await self.wait_for_report()).ended:
+            pass
+        self.runner.seconds = 0.05
+        self.runner.faults.late_seconds = 1.5 * MAX_CALL_SECONDS
+        poll = platform.WorkerClient.poll
+        acknowledged: list[int] = []
+
+        async def delay(
+            client: platform.WorkerClient,
+            fence: int,
+            number: int,
+            lease_until_ms: int | None,
+            wait_seconds: float,
+        ) -> platform.WorkerStatus:
+            if number:
+                acknowledged.append(number)
+                self.runner.faults.late_holds = 1
+            return await poll(
+                client, fence, number, lease_until_ms, wait_seconds
+            )
+
+        with mock.patch.object(platform.WorkerClient, 'poll', delay):
+            self.send_directive(self.clock_ms + HOUR_MS, acknowledged=1)
+            while not acknowledged or self.runner.faults.late_holds:
+                await asyncio.sleep(0.01)
+        self.runner.faults.holds_stall = True
+        self.runner.restart()
+        began = len(self.runner.began)
+        self.send_directive(
+            self.clock_ms + HOUR_MS,
+            msgspec.structs.replace(self.make_start(), task=OTHER_TASK),
+            acknowledged=1,
+        )
+        await asyncio.sleep(2 * MAX_CALL_SECONDS)
+        self.runner.faults.holds_stall = False
+        status = await self.client.poll(FENCE_END, 0, None, 0.0)
+        self.assertEqual(
+            [ran.task for ran in self.runner.began[began:]],
+            [end.task for end in status.ended],
+        )
+
     async def test_refused_polls_do_not_keep_the_tasks_of_a_dead_worker(
         self,
     ) -> None:
