Test that a stop without an answer holds up no acknowledgements

Missed: a start whose outcome is uncertain is in progress until its stop is answered and its run gone, without a limit; meanwhile no end of any run on the worker is acknowledged. If the worker is cut off then, its leases lapse and drop the results, although their jobs may be shown as completed.

--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -797,6 +797,31 @@
             [end.task for end in status.ended],
         )
 
+    async def test_unanswered_stop_does_not_hold_up_acknowledgements(
+        self,
+    ) -> None:
+        # If the leases lapse first, the result is dropped, although its job
+        # may be shown as completed.
+        await self.end_run()
+        faults = self.runner.faults
+        faults.late_seconds = HOUR_MS / 1000
+        faults.late_starts = 1
+        faults.late_stops = 100
+        self.send_directive(
+            self.clock_ms + HOUR_MS,
+            msgspec.structs.replace(self.make_start(), task=OTHER_TASK),
+        )
+        while faults.late_starts:
+            await asyncio.sleep(0.01)
+        faults.unhealthy_starts = START_ATTEMPTS
+        while faults.late_stops == 100:
+            await asyncio.sleep(0.01)
+        acknowledgements, patch = self.record_acknowledgements()
+        with patch:
+            self.send_directive(self.clock_ms + HOUR_MS, acknowledged=1)
+            await asyncio.sleep(_leases.LEASE_SECONDS)
+        self.assertIn(1, acknowledgements)
+
     async def test_refused_polls_do_not_keep_the_tasks_of_a_dead_worker(
         self,
     ) -> None:
