Test when the last call for a start begins

Missed: a start may wait for an acknowledging poll, up to 1 s, and then makes its three calls. The last one begins 3 s after the order, and the leader counts late calls from 2.5 s on (start_order_seconds).

--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -797,6 +797,37 @@
             [end.task for end in status.ended],
         )
 
+    async def test_last_call_for_a_start_is_made_in_time(self) -> None:
+        # The leader counts how long the call may be carried out from here.
+        await self.end_run()
+        begun: list[float] = []
+        failure = errors.UnavailableError('start', 'i-1', 'lost')
+        loop = asyncio.get_running_loop()
+
+        async def lose(*arguments: typing.Any) -> None:
+            begun.append(loop.time())
+            await asyncio.sleep(MAX_CALL_SECONDS)
+            raise failure
+
+        self.runner.faults.holds_stall = True
+        acknowledgements, patch = self.record_acknowledgements()
+        with patch, mock.patch.object(platform.WorkerClient, 'start', lose):
+            self.send_directive(self.clock_ms + HOUR_MS, acknowledged=1)
+            while 1 not in acknowledgements:
+                await asyncio.sleep(0.01)
+            ordered_at = loop.time()
+            self.send_directive(
+                self.clock_ms + HOUR_MS,
+                msgspec.structs.replace(self.make_start(), task=OTHER_TASK),
+                acknowledged=1,
+            )
+            while len(begun) < START_ATTEMPTS:
+                await asyncio.sleep(0.01)
+        self.assertLess(
+            begun[-1] - ordered_at,
+            coordination.LeaderTimeouts().start_order_seconds,
+        )
+
     async def test_unanswered_stop_does_not_hold_up_acknowledgements(
         self,
     ) -> None:
