Test the waits of a leader whose predecessor did not know a former life

Missed: a leader that took over knows no former life of a worker without runs on record, and gives tasks to the life that is back at once. Runs of lasting tasks that were listed have no other bound.

--- a/chivespoke/coordination/tests/test_returned_workers.py
+++ b/chivespoke/coordination/tests/test_returned_workers.py
@@ -6,13 +6,18 @@
 
 import unittest
 
+import msgspec
+
 from chivespoke import coordination
 from chivespoke.coordination import _predecessors
 from chivespoke.coordination.tests import builders
 from chivespoke.coordination.tests import engine_case
 from chivespoke import platform
+from chivespoke import workloads
 
 FIRST_TASK = engine_case.FIRST_TASK
+OTHER_JOB = '00000000000000b2'
+LASTING = workloads.Step(count=1, cpu_millis=1000, long_running=True)
 # The longest lease that a worker grants.
 MAX_LEASE_MS = 10_000
 # The worker's clock: late in the first incarnation, and early in the second.
@@ -50,26 +55,30 @@
             now=ended_at + seconds,
         )
         self.leader.announce()
-        self.leader.engine.record_leader_end(
-            builders.EPOCH,
-            _predecessors.LeaderEnd(ended_at, {}),
-            self.leader.now,
-        )
+        for epoch in range(builders.EPOCH, self.leader.epoch):
+            self.leader.engine.record_leader_end(
+                epoch,
+                _predecessors.LeaderEnd(ended_at, {}),
+                self.leader.now,
+            )
 
     def report_return(
         self,
         answering: bool = True,
         ended: tuple[platform.EndedRun, ...] = (),
+        running: tuple[platform.RunningTask, ...] = (),
     ) -> None:
         """Report the first poll of the second incarnation."""
+        report = builders.make_report(
+            born_ms=2,
+            clock_ms=EARLY_CLOCK_MS,
+            lease_end_ms=EARLY_CLOCK_MS + MAX_LEASE_MS,
+            answering=answering,
+            ended=ended,
+            running=running,
+        )
         self.leader.report(
-            builders.make_report(
-                born_ms=2,
-                clock_ms=EARLY_CLOCK_MS,
-                lease_end_ms=EARLY_CLOCK_MS + MAX_LEASE_MS,
-                answering=answering,
-                ended=ended,
-            )
+            msgspec.structs.replace(report, epoch=self.leader.epoch)
         )
 
     def measure_lease(self) -> float:
@@ -150,6 +159,38 @@
                 polled_at + self.timeouts.measure_lease(MAX_LEASE_MS),
             )
 
+    def test_runs_wait_for_leases_that_their_leader_was_told_of(self) -> None:
+        # The next leader took over before the worker came back, and knows no
+        # run of its earlier incarnation. It is lost soon after.
+        self.leader.report(
+            builders.make_report(
+                clock_ms=LATE_CLOCK_MS + 200,
+                ended=(builders.make_end(1, FIRST_TASK),),
+            )
+        )
+        self.leader.plan()
+        self.take_over(self.leader.now, 1.0)
+        self.report_return()
+        polled_at = self.leader.now
+        self.leader.submit(builders.make_job(LASTING, identifier=OTHER_JOB))
+        ordered: tuple[coordination.StartOrder, ...] = ()
+        while not ordered and self.leader.now < polled_at + 5.0:
+            self.leader.plan()
+            ordered = self.leader.make_directive().starts
+            if not ordered:
+                self.leader.now += 0.4
+                self.report_return()
+        self.report_return(running=(builders.make_running(ordered[0].task),))
+        self.leader.plan()
+        self.take_over(self.leader.now, 1.0)
+        while not self.leader.find_waiting(OTHER_JOB):
+            self.leader.now += 0.1
+            self.leader.plan()
+        self.assertGreaterEqual(
+            self.leader.now - polled_at,
+            self.timeouts.measure_lease(MAX_LEASE_MS),
+        )
+
 
 if __name__ == '__main__':
     unittest.main()
