--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -31,6 +31,8 @@
 FENCE_END = 73
 HOUR_MS = 3600 * 1000
 MAX_LEASE_SECONDS = 10.0
+# How far ahead of its last reading a leader allows leases.
+ALLOWED_MS = 6000
 # Calls to start a run before its order is reported as refused.
 START_ATTEMPTS = 3
 # Longest time for one of them.
@@ -122,6 +124,7 @@
         reserved: workloads.Resources | None = None,
         standings: tuple[coordination.JobStanding, ...] = (),
         acknowledged: int = 0,
+        granted_ms: int = 0,
     ) -> None:
         self.directives += 1
         self.session.apply_directive(
@@ -138,6 +141,7 @@
                 reserved=reserved,
                 standings=standings,
                 fence_end=FENCE_END,
+                granted_until_ms=granted_ms,
             )
         )
 
@@ -713,6 +717,150 @@
             [1], [number for number in acknowledgements if number]
         )
 
+    async def test_report_on_another_life_tells_its_longest_lease(
+        self,
+    ) -> None:
+        # The next life may run orders of this session under that lease.
+        self.send_directive(self.clock_ms + HOUR_MS)
+        while not self.runner.lease_end_ms:
+            await asyncio.sleep(0.01)
+        self.runner.restart()
+        # The clock of the former life is far ahead.
+        while self.session.make_report('a').lease_end_ms > self.clock_ms:
+            await asyncio.sleep(0.01)
+        report = self.session.make_report('a')
+        self.assertFalse(report.answering)
+        self.assertGreaterEqual(
+            report.lease_end_ms - report.clock_ms, MAX_LEASE_SECONDS * 1000
+        )
+
+    async def test_run_on_a_life_that_is_not_polled_keeps_its_lease(
+        self,
+    ) -> None:
+        # The next life answers the start, by a clock that has begun anew, and
+        # grants the longest lease.
+        self.runner.seconds = 2 * MAX_LEASE_SECONDS
+        self.runner.faults.max_hold_ms = int(MAX_LEASE_SECONDS * 1000)
+        allowed_ms = self.clock_ms + ALLOWED_MS
+        self.send_directive(allowed_ms, granted_ms=allowed_ms)
+        while not self.runner.lease_end_ms:
+            await asyncio.sleep(0.01)
+        self.runner.faults.holds_stall = True
+        self.runner.restart()
+        self.send_directive(allowed_ms, self.make_start())
+        self.assertIsNone((await self.wait_for_outcome()).refusal)
+        self.assertEqual({TASK}, self.runner.running)
+        while not self.session.make_report('a').lapsed:
+            await asyncio.sleep(0.05)
+        self.assertEqual(frozenset(), self.runner.running)
+
+    async def test_start_does_not_overtake_an_unanswered_acknowledgement(
+        self,
+    ) -> None:
+        # It may be carried out late, after a start that was sent later, by the
+        # next life, which then forgets the end of that run. The token does not
+        # bar it: a poll has raised it since the last start.
+        self.runner.seconds = 2.0
+        self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
+        await self.wait_for_outcome()
+        await self.silence_worker()
+        while not (await self.wait_for_report()).ended:
+            pass
+        self.runner.seconds = 0.05
+        self.runner.faults.late_seconds = 1.5 * MAX_CALL_SECONDS
+        poll = platform.WorkerClient.poll
+        acknowledged: list[int] = []
+
+        async def delay(
+            client: platform.WorkerClient,
+            fence: int,
+            number: int,
+            lease_until_ms: int | None,
+            wait_seconds: float,
+        ) -> platform.WorkerStatus:
+            if number:
+                acknowledged.append(number)
+                self.runner.faults.late_holds = 1
+            return await poll(
+                client, fence, number, lease_until_ms, wait_seconds
+            )
+
+        with mock.patch.object(platform.WorkerClient, 'poll', delay):
+            self.send_directive(self.clock_ms + HOUR_MS, acknowledged=1)
+            while not acknowledged or self.runner.faults.late_holds:
+                await asyncio.sleep(0.01)
+        self.runner.faults.holds_stall = True
+        self.runner.restart()
+        began = len(self.runner.began)
+        self.send_directive(
+            self.clock_ms + HOUR_MS,
+            msgspec.structs.replace(self.make_start(), task=OTHER_TASK),
+            acknowledged=1,
+        )
+        await asyncio.sleep(2 * MAX_CALL_SECONDS)
+        self.runner.faults.holds_stall = False
+        status = await self.client.poll(FENCE_END, 0, None, 0.0)
+        self.assertEqual(
+            [ran.task for ran in self.runner.began[began:]],
+            [end.task for end in status.ended],
+        )
+
+    async def test_last_call_for_a_start_is_made_in_time(self) -> None:
+        # The leader counts how long the call may be carried out from here.
+        await self.end_run()
+        begun: list[float] = []
+        failure = errors.UnavailableError('start', 'i-1', 'lost')
+        loop = asyncio.get_running_loop()
+
+        async def lose(*arguments: typing.Any) -> None:
+            begun.append(loop.time())
+            await asyncio.sleep(MAX_CALL_SECONDS)
+            raise failure
+
+        self.runner.faults.holds_stall = True
+        acknowledgements, patch = self.record_acknowledgements()
+        with patch, mock.patch.object(platform.WorkerClient, 'start', lose):
+            self.send_directive(self.clock_ms + HOUR_MS, acknowledged=1)
+            while 1 not in acknowledgements:
+                await asyncio.sleep(0.01)
+            ordered_at = loop.time()
+            self.send_directive(
+                self.clock_ms + HOUR_MS,
+                msgspec.structs.replace(self.make_start(), task=OTHER_TASK),
+                acknowledged=1,
+            )
+            while len(begun) < START_ATTEMPTS:
+                await asyncio.sleep(0.01)
+        self.assertLess(
+            begun[-1] - ordered_at,
+            coordination.LeaderTimeouts().start_order_seconds,
+        )
+
+    async def test_unanswered_stop_does_not_hold_up_acknowledgements(
+        self,
+    ) -> None:
+        # If the leases lapse first, the result is dropped, although its job
+        # may be shown as completed.
+        await self.end_run()
+        faults = self.runner.faults
+        faults.late_seconds = HOUR_MS / 1000
+        faults.late_starts = 1
+        faults.late_stops = 100
+        self.send_directive(
+            self.clock_ms + HOUR_MS,
+            msgspec.structs.replace(self.make_start(), task=OTHER_TASK),
+        )
+        while faults.late_starts:
+            await asyncio.sleep(0.01)
+        faults.unhealthy_starts = START_ATTEMPTS
+        while faults.late_stops == 100:
+            await asyncio.sleep(0.01)
+        acknowledgements, patch = self.record_acknowledgements()
+        with patch:
+            self.send_directive(self.clock_ms + HOUR_MS, acknowledged=1)
+            await asyncio.sleep(_leases.LEASE_SECONDS)
+        self.assertIn(1, acknowledgements)
+
     async def test_refused_polls_do_not_keep_the_tasks_of_a_dead_worker(
         self,
     ) -> None:
