Report the clock of the life that the lease end was read from

What callers would have seen: a task in two places at once, if the sidecar is lost or cut off between the answer of another life and the first report on it.

Cause: once another life has answered a poll, the session expects the longest lease by its clock, and reported that beside the last reading of the former one.

Why it works: both readings are of the same clock.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -329,7 +329,8 @@
             draining=self.registration.draining or self.deregistered,
             answering=self._answering,
             lapsed=self._lapsed,
-            clock_ms=status.clock_ms,
+            # Of the same incarnation as the end of the leases.
+            clock_ms=self._leases.clock_ms,
             running=status.running,
             ended=tuple(
                 end
