Bound what an acknowledgement holds up, and what may overtake it

Cause: a start counted as in progress while its run was being stopped, which has no limit; the end of the wait for an acknowledgement was taken for its answer; and the wait delayed the last call for a start beyond the 2.5 s that the leader counts with.

Why it works: an acknowledgement waits only while calls for a start are made. One that fails counts as a use of the token, which the next call raises, so that a life that has carried out a later start refuses it. No call for a start begins later than 2.3 s after its order.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -33,6 +33,9 @@
 UNACKNOWLEDGED_PAUSE_SECONDS = 0.02
 START_ATTEMPTS = 3
 START_RETRY_SECONDS = 0.2
+# Longest time from a start order to the beginning of the last call for it. The
+# leader allows for 2.5 s, with the way of the order.
+LAST_START_CALL_SECONDS = 2.3
 STOP_RETRY_SECONDS = 0.3
 # A warning is logged once per this many consecutive failed stops of a run. A
 # worker that is gone for good never answers them.
@@ -134,7 +137,7 @@
         # has assigned to it.
         self._fence = 0
         self._fence_end = 0
-        # A start was sent with the current token.
+        # A start or an acknowledgement was sent with the current token.
         self._is_fence_used = False
         self.deregistered = False
         self._sidecar = sidecar
@@ -439,6 +442,7 @@
         acknowledged = self._select_acknowledgement() if self._answering else 0
         if acknowledged:
             self._starts_may_be_sent.clear()
+            self._is_fence_used = True
         try:
             status = await self._client.poll(
                 self._fence,
@@ -450,6 +454,10 @@
                 if is_first or acknowledged or self._refuses_connections
                 else POLL_WAIT_SECONDS,
             )
+        except errors.ChivespokeError:
+            # A poll that may be carried out late is barred by later calls.
+            self._raise_fence()
+            raise
         finally:
             self._starts_may_be_sent.set()
         previous = self._status
@@ -489,15 +497,13 @@
     def _select_acknowledgement(self) -> int:
         """Return the number of the last end to acknowledge, 0 if none.
 
-        The next incarnation numbers its ends anew. If it carries out both a
-        start of this session and a later acknowledgement, it forgets the end
-        of that run before anyone has seen it. So they are never on their way
-        at the same time.
+        The next incarnation numbers its ends anew. If it carries out a start
+        of this session and then an acknowledgement, it forgets the end of that
+        run before anyone has seen it. So none is sent while calls to start a
+        run are made, and starts wait for one that is on its way: its answer,
+        or a token that bars it once they are carried out.
         """
-        is_starting = any(
-            kind is _OrderKind.START for kind, _, _ in self._in_progress
-        )
-        if is_starting or self._acknowledged_end <= self._forgotten_end:
+        if self._starting or self._acknowledged_end <= self._forgotten_end:
             return 0
         return self._acknowledged_end
 
@@ -717,8 +723,14 @@
         """
         may_have_started = order.repeated
         refusal = platform.Refusal.UNHEALTHY
+        ordered_at = self._clock.read_monotonic()
         for _ in range(START_ATTEMPTS):
             await self._starts_may_be_sent.wait()
+            if (
+                self._clock.read_monotonic()
+                > ordered_at + LAST_START_CALL_SECONDS
+            ):
+                break
             if self._is_listed(order.task, order.run):
                 return None, True
             if (
