Test paces of an earlier session that a new boot executes

Nothing tested a late pace on a new boot. Before the first poll of its session it is executed, and holds no later run: the pace names the run. After it, the token of the session bars the pace.

--- a/chivespoke/serving/tests/test_aged_leaders.py
+++ b/chivespoke/serving/tests/test_aged_leaders.py
@@ -5,8 +5,13 @@
 """
 
 import asyncio
+import collections.abc
+import contextlib
+import typing
 import unittest
+from unittest import mock
 
+from chivespoke import decisions
 from chivespoke.serving.tests import builders
 from chivespoke.serving.tests import test_disruptions
 
@@ -218,6 +223,49 @@
         first.faults.holds_stall = False
         await self.assert_completed_once()
 
+    def hold_first_boot(self) -> contextlib.AbstractContextManager[object]:
+        """Set the pace of each run on the first boot of a worker to 0."""
+        (runner,) = self.platform.runners
+
+        def hold(
+            pacer: decisions.Pacer,
+            runs: collections.abc.Sequence[decisions.PacedRun],
+            *arguments: typing.Any,
+        ) -> list[decisions.PaceChange]:
+            if runner.born_ms != builders.BORN_MS:
+                return []
+            return [decisions.PaceChange(run.task, run.run, 0) for run in runs]
+
+        return mock.patch.object(decisions.Pacer, 'adjust', hold)
+
+    async def restart_during_paces(
+        self, late_seconds: float, stalls_polls: bool
+    ) -> None:
+        """Let a new boot execute the paces of runs on the earlier one."""
+        (runner,) = self.platform.runners
+        runner.faults.late_paces = TASK_COUNT
+        runner.faults.late_seconds = late_seconds
+        with self.hold_first_boot():
+            await self.submit_long_tasks()
+            await self.wait_until(lambda: not runner.faults.late_paces)
+            runner.seconds = builders.TASK_SECONDS
+            runner.faults.holds_stall = stalls_polls
+            runner.restart()
+            await asyncio.sleep(late_seconds)
+        runner.faults.holds_stall = False
+        await self.assert_completed_once()
+
+    async def test_pace_is_executed_before_the_first_poll(self) -> None:
+        await self.start(workers=1)
+        await self.restart_during_paces(LATE_SECONDS, stalls_polls=True)
+        self.assertEqual(TASK_COUNT, len(self.platform.runners[0].paces))
+
+    async def test_pace_is_executed_after_the_first_poll(self) -> None:
+        # The token of the new session bars it.
+        await self.start(workers=1)
+        await self.restart_during_paces(AFTER_POLL_SECONDS, stalls_polls=False)
+        self.assertEqual({}, self.platform.runners[0].paces)
+
     async def test_stop_is_executed_before_the_first_poll(self) -> None:
         await self.start(workers=1)
         await self.restart_during_stops(LATE_SECONDS, stalls_polls=True)
