Test leases that polls of a former session extend without being late

What was missed: the poll by which a session finds that its worker has started again, or the last one of a process of the sidecar that has ended, is built on the clock of the earlier boot, and extends the leases of the new one to the longest.

Both tests fail on the code before this commit: test_poll_that_finds_a_new_boot_extends_its_leases, in which no call is late, and test_poll_of_an_ended_process_extends_leases: run 2 on i-1 started during run 1 on i-0 (in one run 3 during run 2).

--- a/chivespoke/serving/tests/test_aged_leaders.py
+++ b/chivespoke/serving/tests/test_aged_leaders.py
@@ -119,6 +119,30 @@
         first.faults.skips_registration = False
         await self.cut_off_during_long_runs()
 
+    async def test_poll_that_finds_a_new_boot_extends_its_leases(self) -> None:
+        # No call is late: the new boot answers the earlier session before it
+        # registers.
+        await self.start()
+        first = self.platform.runners[0]
+        await asyncio.sleep(SETTLING_SECONDS)
+        first.faults.skips_registration = True
+        first.restart()
+        await asyncio.sleep(test_disruptions.REGISTRATION_SECONDS)
+        first.faults.skips_registration = False
+        await self.cut_off_during_long_runs()
+
+    async def test_poll_of_an_ended_process_extends_leases(self) -> None:
+        # The next process of the sidecar only knows the new boot.
+        await self.start()
+        sidecar = self.platform.sidecars[0]
+        await asyncio.sleep(SETTLING_SECONDS)
+        await self.send_late_poll(LATE_SECONDS)
+        await sidecar.kill()
+        self.platform.runners[0].restart()
+        await asyncio.sleep(LATE_SECONDS)
+        await sidecar.start()
+        await self.cut_off_during_long_runs()
+
     async def test_poll_acknowledges_ends_before_the_first_one(self) -> None:
         # The new boot numbers its ends anew. Of the run that a late start has
         # begun there, nobody learns that it is done.
