--- a/chivespoke/serving/tests/test_aged_leaders.py
+++ b/chivespoke/serving/tests/test_aged_leaders.py
@@ -5,8 +5,13 @@
 """
 
 import asyncio
+import collections.abc
+import contextlib
+import typing
 import unittest
+from unittest import mock
 
+from chivespoke import decisions
 from chivespoke.serving.tests import builders
 from chivespoke.serving.tests import test_disruptions
 
@@ -114,6 +119,30 @@
         first.faults.skips_registration = False
         await self.cut_off_during_long_runs()
 
+    async def test_poll_that_finds_a_new_boot_extends_its_leases(self) -> None:
+        # No call is late: the new boot answers the earlier session before it
+        # registers.
+        await self.start()
+        first = self.platform.runners[0]
+        await asyncio.sleep(SETTLING_SECONDS)
+        first.faults.skips_registration = True
+        first.restart()
+        await asyncio.sleep(test_disruptions.REGISTRATION_SECONDS)
+        first.faults.skips_registration = False
+        await self.cut_off_during_long_runs()
+
+    async def test_poll_of_an_ended_process_extends_leases(self) -> None:
+        # The next process of the sidecar only knows the new boot.
+        await self.start()
+        sidecar = self.platform.sidecars[0]
+        await asyncio.sleep(SETTLING_SECONDS)
+        await self.send_late_poll(LATE_SECONDS)
+        await sidecar.kill()
+        self.platform.runners[0].restart()
+        await asyncio.sleep(LATE_SECONDS)
+        await sidecar.start()
+        await self.cut_off_during_long_runs()
+
     async def test_poll_acknowledges_ends_before_the_first_one(self) -> None:
         # The new boot numbers its ends anew. Of the run that a late start has
         # begun there, nobody learns that it is done.
@@ -218,6 +247,49 @@
         first.faults.holds_stall = False
         await self.assert_completed_once()
 
+    def hold_first_boot(self) -> contextlib.AbstractContextManager[object]:
+        """Set the pace of each run on the first boot of a worker to 0."""
+        (runner,) = self.platform.runners
+
+        def hold(
+            pacer: decisions.Pacer,
+            runs: collections.abc.Sequence[decisions.PacedRun],
+            *arguments: typing.Any,
+        ) -> list[decisions.PaceChange]:
+            if runner.born_ms != builders.BORN_MS:
+                return []
+            return [decisions.PaceChange(run.task, run.run, 0) for run in runs]
+
+        return mock.patch.object(decisions.Pacer, 'adjust', hold)
+
+    async def restart_during_paces(
+        self, late_seconds: float, stalls_polls: bool
+    ) -> None:
+        """Let a new boot execute the paces of runs on the earlier one."""
+        (runner,) = self.platform.runners
+        runner.faults.late_paces = TASK_COUNT
+        runner.faults.late_seconds = late_seconds
+        with self.hold_first_boot():
+            await self.submit_long_tasks()
+            await self.wait_until(lambda: not runner.faults.late_paces)
+            runner.seconds = builders.TASK_SECONDS
+            runner.faults.holds_stall = stalls_polls
+            runner.restart()
+            await asyncio.sleep(late_seconds)
+        runner.faults.holds_stall = False
+        await self.assert_completed_once()
+
+    async def test_pace_is_executed_before_the_first_poll(self) -> None:
+        await self.start(workers=1)
+        await self.restart_during_paces(LATE_SECONDS, stalls_polls=True)
+        self.assertEqual(TASK_COUNT, len(self.platform.runners[0].paces))
+
+    async def test_pace_is_executed_after_the_first_poll(self) -> None:
+        # The token of the new session bars it.
+        await self.start(workers=1)
+        await self.restart_during_paces(AFTER_POLL_SECONDS, stalls_polls=False)
+        self.assertEqual({}, self.platform.runners[0].paces)
+
     async def test_stop_is_executed_before_the_first_poll(self) -> None:
         await self.start(workers=1)
         await self.restart_during_stops(LATE_SECONDS, stalls_polls=True)
