Raise the token of a failed acknowledgement in one place

The handler of a failed poll raises it before any waiting start goes on, so that the second place was not needed.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -151,7 +151,7 @@
         self._leases = _leases.WorkerLeases(max_lease_seconds)
         # Number of the last run end that the leader has stored.
         self._acknowledged_end = 0
-        # The same of the last one that the worker has forgotten by its answer.
+        # The same of the last one whose acknowledgement the worker answered.
         self._forgotten_end = 0
         # Clear while a poll that acknowledges ends is on its way.
         self._starts_may_be_sent = asyncio.Event()
@@ -454,11 +454,8 @@
                 if is_first or acknowledged or self._refuses_connections
                 else POLL_WAIT_SECONDS,
             )
-        except errors.ChivespokeError:
-            # A poll that may be carried out late is barred by later calls.
-            self._raise_fence()
-            raise
         finally:
+            # After a failure the token is raised before any start goes on.
             self._starts_may_be_sent.set()
         previous = self._status
         if status.born_ms not in (0, self.registration.born_ms):
@@ -500,8 +497,8 @@
         The next incarnation numbers its ends anew. If it carries out a start
         of this session and then an acknowledgement, it forgets the end of that
         run before anyone has seen it. So none is sent while calls to start a
-        run are made, and starts wait for one that is on its way: its answer,
-        or a token that bars it once they are carried out.
+        run are made. Starts wait for the answer to one, or carry a raised
+        token, so that a life which has carried them out refuses it.
         """
         if self._starting or self._acknowledged_end <= self._forgotten_end:
             return 0
