--- a/review/common-2/runner.py
+++ b/review/common-2/runner.py
@@ -173,6 +173,7 @@
     async def beat(self):
         url = f'http://{self.o.control}/instances/{self.o.id}'
         timeout = aiohttp.ClientTimeout(total=1.0)
+        await asyncio.sleep(self.o.first_beat_s)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
                 left = 0.0
@@ -243,6 +244,7 @@
         parser.add_argument(f'--{name}', required=True)
     parser.add_argument('--max-hold-ms', type=int, default=10000)
     parser.add_argument('--heartbeat-s', type=float, default=1.1)
+    parser.add_argument('--first-beat-s', type=float, default=0.0)
     parser.add_argument('--drain-s', type=float, default=2.0)
     parser.add_argument('--linger-s', type=float, default=6.0)
     parser.add_argument('--saves', type=int, default=1)
--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -32,6 +32,7 @@
 SERVICE = 'huvo11a'
 HOST = 'nony24.example'
 PREFIX = '/lohu930/'
+ZONES = ('zone-a', 'zone-b', 'zone-c')
 SETTINGS = '''\
 node_name = "{name}"
 role = "{role}"
@@ -54,6 +55,7 @@
 [zones]
 zone-a = "lk-west"
 zone-b = "lk-west"
+zone-c = "lk-west"
 [listen_addresses]
 {listens}
 [limits]
@@ -114,13 +116,20 @@
 
 
 class Gate:
-    """A TCP proxy that can refuse: its port has no listener then."""
+    """A TCP proxy that can refuse, hold or lose what it carries."""
 
     def __init__(self, host, port):
         self.host, self.port = host, port
         self.target = None
         self.server = None
         self.writers = set()
+        # Nothing passes, and channels stay open.
+        self.silent = False
+        # Channels to earlier lives of the target are silent for good.
+        self.life = 0
+        # Number of calls for a start that are kept back, and those that are.
+        self.late_starts = 0
+        self.held = []
 
     @property
     def address(self):
@@ -129,32 +138,48 @@
     async def open(self):
         self.server = await asyncio.start_server(
             self._forward, self.host, self.port)
+        if not self.port:
+            self.port = self.server.sockets[0].getsockname()[1]
 
     async def refuse(self):
+        """Let the port have no listener."""
         self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
 
+    async def _wait(self, life):
+        while self.silent or life != self.life:
+            await asyncio.sleep(0.005)
+
+    async def _copy(self, reader, writer, life):
+        try:
+            while chunk := await reader.read(16384):
+                await self._wait(life)
+                if self.late_starts and chunk.startswith(b'POST /run-start'):
+                    self.late_starts -= 1
+                    self.held.append(chunk)
+                    continue
+                writer.write(chunk)
+                await writer.drain()
+        except OSError:
+            pass
+        await self._wait(life)
+
     async def _forward(self, reader, writer):
         other = None
+        self.writers.add(writer)
         try:
+            while self.silent:
+                await asyncio.sleep(0.005)
+            life = self.life
             source, other = await asyncio.open_connection(*self.target)
-            self.writers |= {writer, other}
-
-            async def copy(a, b):
-                try:
-                    while chunk := await a.read(16384):
-                        b.write(chunk)
-                        await b.drain()
-                except OSError:
-                    pass
-
-            done = [asyncio.ensure_future(copy(reader, other)),
-                    asyncio.ensure_future(copy(source, writer))]
+            self.writers.add(other)
+            done = [asyncio.ensure_future(self._copy(reader, other, life)),
+                    asyncio.ensure_future(self._copy(source, writer, life))]
             await asyncio.wait(done, return_when=asyncio.FIRST_COMPLETED)
             for each in done:
                 each.cancel()
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             pass
         finally:
             for each in (writer, other):
@@ -174,8 +199,11 @@
         self.commands = {}
         self.entry_count, self.sidecar_count = entries, sidecars
         self.ips = {}
+        # What sidecars send to their runners, and the other way.
         self.gates = {}
+        self.control_gates = {}
         self.lives = {}
+        self.identifiers = {}
         self.events = self.folder / 'events.jsonl'
         self.events.touch()
         self.began = time.monotonic()
@@ -219,7 +247,7 @@
                     else f'side-{number - self.entry_count + 1}')
             ip = f'{self.base}.{number + 1}'
             self.ips[name] = ip
-            zone = 'zone-a' if number % 2 else 'zone-b'
+            zone = ZONES[number % len(ZONES)]
             kind = 'edge' if is_entry else 'side'
             more = ''
             if is_entry:
@@ -231,6 +259,10 @@
                 gate = Gate(ip, 8165)
                 await gate.open()
                 self.gates[name] = gate
+                control = Gate(ip, 0)
+                control.target = (ip, 8166)
+                await control.open()
+                self.control_gates[name] = control
                 more = f'app = "{gate.address}"\nservice = "{SERVICE}"'
             settings = self.folder / f'{name}.toml'
             settings.write_text(SETTINGS.format(
@@ -261,14 +293,15 @@
 
     def start_runner(self, sidecar, **options):
         self.lives[sidecar] += 1
-        name = f'i-{sidecar}-{self.lives[sidecar]}'
+        name = options.pop('id', f'i-{sidecar}-{self.lives[sidecar]}')
+        self.identifiers[sidecar] = name
         ip = self.ips[sidecar]
         port = free_port(ip)
         gate = self.gates[sidecar]
         gate.target = (ip, port)
         rack = f'r1-{(int(sidecar.split("-")[1]) + 2) // 3}'
         words = {'id': name, 'listen': f'{ip}:{port}',
-                 'address': gate.address, 'control': f'{ip}:8166',
+                 'address': gate.address, 'control': self.control_gates[sidecar].address,
                  'service': SERVICE, 'zone': self.commands[sidecar][2],
                  'rack': rack, 'events': str(self.events)} | options
         arguments = [f'--{k.replace("_", "-")}={v}' for k, v in words.items()]
@@ -287,7 +320,7 @@
 
     def kill_runner(self, sidecar):
         """Kill a runner; its runs are gone with it."""
-        name = f'i-{sidecar}-{self.lives[sidecar]}'
+        name = self.identifiers[sidecar]
         process = self.processes[f'runner of {sidecar}']
         process.kill()
         process.wait()
@@ -362,6 +395,16 @@
             await asyncio.sleep(0.2)
         return False
 
+    def find_leader(self):
+        """Return the entry whose log tells last that it took the lead."""
+        latest = {}
+        for number in range(self.entry_count):
+            name = f'edge-{number + 1}'
+            for line in (self.folder / f'{name}.log').read_text().splitlines():
+                if 'Leadership taken over.' in line:
+                    latest[json.loads(line)['time']] = name
+        return latest[max(latest)]
+
     def find_running(self, task_prefix=''):
         """Return where runs are at work: task to (runner, run, since)."""
         running = {}
@@ -392,7 +435,7 @@
                 running.setdefault(each['task'], {})[each['runner']] = each
             elif each['event'] == 'end':
                 running.get(each['task'], {}).pop(each['runner'], None)
-            elif each['event'] in ('killed', 'leave'):
+            elif each['event'] in ('killed', 'leave', 'boot'):
                 for runs in running.values():
                     runs.pop(each['runner'], None)
         return found
@@ -405,7 +448,7 @@
             process.wait()
         if self.session is not None:
             await self.session.close()
-        for gate in self.gates.values():
+        for gate in (*self.gates.values(), *self.control_gates.values()):
             await gate.refuse()
         if self.store_server is not None:
             await self.store_server.stop()
