Show a task that runs twice on a runner that is back and cut off

Cause: a start that the next life of a runner answers is counted under the lease of the life before.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,43 +1,74 @@
-"""A runner that drains is cut off, refuses connections, and runs on."""
+"""A runner starts again under its old id and is cut off soon after.
+
+In between its next life is told to start one task, and answers; no poll has
+reached it by then. All that it runs is under the lease of that call.
+"""
 
 import asyncio
 import pathlib
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / 'common-2'))
 import world
 
-JOB = '00000000000000a1'
-# The cut: at most 5.5 s, on one runner of six.
-CUT_SECONDS = 5.0
+FULL = '00000000000000f1'
+JOB = '00000000000000f2'
+# A node_cut of the site file lasts for 12 s at most.
+CUT_SECONDS = 9.0
 
 
 async def scenario(w, trouble):
-    steps = [{'count': 12, 'cpu': 1500, 'mem_mb': 64, 'estimated_ms': 20000,
-              'checkpointing': True}]
-    if not await w.submit(JOB, steps, 'work 20'):
+    # Two of six runners have the label that the jobs ask for.
+    for sidecar in ('side-1', 'side-2'):
+        w.kill_runner(sidecar)
+    await asyncio.sleep(2)
+    for sidecar in ('side-1', 'side-2'):
+        w.start_runner(sidecar, rack='label-b')
+    await asyncio.sleep(4)
+    # One of them is full until the other is cut off.
+    if not await w.submit(FULL, [{
+            'count': 1, 'cpu': 16000, 'mem_mb': 64, 'estimated_ms': 26000,
+            'requirements': 'label-b'}], 'work 26'):
+        return None
+    await asyncio.sleep(2)
+    full = [each['runner'] for each in w.find_running(FULL).values()]
+    if not full:
+        return None
+    sidecar = 'side-2' if full[0].startswith('i-side-1') else 'side-1'
+    await asyncio.sleep(20)
+    gate, control = w.gates[sidecar], w.control_gates[sidecar]
+    identifier = w.identifiers[sidecar]
+    if trouble:
+        # It goes down without a sign (dark), and is back at once.
+        gate.life += 1
+        w.kill_runner(sidecar)
+        w.start_runner(sidecar, rack='label-b', id=identifier,
+                       first_beat_s=0.55)
+        for _ in range(200):
+            await asyncio.sleep(0.01)
+            boots = [each for each in w.read_events()
+                     if each['event'] == 'boot'
+                     and each['runner'] == identifier]
+            if len(boots) == 2:
+                break
+    if not await w.submit(JOB, [{
+            'count': 1, 'cpu': 1000, 'mem_mb': 64, 'estimated_ms': 30000,
+            'requirements': 'label-b'}], 'work 30'):
         return None
-    for _ in range(50):
-        await asyncio.sleep(0.1)
-        if len(w.find_running(JOB)) == 12:
-            break
-    else:
+    limit = time.monotonic() + 5
+    while not w.find_running(JOB) and time.monotonic() < limit:
+        await asyncio.sleep(0.005)
+    running = w.find_running(JOB)
+    if not running:
         return None
-    # The runner with the most tasks is emptied and taken away.
-    hosts = [each['runner'] for each in w.find_running(JOB).values()]
-    sidecar = max(set(hosts), key=hosts.count).split('-', 1)[1].rsplit('-', 1)[0]
-    w.signal(f'runner of {sidecar}', 10)
-    await asyncio.sleep(3.6)
     if trouble:
-        gate = w.gates[sidecar]
-        await gate.refuse()
-        w.record(f'the runner of {sidecar} is cut off: connections refused')
-        await asyncio.sleep(CUT_SECONDS)
-        await gate.open()
-        w.record('the cut has ended')
-    else:
-        await asyncio.sleep(CUT_SECONDS)
-    await asyncio.sleep(6)
+        gate.silent = control.silent = True
+        w.record(f'the runner {identifier} is cut off')
+    await asyncio.sleep(CUT_SECONDS)
+    gate.silent = control.silent = False
+    w.record('the cut has ended')
+    await asyncio.sleep(4)
     return w.list_double_runs()
 
 
