--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,8 @@
 """A runner starts again under its old id and is cut off soon after.
 
 In between its next life is told to start one task, and answers; no poll has
-reached it by then. All that it runs is under the lease of that call.
+reached it by then. All that it runs is under the lease of that call. The earlier
+life had been polled only, so that no idle channel to it takes the call.
 """
 
 import asyncio
@@ -19,13 +20,7 @@
 
 
 async def scenario(w, trouble):
-    # Two of six runners have the label that the jobs ask for.
-    for sidecar in ('side-1', 'side-2'):
-        w.kill_runner(sidecar)
-    await asyncio.sleep(2)
-    for sidecar in ('side-1', 'side-2'):
-        w.start_runner(sidecar, rack='label-b')
-    await asyncio.sleep(4)
+    # Two of eight runners have the label that the jobs ask for.
     # One of them is full until the other is cut off.
     if not await w.submit(FULL, [{
             'count': 1, 'cpu': 16000, 'mem_mb': 64, 'estimated_ms': 26000,
@@ -43,8 +38,7 @@
         # It goes down without a sign (dark), and is back at once.
         gate.life += 1
         w.kill_runner(sidecar)
-        w.start_runner(sidecar, rack='label-b', id=identifier,
-                       first_beat_s=0.55)
+        w.start_runner(sidecar, id=identifier, first_beat_s=0.55)
         for _ in range(200):
             await asyncio.sleep(0.01)
             boots = [each for each in w.read_events()
@@ -59,8 +53,8 @@
     limit = time.monotonic() + 5
     while not w.find_running(JOB) and time.monotonic() < limit:
         await asyncio.sleep(0.005)
-    running = w.find_running(JOB)
-    if not running:
+    running = [each['runner'] for each in w.find_running(JOB).values()]
+    if running != [identifier]:
         return None
     if trouble:
         gate.silent = control.silent = True
@@ -72,4 +66,6 @@
     return w.list_double_runs()
 
 
-world.play(pathlib.Path(__file__).parent, scenario)
+world.play(pathlib.Path(__file__).parent, scenario, sidecars=8,
+           racks={'side-1': 'label-b', 'side-2': 'label-b'},
+           ready_label='r1-2')
--- a/review/common-2/runner.py
+++ b/review/common-2/runner.py
@@ -2,7 +2,7 @@
 
 It writes a line for each run that begins or ends to its event file. A spec is
 `work SECONDS`, `fail SECONDS` or `serve`. After it may stand `uses MILLIS`, the
-processor time in use, and `saves BYTES`, the length of the checkpoints.
+processor time in use, and `saves BYTES`: it makes checkpoints of that length.
 """
 
 import argparse
@@ -23,6 +23,8 @@
         self.kind = words[0]
         self.seconds = float(words[1]) if self.kind != 'serve' else 0.3
         more = dict(zip(words, words[1:]))
+        # Only tasks of a step with `checkpointing` have checkpoints.
+        self.saves = 'saves' in more
         self.length = int(more.get('saves', 16))
         self.millis = int(more.get('uses', 100))
         self.checkpoint = checkpoint
@@ -69,6 +71,8 @@
         if self.running.get(run.task) is not run:
             return
         del self.running[run.task]
+        if run.saves and how == 'stopped':
+            run.save(time.monotonic())
         self.over[run.task] = max(self.over.get(run.task, 0), run.number)
         self.number += 1
         self.ends.append(
@@ -83,7 +87,7 @@
 
     def answer(self, status=200, **body):
         return web.json_response(
-            {'clock_ms': self.clock(), 'born': self.born} | body,
+            {'clock_ms': self.clock()} | body,
             status=status)
 
     async def accept(self, request):
@@ -151,7 +155,7 @@
         return self.answer(
             running=[[r.task, r.number, r.checkpoint, r.percent(now), r.millis]
                      for r in self.running.values()],
-            ended_runs=self.ends[:500])
+            ended_runs=self.ends[:500], born=self.born)
 
     async def work(self):
         saved_at = 0.0
@@ -165,7 +169,7 @@
             if saves:
                 saved_at = now
             for run in list(self.running.values()):
-                if saves and self.o.saves:
+                if saves and run.saves:
                     run.save(now)
                 if run.kind != 'serve' and now >= run.begun_at + run.seconds:
                     self.end(run, 'done' if run.kind == 'work' else 'failed')
@@ -247,7 +251,6 @@
     parser.add_argument('--first-beat-s', type=float, default=0.0)
     parser.add_argument('--drain-s', type=float, default=2.0)
     parser.add_argument('--linger-s', type=float, default=6.0)
-    parser.add_argument('--saves', type=int, default=1)
     loop = asyncio.new_event_loop()
     tasks = loop.run_until_complete(serve(parser.parse_args()))
     loop.run_forever()
--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -189,7 +189,8 @@
 
 
 class World:
-    def __init__(self, case, entries=3, sidecars=6):
+    def __init__(self, case, entries=3, sidecars=6, racks=None,
+                 ready_label=''):
         self.case = pathlib.Path(case).resolve()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.record_file = (self.case / 'record.txt').open('w')
@@ -198,6 +199,10 @@
         self.processes = {}
         self.commands = {}
         self.entry_count, self.sidecar_count = entries, sidecars
+        # Labels of their own, by sidecar.
+        self.racks = racks or {}
+        # Where the first job runs; on each runner if empty.
+        self.ready_label = ready_label
         self.ips = {}
         # What sidecars send to their runners, and the other way.
         self.gates = {}
@@ -299,7 +304,8 @@
         port = free_port(ip)
         gate = self.gates[sidecar]
         gate.target = (ip, port)
-        rack = f'r1-{(int(sidecar.split("-")[1]) + 2) // 3}'
+        rack = self.racks.get(
+            sidecar, f'r1-{(int(sidecar.split("-")[1]) + 2) // 3}')
         words = {'id': name, 'listen': f'{ip}:{port}',
                  'address': gate.address, 'control': self.control_gates[sidecar].address,
                  'service': SERVICE, 'zone': self.commands[sidecar][2],
@@ -384,9 +390,11 @@
         else:
             return False
         job = 'ffffffffffffff01'
-        if not await self.submit(job, [{
-                'count': self.sidecar_count, 'cpu': 1000, 'mem_mb': 64,
-                'estimated_ms': 200, 'anti_affinity': 1}], 'work 0.2'):
+        step = {'count': self.sidecar_count, 'cpu': 1000, 'mem_mb': 64,
+                'estimated_ms': 200, 'anti_affinity': 1}
+        if self.ready_label:
+            step |= {'count': 2, 'requirements': self.ready_label}
+        if not await self.submit(job, [step], 'work 0.2'):
             return False
         while time.monotonic() < limit:
             if await self.state(job, log=False) == 'completed':
