--- a/review/7/case.py
+++ b/review/7/case.py
@@ -15,7 +15,7 @@
 async def scenario(w, trouble):
     steps = [{'count': 12, 'cpu': 1500, 'mem_mb': 64, 'estimated_ms': 20000,
               'checkpointing': True}]
-    if not await w.submit(JOB, steps, 'work 20'):
+    if not await w.submit(JOB, steps, 'work 20 saves 16'):
         return None
     for _ in range(50):
         await asyncio.sleep(0.1)
