Expect the longest lease of a life that answers a call before a poll

Cause: answers to starts, stops and paces were taken for those of the life that polls had shown last.

Change: the adapter returns the clock with each answer to an order. A clock that is below the time since the last answered poll is that of a successor: the session refuses starts, extends nothing and expects the longest lease from then on, and longer if an unanswered call with an accepted token may still be executed. The report says so, and no bound of leaders lowers it.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import collections.abc
+import contextlib
 import enum
 
 from chivespoke.agents import _leases
@@ -289,7 +290,7 @@
             )
             return
         self._leases.raise_limit(directive.lease_until_ms)
-        if directive.granted_until_ms and not self._replaced:
+        if directive.granted_until_ms and not self._leases.has_successor:
             self._leases.bound_others(directive.granted_until_ms)
         self._acknowledged_end = max(
             self._acknowledged_end, directive.acknowledged
@@ -349,6 +350,7 @@
             paces=self._pace_tracker.list_reduced_paces(status),
             refuses_connections=self._refuses_connections,
             fence=self._fence,
+            has_successor=self._leases.has_successor,
         )
 
     def _update_lapsed(self) -> None:
@@ -419,6 +421,7 @@
             try:
                 await self._poll_once()
             except errors.ChivespokeError as error:
+                self._check_refusal('look', error)
                 self._set_answering(False, str(error))
                 self._set_refuses_connections(
                     isinstance(error, platform.NotListeningError)
@@ -443,23 +446,31 @@
         if acknowledged:
             self._starts_may_be_sent.clear()
             self._is_fence_used = True
+        sent_at = self._clock.read_monotonic()
+        fence = self._fence
+        lease_end_ms = self._extend_leases()
         try:
-            status = await self._client.poll(
-                self._fence,
-                acknowledged,
-                self._extend_leases(),
-                # The first answer allows longer leases, and starts wait for
-                # one to an acknowledgement.
-                0.0
-                if is_first or acknowledged or self._refuses_connections
-                else POLL_WAIT_SECONDS,
-            )
+            with (
+                contextlib.nullcontext()
+                if lease_end_ms is None
+                else self._leases.record_call(sent_at, fence)
+            ):
+                status = await self._client.poll(
+                    fence,
+                    acknowledged,
+                    lease_end_ms,
+                    # The first answer allows longer leases, and starts wait
+                    # for one to an acknowledgement.
+                    0.0
+                    if is_first or acknowledged or self._refuses_connections
+                    else POLL_WAIT_SECONDS,
+                )
         finally:
             # After a failure the token is raised before any start goes on.
             self._starts_may_be_sent.set()
         previous = self._status
         if status.born_ms not in (0, self.registration.born_ms):
-            self._handle_replacement(status)
+            self._handle_replacement(status, fence)
             return
         self._forgotten_end = max(self._forgotten_end, acknowledged)
         if was_doubted:
@@ -467,7 +478,7 @@
             self._listener.handle_confirmation()
         self._log_unexpected_leases(status)
         now = self._clock.read_monotonic()
-        self._leases.record_reading(status.clock_ms, now)
+        self._leases.record_reading(status.clock_ms, sent_at, now)
         self._set_answering(True, '')
         self._set_refuses_connections(False)
         async with self._polled:
@@ -553,7 +564,9 @@
             self._fence += 1
             self._is_fence_used = False
 
-    def _handle_replacement(self, status: platform.WorkerStatus) -> None:
+    def _handle_replacement(
+        self, status: platform.WorkerStatus, fence: int
+    ) -> None:
         """Stop calling a worker that has started again."""
         LOGGER.warning(
             'Another incarnation of the worker answered.',
@@ -561,17 +574,47 @@
             born_ms=status.born_ms,
             clock_ms=status.clock_ms,
             requested_lease_end_ms=self._leases.sent_ms,
-            fence=self._fence,
+            fence=fence,
             runs=len(status.running),
         )
         self._replaced = True
-        # It may have carried out orders of this session, under leases as long
-        # as any may be.
-        self._leases.record_restart(
-            status.clock_ms, self._clock.read_monotonic()
+        # It may have carried out orders of this session.
+        self._leases.record_successor(
+            status.clock_ms, self._clock.read_monotonic(), fence
         )
         self._set_answering(False, 'it has started again')
 
+    def _check_clock(self, step: str, clock_ms: int, fence: int = 0) -> None:
+        """Notice by the clock in an answer that the worker may be another.
+
+        Only a poll that is sent from now on tells whether it is. A clock_ms of
+        0 stands for an answer that does not say, a fence of 0 for a token that
+        the worker may not have accepted.
+        """
+        if not clock_ms:
+            return
+        expected_ms = self._leases.clock_ms
+        was_known = self._leases.has_successor
+        now = self._clock.read_monotonic()
+        if self._leases.record_answer(clock_ms, now, fence) or was_known:
+            return
+        LOGGER.warning(
+            'Another incarnation of the worker may have answered.',
+            worker=self.incarnation.key,
+            step=step,
+            clock_ms=clock_ms,
+            earlier_clock_ms=expected_ms,
+            requested_lease_end_ms=self._leases.sent_ms,
+            lease_end_ms=self._leases.end_ms,
+            fence=fence,
+        )
+        self.doubt()
+        self._listener.request_report()
+
+    def _check_refusal(self, step: str, error: errors.ChivespokeError) -> None:
+        if isinstance(error, platform.OrderRefusedError):
+            self._check_clock(step, error.clock_ms)
+
     def _set_answering(self, answering: bool, detail: str) -> None:
         if answering == self._answering:
             return
@@ -749,6 +792,7 @@
             try:
                 await self._send_start(order, lease_until_ms)
             except platform.OrderRefusedError as error:
+                self._check_refusal('start', error)
                 refusal = error.refusal
                 if (
                     refusal is platform.Refusal.STALE_FENCE
@@ -801,18 +845,23 @@
         self._run_ages.record_order(
             order.task, order.run, self._clock.read_monotonic()
         )
-        with self._unanswered.record_call(
-            order.task, order.run, is_first=not order.repeated
+        fence = self._fence
+        with (
+            self._unanswered.record_call(
+                order.task, order.run, is_first=not order.repeated
+            ),
+            self._leases.record_call(self._clock.read_monotonic(), fence),
         ):
-            await self._client.start(
+            clock_ms = await self._client.start(
                 order.task,
                 order.run,
                 order.payload,
                 min(self._leases.sent_ms, lease_until_ms),
-                self._fence,
+                fence,
                 order.checkpoint,
                 order.ticket,
             )
+        self._check_clock('start', clock_ms, fence)
         self._run_ages.record_start(
             order.task, order.run, self._clock.read_monotonic()
         )
@@ -829,9 +878,12 @@
         failures = 0
         while True:
             try:
-                await self._client.stop(task, run, self._fence)
+                self._check_clock(
+                    'stop', await self._client.stop(task, run, self._fence)
+                )
                 break
             except errors.ChivespokeError as error:
+                self._check_refusal('stop', error)
                 if self._refuses_connections and self._have_leases_expired():
                     LOGGER.info(
                         'A stop is given up, as the worker has ended.',
@@ -863,10 +915,14 @@
 
     async def _pace(self, change: decisions.PaceChange) -> None:
         try:
-            await self._client.pace(
-                change.task, change.run, change.percent, self._fence
+            self._check_clock(
+                'pace',
+                await self._client.pace(
+                    change.task, change.run, change.percent, self._fence
+                ),
             )
         except errors.ChivespokeError as error:
+            self._check_refusal('pace', error)
             LOGGER.warning(
                 'Setting a pace failed; retrying after the next poll.',
                 task=change.task,
--- a/chivespoke/agents/tests/test_leases.py
+++ b/chivespoke/agents/tests/test_leases.py
@@ -1,18 +1,21 @@
 """Tests of what a sidecar knows of its worker's leases."""
 
+import contextlib
 import unittest
 
 from chivespoke.agents import _leases
+from chivespoke import errors
 
 NOW = 100.0
 CLOCK_MS = 50_000
 MAX_LEASE_SECONDS = 10.0
+FENCE = 7
 
 
 class WorkerLeasesTest(unittest.TestCase):
     def setUp(self) -> None:
         self.leases = _leases.WorkerLeases(MAX_LEASE_SECONDS)
-        self.leases.record_reading(CLOCK_MS, NOW)
+        self.leases.record_reading(CLOCK_MS, NOW, NOW)
 
     def test_leases_of_an_earlier_process_are_waited_for(self) -> None:
         # A restarted sidecar does not know what was renewed before.
@@ -44,7 +47,7 @@
 
     def test_renewed_lease_is_waited_for(self) -> None:
         self.leases.raise_limit(CLOCK_MS + 60_000)
-        self.leases.record_reading(CLOCK_MS + 20_000, NOW + 20.0)
+        self.leases.record_reading(CLOCK_MS + 20_000, NOW + 20.0, NOW + 20.0)
         self.assertEqual(CLOCK_MS + 25_000, self.leases.extend(NOW + 20.0))
         self.assertFalse(self.leases.have_expired(NOW + 25.0))
         self.assertTrue(self.leases.have_expired(NOW + 25.5))
@@ -55,6 +58,76 @@
         self.assertEqual(CLOCK_MS + 1_000, self.leases.extend(NOW))
         self.assertIsNone(self.leases.extend(NOW + 0.5))
 
+    def test_clock_that_began_anew_is_another_life(self) -> None:
+        # Regression (review, case 6): a start that the next life answered was
+        # counted under the lease of the life before. A life that follows began
+        # after the last answered poll was sent.
+        for seconds, clock_ms, is_same in (
+            (1.0, CLOCK_MS + 1_000, True),
+            (1.0, 1_200, True),
+            (1.0, 1_000, False),
+            (1.0, 1, False),
+            (4.0, 3_990, False),
+        ):
+            with self.subTest(seconds=seconds, clock_ms=clock_ms):
+                self.setUp()
+                self.assertIs(
+                    is_same,
+                    self.leases.record_answer(clock_ms, NOW + seconds, FENCE),
+                )
+                self.assertIs(not is_same, self.leases.has_successor)
+
+    def record_start_on_another_life(self) -> None:
+        """Let the next life answer a start 4 s after the last poll."""
+        self.leases.raise_limit(CLOCK_MS + 60_000)
+        self.leases.extend(NOW)
+        self.leases.record_answer(300, NOW + 4.0, FENCE)
+
+    def test_lease_on_another_life_is_the_longest(self) -> None:
+        # No leader has allowed it, so that none bounds it.
+        self.record_start_on_another_life()
+        self.leases.bound_others(6_300)
+        self.assertIsNone(self.leases.extend(NOW + 4.5))
+        for seconds, expired in ((10.2, False), (10.4, True)):
+            with self.subTest(seconds=seconds):
+                self.assertIs(
+                    expired, self.leases.have_expired(NOW + 4.0 + seconds)
+                )
+
+    def test_open_call_extends_the_lease_on_another_life(self) -> None:
+        # It may be executed up to 14 s after it was sent, unless its token is
+        # lower than the one that was accepted.
+        for answered, fence, seconds, expired in (
+            (True, FENCE, 10.4, True),
+            (False, FENCE, 10.4, False),
+            (False, FENCE, 22.9, False),
+            (False, FENCE, 23.8, True),
+            (False, FENCE - 1, 10.4, True),
+        ):
+            with self.subTest(answered=answered, fence=fence, seconds=seconds):
+                self.setUp()
+                with contextlib.suppress(errors.UnavailableError):
+                    with self.leases.record_call(NOW + 3.0, fence):
+                        if not answered:
+                            raise errors.UnavailableError('look', 'i-1', '')
+                self.record_start_on_another_life()
+                self.assertIs(
+                    expired, self.leases.have_expired(NOW + 4.0 + seconds)
+                )
+
+    def test_only_a_poll_that_is_sent_later_denies_another_life(self) -> None:
+        for sent_at, is_denied in ((3.9, False), (4.1, True)):
+            with self.subTest(sent_at=sent_at):
+                self.setUp()
+                self.record_start_on_another_life()
+                self.leases.record_reading(
+                    CLOCK_MS + 4_100, NOW + sent_at, NOW + 4.2
+                )
+                self.assertIs(not is_denied, self.leases.has_successor)
+                self.assertIs(
+                    is_denied, self.leases.extend(NOW + 4.2) is not None
+                )
+
     def test_nothing_expires_before_the_first_reading(self) -> None:
         leases = _leases.WorkerLeases(MAX_LEASE_SECONDS)
         self.assertFalse(leases.have_expired(NOW + 100.0))
--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -197,10 +197,10 @@
 
         async def fail_once(
             client: platform.WorkerClient, *arguments: typing.Any
-        ) -> None:
+        ) -> int:
             if failures:
                 raise failures.pop()
-            await start(client, *arguments)
+            return await start(client, *arguments)
 
         with mock.patch.object(platform.WorkerClient, 'start', fail_once):
             self.send_directive(self.clock_ms + HOUR_MS, self.make_start())
@@ -231,6 +231,7 @@
             raise errors.UnavailableError('start', 'i-1', 'lost')
 
         client.start.side_effect = stand_still
+        client.stop.return_value = 1000
         self.session = self.make_session(client, time)
         self.addAsyncCleanup(self.session.close)
         self.session.start()
@@ -348,10 +349,10 @@
 
         async def start_after_a_silence(
             client: platform.WorkerClient, *arguments: typing.Any
-        ) -> None:
+        ) -> int:
             if self.session.make_report('a').fence == FENCE:
                 await self.silence_worker()
-            await start(client, *arguments)
+            return await start(client, *arguments)
 
         with mock.patch.object(
             platform.WorkerClient, 'start', start_after_a_silence
@@ -460,12 +461,12 @@
 
         async def fail_at_first(
             client: platform.WorkerClient, *arguments: typing.Any
-        ) -> None:
+        ) -> int:
             nonlocal calls
             calls += 1
             if calls <= failures:
                 raise failure
-            await stop(client, *arguments)
+            return await stop(client, *arguments)
 
         with (
             mock.patch.object(platform.WorkerClient, 'stop', fail_at_first),
@@ -977,9 +978,11 @@
         await self.wait_for_outcome()
         while self.runner.running:
             await asyncio.sleep(0.02)
-        lease_end_ms = self.session.make_report('a').lease_end_ms
+        # The answer to the start has shown the next clock already; the one to
+        # a poll does so again.
+        clock_ms = self.session.make_report('a').clock_ms
         self.runner.faults.holds_stall = False
-        while self.session.make_report('a').lease_end_ms >= lease_end_ms:
+        while self.session.make_report('a').clock_ms == clock_ms:
             await asyncio.sleep(0.02)
         status = await self.client.poll(FENCE, 0, None, 0.0)
         self.assertEqual([TASK], [end.task for end in status.ended])
--- a/chivespoke/coordination/__init__.py
+++ b/chivespoke/coordination/__init__.py
@@ -4,6 +4,7 @@
 from chivespoke.coordination._announcements import announce_end
 from chivespoke.coordination._coordinator import Coordinator
 from chivespoke.coordination._engine import Engine
+from chivespoke.coordination._engine_state import LATE_CALL_SECONDS
 from chivespoke.coordination._engine_state import LeaderTimeouts
 from chivespoke.coordination._engine_state import MAX_UNANSWERED_ORDER_BYTES
 from chivespoke.coordination._engine_state import ORDER_RESEND_SECONDS
@@ -59,6 +60,7 @@
     'JobEntry',
     'JobStanding',
     'JOB_PREFIX',
+    'LATE_CALL_SECONDS',
     'Ledger',
     'LeaderTimeouts',
     'LoadSummary',
--- a/chivespoke/coordination/_engine_state.py
+++ b/chivespoke/coordination/_engine_state.py
@@ -20,6 +20,9 @@
 LOGGER = logs.make_logger('leader')
 
 
+# Longest time from the beginning of a call that gets no answer to its
+# execution by a worker: 1 s for the call, 12 s on its way, and a margin.
+LATE_CALL_SECONDS = 14.0
 # Time after which an order is sent again if no outcome was reported. It is
 # longer than the worker's answer and the next report take together.
 ORDER_RESEND_SECONDS = 0.7
@@ -39,9 +42,8 @@
     clock_drift_share: float = 0.02
     # Longest time for which an earlier leader may continue to renew leases.
     predecessor_renewal_seconds: float = 12.0
-    # Longest time from the beginning of a call that gets no answer to its
-    # execution: 1 s for the call, 12 s on its way, and a margin.
-    late_call_seconds: float = 14.0
+    # As LATE_CALL_SECONDS.
+    late_call_seconds: float = LATE_CALL_SECONDS
     # Longest time from a start order to the sidecar's last call for it.
     start_order_seconds: float = 2.5
     # Time for which the records of a final job are kept.
--- a/chivespoke/coordination/_messages.py
+++ b/chivespoke/coordination/_messages.py
@@ -137,6 +137,9 @@
     refuses_connections: bool = False
     # Fencing token of the session's calls.
     fence: int = 0
+    # Clock and leases are those of a later incarnation, which has answered a
+    # call but no poll of its own session. No leader has allowed its leases.
+    has_successor: bool = False
 
     @property
     def covered(self) -> int | None:
--- a/chivespoke/coordination/_reports.py
+++ b/chivespoke/coordination/_reports.py
@@ -59,7 +59,10 @@
         is_new_poll = report.clock_ms != worker.worker_clock_ms
         worker.worker_clock_ms = report.clock_ms
         lease_end_ms = report.lease_end_ms
-        if now >= self._state.earlier_leases_end_at:
+        if (
+            now >= self._state.earlier_leases_end_at
+            and not report.has_successor
+        ):
             # A sidecar that has just begun expects leases of the longest kind.
             lease_end_ms = min(lease_end_ms, worker.granted_until_ms)
         worker.leases_expire_at = now + max(
--- a/chivespoke/coordination/tests/builders.py
+++ b/chivespoke/coordination/tests/builders.py
@@ -90,6 +90,7 @@
     crashes: tuple[coordination.CrashReport, ...] = (),
     unanswered: tuple[coordination.UnansweredStart, ...] = (),
     refuses_connections: bool = False,
+    has_successor: bool = False,
 ) -> coordination.Report:
     """Return a sidecar's report; the same clock_ms means the same poll."""
     return coordination.Report(
@@ -112,6 +113,7 @@
         crashes=crashes,
         unanswered=unanswered,
         refuses_connections=refuses_connections,
+        has_successor=has_successor,
     )
 
 
--- a/chivespoke/coordination/tests/test_returned_workers.py
+++ b/chivespoke/coordination/tests/test_returned_workers.py
@@ -159,6 +159,36 @@
                 polled_at + self.timeouts.measure_lease(MAX_LEASE_MS),
             )
 
+    def test_leases_that_no_leader_allowed_are_waited_for(self) -> None:
+        # Regression (review, case 6): the next life has answered a start, and
+        # no poll. What leaders have allowed does not bound its lease.
+        for takes_over in (False, True):
+            with self.subTest(takes_over=takes_over):
+                self.setUp()
+                if takes_over:
+                    self.take_over(
+                        self.leader.now, self.timeouts.max_lease_seconds
+                    )
+                report = builders.make_report(
+                    clock_ms=EARLY_CLOCK_MS,
+                    lease_end_ms=EARLY_CLOCK_MS + MAX_LEASE_MS,
+                    answering=False,
+                    has_successor=True,
+                )
+                self.leader.report(
+                    msgspec.structs.replace(report, epoch=self.leader.epoch)
+                )
+                worker = self.leader.engine.state.find_worker_of('side-1')
+                assert worker is not None
+                self.leader.make_directive()
+                self.leader.report(
+                    msgspec.structs.replace(report, epoch=self.leader.epoch)
+                )
+                self.assertGreaterEqual(
+                    worker.leases_expire_at - self.leader.now,
+                    self.timeouts.measure_lease(MAX_LEASE_MS),
+                )
+
     def test_runs_wait_for_leases_that_their_leader_was_told_of(self) -> None:
         # The next leader took over before the worker came back, and knows no
         # run of its earlier incarnation. It is lost soon after.
--- a/chivespoke/platform/_workers.py
+++ b/chivespoke/platform/_workers.py
@@ -7,9 +7,12 @@
 
 from chivespoke import decoding
 from chivespoke import errors
+from chivespoke import logs
 from chivespoke.platform import _transport
 from chivespoke import workloads
 
+LOGGER = logs.make_logger('worker')
+
 # Path at which a worker registers; the last part is its identifier.
 REGISTRATION_PATH = '/instances/{identifier}'
 INSTANCE_HEADER = 'Chivespoke-Target-Instance'
@@ -66,12 +69,18 @@
     born: decoding.Number = 0
 
 
+class _Answer(msgspec.Struct):
+    clock_ms: decoding.Number = 0
+
+
 class _RefusalBody(msgspec.Struct):
     reason: str = ''
+    clock_ms: decoding.Number = 0
 
 
 REGISTRATION_DECODER = msgspec.json.Decoder(_Registration)
 STATUS_DECODER = msgspec.json.Decoder(_PollResponse)
+ANSWER_DECODER = msgspec.json.Decoder(_Answer)
 REFUSAL_DECODER = msgspec.json.Decoder(_RefusalBody)
 
 
@@ -146,9 +155,14 @@
 class OrderRefusedError(errors.RefusedError):
     """Report an order that a worker refused, and the reason."""
 
-    def __init__(self, step: str, peer: str, refusal: Refusal) -> None:
+    def __init__(
+        self, step: str, peer: str, refusal: Refusal, clock_ms: int = 0
+    ) -> None:
         super().__init__(step, peer, refusal.value)
         self.refusal = refusal
+        # Reading of the worker's clock, in milliseconds; 0 if the answer does
+        # not say.
+        self.clock_ms = clock_ms
 
 
 STATUS_REFUSALS = {
@@ -193,6 +207,9 @@
 class WorkerClient:
     """Send orders to a worker and poll its state.
 
+    Orders return the reading of the worker's clock in milliseconds, 0 if the
+    answer does not say.
+
     Calls raise OrderRefusedError if the worker refused, another RefusedError
     if the call was not sent, and UnavailableError if its outcome is unknown.
     """
@@ -214,7 +231,7 @@
         fencing_token: int,
         checkpoint: str,
         ticket: str,
-    ) -> None:
+    ) -> int:
         """Start a run; do nothing if it is running already."""
         body: dict[str, object] = {
             'task': task,
@@ -227,20 +244,24 @@
             body['checkpoint'] = checkpoint
         if ticket:
             body['ticket'] = ticket
-        await self._send_order(
-            'start', '/run-start', body, ORDER_TIMEOUT_SECONDS
+        return _read_clock(
+            await self._send_order(
+                'start', '/run-start', body, ORDER_TIMEOUT_SECONDS
+            )
         )
 
-    async def stop(self, task: str, run: int, fencing_token: int) -> None:
+    async def stop(self, task: str, run: int, fencing_token: int) -> int:
         """Stop a run, and prevent it from starting later."""
         body = {'task': task, 'run_id': run, 'fencing_token': fencing_token}
-        await self._send_order(
-            'stop', '/run-stop', body, ORDER_TIMEOUT_SECONDS
+        return _read_clock(
+            await self._send_order(
+                'stop', '/run-stop', body, ORDER_TIMEOUT_SECONDS
+            )
         )
 
     async def pace(
         self, task: str, run: int, percent: int, fencing_token: int
-    ) -> None:
+    ) -> int:
         """Limit a run and its load on others to a share of full speed."""
         body = {
             'task': task,
@@ -248,7 +269,11 @@
             'percent': percent,
             'fencing_token': fencing_token,
         }
-        await self._send_order('pace', '/pace', body, ORDER_TIMEOUT_SECONDS)
+        return _read_clock(
+            await self._send_order(
+                'pace', '/pace', body, ORDER_TIMEOUT_SECONDS
+            )
+        )
 
     async def poll(
         self,
@@ -292,18 +317,28 @@
         )
         if response.status == 200:
             return response.body
-        raise OrderRefusedError(
-            step, self._transport.peer, _read_refusal(response)
-        )
+        refusal, clock_ms = _read_refusal(response)
+        raise OrderRefusedError(step, self._transport.peer, refusal, clock_ms)
+
+
+def _read_clock(body: bytes) -> int:
+    try:
+        return decoding.decode(
+            ANSWER_DECODER, body, 'read answer', 'worker'
+        ).clock_ms
+    except errors.RefusedError as error:
+        LOGGER.warning('The clock of an answer cannot be read.', error=error)
+        return 0
 
 
-def _read_refusal(response: _transport.Response) -> Refusal:
+def _read_refusal(response: _transport.Response) -> tuple[Refusal, int]:
+    """Return the reason and the reading of the clock, 0 if not given."""
     if response.status in STATUS_REFUSALS:
-        return STATUS_REFUSALS[response.status]
+        return STATUS_REFUSALS[response.status], 0
     try:
         decoded = decoding.decode(
             REFUSAL_DECODER, response.body, 'read refusal', 'worker'
         )
-        return Refusal(decoded.reason)
+        return Refusal(decoded.reason), decoded.clock_ms
     except (errors.RefusedError, ValueError):
-        return Refusal.INVALID
+        return Refusal.INVALID, 0
