Take a notice for an end only once all leases have expired

Cause: a notice whose remaining_ms was over, with one refused connection, counted as the end of the worker, although it names "the minimum time that is left" and a refused connection shows only that the way is closed.

Change: after a notice alone the end is put on record once all leases have expired. A deregistration with a refused connection counts as before, but not for a life that may have followed. The line on the end has the clock and the lease end. The test that asked for the end at once asked for the fault; in its place one asks that no run is at work then, and one that the end is on record within 6 s of the 9 s for which a lasting task may be idle.

--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -379,11 +379,17 @@
         )
 
     def _check_end(self) -> None:
-        # A deregistration or a notice alone does not show the end: it may be
-        # late, and a worker runs on for a while if it is not acknowledged.
-        is_leaving = self.deregistered or (
+        # A deregistration alone does not show the end: it may be late, and a
+        # worker runs on for a while if it is not acknowledged. Nor does a
+        # notice with refused connections, as it names the least time that is
+        # left: only the runs have ended, once all leases have expired.
+        now = self._clock.read_monotonic()
+        is_leaving = (
+            self.deregistered and not self._leases.has_successor
+        ) or (
             self._leaves_at is not None
-            and self._clock.read_monotonic() >= self._leaves_at
+            and now >= self._leaves_at
+            and self._leases.have_expired(now)
         )
         if (
             self._has_ended
@@ -396,6 +402,9 @@
             'The worker has ended, as it had announced.',
             worker=self.incarnation.key,
             deregistered=self.deregistered,
+            clock_ms=self._leases.clock_ms,
+            clock_age=self._leases.measure_reading_age(now),
+            lease_end_ms=self._leases.end_ms,
         )
         self._listener.handle_end(self.incarnation.key)
         self._listener.request_report()
