Let the check of a clock say whether it reveals a successor

Cause: the caller had to ask beforehand whether a successor was known, to tell a new one from one that was noticed already. Change: record_answer returns whether the answer reveals one; behaviour is the same.

--- a/chivespoke/agents/_leases.py
+++ b/chivespoke/agents/_leases.py
@@ -161,22 +161,20 @@
     def record_answer(
         self, clock_ms: int, received_at: float, fence: int
     ) -> bool:
-        """Record the clock by an answer that names no incarnation.
+        """Return whether an answer reveals that an incarnation has followed.
 
-        fence is the token that the worker has accepted with the call, 0 if it
-        may not have. Return whether this incarnation has answered. One that
-        followed began after the last poll that this one answered was sent,
-        which bounds the reading of its clock.
+        The answer names no incarnation. One that followed began after the last
+        poll that this one answered was sent, which bounds the reading of its
+        clock. fence is the token that the worker has accepted with the call, 0
+        if it may not have.
         """
-        if self._successor is not None:
+        if self._read_at is None or self._successor is not None:
             return False
-        if self._read_at is None:
-            return True
         longest_age = (received_at - self._polled_at) * (1 + CLOCK_DRIFT_SHARE)
         if clock_ms > longest_age * 1000:
-            return True
+            return False
         self.record_successor(clock_ms, received_at, fence)
-        return False
+        return True
 
     def record_successor(
         self, clock_ms: int, received_at: float, fence: int
--- a/chivespoke/agents/_session.py
+++ b/chivespoke/agents/_session.py
@@ -603,9 +603,8 @@
         if not clock_ms:
             return
         expected_ms = self._leases.clock_ms
-        was_known = self._leases.has_successor
         now = self._clock.read_monotonic()
-        if self._leases.record_answer(clock_ms, now, fence) or was_known:
+        if not self._leases.record_answer(clock_ms, now, fence):
             return
         LOGGER.warning(
             'Another incarnation of the worker may have answered.',
--- a/chivespoke/agents/tests/test_leases.py
+++ b/chivespoke/agents/tests/test_leases.py
@@ -62,20 +62,20 @@
         # Regression (review, case 6): a start that the next life answered was
         # counted under the lease of the life before. A life that follows began
         # after the last answered poll was sent.
-        for seconds, clock_ms, is_same in (
-            (1.0, CLOCK_MS + 1_000, True),
-            (1.0, 1_200, True),
-            (1.0, 1_000, False),
-            (1.0, 1, False),
-            (4.0, 3_990, False),
+        for seconds, clock_ms, is_other in (
+            (1.0, CLOCK_MS + 1_000, False),
+            (1.0, 1_200, False),
+            (1.0, 1_000, True),
+            (1.0, 1, True),
+            (4.0, 3_990, True),
         ):
             with self.subTest(seconds=seconds, clock_ms=clock_ms):
                 self.setUp()
                 self.assertIs(
-                    is_same,
+                    is_other,
                     self.leases.record_answer(clock_ms, NOW + seconds, FENCE),
                 )
-                self.assertIs(not is_same, self.leases.has_successor)
+                self.assertIs(is_other, self.leases.has_successor)
 
     def record_start_on_another_life(self) -> None:
         """Let the next life answer a start 4 s after the last poll."""
