Count an open call for a successor only until it is answered

Cause: the bound on a successor's leases was set once, by the calls that were open at its first answer.

--- a/chivespoke/agents/_leases.py
+++ b/chivespoke/agents/_leases.py
@@ -21,13 +21,19 @@
 CLOCK_DRIFT_SHARE = 0.03
 
 
-class _Reading(msgspec.Struct, frozen=True):
-    """Hold a reading of a worker's clock and the end of its leases by it."""
+class _Successor(msgspec.Struct):
+    """Hold what is known of an incarnation that may have followed.
 
+    Times are monotonic, in seconds.
+    """
+
+    # A reading of its clock, and when it was received.
     clock_ms: int
-    # Monotonic time of the answer in seconds.
     read_at: float
-    lease_end_ms: int
+    # When it answered last.
+    answered_at: float
+    # Highest token that it is known to have accepted.
+    fence: int
 
 
 class _OpenCall(msgspec.Struct, frozen=True):
@@ -75,8 +81,7 @@
         self._clock_ms = 0
         self._read_at: float | None = None
         self._polled_at = 0.0
-        # What is known of an incarnation that may have followed.
-        self._successor: _Reading | None = None
+        self._successor: _Successor | None = None
         self._open_calls: list[_OpenCall] = []
         self._max_lease_seconds = max_lease_seconds
         # The latest end that the leader allows.
@@ -98,9 +103,31 @@
     def end_ms(self) -> int:
         """Return the latest end that any lease may have."""
         if self._successor is not None:
-            return self._successor.lease_end_ms
+            return self._compute_successor_end(self._successor)
         return max(self._own_end_ms, self._others_end_ms)
 
+    def _compute_successor_end(self, successor: _Successor) -> int:
+        """Return the latest end that a lease of a successor may have.
+
+        Any call that requested a lease grants it the longest there is. Those
+        without an answer may do so late, unless their token is lower than one
+        that the successor has accepted.
+        """
+        executed_at = max(
+            (
+                call.sent_at + coordination.LATE_CALL_SECONDS
+                for call in self._open_calls
+                if call.fence >= successor.fence
+            ),
+            default=successor.answered_at,
+        )
+        granted_seconds = (
+            max(executed_at, successor.answered_at)
+            - successor.read_at
+            + self._max_lease_seconds
+        )
+        return successor.clock_ms + int(granted_seconds * 1000)
+
     def measure_reading_age(self, now: float) -> float:
         """Return the age of the last reading in seconds."""
         read_at = self._find_reading_time()
@@ -122,7 +149,10 @@
         self._open_calls = [
             call
             for call in self._open_calls
-            if now < call.sent_at + coordination.LATE_CALL_SECONDS
+            if now
+            < call.sent_at
+            + coordination.LATE_CALL_SECONDS
+            + self._max_lease_seconds
         ]
         call = _OpenCall(now, fence)
         self._open_calls.append(call)
@@ -168,7 +198,11 @@
         clock. fence is the token that the worker has accepted with the call, 0
         if it may not have.
         """
-        if self._read_at is None or self._successor is not None:
+        if self._successor is not None:
+            self._successor.answered_at = received_at
+            self._successor.fence = max(self._successor.fence, fence)
+            return False
+        if self._read_at is None:
             return False
         longest_age = (received_at - self._polled_at) * (1 + CLOCK_DRIFT_SHARE)
         if clock_ms > longest_age * 1000:
@@ -179,29 +213,8 @@
     def record_successor(
         self, clock_ms: int, received_at: float, fence: int
     ) -> None:
-        """Record a reading of the clock of an incarnation that followed.
-
-        Any call that requested a lease grants it the longest there is. Those
-        without an answer may do so late, unless their token is lower than the
-        one that the incarnation has accepted.
-        """
-        executed_at = max(
-            (
-                call.sent_at + coordination.LATE_CALL_SECONDS
-                for call in self._open_calls
-                if call.fence >= fence
-            ),
-            default=received_at,
-        )
-        self._successor = _Reading(
-            clock_ms,
-            received_at,
-            clock_ms
-            + int(
-                (max(0.0, executed_at - received_at) + self._max_lease_seconds)
-                * 1000
-            ),
-        )
+        """Record a reading of the clock of an incarnation that followed."""
+        self._successor = _Successor(clock_ms, received_at, received_at, fence)
 
     def bound_others(self, granted_until_ms: int) -> None:
         """Expect no lease of earlier processes beyond a reading."""
--- a/chivespoke/agents/tests/test_leases.py
+++ b/chivespoke/agents/tests/test_leases.py
@@ -115,6 +115,16 @@
                     expired, self.leases.have_expired(NOW + 4.0 + seconds)
                 )
 
+    def test_answer_of_another_life_ends_the_wait_for_its_call(self) -> None:
+        # Several starts are often on their way when a worker comes back.
+        with self.leases.record_call(NOW + 3.9, FENCE):
+            self.record_start_on_another_life()
+            self.assertFalse(self.leases.have_expired(NOW + 14.9))
+        self.leases.record_answer(800, NOW + 4.5, FENCE)
+        for seconds, expired in ((14.6, False), (14.9, True)):
+            with self.subTest(seconds=seconds):
+                self.assertIs(expired, self.leases.have_expired(NOW + seconds))
+
     def test_only_a_poll_that_is_sent_later_denies_another_life(self) -> None:
         for sent_at, is_denied in ((3.9, False), (4.1, True)):
             with self.subTest(sent_at=sent_at):
