--- a/chivespoke/agents/tests/test_session.py
+++ b/chivespoke/agents/tests/test_session.py
@@ -557,8 +557,11 @@
             )
         )
 
-    async def start_long_run(self) -> None:
-        """Start a task that works on for longer than any lease."""
+    async def close_address_after_notice(self) -> None:
+        """Refuse connections while a task works on for longer than a lease.
+
+        The time that the worker has announced is over by then.
+        """
         self.runner.seconds = 2 * MAX_LEASE_SECONDS
         allowed_ms = self.clock_ms + HOUR_MS
         self.send_directive(
@@ -567,6 +570,9 @@
             granted_ms=self.clock_ms + ALLOWED_MS,
         )
         await self.wait_for_outcome()
+        self.announce_end(remaining_ms=200)
+        await asyncio.sleep(0.3)
+        await self.server.stop()
         self.assertEqual({TASK}, self.runner.running)
 
     async def test_worker_that_may_run_on_after_its_notice_keeps_its_runs(
@@ -575,10 +581,7 @@
         # Regression (review, case 7): the notice names the least time that is
         # left. Behind a cut that refuses connections the worker may be up, and
         # its tasks were started elsewhere while they ran.
-        await self.start_long_run()
-        self.announce_end(remaining_ms=200)
-        await asyncio.sleep(0.3)
-        await self.server.stop()
+        await self.close_address_after_notice()
         while not self.session.make_report('a').lapsed:
             await asyncio.sleep(0.02)
         self.assertEqual(frozenset(), self.runner.running)
@@ -588,10 +591,7 @@
     ) -> None:
         # Its sidecar may stop soon after, so that the end is put on record as
         # soon as all leases have expired.
-        await self.start_long_run()
-        self.announce_end(remaining_ms=200)
-        await asyncio.sleep(0.3)
-        await self.server.stop()
+        await self.close_address_after_notice()
         async with asyncio.timeout(MAX_END_SECONDS):
             while not self.listener.ended:
                 await asyncio.sleep(0.02)
